Add the thin path: fabric, entries, upstreams and callers on loopback

Eight entries over four failure domains take packets that a stand-in fabric sprays at random, learn of upstreams by announcement and heartbeat, and map flows by a rendezvous table over the upstreams in service. A record of known flows is kept on each entry, but nothing tells the others of it yet.

--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! One module a subcommand.
+
+pub(crate) mod check;
+pub(crate) mod demo;
+pub(crate) mod entry;
--- /dev/null
+++ b/crates/currantgate-cli/src/main.rs
@@ -0,0 +1,40 @@
+//! The `currantgate` command.
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+mod cmd;
+mod error;
+mod log_setup;
+
+fn main() -> ExitCode {
+    let matches = make_command().get_matches();
+    log_setup::init(&matches);
+
+    let result = match matches.subcommand() {
+        Some(("entry", sub)) => cmd::entry::execute(sub),
+        Some(("demo", sub)) => cmd::demo::execute(sub),
+        Some(("check", sub)) => cmd::check::execute(sub),
+        _ => unreachable!("clap accepts no other subcommand"),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("currantgate: {e}");
+            e.exit_code()
+        }
+    }
+}
+
+fn make_command() -> Command {
+    Command::new("currantgate")
+        .about("A layer-4 load balancer for a fleet of entry VMs")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(log_setup::make_arg())
+        .subcommand(cmd::entry::make_subcommand())
+        .subcommand(cmd::demo::make_subcommand())
+        .subcommand(cmd::check::make_subcommand())
+}
--- /dev/null
+++ b/crates/currantgate-config/src/join.rs
@@ -0,0 +1,22 @@
+//! How upstreams join a service.
+
+use serde::{Deserialize, Serialize};
+
+/// How an upstream that announces itself is brought into service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Join {
+    /// Milliseconds over which a new upstream's share grows to its full size.
+    pub warmup_ms: u64,
+    /// Milliseconds that an announcement holds without being renewed.
+    pub lease_ms: u64,
+}
+
+impl Default for Join {
+    fn default() -> Self {
+        Self {
+            warmup_ms: 10_000,
+            lease_ms: 6_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-config/src/lib.rs
@@ -0,0 +1,47 @@
+//! Ids, the site file and the settings of the daemons.
+//!
+//! Operators describe what they want in one declarative [`Site`] file: which
+//! services exist, which failure domains serve them and how upstreams join
+//! and leave. Each daemon also reads a small file of its own, such as
+//! [`EntrySettings`], which says where it listens and in which failure domain
+//! it runs. Every file is checked as a whole before any part of it is used;
+//! see `guide/src/reference/configuration.md` for every key.
+//!
+//! ```
+//! use currantgate_config::Site;
+//!
+//! let site = Site::parse(
+//!     r#"
+//!     domains = ["riga-1"]
+//!
+//!     [[service]]
+//!     name = "booking"
+//!     address = "127.20.0.1:443"
+//!     "#,
+//!     "site.toml",
+//! )?;
+//! assert_eq!(&*site.services[0].name, "booking");
+//! # Ok::<(), currantgate_config::ConfigError>(())
+//! ```
+
+mod domain;
+mod entry;
+mod error;
+mod id;
+mod join;
+mod leave;
+mod limits;
+mod protocol;
+mod service;
+mod site;
+
+pub use domain::Domain;
+pub use entry::{Budget, EntrySettings, FlowSettings, Listen, Peer};
+pub use error::ConfigError;
+pub use id::{EntryId, Incarnation, ServiceId, UpstreamId, service_id, upstream_id};
+pub use join::Join;
+pub use leave::Leave;
+pub use limits::Limits;
+pub use protocol::Protocol;
+pub use service::Service;
+pub use site::Site;
--- /dev/null
+++ b/crates/currantgate-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! One agreed configuration, kept by a quorum of control VMs.
--- /dev/null
+++ b/crates/currantgate-flow/src/drop_reason.rs
@@ -0,0 +1,20 @@
+//! Why a packet is dropped without a word to its sender.
+
+use derive_more::Display;
+
+/// Why a packet is dropped without a word to its sender.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// No service has the packet's destination address and protocol.
+    #[display("unknown_service")]
+    UnknownService,
+    /// An answer came from an address that holds no upstream.
+    #[display("unknown_upstream")]
+    UnknownUpstream,
+    /// An answer's source is not the service that its upstream announced.
+    #[display("wrong_service")]
+    WrongService,
+    /// A packet was forwarded to an entry that can't decide for it either.
+    #[display("forwarded_too_often")]
+    ForwardedTooOften,
+}
--- /dev/null
+++ b/crates/currantgate-flow/src/settings.rs
@@ -0,0 +1,30 @@
+//! What a router is told at the start.
+
+use currantgate_config::{EntryId, Service};
+
+/// What a [`crate::Router`] is told at the start.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// This entry's id.
+    pub id: EntryId,
+    /// The services of the site.
+    pub services: Vec<Service>,
+    /// The secret that flow hashes are keyed with; alike on all entries.
+    pub hash_key: u128,
+    /// Buckets for each service; a power of two, alike on all entries.
+    pub buckets: u32,
+    /// Seeds all random choices.
+    pub seed: u64,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            id: 0,
+            services: Vec::new(),
+            hash_key: 0,
+            buckets: 1_024,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-membership/src/budget.rs
@@ -0,0 +1,53 @@
+//! A token bucket over control bytes.
+
+use std::time::Instant;
+
+/// A token bucket that keeps control traffic within its bytes a second.
+///
+/// The level may be overdrawn by one message, so that a message larger than
+/// the burst is not held for ever; the debt is paid before the next one.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    bytes_per_second: u32,
+    burst_bytes: u32,
+    level: f64,
+    updated: Instant,
+    spent: u64,
+}
+
+impl Budget {
+    /// Returns a full bucket for the given settings.
+    pub fn new(settings: &currantgate_config::Budget, now: Instant) -> Self {
+        Self {
+            bytes_per_second: settings.bytes_per_second,
+            burst_bytes: settings.burst_bytes,
+            level: f64::from(settings.burst_bytes),
+            updated: now,
+            spent: 0,
+        }
+    }
+
+    /// Tells whether a message may be sent now.
+    pub fn is_open(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.level > 0.0
+    }
+
+    /// Takes the bytes of a message that is sent.
+    pub fn spend(&mut self, bytes: usize) {
+        self.level -= bytes as f64;
+        self.spent += bytes as u64;
+    }
+
+    /// Returns the bytes spent since the start.
+    pub fn spent(&self) -> u64 {
+        self.spent
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let grown = self.level + elapsed * f64::from(self.bytes_per_second);
+        self.level = grown.min(f64::from(self.burst_bytes));
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/currantgate-packet/src/lib.rs
@@ -0,0 +1,23 @@
+//! Reads and builds the IP packets that the fabric hands over.
+//!
+//! Packets travel between fabric, entries and upstreams as whole IP packets
+//! inside UDP datagrams, the foo-over-UDP encapsulation that the Linux kernel
+//! speaks. This crate turns such bytes into a [`Packet`], which says what the
+//! routing decision needs and nothing else, and builds the refusals that
+//! callers are sent. See `docs/design/encapsulation.md`.
+
+mod error;
+mod flow_hash;
+mod flow_key;
+mod kind;
+mod packet;
+mod parse;
+mod refuse;
+
+pub use error::PacketError;
+pub use flow_hash::{FlowHash, FlowHasher};
+pub use flow_key::FlowKey;
+pub use kind::PacketKind;
+pub use packet::Packet;
+pub use parse::{parse_answer, parse_request};
+pub use refuse::{Refusal, build_refusal};
--- /dev/null
+++ b/crates/currantgate-request/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides where, when and how often a request is tried.
--- /dev/null
+++ b/crates/currantgate-standin/src/segment.rs
@@ -0,0 +1,90 @@
+//! TCP segments inside IPv4 packets.
+
+use std::net::SocketAddrV4;
+
+use etherparse::{NetSlice, PacketBuilder, SlicedPacket, TransportSlice};
+
+/// Hops that a packet may travel.
+const TTL: u8 = 64;
+
+/// Receive window that is announced, in bytes.
+const WINDOW: u16 = 65_000;
+
+/// One TCP segment and the addresses around it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Segment {
+    pub(crate) from: SocketAddrV4,
+    pub(crate) to: SocketAddrV4,
+    pub(crate) seq: u32,
+    pub(crate) ack: u32,
+    pub(crate) flags: Flags,
+    pub(crate) payload: Vec<u8>,
+}
+
+/// The TCP flags that the stand-ins use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Flags {
+    pub(crate) syn: bool,
+    pub(crate) ack: bool,
+    pub(crate) fin: bool,
+    pub(crate) rst: bool,
+}
+
+impl Segment {
+    /// Returns the sequence number after everything in the segment.
+    pub(crate) fn next_seq(&self) -> u32 {
+        let len = u32::try_from(self.payload.len()).unwrap_or(u32::MAX);
+        self.seq
+            .wrapping_add(len)
+            .wrapping_add(u32::from(self.flags.syn))
+            .wrapping_add(u32::from(self.flags.fin))
+    }
+
+    /// Builds the IP packet that carries the segment.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut builder = PacketBuilder::ipv4(self.from.ip().octets(), self.to.ip().octets(), TTL)
+            .tcp(self.from.port(), self.to.port(), self.seq, WINDOW);
+        if self.flags.syn {
+            builder = builder.syn();
+        }
+        if self.flags.ack {
+            builder = builder.ack(self.ack);
+        }
+        if self.flags.fin {
+            builder = builder.fin();
+        }
+        if self.flags.rst {
+            builder = builder.rst();
+        }
+        let mut buf = Vec::with_capacity(builder.size(self.payload.len()));
+        builder
+            .write(&mut buf, &self.payload)
+            .expect("a segment fits a vector");
+        buf
+    }
+
+    /// Reads an IP packet; anything but IPv4 and TCP gives nothing.
+    pub(crate) fn decode(buf: &[u8]) -> Option<Self> {
+        let sliced = SlicedPacket::from_ip(buf).ok()?;
+        let Some(NetSlice::Ipv4(ip)) = &sliced.net else {
+            return None;
+        };
+        let Some(TransportSlice::Tcp(tcp)) = &sliced.transport else {
+            return None;
+        };
+        let header = ip.header();
+        Some(Self {
+            from: SocketAddrV4::new(header.source_addr(), tcp.source_port()),
+            to: SocketAddrV4::new(header.destination_addr(), tcp.destination_port()),
+            seq: tcp.sequence_number(),
+            ack: tcp.acknowledgment_number(),
+            flags: Flags {
+                syn: tcp.syn(),
+                ack: tcp.ack(),
+                fin: tcp.fin(),
+                rst: tcp.rst(),
+            },
+            payload: tcp.payload().to_vec(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/announce.rs
@@ -0,0 +1,155 @@
+//! The HTTP side of an entry: announcements and metrics.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Instant;
+
+use actix_web::dev::{Server, ServerHandle};
+use actix_web::{App, HttpResponse, HttpServer, web};
+use currantgate_membership::{AnnounceError, Announcement, Lease};
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::EntryError;
+
+/// The largest announcement that is read, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
+
+/// Announcements that may wait for the entry's task.
+pub(crate) const ANNOUNCE_QUEUE: usize = 256;
+
+/// One announcement on its way from the HTTP server to the entry's task.
+#[derive(Debug)]
+pub(crate) struct AnnounceRequest {
+    pub(crate) service: Box<str>,
+    pub(crate) name: Box<str>,
+    pub(crate) announcement: Announcement,
+    pub(crate) reply: oneshot::Sender<Result<Lease, AnnounceError>>,
+}
+
+/// What an accepted announcement is answered with.
+#[derive(Serialize)]
+struct Accepted {
+    /// Milliseconds for which the announcement holds.
+    lease_ms: u64,
+}
+
+/// What a refused announcement is answered with.
+#[derive(Serialize)]
+struct Rejected {
+    /// Why it is refused.
+    error: String,
+}
+
+/// Starts the server for announcements.
+pub(crate) fn serve_announcements(
+    listener: TcpListener,
+    tx: mpsc::Sender<AnnounceRequest>,
+) -> Result<ServerHandle, EntryError> {
+    let build = move |listener| {
+        HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::new(tx.clone()))
+                .app_data(web::JsonConfig::default().limit(MAX_ANNOUNCEMENT_BYTES))
+                .route(
+                    "/v1/upstreams/{service}/{name}",
+                    web::put().to(put_upstream),
+                )
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)
+        .map(HttpServer::run)
+    };
+    spawn(listener, build)
+}
+
+/// Starts the server for metrics.
+pub(crate) fn serve_metrics(
+    listener: TcpListener,
+    registry: Arc<Registry>,
+) -> Result<ServerHandle, EntryError> {
+    let build = move |listener| {
+        HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::from(Arc::clone(&registry)))
+                .route("/metrics", web::get().to(get_metrics))
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)
+        .map(HttpServer::run)
+    };
+    spawn(listener, build)
+}
+
+fn spawn(
+    listener: TcpListener,
+    build: impl FnOnce(TcpListener) -> std::io::Result<Server>,
+) -> Result<ServerHandle, EntryError> {
+    let address = listener.local_addr();
+    let server = build(listener).map_err(|source| EntryError::Serve {
+        address: address.unwrap_or_else(|_| ([0, 0, 0, 0], 0).into()),
+        source,
+    })?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+async fn put_upstream(
+    path: web::Path<(String, String)>,
+    body: web::Json<Announcement>,
+    tx: web::Data<mpsc::Sender<AnnounceRequest>>,
+) -> HttpResponse {
+    let (service, name) = path.into_inner();
+    let (reply, rx) = oneshot::channel();
+    let request = AnnounceRequest {
+        service: service.into(),
+        name: name.into(),
+        announcement: body.into_inner(),
+        reply,
+    };
+    if tx.try_send(request).is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match rx.await {
+        Ok(Ok(lease)) => HttpResponse::Ok().json(accepted(lease)),
+        Ok(Err(e)) => HttpResponse::build(status(&e)).json(Rejected {
+            error: e.to_string(),
+        }),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn accepted(lease: Lease) -> Accepted {
+    let left = lease.deadline.saturating_duration_since(Instant::now());
+    Accepted {
+        lease_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn status(e: &AnnounceError) -> actix_web::http::StatusCode {
+    use actix_web::http::StatusCode;
+    match e {
+        AnnounceError::UnknownService(_) => StatusCode::NOT_FOUND,
+        AnnounceError::TooMany(_) => StatusCode::SERVICE_UNAVAILABLE,
+        AnnounceError::OldIncarnation { .. } | AnnounceError::AddressInUse(_) => {
+            StatusCode::CONFLICT
+        }
+        AnnounceError::WrongDomain(_) | AnnounceError::OutOfRange(..) => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+    }
+}
+
+async fn get_metrics(registry: web::Data<Registry>) -> HttpResponse {
+    let mut text = String::new();
+    match prometheus_client::encoding::text::encode(&mut text, &registry) {
+        Ok(()) => HttpResponse::Ok()
+            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+            .body(text),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/core.rs
@@ -0,0 +1,259 @@
+//! One entry's state machines, wired to each other without any I/O.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use currantgate_config::{EntryId, EntrySettings, Site};
+use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
+use currantgate_membership::{
+    AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
+};
+use currantgate_packet::{Packet, build_refusal, parse_answer, parse_request};
+use indexmap::IndexMap;
+
+use super::metrics::EntryMetrics;
+use super::peer_message::PeerMessage;
+use crate::EntryError;
+
+/// Bytes of the IPv4 and UDP headers around each datagram.
+const HEADER_BYTES: usize = 28;
+
+/// One datagram that the daemon is to send.
+#[derive(Debug)]
+pub(crate) enum Datagram<'a> {
+    /// A caller's packet to an upstream.
+    ToUpstream(SocketAddr, &'a [u8]),
+    /// An answer towards a caller.
+    ToFabric(SocketAddr, &'a [u8]),
+    /// A refusal towards a caller.
+    RefusalToFabric(SocketAddr, Vec<u8>),
+    /// A message to another entry.
+    ToPeer(SocketAddr, Vec<u8>),
+}
+
+/// One entry's state machines and counters.
+pub(crate) struct Core {
+    router: Router,
+    members: Members,
+    budget: Budget,
+    metrics: EntryMetrics,
+    fabric: SocketAddr,
+    peers: IndexMap<EntryId, SocketAddr>,
+    peer_ids: IndexMap<SocketAddr, EntryId>,
+}
+
+impl Core {
+    pub(crate) fn new(
+        settings: &EntrySettings,
+        site: &Site,
+        metrics: EntryMetrics,
+        now: Instant,
+    ) -> Result<Self, EntryError> {
+        let router = Router::new(RouterSettings {
+            id: settings.id,
+            services: site.services.clone(),
+            hash_key: settings.flow.key()?,
+            buckets: settings.flow.buckets,
+            seed: u64::from(settings.id),
+        });
+        let members = Members::new(
+            MembersSettings {
+                id: settings.id,
+                domain: settings.domain.clone(),
+                peers: settings.peers.clone(),
+                services: site.services.clone(),
+                seed: u64::from(settings.id),
+            },
+            now,
+        );
+        Ok(Self {
+            router,
+            members,
+            budget: Budget::new(&settings.budget, now),
+            metrics,
+            fabric: settings.fabric,
+            peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
+            peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
+        })
+    }
+
+    /// Takes an IP packet from the fabric.
+    pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
+        let packet = self.parsed(parse_request(buf))?;
+        let verdict = self.router.route(now, &packet);
+        self.carry_out(verdict, &packet, buf)
+    }
+
+    /// Takes an IP packet from an upstream.
+    pub(crate) fn take_answer<'a>(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        buf: &'a [u8],
+    ) -> Option<Datagram<'a>> {
+        let packet = self.parsed(parse_answer(buf))?;
+        match self.router.answer(now, from, &packet) {
+            AnswerVerdict::Pass => {
+                self.metrics.answered.inc();
+                Some(Datagram::ToFabric(self.fabric, buf))
+            }
+            AnswerVerdict::Drop(reason) => {
+                self.metrics.count_drop(&reason);
+                None
+            }
+        }
+    }
+
+    /// Reads a datagram from the address of another entry.
+    pub(crate) fn decode_peer(
+        &self,
+        from: SocketAddr,
+        buf: &[u8],
+    ) -> Option<(EntryId, PeerMessage)> {
+        let Some(id) = self.peer_ids.get(&from) else {
+            self.metrics.count_drop(&"unknown_peer");
+            return None;
+        };
+        match PeerMessage::decode(buf) {
+            Ok(message) => Some((*id, message)),
+            Err(e) => {
+                log::debug!("entry {id} at {from} sent a message that can't be read: {e}");
+                self.metrics.count_drop(&"bad_peer_message");
+                None
+            }
+        }
+    }
+
+    /// Takes a message from another entry; a forwarded packet's bytes must
+    /// outlive the datagram that is returned for it.
+    pub(crate) fn take_peer_message<'a>(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        message: &'a PeerMessage,
+    ) -> Option<Datagram<'a>> {
+        match message {
+            PeerMessage::Members(message) => {
+                self.members.receive(now, from, message.clone());
+                None
+            }
+            PeerMessage::Flow(message) => match *message {},
+            PeerMessage::Packet { forward, bytes } => {
+                let packet = self.parsed(parse_request(bytes))?;
+                let verdict = self.router.route_forwarded(now, from, forward, &packet);
+                self.carry_out(verdict, &packet, bytes)
+            }
+        }
+    }
+
+    /// Takes an announcement of an upstream.
+    pub(crate) fn announce(
+        &mut self,
+        now: Instant,
+        service: &str,
+        name: &str,
+        announcement: Announcement,
+    ) -> Result<Lease, AnnounceError> {
+        self.members.announce(now, service, name, announcement)
+    }
+
+    /// Does what is due at `now`.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.members.tick(now);
+        self.router.tick(now);
+    }
+
+    /// Returns the instant at which [`Core::tick`] is next wanted.
+    pub(crate) fn next_deadline(&self) -> Instant {
+        let members = self.members.next_deadline();
+        self.router
+            .next_deadline()
+            .map_or(members, |router| router.min(members))
+    }
+
+    /// Returns the next control message to send.
+    pub(crate) fn poll_output(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        while let Some(output) = self.members.poll_output(now, &mut self.budget) {
+            use currantgate_membership::Output;
+            match output {
+                Output::Send { to, message } => {
+                    return self.control_datagram(to, &PeerMessage::Members(message));
+                }
+                Output::UpstreamsChanged => {
+                    self.router.set_upstreams(now, self.members.upstreams());
+                }
+                Output::EntriesChanged => {
+                    let entries = self.members.entries();
+                    self.router.set_entries(now, &entries);
+                }
+            }
+        }
+        let currantgate_flow::Output::Send { to, message } =
+            self.router.poll_output(now, &mut self.budget)?;
+        self.control_datagram(to, &PeerMessage::Flow(message))
+    }
+
+    fn control_datagram(
+        &mut self,
+        to: EntryId,
+        message: &PeerMessage,
+    ) -> Option<Datagram<'static>> {
+        let datagram = self.peer_datagram(to, message)?;
+        if let Datagram::ToPeer(_, bytes) = &datagram {
+            self.budget.spend(bytes.len() + HEADER_BYTES);
+            self.metrics
+                .control_bytes
+                .inc_by((bytes.len() + HEADER_BYTES) as u64);
+        }
+        Some(datagram)
+    }
+
+    fn peer_datagram(&self, to: EntryId, message: &PeerMessage) -> Option<Datagram<'static>> {
+        let address = *self.peers.get(&to)?;
+        match message.encode() {
+            Ok(bytes) => Some(Datagram::ToPeer(address, bytes)),
+            Err(e) => {
+                log::error!("a message to entry {to} can't be encoded: {e}");
+                None
+            }
+        }
+    }
+
+    fn parsed(&self, parsed: Result<Packet, currantgate_packet::PacketError>) -> Option<Packet> {
+        match parsed {
+            Ok(packet) => Some(packet),
+            Err(e) => {
+                self.metrics.count_drop(&format!("{e:?}").to_lowercase());
+                None
+            }
+        }
+    }
+
+    fn carry_out<'a>(
+        &mut self,
+        verdict: Verdict,
+        packet: &Packet,
+        buf: &'a [u8],
+    ) -> Option<Datagram<'a>> {
+        match verdict {
+            Verdict::Deliver { address, .. } => {
+                self.metrics.delivered.inc();
+                Some(Datagram::ToUpstream(address, buf))
+            }
+            Verdict::Forward { to, forward } => {
+                self.metrics.forwarded.inc();
+                let bytes = buf.to_vec();
+                self.peer_datagram(to, &PeerMessage::Packet { forward, bytes })
+            }
+            Verdict::Refuse(refusal) => {
+                self.metrics.count_refusal(&refusal);
+                let bytes = build_refusal(packet, refusal).ok()?;
+                Some(Datagram::RefusalToFabric(self.fabric, bytes))
+            }
+            Verdict::Drop(reason) => {
+                self.metrics.count_drop(&reason);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -0,0 +1,258 @@
+//! Sockets and timers around one entry's state machines.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use actix_rt::task::JoinHandle;
+use actix_web::dev::ServerHandle;
+use currantgate_config::{EntryId, EntrySettings, Listen, Site};
+use prometheus_client::registry::Registry;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use super::announce::{self, AnnounceRequest};
+use super::core::{Core, Datagram};
+use super::metrics::EntryMetrics;
+use crate::{EntryError, EntrySockets};
+
+/// The largest datagram that UDP can carry.
+const MAX_DATAGRAM_BYTES: usize = 65_535;
+
+/// A running entry.
+///
+/// It takes packets on the thread that started it, and stops when it is
+/// dropped or told to by [`Entry::stop`].
+pub struct Entry {
+    id: EntryId,
+    addresses: Listen,
+    metrics: EntryMetrics,
+    tasks: Vec<JoinHandle<()>>,
+    servers: Vec<ServerHandle>,
+}
+
+struct Shared {
+    core: RefCell<Core>,
+    fabric: UdpSocket,
+    tunnel: UdpSocket,
+    peer: UdpSocket,
+    metrics: EntryMetrics,
+}
+
+impl Entry {
+    /// Starts an entry on the current thread's runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a socket or server can't be used.
+    pub fn start(
+        settings: &EntrySettings,
+        site: &Site,
+        sockets: EntrySockets,
+    ) -> Result<Self, EntryError> {
+        let addresses = sockets
+            .addresses()
+            .map_err(|source| bind_error(settings.listen.peer, source))?;
+        let metrics = EntryMetrics::default();
+        let mut registry = Registry::default();
+        metrics.register(&mut registry);
+
+        let core = Core::new(settings, site, metrics.clone(), Instant::now())?;
+        let (tx, rx) = mpsc::channel(announce::ANNOUNCE_QUEUE);
+        let servers = vec![
+            announce::serve_announcements(sockets.announce, tx)?,
+            announce::serve_metrics(sockets.metrics, Arc::new(registry))?,
+        ];
+        let udp = |socket, address| {
+            UdpSocket::from_std(socket).map_err(|source| bind_error(address, source))
+        };
+        let shared = Rc::new(Shared {
+            core: RefCell::new(core),
+            fabric: udp(sockets.fabric, addresses.fabric)?,
+            tunnel: udp(sockets.tunnel, addresses.tunnel)?,
+            peer: udp(sockets.peer, addresses.peer)?,
+            metrics: metrics.clone(),
+        });
+        let tasks = vec![
+            actix_rt::spawn(receive_from_fabric(Rc::clone(&shared))),
+            actix_rt::spawn(receive_from_tunnel(Rc::clone(&shared))),
+            actix_rt::spawn(receive_from_peers(Rc::clone(&shared))),
+            actix_rt::spawn(take_announcements(Rc::clone(&shared), rx)),
+            actix_rt::spawn(keep_time(shared)),
+        ];
+        log::info!(
+            "entry {} in {} takes packets on {}",
+            settings.id,
+            settings.domain,
+            addresses.fabric
+        );
+        Ok(Self {
+            id: settings.id,
+            addresses,
+            metrics,
+            tasks,
+            servers,
+        })
+    }
+
+    /// Returns the entry's id.
+    pub fn id(&self) -> EntryId {
+        self.id
+    }
+
+    /// Returns the addresses that the entry listens on.
+    pub fn addresses(&self) -> &Listen {
+        &self.addresses
+    }
+
+    /// Returns the bytes of control messages sent since the start.
+    pub fn control_bytes(&self) -> u64 {
+        self.metrics.control_bytes.get()
+    }
+
+    /// Stops at once, as if the VM had died.
+    pub fn kill(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    /// Stops in plan.
+    pub async fn stop(mut self) {
+        for server in std::mem::take(&mut self.servers) {
+            server.stop(true).await;
+        }
+        self.kill();
+        log::info!("entry {} stopped", self.id);
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.kill();
+        for server in &self.servers {
+            // The returned future only waits; the stop itself is asked for at once.
+            drop(server.stop(false));
+        }
+    }
+}
+
+fn bind_error(address: SocketAddr, source: std::io::Error) -> EntryError {
+    EntryError::Bind {
+        address,
+        purpose: "listen",
+        source,
+    }
+}
+
+impl Shared {
+    /// Sends one datagram; a full socket drops it, as a full link would.
+    fn send(&self, datagram: &Datagram<'_>) {
+        let sent = match datagram {
+            Datagram::ToUpstream(to, bytes) => self.tunnel.try_send_to(bytes, *to),
+            Datagram::ToFabric(to, bytes) => self.fabric.try_send_to(bytes, *to),
+            Datagram::RefusalToFabric(to, bytes) => self.fabric.try_send_to(bytes, *to),
+            Datagram::ToPeer(to, bytes) => self.peer.try_send_to(bytes, *to),
+        };
+        if let Err(e) = sent {
+            log::debug!("a datagram could not be sent: {e}");
+            self.metrics.count_drop(&"send_failed");
+        }
+    }
+
+    fn flush(&self, now: Instant) {
+        loop {
+            let output = self.core.borrow_mut().poll_output(now);
+            let Some(datagram) = output else { break };
+            self.send(&datagram);
+        }
+    }
+}
+
+async fn receive_from_fabric(shared: Rc<Shared>) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((len, _)) = shared.fabric.recv_from(&mut buf).await else {
+            continue;
+        };
+        let output = shared
+            .core
+            .borrow_mut()
+            .take_request(Instant::now(), &buf[..len]);
+        if let Some(datagram) = output {
+            shared.send(&datagram);
+        }
+    }
+}
+
+async fn receive_from_tunnel(shared: Rc<Shared>) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((len, from)) = shared.tunnel.recv_from(&mut buf).await else {
+            continue;
+        };
+        let output = shared
+            .core
+            .borrow_mut()
+            .take_answer(Instant::now(), from, &buf[..len]);
+        if let Some(datagram) = output {
+            shared.send(&datagram);
+        }
+    }
+}
+
+async fn receive_from_peers(shared: Rc<Shared>) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((len, from)) = shared.peer.recv_from(&mut buf).await else {
+            continue;
+        };
+        let decoded = shared.core.borrow().decode_peer(from, &buf[..len]);
+        let Some((from, message)) = decoded else {
+            continue;
+        };
+        let now = Instant::now();
+        let output = shared
+            .core
+            .borrow_mut()
+            .take_peer_message(now, from, &message);
+        if let Some(datagram) = output {
+            shared.send(&datagram);
+        }
+        shared.flush(now);
+    }
+}
+
+async fn take_announcements(shared: Rc<Shared>, mut rx: mpsc::Receiver<AnnounceRequest>) {
+    while let Some(request) = rx.recv().await {
+        let now = Instant::now();
+        let result = shared.core.borrow_mut().announce(
+            now,
+            &request.service,
+            &request.name,
+            request.announcement,
+        );
+        if let Err(e) = &result {
+            log::warn!(
+                "announcement of {}/{} rejected: {e}",
+                request.service,
+                request.name
+            );
+        }
+        // The upstream may have hung up meanwhile; it will announce again.
+        let _ = request.reply.send(result);
+        shared.flush(now);
+    }
+}
+
+async fn keep_time(shared: Rc<Shared>) {
+    loop {
+        let now = Instant::now();
+        shared.core.borrow_mut().tick(now);
+        shared.flush(now);
+        let deadline = shared.core.borrow().next_deadline();
+        actix_rt::time::sleep_until(deadline.into()).await;
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/error.rs
@@ -0,0 +1,45 @@
+//! Why an entry can't run.
+
+use std::io;
+use std::net::SocketAddr;
+
+use currantgate_config::ConfigError;
+use displaydoc::Display;
+
+/// Why an entry can't run.
+#[derive(Debug, Display)]
+pub enum EntryError {
+    /// can't listen on {address} for {purpose}: {source}
+    Bind {
+        /// The address that was asked for.
+        address: SocketAddr,
+        /// What it is for: the key under `listen`.
+        purpose: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// can't start the HTTP server on {address}: {source}
+    Serve {
+        /// The address that was bound.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// {0}
+    Config(ConfigError),
+}
+
+impl std::error::Error for EntryError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Bind { source, .. } | Self::Serve { source, .. } => Some(source),
+            Self::Config(source) => Some(source),
+        }
+    }
+}
+
+impl From<ConfigError> for EntryError {
+    fn from(source: ConfigError) -> Self {
+        Self::Config(source)
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/metrics.rs
@@ -0,0 +1,82 @@
+//! What an entry counts.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Labels that tell why something was dropped or refused.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Reason {
+    /// The reason, in lower case with underscores.
+    pub(crate) reason: String,
+}
+
+/// What an entry counts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryMetrics {
+    /// Packets that went to an upstream.
+    pub(crate) delivered: Counter,
+    /// Answers that went back to callers.
+    pub(crate) answered: Counter,
+    /// Packets that were handed to another entry.
+    pub(crate) forwarded: Counter,
+    /// Packets whose caller was told that the flow can't be served.
+    pub(crate) refused: Family<Reason, Counter>,
+    /// Packets that were dropped.
+    pub(crate) dropped: Family<Reason, Counter>,
+    /// Bytes of control messages sent, UDP and IP headers included.
+    pub(crate) control_bytes: Counter,
+}
+
+impl EntryMetrics {
+    /// Registers all metrics under the `currantgate_entry` prefix.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("currantgate_entry");
+        registry.register(
+            "packets_delivered",
+            "Packets that went to an upstream",
+            self.delivered.clone(),
+        );
+        registry.register(
+            "packets_answered",
+            "Answers that went back to callers",
+            self.answered.clone(),
+        );
+        registry.register(
+            "packets_forwarded",
+            "Packets handed to another entry",
+            self.forwarded.clone(),
+        );
+        registry.register(
+            "packets_refused",
+            "Packets whose caller was told that the flow can't be served",
+            self.refused.clone(),
+        );
+        registry.register("packets_dropped", "Packets dropped", self.dropped.clone());
+        registry.register_with_unit(
+            "control_sent",
+            "Control messages sent, UDP and IP headers included",
+            Unit::Bytes,
+            self.control_bytes.clone(),
+        );
+    }
+
+    /// Counts one dropped packet.
+    pub(crate) fn count_drop(&self, reason: &dyn std::fmt::Display) {
+        self.dropped
+            .get_or_create(&Reason {
+                reason: reason.to_string(),
+            })
+            .inc();
+    }
+
+    /// Counts one refused packet.
+    pub(crate) fn count_refusal(&self, reason: &dyn std::fmt::Debug) {
+        self.refused
+            .get_or_create(&Reason {
+                reason: format!("{reason:?}").to_lowercase(),
+            })
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! The entry daemon: packets from the fabric to upstreams and back.
+
+mod announce;
+mod core;
+mod daemon;
+mod error;
+mod metrics;
+mod peer_message;
+mod sockets;
+
+pub use daemon::Entry;
+pub use error::EntryError;
+pub use sockets::EntrySockets;
--- /dev/null
+++ b/crates/currantgate/src/lib.rs
@@ -0,0 +1,28 @@
+//! A layer-4 load balancer for a fleet of entry VMs behind a fabric that may
+//! hand any packet to any of them.
+//!
+//! The decisions are deterministic state machines in crates of their own:
+//! [`currantgate_flow::Router`] decides where packets go and
+//! [`currantgate_membership::Members`] decides who is alive. This crate puts
+//! sockets and timers around them. [`Entry`] is the daemon that takes packets
+//! from the fabric:
+//!
+//! ```no_run
+//! use std::path::Path;
+//!
+//! use currantgate::{Entry, EntrySockets};
+//! use currantgate_config::{EntrySettings, Site};
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = EntrySettings::load(Path::new("entry-1.toml"))?;
+//! let site = Site::load(&settings.site)?;
+//! let sockets = EntrySockets::bind(&settings.listen)?;
+//! let entry = Entry::start(&settings, &site, sockets)?;
+//! entry.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod entry;
+
+pub use entry::{Entry, EntryError, EntrySockets};
