Name the stages of entries and how sure an upstream's presence is

Routing has to tell an upstream whose lease ran out, whose flows stay, from one that is gone, whose flows are told so; and an entry that joins or leaves from one that decides. Only the types are here; no behaviour changed.

--- a/crates/currantgate-config/src/entry.rs
+++ b/crates/currantgate-config/src/entry.rs
@@ -103,6 +103,10 @@
     pub hash_key: Box<str>,
     /// Buckets for each service; a power of two.
     pub buckets: u32,
+    /// The most open flows that the entry keeps for all services together.
+    pub max_flows: usize,
+    /// The largest caller's packet, in bytes, that fits the encapsulation.
+    pub inner_mtu: u16,
 }
 
 impl Default for FlowSettings {
@@ -110,6 +114,8 @@
         Self {
             hash_key: "00000000000000000000000000000000".into(),
             buckets: 1_024,
+            max_flows: 1_000_000,
+            inner_mtu: 1_400,
         }
     }
 }
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate_config::{EntryId, Protocol, Service, ServiceId, UpstreamId};
-use currantgate_membership::{Budget, Upstream, UpstreamState};
+use currantgate_membership::{Budget, EntryView, Presence, Upstream, UpstreamState};
 use currantgate_packet::{FlowHash, FlowHasher, Packet, PacketKind, Refusal};
 use indexmap::IndexMap;
 
@@ -43,13 +43,13 @@
         }
     }
 
-    /// Takes the upstreams whose leases hold.
+    /// Takes all known upstreams and how sure their presence is.
     pub fn set_upstreams<'a>(
         &mut self,
         _now: Instant,
-        upstreams: impl Iterator<Item = &'a Upstream>,
+        upstreams: impl Iterator<Item = (&'a Upstream, Presence)>,
     ) {
-        self.upstreams = upstreams.map(|u| (u.id(), u.clone())).collect();
+        self.upstreams = upstreams.map(|(u, _)| (u.id(), u.clone())).collect();
         self.addresses = self
             .upstreams
             .iter()
@@ -63,7 +63,7 @@
     }
 
     /// Takes the live entries, this one included.
-    pub fn set_entries(&mut self, _now: Instant, _entries: &[EntryId]) {}
+    pub fn set_entries(&mut self, _now: Instant, _entries: &[EntryView]) {}
 
     /// Decides about a packet that the fabric handed over.
     pub fn route(&mut self, now: Instant, packet: &Packet) -> Verdict {
@@ -122,6 +122,11 @@
         match *message {}
     }
 
+    /// Tells whether this entry knows enough to decide about flows.
+    pub fn is_synced(&self) -> bool {
+        true
+    }
+
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Instant) {
         self.records.retain(|_, record| record.deadline > now);
--- a/crates/currantgate-flow/src/settings.rs
+++ b/crates/currantgate-flow/src/settings.rs
@@ -13,6 +13,8 @@
     pub hash_key: u128,
     /// Buckets for each service; a power of two, alike on all entries.
     pub buckets: u32,
+    /// The most open flows that the entry keeps for all services together.
+    pub max_flows: usize,
     /// Seeds all random choices.
     pub seed: u64,
 }
@@ -24,6 +26,7 @@
             services: Vec::new(),
             hash_key: 0,
             buckets: 1_024,
+            max_flows: 1_000_000,
             seed: 0,
         }
     }
--- a/crates/currantgate-membership/src/lib.rs
+++ b/crates/currantgate-membership/src/lib.rs
@@ -8,20 +8,24 @@
 
 mod announcement;
 mod budget;
+mod entry_view;
 mod error;
 mod lease;
 mod members;
 mod message;
+mod presence;
 mod settings;
 mod state;
 mod upstream;
 
 pub use announcement::Announcement;
 pub use budget::Budget;
+pub use entry_view::{EntryStage, EntryView};
 pub use error::AnnounceError;
 pub use lease::Lease;
 pub use members::{Members, Output};
 pub use message::Message;
+pub use presence::Presence;
 pub use settings::MembersSettings;
 pub use state::UpstreamState;
 pub use upstream::Upstream;
--- a/crates/currantgate-membership/src/members.rs
+++ b/crates/currantgate-membership/src/members.rs
@@ -5,7 +5,10 @@
 use currantgate_config::{EntryId, UpstreamId};
 use indexmap::IndexMap;
 
-use crate::{AnnounceError, Announcement, Budget, Lease, MembersSettings, Message, Upstream};
+use crate::{
+    AnnounceError, Announcement, Budget, EntryStage, EntryView, Lease, MembersSettings, Message,
+    Presence, Upstream,
+};
 
 /// How often an entry tells the others that it is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -140,17 +143,23 @@
         self.outputs.pop_front()
     }
 
-    /// Returns all upstreams whose leases hold.
-    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
-        self.upstreams.values().map(|leased| &leased.upstream)
+    /// Returns all known upstreams and how sure their presence is.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, Presence)> {
+        self.upstreams
+            .values()
+            .map(|leased| (&leased.upstream, Presence::Leased))
     }
 
     /// Returns the live entries in ascending order, this one included.
-    pub fn entries(&self) -> Vec<EntryId> {
-        let mut entries: Vec<_> = self.heard.keys().copied().collect();
-        entries.push(self.settings.id);
-        entries.sort_unstable();
-        entries
+    pub fn entries(&self) -> Vec<EntryView> {
+        let mut ids: Vec<_> = self.heard.keys().copied().collect();
+        ids.push(self.settings.id);
+        ids.sort_unstable();
+        let serving = |id| EntryView {
+            id,
+            stage: EntryStage::Serving,
+        };
+        ids.into_iter().map(serving).collect()
     }
 
     fn store(&mut self, upstream: Upstream, lease: Lease, own: bool) {
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -54,6 +54,7 @@
             services: site.services.clone(),
             hash_key: settings.flow.key()?,
             buckets: settings.flow.buckets,
+            max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
         });
         let members = Members::new(
