--- /dev/null
+++ b/crates/currantgate-flow/src/bucket.rs
@@ -0,0 +1,90 @@
+//! One bucket of a service's table.
+
+use std::time::Instant;
+
+use currantgate_config::EntryId;
+use currantgate_packet::FlowHash;
+use indexmap::IndexSet;
+
+use crate::flow_map::FlowMap;
+use crate::pin::Pin;
+use crate::{Phase, Version};
+
+/// One bucket of a service's table, with the flows that fall into it.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    /// Orders the bucket's states.
+    pub(crate) version: Version,
+    /// Who has the bucket.
+    pub(crate) phase: Phase,
+    /// The entry that decides for first packets and moves the bucket.
+    pub(crate) keeper: Option<EntryId>,
+    /// The entry that remembers what the keeper decides.
+    pub(crate) backup: Option<EntryId>,
+    /// The instant since which this entry has been the keeper; flows that are
+    /// older may be unknown to it. None if the bucket had no owner then.
+    pub(crate) kept_since: Option<Instant>,
+    /// The flows that this entry knows.
+    pub(crate) flows: FlowMap,
+    /// What the mover has told of its list, while the bucket moves.
+    pub(crate) fill: Option<Box<Fill>>,
+}
+
+/// How much of the mover's list an entry has.
+#[derive(Debug, Default)]
+pub(crate) struct Fill {
+    /// The flows of the mover's list.
+    pub(crate) listed: IndexSet<FlowHash>,
+    /// Flows that were not in the list once all of it had come.
+    pub(crate) extras: Option<Vec<Pin>>,
+}
+
+impl Bucket {
+    /// Returns a bucket that no upstream has.
+    pub(crate) fn new() -> Self {
+        Self {
+            version: Version::default(),
+            phase: Phase::Unowned,
+            keeper: None,
+            backup: None,
+            kept_since: None,
+            flows: FlowMap::default(),
+            fill: None,
+        }
+    }
+
+    /// Returns all flows with their upstreams, in ascending order.
+    pub(crate) fn pins(&self) -> Vec<Pin> {
+        let mut pins: Vec<_> = self.flows.iter().map(|(h, r)| (*h, r.upstream)).collect();
+        pins.sort_unstable();
+        pins
+    }
+
+    /// Returns the flows that belong to another upstream than a table alone
+    /// would tell, in ascending order.
+    pub(crate) fn exceptions(&self) -> Vec<Pin> {
+        let owner = match self.phase {
+            Phase::Stable { owner } => Some(owner),
+            Phase::Unowned | Phase::Moving { .. } => None,
+        };
+        let mut pins = self.pins();
+        pins.retain(|(_, upstream)| Some(*upstream) != owner);
+        pins
+    }
+
+    /// Takes a new state.
+    pub(crate) fn adopt(&mut self, version: Version, phase: Phase) {
+        self.version = version;
+        self.phase = phase;
+        self.fill = match phase {
+            Phase::Moving { .. } => Some(Box::default()),
+            Phase::Unowned | Phase::Stable { .. } => None,
+        };
+    }
+
+    /// Returns what orders the bucket's states: of two entries that have the
+    /// same version, the one that has ended the move is ahead.
+    pub(crate) fn rank(&self) -> (Version, bool) {
+        (self.version, self.phase.is_stable())
+    }
+}
--- /dev/null
+++ b/crates/currantgate-flow/src/follower.rs
@@ -0,0 +1,143 @@
+//! Follows moves that other entries make.
+
+use std::time::Instant;
+
+use currantgate_config::{EntryId, UpstreamId};
+
+use crate::pin::{self, PinGroup};
+use crate::router::{Place, Router};
+use crate::{BucketItem, Phase, Step, Version};
+
+/// Bytes of flows in one step.
+pub(crate) const PAGE_BYTES: usize = 900;
+
+impl Router {
+    /// Marks a bucket as moving.
+    pub(crate) fn take_prepare(
+        &mut self,
+        from_entry: EntryId,
+        place: Place,
+        version: Version,
+        (from, to): (UpstreamId, UpstreamId),
+    ) {
+        let bucket = self.bucket_mut(place);
+        if version < bucket.version {
+            self.refuse(from_entry, place);
+            return;
+        }
+        let committed = bucket.phase == Phase::Stable { owner: to };
+        if version > bucket.version {
+            bucket.adopt(version, Phase::Moving { from, to });
+            self.transfers.swap_remove(&place);
+            self.reopens.swap_remove(&place);
+            self.pulls.swap_remove(&place);
+        }
+        self.reply(from_entry, place, version, Step::Prepared { committed });
+    }
+
+    /// Takes flows of the mover's list.
+    pub(crate) fn take_pins(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        version: Version,
+        (offset, total, extras_have): (u32, u32, u32),
+        flows: &[PinGroup],
+    ) {
+        let bucket = self.bucket_mut(place);
+        if version != bucket.version {
+            self.refuse(from, place);
+            return;
+        }
+        let Some(mut fill) = bucket.fill.take() else {
+            self.reply(from, place, version, Step::Committed);
+            return;
+        };
+        if offset as usize == fill.listed.len() {
+            for (hash, upstream) in pin::ungroup(flows) {
+                self.take_pin(now, place, hash, upstream);
+                fill.listed.insert(hash);
+            }
+        }
+        let bucket = self.bucket_mut(place);
+        if fill.listed.len() as u32 >= total && fill.extras.is_none() {
+            let mut extras = bucket.pins();
+            extras.retain(|(hash, _)| !fill.listed.contains(hash));
+            if let Phase::Moving { from, to } = bucket.phase
+                && from == to
+            {
+                extras.retain(|(_, upstream)| *upstream != to);
+            }
+            fill.extras = Some(extras);
+        }
+        let empty = Vec::new();
+        let extras = fill.extras.as_ref().unwrap_or(&empty);
+        let rest = extras.get(extras_have as usize..).unwrap_or_default();
+        let count = pin::fitting(rest, PAGE_BYTES);
+        let step = Step::Filled {
+            have: fill.listed.len() as u32,
+            extras: fill.extras.as_ref().map(|e| e.len() as u32),
+            offset: extras_have,
+            flows: pin::group(&rest[..count]),
+        };
+        bucket.fill = Some(fill);
+        self.reply(from, place, version, step);
+    }
+
+    fn take_pin(&mut self, now: Instant, place: Place, hash: u64, upstream: UpstreamId) {
+        let table = &mut self.tables[place.0];
+        if table.index(hash) == place.1 {
+            table.pin(now, hash, upstream);
+        }
+    }
+
+    /// Ends a move.
+    pub(crate) fn take_commit(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        version: Version,
+        owner: UpstreamId,
+    ) {
+        let bucket = self.bucket_mut(place);
+        if version < bucket.version {
+            self.refuse(from, place);
+            return;
+        }
+        let is_first = bucket.phase == Phase::Unowned && version.counter == 1;
+        if version > bucket.version && !is_first {
+            // The flows that the move was about are not known here.
+            self.pull(now, from, place);
+            return;
+        }
+        if !bucket.phase.is_stable() || is_first {
+            bucket.adopt(version, Phase::Stable { owner });
+        }
+        self.reply(from, place, version, Step::Committed);
+    }
+
+    fn refuse(&mut self, to: EntryId, place: Place) {
+        let bucket = self.bucket_mut(place);
+        let version = bucket.version;
+        self.reply(to, place, version, Step::Refused);
+    }
+
+    /// Queues an answer to a step of another entry.
+    pub(crate) fn reply(&mut self, to: EntryId, place: Place, version: Version, step: Step) {
+        let item = BucketItem {
+            bucket: place.1,
+            version,
+            step,
+        };
+        let queue = self.replies.entry((to, place.0)).or_default();
+        if queue.len() < MAX_QUEUED_REPLIES {
+            queue.push_back(item);
+        }
+    }
+}
+
+/// Answers that may wait for one entry and service; what is beyond is lost,
+/// as it could be on the way.
+const MAX_QUEUED_REPLIES: usize = 4_096;
--- a/crates/currantgate-flow/src/forward.rs
+++ b/crates/currantgate-flow/src/forward.rs
@@ -7,7 +7,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Forward {
     /// The receiver decides where the packet goes.
-    Decide,
+    Decide {
+        /// Entries that have handed the packet on, the sender included.
+        hops: u8,
+    },
     /// The sender has decided; the receiver records it and delivers.
     Record {
         /// The upstream that the flow belongs to.
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -6,20 +6,40 @@
 //! and messages come out. It holds no clock, no socket and no task. See
 //! `docs/design/flow-routing.md`.
 
+mod balance;
+mod bucket;
 mod drop_reason;
+mod flow_map;
+mod follower;
 mod forward;
+mod keepers;
+mod known;
 mod message;
+mod mover;
 mod output;
+mod phase;
+mod pin;
 mod record;
+mod refuse;
 mod rendezvous;
+mod route;
 mod router;
+mod send;
 mod settings;
+mod sync;
+mod table;
+mod transfer;
 mod verdict;
+mod version;
 
 pub use drop_reason::DropReason;
 pub use forward::Forward;
-pub use message::Message;
+pub use message::{BucketIndex, BucketItem, ChunkVersions, Message, Step};
 pub use output::Output;
+pub use phase::Phase;
+pub use pin::PinGroup;
 pub use router::Router;
 pub use settings::RouterSettings;
+pub use sync::CHUNK_BUCKETS;
 pub use verdict::{AnswerVerdict, Verdict};
+pub use version::Version;
--- a/crates/currantgate-flow/src/message.rs
+++ b/crates/currantgate-flow/src/message.rs
@@ -1,7 +1,130 @@
 //! What entries tell each other about buckets and flows.
 
+use currantgate_config::{ServiceId, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::{Phase, PinGroup, Version};
+
+/// Counts a service's buckets from zero.
+pub type BucketIndex = u16;
+
 /// What entries tell each other about buckets and flows.
+///
+/// Every part of a message may be lost, doubled or late: each step names the
+/// version of the bucket that it is about and may be taken twice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Steps of moves and repairs of several buckets of one service.
+    Buckets {
+        /// The service.
+        service: ServiceId,
+        /// The steps, at most one kind for each bucket.
+        items: Vec<BucketItem>,
+    },
+    /// What the sender's table looks like, for comparison.
+    Digest {
+        /// The service.
+        service: ServiceId,
+        /// One digest for each run of [`crate::CHUNK_BUCKETS`] buckets.
+        chunks: Vec<u32>,
+    },
+    /// The versions of the buckets in chunks that differ.
+    Versions {
+        /// The service.
+        service: ServiceId,
+        /// Whether the sender answers a digest.
+        answer: bool,
+        /// Whether the sender counts the receiver as alive, so that its moves
+        /// wait for the receiver.
+        sees_receiver: bool,
+        /// The chunks that differ.
+        chunks: Vec<ChunkVersions>,
+    },
+}
+
+/// One step about one bucket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BucketItem {
+    /// The bucket.
+    pub bucket: BucketIndex,
+    /// The version that the step belongs to.
+    pub version: Version,
+    /// The step.
+    pub step: Step,
+}
+
+/// One step of a bucket's move or repair.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Step {
+    /// The sender moves the bucket: flows without a record go to it.
+    Prepare {
+        /// The upstream that had the bucket.
+        from: UpstreamId,
+        /// The upstream that is to have it.
+        to: UpstreamId,
+    },
+    /// The sender has marked the bucket as moving.
+    Prepared {
+        /// Whether it had the target as the bucket's owner before.
+        committed: bool,
+    },
+    /// Flows of the bucket that the mover knows.
+    Pins {
+        /// Flows in the mover's list before these.
+        offset: u32,
+        /// Flows in the mover's list so far.
+        total: u32,
+        /// Flows that the mover has had from the receiver.
+        extras_have: u32,
+        /// The flows.
+        flows: Vec<PinGroup>,
+    },
+    /// How much of the mover's list the sender has, and flows not in it.
+    Filled {
+        /// Flows of the mover's list that the sender has.
+        have: u32,
+        /// Flows that only the sender knew, counted once it has the list.
+        extras: Option<u32>,
+        /// Flows of these before the ones that follow.
+        offset: u32,
+        /// The flows.
+        flows: Vec<PinGroup>,
+    },
+    /// The move is over.
+    Commit {
+        /// The upstream that has the bucket now.
+        owner: UpstreamId,
+    },
+    /// The sender has taken the commit.
+    Committed,
+    /// The sender has another version, which the item names.
+    Refused,
+    /// The sender knows flows that the others may not know: the bucket's
+    /// keeper is to collect them.
+    Reopen,
+    /// The sender wants the bucket's state and its pins.
+    Pull {
+        /// The highest flow hash that the sender has had so far.
+        after: Option<u64>,
+    },
+    /// The bucket's state and a part of its pins.
+    State {
+        /// The phase that goes with the item's version.
+        phase: Phase,
+        /// Names the pull that is answered.
+        after: Option<u64>,
+        /// Whether there are more pins than these.
+        more: bool,
+        /// Pins in ascending order of flow hash.
+        flows: Vec<PinGroup>,
+    },
+}
+
+/// The versions of one chunk of buckets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
+pub struct ChunkVersions {
+    /// The chunk, counted from zero.
+    pub chunk: u16,
+    /// The version of each bucket, and whether it is at rest.
+    pub versions: Vec<(Version, bool)>,
+}
--- /dev/null
+++ b/crates/currantgate-flow/src/mover.rs
@@ -0,0 +1,202 @@
+//! Moves buckets: the mover's side of the steps.
+
+use std::time::Instant;
+
+use currantgate_config::{EntryId, UpstreamId};
+
+use crate::pin::{self, PinGroup};
+use crate::router::{Place, Router};
+use crate::transfer::{Cause, Progress, Stage, Transfer};
+use crate::{Phase, Version};
+
+impl Router {
+    /// Gives a bucket that no upstream has to its first owner.
+    pub(crate) fn assign(&mut self, now: Instant, place: Place, owner: UpstreamId) {
+        let me = self.settings.id;
+        let peers = self.others();
+        let bucket = self.bucket_mut(place);
+        let version = bucket.version.next(me);
+        bucket.adopt(version, Phase::Stable { owner });
+        let mut transfer = Transfer::new(now, (owner, owner), Cause::Plan, peers.into_iter());
+        transfer.stage = Stage::Committing;
+        self.transfers.insert(place, transfer);
+        self.advance(now, place);
+    }
+
+    /// Begins to move a bucket that has an owner.
+    pub(crate) fn start_move(
+        &mut self,
+        now: Instant,
+        place: Place,
+        (from, to): (UpstreamId, UpstreamId),
+        cause: Cause,
+    ) {
+        let me = self.settings.id;
+        let peers = self.others();
+        let bucket = self.bucket_mut(place);
+        let version = bucket.version.next(me);
+        bucket.adopt(version, Phase::Moving { from, to });
+        let transfer = Transfer::new(now, (from, to), cause, peers.into_iter());
+        self.transfers.insert(place, transfer);
+        self.advance(now, place);
+    }
+
+    /// Takes the steps of a move that nothing stands in the way of.
+    pub(crate) fn advance(&mut self, now: Instant, place: Place) {
+        self.send_at = now;
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        if transfer.stage == Stage::Marking && transfer.all_marked() {
+            self.begin_fill(now, place);
+        }
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        if transfer.stage == Stage::Filling && transfer.all_filled() {
+            transfer.stage = Stage::Committing;
+            let owner = transfer.to;
+            for progress in transfer.peers.values_mut() {
+                progress.advance(now);
+            }
+            let bucket = self.bucket_mut(place);
+            bucket.adopt(bucket.version, Phase::Stable { owner });
+        }
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        if transfer.stage == Stage::Committing && transfer.all_committed() {
+            self.transfers.swap_remove(&place);
+        }
+    }
+
+    fn begin_fill(&mut self, now: Instant, place: Place) {
+        let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
+        let pins = bucket.pins();
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        transfer.stage = Stage::Filling;
+        for progress in transfer.peers.values_mut() {
+            progress.advance(now);
+        }
+        for (hash, upstream) in pins {
+            if upstream != transfer.to || transfer.replaced.contains(&hash) {
+                transfer.add(now, hash, upstream);
+            }
+        }
+    }
+
+    /// Takes an entry's word that it has marked a bucket as moving.
+    pub(crate) fn take_prepared(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        committed: bool,
+    ) {
+        let Some(progress) = self.progress_mut(place, from) else {
+            return;
+        };
+        if !progress.marked {
+            progress.marked = true;
+            progress.advance(now);
+        }
+        if let Some(transfer) = self.transfers.get_mut(&place) {
+            transfer.committed_before |= committed;
+        }
+        self.advance(now, place);
+    }
+
+    /// Takes an entry's word on how much of the list it has, and the flows
+    /// that it alone knows.
+    pub(crate) fn take_filled(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        (have, extras, offset): (u32, Option<u32>, u32),
+        flows: &[PinGroup],
+    ) {
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        if transfer.stage != Stage::Filling {
+            return;
+        }
+        let total = transfer.list.len() as u32;
+        let Some(progress) = transfer.peers.get_mut(&from) else {
+            return;
+        };
+        let before = (progress.have, progress.extras, progress.extras_have);
+        progress.have = progress.have.max(have.min(total));
+        progress.extras = extras.or(progress.extras);
+        let is_next = offset == progress.extras_have && progress.extras.is_some();
+        let flows: Vec<_> = if is_next {
+            pin::ungroup(flows).collect()
+        } else {
+            Vec::new()
+        };
+        progress.extras_have += flows.len() as u32;
+        if before != (progress.have, progress.extras, progress.extras_have) {
+            progress.advance(now);
+        }
+        for (hash, upstream) in flows {
+            self.take_extra(now, place, hash, upstream);
+        }
+        self.advance(now, place);
+    }
+
+    fn take_extra(&mut self, now: Instant, place: Place, hash: u64, upstream: UpstreamId) {
+        let table = &mut self.tables[place.0];
+        if table.index(hash) != place.1 {
+            return;
+        }
+        if !table.buckets[usize::from(place.1)]
+            .flows
+            .contains_key(&hash)
+        {
+            table.pin(now, hash, upstream);
+        }
+        if let Some(transfer) = self.transfers.get_mut(&place) {
+            transfer.add(now, hash, upstream);
+        }
+    }
+
+    /// Takes an entry's word that it has taken the commit.
+    pub(crate) fn take_committed(&mut self, now: Instant, from: EntryId, place: Place) {
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        if transfer.stage != Stage::Committing {
+            return;
+        }
+        if let Some(progress) = transfer.peers.get_mut(&from) {
+            progress.committed = true;
+        }
+        self.advance(now, place);
+    }
+
+    /// Takes an entry's word that it has another version than this one's.
+    pub(crate) fn take_refused(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        version: Version,
+    ) {
+        if version > self.bucket_mut(place).version {
+            self.pull(now, from, place);
+            return;
+        }
+        // The entry has lost what it knew: it starts from the first step.
+        if let Some(progress) = self.progress_mut(place, from) {
+            *progress = Progress::new(now);
+        }
+        self.send_at = now;
+    }
+
+    fn progress_mut(&mut self, place: Place, peer: EntryId) -> Option<&mut Progress> {
+        self.transfers.get_mut(&place)?.peers.get_mut(&peer)
+    }
+}
--- a/crates/currantgate-flow/src/output.rs
+++ b/crates/currantgate-flow/src/output.rs
@@ -1,6 +1,7 @@
 //! What the router wants done.
 
 use currantgate_config::EntryId;
+use currantgate_packet::{Packet, Refusal};
 
 use crate::Message;
 
@@ -14,4 +15,11 @@
         /// What it is told.
         message: Message,
     },
+    /// Tell a caller that waits for answers that its flow can't be served.
+    Refuse {
+        /// Stands for the caller's last packet; its length is zero.
+        packet: Packet,
+        /// What the caller is told.
+        refusal: Refusal,
+    },
 }
--- a/crates/currantgate-flow/src/record.rs
+++ b/crates/currantgate-flow/src/record.rs
@@ -1,8 +1,14 @@
 //! What an entry remembers of one flow.
 
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use currantgate_config::UpstreamId;
+use currantgate_packet::{Packet, PacketKind};
+
+/// Time for which a flow that both sides have closed is remembered, so that
+/// its last acknowledgements still find their way.
+const CLOSED_FOR: Duration = Duration::from_secs(10);
 
 /// What an entry remembers of one flow.
 #[derive(Clone, Copy, Debug)]
@@ -11,4 +17,92 @@
     pub(crate) upstream: UpstreamId,
     /// The instant at which the record is let go unless a packet passes.
     pub(crate) deadline: Instant,
+    /// The caller's address, unknown while no packet has passed here.
+    pub(crate) caller: Option<SocketAddr>,
+    /// TCP sequence number that the caller would use next.
+    pub(crate) next_seq: u32,
+    /// TCP sequence number that the upstream would use next.
+    pub(crate) ack: u32,
+    /// How far the flow has come.
+    pub(crate) stage: FlowStage,
+}
+
+/// How far a flow has come, as one entry saw it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct FlowStage {
+    /// A packet other than the first has passed.
+    pub(crate) established: bool,
+    /// The caller has no more to send.
+    pub(crate) caller_finished: bool,
+    /// The upstream has no more to send.
+    pub(crate) upstream_finished: bool,
+    /// The flow has ended.
+    pub(crate) closed: bool,
+    /// The caller has been told that its upstream is gone.
+    pub(crate) told: bool,
+}
+
+impl Record {
+    /// Returns a record of a flow that no packet of has passed here.
+    pub(crate) fn new(upstream: UpstreamId, deadline: Instant) -> Self {
+        Self {
+            upstream,
+            deadline,
+            caller: None,
+            next_seq: 0,
+            ack: 0,
+            stage: FlowStage::default(),
+        }
+    }
+
+    /// Takes in a packet that the caller sent.
+    pub(crate) fn see_request(&mut self, now: Instant, idle: Duration, packet: &Packet) {
+        if packet.kind == PacketKind::IcmpError {
+            return;
+        }
+        self.caller = Some(packet.key.caller);
+        self.next_seq = later(self.next_seq, packet.next_seq);
+        self.ack = later(self.ack, packet.ack);
+        match packet.kind {
+            PacketKind::Open => {}
+            PacketKind::Finish => self.stage.caller_finished = true,
+            _ => self.stage.established = true,
+        }
+        self.extend(now, idle, packet.kind);
+    }
+
+    /// Takes in a packet that the upstream sent.
+    pub(crate) fn see_answer(&mut self, now: Instant, idle: Duration, packet: &Packet) {
+        if packet.kind == PacketKind::IcmpError {
+            return;
+        }
+        self.caller = Some(packet.key.caller);
+        self.next_seq = later(self.next_seq, packet.ack);
+        self.ack = later(self.ack, packet.next_seq);
+        if packet.kind == PacketKind::Finish {
+            self.stage.upstream_finished = true;
+        }
+        self.extend(now, idle, packet.kind);
+    }
+
+    fn extend(&mut self, now: Instant, idle: Duration, kind: PacketKind) {
+        let finished = self.stage.caller_finished && self.stage.upstream_finished;
+        if self.stage.closed {
+            return;
+        }
+        self.stage.closed = finished || kind == PacketKind::Reset;
+        let time = if self.stage.closed { CLOSED_FOR } else { idle };
+        self.deadline = now + time.min(idle);
+    }
+}
+
+/// Returns the later of two TCP sequence numbers; zero stands for none.
+fn later(known: u32, seen: u32) -> u32 {
+    // Sequence numbers wrap around: the later one is ahead by less than half.
+    let ahead = seen.wrapping_sub(known) < 1 << 31;
+    if seen != 0 && (known == 0 || ahead) {
+        seen
+    } else {
+        known
+    }
 }
--- /dev/null
+++ b/crates/currantgate-flow/src/route.rs
@@ -0,0 +1,348 @@
+//! Decides about packets.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use currantgate_config::{EntryId, Protocol, UpstreamId};
+use currantgate_membership::Presence;
+use currantgate_packet::{FlowHash, Packet, PacketKind, Refusal};
+
+use crate::record::Record;
+use crate::router::{Place, Router};
+use crate::transfer::{Cause, Stage};
+use crate::{AnswerVerdict, DropReason, Forward, Phase, Verdict};
+
+/// Entries that may hand on one packet, one after the other.
+const MAX_HOPS: u8 = 3;
+
+/// Time over which a caller may send the first packet of a TCP flow again.
+const FIRST_PACKET_RETRIES: Duration = Duration::from_secs(130);
+
+impl Router {
+    /// Decides about a packet that the fabric handed over.
+    pub fn route(&mut self, now: Instant, packet: &Packet) -> Verdict {
+        let Some(t) = self.table_of(packet) else {
+            return Verdict::Drop(DropReason::UnknownService);
+        };
+        let hash = self.hasher.hash(&packet.key);
+        self.decide(now, t, hash, packet, 0)
+    }
+
+    /// Decides about a packet that entry `from` handed over.
+    pub fn route_forwarded(
+        &mut self,
+        now: Instant,
+        _from: EntryId,
+        forward: &Forward,
+        packet: &Packet,
+    ) -> Verdict {
+        let Some(t) = self.table_of(packet) else {
+            return Verdict::Drop(DropReason::UnknownService);
+        };
+        let hash = self.hasher.hash(&packet.key);
+        match forward {
+            Forward::Decide { hops } => self.decide(now, t, hash, packet, *hops),
+            Forward::Record { upstream } => {
+                self.record(now, t, hash, *upstream, packet);
+                self.deliver(t, *upstream, packet)
+            }
+        }
+    }
+
+    /// Decides about a packet that came from an upstream's address.
+    pub fn answer(&mut self, now: Instant, from: SocketAddr, packet: &Packet) -> AnswerVerdict {
+        let Some(upstream) = self.addresses.get(&from).copied() else {
+            return AnswerVerdict::Drop(DropReason::UnknownUpstream);
+        };
+        let service = self.upstreams.get(&upstream).map(|known| known.service);
+        let Some(t) = self.table_of(packet) else {
+            return AnswerVerdict::Drop(DropReason::WrongService);
+        };
+        if service != Some(self.tables[t].id) {
+            return AnswerVerdict::Drop(DropReason::WrongService);
+        }
+        let hash = self.hasher.hash(&packet.key);
+        let table = &mut self.tables[t];
+        let index = usize::from(table.index(hash));
+        let idle = table.idle;
+        match table.buckets[index].flows.get_mut(&hash) {
+            Some(record) if record.upstream == upstream => {
+                record.see_answer(now, idle, packet);
+                AnswerVerdict::Pass
+            }
+            // Another upstream has the flow: its caller must not hear this one.
+            Some(_) => AnswerVerdict::Drop(DropReason::WrongUpstream),
+            None => AnswerVerdict::Pass,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        t: usize,
+        hash: FlowHash,
+        packet: &Packet,
+        hops: u8,
+    ) -> Verdict {
+        let table = &mut self.tables[t];
+        let place = (t, table.index(hash));
+        let idle = table.idle;
+        let bucket = &mut table.buckets[usize::from(place.1)];
+        let opens = packet.kind == PacketKind::Open;
+        if !opens && let Some(record) = bucket.flows.get_mut(&hash) {
+            record.see_request(now, idle, packet);
+            let upstream = record.upstream;
+            return self.deliver(t, upstream, packet);
+        }
+        let is_udp = packet.key.protocol == Protocol::Udp;
+        let is_first = opens || is_udp && packet.kind == PacketKind::Data;
+        if !is_first
+            && self.sync.is_done()
+            && let Phase::Stable { owner } = bucket.phase
+        {
+            self.record(now, t, hash, owner, packet);
+            return self.deliver(t, owner, packet);
+        }
+        match self.decider(place) {
+            Some(_) if hops >= MAX_HOPS => Verdict::Drop(DropReason::ForwardedTooOften),
+            Some(to) => Verdict::Forward {
+                to,
+                forward: Forward::Decide { hops: hops + 1 },
+            },
+            None if !self.sync.is_done() => Verdict::Drop(DropReason::Deferred),
+            None if is_first => self.first_packet(now, place, hash, packet),
+            None => self.unknown_packet(now, place, hash, packet),
+        }
+    }
+
+    /// Returns the entry that decides for a bucket, unless it is this one.
+    fn decider(&self, (t, index): Place) -> Option<EntryId> {
+        let bucket = &self.tables[t].buckets[usize::from(index)];
+        let me = self.settings.id;
+        let mover = bucket.version.mover;
+        if !bucket.phase.is_stable() && mover != me && self.entries.contains_key(&mover) {
+            return Some(mover);
+        }
+        if self.transfers.contains_key(&(t, index)) {
+            return None;
+        }
+        bucket.keeper.filter(|keeper| *keeper != me)
+    }
+
+    /// Decides about the first packet of a flow, or one sent again.
+    fn first_packet(
+        &mut self,
+        now: Instant,
+        place: Place,
+        hash: FlowHash,
+        packet: &Packet,
+    ) -> Verdict {
+        if let Some(record) = self.bucket_mut(place).flows.get(&hash).copied() {
+            return self.repeated_first(now, place, hash, (record, packet));
+        }
+        if self.bucket_mut(place).phase == Phase::Unowned {
+            self.plan(now, place.0);
+        }
+        let limits = &self.tables[place.0].service.limits;
+        let is_full = self.tables[place.0].flows >= limits.max_flows
+            || self.open_flows() >= self.settings.max_flows;
+        if is_full {
+            return self.refuse_new(now, place, packet);
+        }
+        match self.choose_new(now, place) {
+            Some(upstream) => {
+                self.record(now, place.0, hash, upstream, packet);
+                self.note_decided(now, place, hash, upstream);
+                self.deliver_by_backup(place, upstream, packet)
+            }
+            None if self.any_takes_flows(now, place.0) => Verdict::Drop(DropReason::Deferred),
+            None => self.refuse_new(now, place, packet),
+        }
+    }
+
+    /// Decides about a first packet of a flow that has a record.
+    fn repeated_first(
+        &mut self,
+        now: Instant,
+        place: Place,
+        hash: FlowHash,
+        (record, packet): (Record, &Packet),
+    ) -> Verdict {
+        let is_new = record.stage.closed
+            || record.stage.established && is_ahead(record.next_seq, packet.next_seq);
+        let takes = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|k| k.takes_flows(now));
+        if packet.key.protocol == Protocol::Udp || !is_new || takes(&record.upstream) {
+            if is_new {
+                self.bucket_mut(place).flows.swap_remove(&hash);
+                self.tables[place.0].flows -= 1;
+            }
+            self.record(now, place.0, hash, record.upstream, packet);
+            return self.deliver(place.0, record.upstream, packet);
+        }
+        self.replace(now, place, hash);
+        Verdict::Drop(DropReason::Deferred)
+    }
+
+    /// Has all entries forget the past of a flow whose caller uses its
+    /// addresses again; its first packet, sent again, then begins it anew.
+    fn replace(&mut self, now: Instant, place: Place, hash: FlowHash) {
+        let phase = self.bucket_mut(place).phase;
+        let Some(owner) = phase.target() else { return };
+        if let Some(transfer) = self.transfers.get(&place) {
+            if transfer.stage == Stage::Committing || transfer.replaced.contains(&hash) {
+                return;
+            }
+        } else {
+            self.start_move(now, place, (owner, owner), Cause::Plan);
+        }
+        let idle = self.tables[place.0].idle;
+        let fresh = Record::new(owner, now + idle);
+        self.bucket_mut(place).flows.insert(hash, fresh);
+        if let Some(transfer) = self.transfers.get_mut(&place) {
+            transfer.replaced.insert(hash);
+            if transfer.stage == Stage::Filling {
+                transfer.add(now, hash, owner);
+            }
+        }
+        self.advance(now, place);
+    }
+
+    /// Decides about a packet in the middle of a flow that has no record.
+    fn unknown_packet(
+        &mut self,
+        now: Instant,
+        place: Place,
+        hash: FlowHash,
+        packet: &Packet,
+    ) -> Verdict {
+        let unknown = self.transfers.get(&place).map(|t| t.unknown());
+        let upstream = match (self.bucket_mut(place).phase, unknown) {
+            (Phase::Stable { owner }, _) => owner,
+            (Phase::Moving { .. }, Some(Some(upstream))) => upstream,
+            (Phase::Moving { .. }, _) => return Verdict::Drop(DropReason::Deferred),
+            (Phase::Unowned, _) => return refuse_gone(packet),
+        };
+        self.record(now, place.0, hash, upstream, packet);
+        self.note_decided(now, place, hash, upstream);
+        self.deliver(place.0, upstream, packet)
+    }
+
+    /// Returns the upstream that a bucket's new flow goes to, if one is safe.
+    fn choose_new(&self, now: Instant, place: Place) -> Option<UpstreamId> {
+        let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
+        let transfer = self.transfers.get(&place);
+        let upstream = match (bucket.phase, transfer) {
+            (Phase::Stable { owner }, _) => owner,
+            (Phase::Moving { from, to }, Some(transfer)) => match transfer.stage {
+                Stage::Marking if transfer.cause == Cause::Plan => from,
+                Stage::Marking => return None,
+                Stage::Filling | Stage::Committing => to,
+            },
+            (Phase::Moving { .. }, None) | (Phase::Unowned, _) => return None,
+        };
+        let known = self.upstreams.get(&upstream)?;
+        known.takes_flows(now).then_some(upstream)
+    }
+
+    fn any_takes_flows(&self, now: Instant, t: usize) -> bool {
+        let id = self.tables[t].id;
+        let mut of_service = self.upstreams.values().filter(|k| k.service == id);
+        of_service.any(|k| k.takes_flows(now))
+    }
+
+    /// Refuses a flow that this entry has no record of: "not run" is only
+    /// said where the former keeper can't have sent a packet of it on.
+    fn refuse_new(&self, now: Instant, (t, index): Place, packet: &Packet) -> Verdict {
+        let bucket = &self.tables[t].buckets[usize::from(index)];
+        let time = match packet.key.protocol {
+            Protocol::Tcp => FIRST_PACKET_RETRIES,
+            Protocol::Udp => self.tables[t].idle,
+        };
+        if bucket.kept_since.is_none_or(|since| now >= since + time) {
+            Verdict::Refuse(Refusal::NotRun)
+        } else {
+            Verdict::Drop(DropReason::Deferred)
+        }
+    }
+
+    /// Tells a move in progress of a flow that this entry has decided about.
+    fn note_decided(&mut self, now: Instant, place: Place, hash: FlowHash, upstream: UpstreamId) {
+        if let Some(transfer) = self.transfers.get_mut(&place)
+            && transfer.stage == Stage::Filling
+            && transfer.to != upstream
+        {
+            transfer.add(now, hash, upstream);
+            self.send_at = now;
+        }
+    }
+
+    /// Hands a new flow's first packet to the backup, which then knows it too.
+    fn deliver_by_backup(&self, place: Place, upstream: UpstreamId, packet: &Packet) -> Verdict {
+        let backup = self.tables[place.0].buckets[usize::from(place.1)].backup;
+        let me = self.settings.id;
+        match backup {
+            Some(to) if to != me && self.entries.contains_key(&to) => Verdict::Forward {
+                to,
+                forward: Forward::Record { upstream },
+            },
+            _ => self.deliver(place.0, upstream, packet),
+        }
+    }
+
+    /// Remembers a flow's upstream, within the limits.
+    fn record(
+        &mut self,
+        now: Instant,
+        t: usize,
+        hash: FlowHash,
+        upstream: UpstreamId,
+        packet: &Packet,
+    ) {
+        if packet.kind == PacketKind::IcmpError {
+            return;
+        }
+        let is_full = self.open_flows() >= self.settings.max_flows;
+        let table = &mut self.tables[t];
+        let index = usize::from(table.index(hash));
+        let flows = &mut table.buckets[index].flows;
+        if is_full && !flows.contains_key(&hash) {
+            return;
+        }
+        let before = flows.len();
+        let record = flows
+            .entry(hash)
+            .or_insert_with(|| Record::new(upstream, now));
+        record.upstream = upstream;
+        record.see_request(now, table.idle, packet);
+        table.flows += flows.len() - before;
+    }
+
+    /// Sends a packet to its flow's upstream, if that is still there.
+    fn deliver(&self, t: usize, upstream: UpstreamId, packet: &Packet) -> Verdict {
+        match self.upstreams.get(&upstream) {
+            Some(known) if known.service != self.tables[t].id => refuse_gone(packet),
+            Some(known) if known.presence == Presence::Gone => refuse_gone(packet),
+            Some(known) => Verdict::Deliver {
+                upstream,
+                address: known.address,
+            },
+            None if self.gone.contains(&upstream) => refuse_gone(packet),
+            None => Verdict::Drop(DropReason::UnknownUpstream),
+        }
+    }
+}
+
+/// Tells whether sequence number `seen` comes after `known`.
+fn is_ahead(known: u32, seen: u32) -> bool {
+    let ahead = seen.wrapping_sub(known);
+    ahead != 0 && ahead < 1 << 31
+}
+
+/// Says that a flow has ended, unless the packet is of a kind that must not
+/// be answered.
+fn refuse_gone(packet: &Packet) -> Verdict {
+    match packet.kind {
+        PacketKind::Reset | PacketKind::IcmpError => Verdict::Drop(DropReason::NoFlow),
+        PacketKind::Open | PacketKind::Data | PacketKind::Finish => Verdict::Refuse(Refusal::Gone),
+    }
+}
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -1,166 +1,374 @@
 //! The routing state machine.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use currantgate_config::{EntryId, Protocol, Service, ServiceId, UpstreamId};
-use currantgate_membership::{Budget, EntryView, Presence, Upstream, UpstreamState};
-use currantgate_packet::{FlowHash, FlowHasher, Packet, PacketKind, Refusal};
-use indexmap::IndexMap;
+use currantgate_config::{EntryId, Protocol, Service, UpstreamId};
+use currantgate_membership::{EntryStage, EntryView, Presence, Upstream};
+use currantgate_packet::{FlowHasher, Packet};
+use indexmap::{IndexMap, IndexSet};
 
-use crate::record::Record;
-use crate::rendezvous;
-use crate::{AnswerVerdict, DropReason, Forward, Message, Output, RouterSettings, Verdict};
+use crate::bucket::Bucket;
+use crate::flow_map::UpstreamMap;
+use crate::keepers;
+use crate::known::Known;
+use crate::refuse::GoneScan;
+use crate::sync::{Pull, SyncState};
+use crate::table::Table;
+use crate::transfer::{Cause, Progress, Stage, Transfer};
+use crate::{BucketIndex, BucketItem, Message, Output, Phase, RouterSettings, Step, Version};
+
+/// Names a bucket: its service's place among the tables, and its index.
+pub(crate) type Place = (usize, BucketIndex);
+
+/// Time between two rounds of housekeeping.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Rounds of housekeeping over which all flows are looked at once.
+const SWEEP_ROUNDS: usize = 64;
+
+/// Upstreams that have gone and are remembered as such.
+const MAX_GONE: usize = 4_096;
 
 /// Decides where packets go.
 #[derive(Debug)]
 pub struct Router {
-    settings: RouterSettings,
-    hasher: FlowHasher,
-    services: IndexMap<(Protocol, SocketAddr), Service>,
-    upstreams: IndexMap<UpstreamId, Upstream>,
-    addresses: IndexMap<SocketAddr, UpstreamId>,
-    tables: IndexMap<ServiceId, Vec<Option<UpstreamId>>>,
-    records: IndexMap<FlowHash, Record>,
+    pub(crate) settings: RouterSettings,
+    pub(crate) hasher: FlowHasher,
+    pub(crate) services: IndexMap<(Protocol, SocketAddr), usize>,
+    pub(crate) tables: Vec<Table>,
+    pub(crate) upstreams: UpstreamMap<Known>,
+    pub(crate) addresses: IndexMap<SocketAddr, UpstreamId>,
+    /// Upstreams whose flows have ended.
+    pub(crate) gone: IndexSet<UpstreamId>,
+    /// Live entries, this one included.
+    pub(crate) entries: IndexMap<EntryId, EntryStage>,
+    pub(crate) transfers: IndexMap<Place, Transfer>,
+    pub(crate) pulls: IndexMap<Place, Pull>,
+    /// Buckets whose keeper is to collect what this entry knows, and when it
+    /// is next asked.
+    pub(crate) reopens: IndexMap<Place, Instant>,
+    pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<BucketItem>>,
+    /// States that other entries have asked for.
+    pub(crate) requests: IndexMap<(EntryId, Place), Option<u64>>,
+    pub(crate) outputs: VecDeque<Output>,
+    pub(crate) sync: SyncState,
+    pub(crate) scan: GoneScan,
+    pub(crate) send_at: Instant,
+    pub(crate) plan_at: Instant,
+    tick_at: Instant,
+    sweep_round: usize,
 }
 
 impl Router {
     /// Returns a router that knows no upstream and no other entry.
-    pub fn new(settings: RouterSettings) -> Self {
-        let services = settings
+    pub fn new(settings: RouterSettings, now: Instant) -> Self {
+        let tables: Vec<_> = settings
             .services
             .iter()
-            .map(|s| ((s.protocol, s.address), s.clone()))
+            .map(|s| Table::new(s.clone(), settings.buckets.clamp(1, 1 << 16)))
             .collect();
+        let keys = settings.services.iter().map(|s| (s.protocol, s.address));
         Self {
             hasher: FlowHasher::new(settings.hash_key),
-            settings,
-            services,
-            upstreams: IndexMap::new(),
+            services: keys.zip(0..).collect(),
+            tables,
+            upstreams: UpstreamMap::default(),
             addresses: IndexMap::new(),
-            tables: IndexMap::new(),
-            records: IndexMap::new(),
+            gone: IndexSet::new(),
+            entries: IndexMap::new(),
+            transfers: IndexMap::new(),
+            pulls: IndexMap::new(),
+            reopens: IndexMap::new(),
+            replies: IndexMap::new(),
+            requests: IndexMap::new(),
+            outputs: VecDeque::new(),
+            sync: SyncState::new(now, settings.seed),
+            scan: GoneScan::default(),
+            send_at: now,
+            plan_at: now,
+            tick_at: now,
+            sweep_round: 0,
+            settings,
         }
     }
 
     /// Takes all known upstreams and how sure their presence is.
     pub fn set_upstreams<'a>(
         &mut self,
-        _now: Instant,
+        now: Instant,
         upstreams: impl Iterator<Item = (&'a Upstream, Presence)>,
     ) {
-        self.upstreams = upstreams.map(|(u, _)| (u.id(), u.clone())).collect();
-        self.addresses = self
-            .upstreams
-            .iter()
-            .map(|(id, u)| (u.address, *id))
-            .collect();
-        let services: Vec<_> = self.services.values().map(Service::id).collect();
-        for service in services {
-            let table = self.compute_table(service);
-            self.tables.insert(service, table);
+        let upstreams: Vec<_> = upstreams.collect();
+        let before = std::mem::take(&mut self.upstreams);
+        self.addresses = newest_by_address(&upstreams);
+        for (upstream, presence) in upstreams {
+            let id = upstream.id();
+            let presence = match self.addresses.get(&upstream.address) {
+                // Its address is another's now: no packet may go there for it.
+                Some(holder) if *holder != id => Presence::Gone,
+                _ => presence,
+            };
+            let service = self.service_of(upstream);
+            let known = Known::new(now, (upstream, presence), service, before.get(&id));
+            self.upstreams.insert(id, known);
+        }
+        self.note_gone(before.keys().copied());
+        for t in 0..self.tables.len() {
+            self.plan(now, t);
         }
     }
 
     /// Takes the live entries, this one included.
-    pub fn set_entries(&mut self, _now: Instant, _entries: &[EntryView]) {}
-
-    /// Decides about a packet that the fabric handed over.
-    pub fn route(&mut self, now: Instant, packet: &Packet) -> Verdict {
-        let key = (packet.key.protocol, packet.key.service);
-        let Some(service) = self.services.get(&key) else {
-            return Verdict::Drop(DropReason::UnknownService);
-        };
-        let hash = self.hasher.hash(&packet.key);
-        let deadline = now + Duration::from_secs(service.limits.idle_seconds);
-        let service = service.id();
-        let known = self.records.get(&hash).map(|record| record.upstream);
-        let Some(upstream) = known.or_else(|| self.table_owner(service, hash)) else {
-            return Verdict::Refuse(Refusal::NotRun);
-        };
-        let Some(found) = self.upstreams.get(&upstream) else {
-            return Verdict::Refuse(Refusal::Gone);
-        };
-        let address = found.address;
-        if packet.kind == PacketKind::Reset {
-            self.records.swap_remove(&hash);
-        } else {
-            self.records.insert(hash, Record { upstream, deadline });
+    pub fn set_entries(&mut self, now: Instant, entries: &[EntryView]) {
+        let before = std::mem::take(&mut self.entries);
+        self.entries = entries.iter().map(|e| (e.id, e.stage)).collect();
+        self.choose_keepers(now);
+        self.meet_entries(now, &before);
+        let places: Vec<_> = self.transfers.keys().copied().collect();
+        for place in places {
+            self.update_peers(now, place);
         }
-        Verdict::Deliver { upstream, address }
-    }
-
-    /// Decides about a packet that entry `from` handed over.
-    pub fn route_forwarded(
-        &mut self,
-        now: Instant,
-        _from: EntryId,
-        _forward: &Forward,
-        packet: &Packet,
-    ) -> Verdict {
-        self.route(now, packet)
-    }
-
-    /// Decides about a packet that came from an upstream's address.
-    pub fn answer(&mut self, _now: Instant, from: SocketAddr, packet: &Packet) -> AnswerVerdict {
-        let Some(upstream) = self
-            .addresses
-            .get(&from)
-            .and_then(|id| self.upstreams.get(id))
-        else {
-            return AnswerVerdict::Drop(DropReason::UnknownUpstream);
-        };
-        let key = (packet.key.protocol, packet.key.service);
-        match self.services.get(&key) {
-            Some(service) if service.id() == upstream.service => AnswerVerdict::Pass,
-            _ => AnswerVerdict::Drop(DropReason::WrongService),
+        for t in 0..self.tables.len() {
+            self.plan(now, t);
         }
     }
 
     /// Takes a message that entry `from` sent.
-    pub fn receive(&mut self, _now: Instant, _from: EntryId, message: &Message) {
-        match *message {}
+    pub fn receive(&mut self, now: Instant, from: EntryId, message: &Message) {
+        let service = match message {
+            Message::Buckets { service, .. }
+            | Message::Digest { service, .. }
+            | Message::Versions { service, .. } => *service,
+        };
+        let Some(t) = self.tables.iter().position(|table| table.id == service) else {
+            return;
+        };
+        match message {
+            Message::Buckets { items, .. } => {
+                for item in items {
+                    if usize::from(item.bucket) < self.tables[t].buckets.len() {
+                        self.take_item(now, from, t, item);
+                    }
+                }
+            }
+            Message::Digest { chunks, .. } => self.take_digest(now, from, t, chunks),
+            Message::Versions {
+                answer,
+                sees_receiver,
+                chunks,
+                ..
+            } => self.take_versions(now, from, t, (*answer, *sees_receiver), chunks),
+        }
     }
 
-    /// Tells whether this entry knows enough to decide about flows.
-    pub fn is_synced(&self) -> bool {
-        true
+    fn take_item(&mut self, now: Instant, entry: EntryId, t: usize, item: &BucketItem) {
+        let place = (t, item.bucket);
+        let version = item.version;
+        let is_own = self.bucket_mut(place).version == version;
+        match &item.step {
+            Step::Prepare { from, to } => self.take_prepare(entry, place, version, (*from, *to)),
+            Step::Pins {
+                offset,
+                total,
+                extras_have,
+                flows,
+            } => {
+                let counts = (*offset, *total, *extras_have);
+                self.take_pins(now, entry, place, version, counts, flows);
+            }
+            Step::Commit { owner } => self.take_commit(now, entry, place, version, *owner),
+            Step::Prepared { committed } if is_own => {
+                self.take_prepared(now, entry, place, *committed);
+            }
+            Step::Filled {
+                have,
+                extras,
+                offset,
+                flows,
+            } if is_own => {
+                self.take_filled(now, entry, place, (*have, *extras, *offset), flows);
+            }
+            Step::Committed if is_own => self.take_committed(now, entry, place),
+            Step::Prepared { .. } | Step::Filled { .. } | Step::Committed => {}
+            Step::Refused => self.take_refused(now, entry, place, version),
+            Step::Reopen => self.take_reopen(now, place),
+            Step::Pull { after } => self.take_pull(entry, place, *after),
+            Step::State {
+                phase,
+                after,
+                more,
+                flows,
+            } => {
+                let part = (*after, *more, flows.as_slice());
+                self.take_state(now, entry, place, (version, *phase), part);
+            }
+        }
     }
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Instant) {
-        self.records.retain(|_, record| record.deadline > now);
+        if now < self.tick_at {
+            return;
+        }
+        self.tick_at = now + TICK_INTERVAL;
+        self.sweep(now);
+        self.check_sync(now);
+        if now >= self.plan_at {
+            for t in 0..self.tables.len() {
+                self.plan(now, t);
+            }
+        }
     }
 
     /// Returns the instant at which [`Router::tick`] is next wanted.
     pub fn next_deadline(&self) -> Option<Instant> {
-        None
+        Some(self.tick_at)
+    }
+
+    /// Returns an instant by which all that may become due is looked at.
+    pub(crate) fn idle_until(&self) -> Instant {
+        self.tick_at + TICK_INTERVAL
+    }
+
+    /// Returns the number of flows that the entry remembers.
+    pub fn open_flows(&self) -> usize {
+        self.tables.iter().map(|t| t.flows).sum()
     }
 
-    /// Returns the next thing to do, or nothing while the budget is closed.
-    pub fn poll_output(&mut self, _now: Instant, _budget: &mut Budget) -> Option<Output> {
-        None
+    /// Returns the version and phase of every bucket, for comparison.
+    pub fn states(&self) -> Vec<(Version, Phase)> {
+        let buckets = self.tables.iter().flat_map(|t| &t.buckets);
+        buckets.map(|b| (b.version, b.phase)).collect()
     }
 
-    fn table_owner(&self, service: ServiceId, hash: FlowHash) -> Option<UpstreamId> {
-        let table = self.tables.get(&service)?;
-        let bucket = hash as usize & (table.len() - 1);
-        table[bucket]
+    /// Returns the number of buckets that this entry is moving.
+    pub fn moving_buckets(&self) -> usize {
+        self.transfers.len()
     }
 
-    fn compute_table(&self, service: ServiceId) -> Vec<Option<UpstreamId>> {
-        let ready = |u: &&Upstream| u.service == service && u.state != UpstreamState::Draining;
-        let candidates: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(ready)
-            .map(Upstream::id)
+    pub(crate) fn bucket_mut(&mut self, (t, index): Place) -> &mut Bucket {
+        &mut self.tables[t].buckets[usize::from(index)]
+    }
+
+    /// Returns the live entries but this one.
+    pub(crate) fn others(&self) -> Vec<EntryId> {
+        let me = self.settings.id;
+        self.entries.keys().copied().filter(|e| *e != me).collect()
+    }
+
+    /// Tells whether this entry decides for a bucket's first packets.
+    pub(crate) fn keeps(&self, (t, index): Place) -> bool {
+        self.tables[t].buckets[usize::from(index)].keeper == Some(self.settings.id)
+    }
+
+    /// Chooses the entries that decide for each bucket.
+    pub(crate) fn choose_keepers(&mut self, now: Instant) {
+        let me = self.settings.id;
+        let serving = |(id, stage): (&EntryId, &EntryStage)| {
+            let serves = *stage == EntryStage::Serving && (*id != me || self.sync.is_done());
+            serves.then_some(*id)
+        };
+        let candidates: Vec<_> = self.entries.iter().filter_map(serving).collect();
+        for table in &mut self.tables {
+            for (index, bucket) in table.buckets.iter_mut().enumerate() {
+                let key = u64::from(table.id) << 32 | index as u64;
+                let (keeper, backup) = keepers::choose(key, &candidates, &self.settings.domains);
+                if keeper == Some(me) && bucket.keeper != Some(me) {
+                    bucket.kept_since = (bucket.phase != Phase::Unowned).then_some(now);
+                }
+                bucket.keeper = keeper;
+                bucket.backup = backup;
+            }
+        }
+    }
+
+    fn update_peers(&mut self, now: Instant, place: Place) {
+        let live = self.others();
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
+        transfer.peers.retain(|peer, _| live.contains(peer));
+        if transfer.stage < Stage::Committing {
+            for peer in live {
+                let progress = || Progress::new(now);
+                transfer.peers.entry(peer).or_insert_with(progress);
+            }
+        }
+        self.advance(now, place);
+    }
+
+    /// Makes the moves anew whose mover is no longer there.
+    pub(crate) fn take_over(&mut self, now: Instant, t: usize) {
+        for index in 0..self.tables[t].buckets.len() {
+            let place = (t, index as BucketIndex);
+            let bucket = &self.tables[t].buckets[index];
+            let Phase::Moving { from, to } = bucket.phase else {
+                continue;
+            };
+            let mover = bucket.version.mover;
+            let is_there = mover != self.settings.id && self.entries.contains_key(&mover);
+            if is_there || self.transfers.contains_key(&place) || !self.keeps(place) {
+                continue;
+            }
+            self.start_move(now, place, (from, to), Cause::Takeover);
+        }
+    }
+
+    fn service_of(&self, upstream: &Upstream) -> Option<&Service> {
+        let found = self.tables.iter().find(|t| t.id == upstream.service);
+        found.map(|t| &t.service)
+    }
+
+    fn note_gone(&mut self, before: impl Iterator<Item = UpstreamId>) {
+        let mut left: Vec<_> = before
+            .filter(|id| !self.upstreams.contains_key(id))
             .collect();
-        (0..self.settings.buckets)
-            .map(|bucket| {
-                let key = u64::from(service) << 32 | u64::from(bucket);
-                rendezvous::choose(key, candidates.iter().copied())
-            })
-            .collect()
+        for (id, known) in &self.upstreams {
+            if known.presence == Presence::Gone {
+                left.push(*id);
+            } else {
+                self.gone.shift_remove(id);
+            }
+        }
+        for id in left {
+            if self.gone.insert(id) {
+                self.scan.restart();
+            }
+        }
+        while self.gone.len() > MAX_GONE {
+            self.gone.shift_remove_index(0);
+        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        for table in &mut self.tables {
+            for index in (self.sweep_round..table.buckets.len()).step_by(SWEEP_ROUNDS) {
+                table.sweep(now, index);
+            }
+        }
+        self.sweep_round = (self.sweep_round + 1) % SWEEP_ROUNDS;
+    }
+
+    /// Returns the place of the table that a packet's flow belongs to.
+    pub(crate) fn table_of(&self, packet: &Packet) -> Option<usize> {
+        let key = (packet.key.protocol, packet.key.service);
+        self.services.get(&key).copied()
+    }
+}
+
+/// Returns the upstream that holds each address: the newest that is there.
+fn newest_by_address(upstreams: &[(&Upstream, Presence)]) -> IndexMap<SocketAddr, UpstreamId> {
+    let mut newest: IndexMap<SocketAddr, (bool, u64, UpstreamId)> = IndexMap::new();
+    for (upstream, presence) in upstreams {
+        let rank = (
+            *presence == Presence::Leased,
+            upstream.incarnation,
+            upstream.id(),
+        );
+        let held = newest.entry(upstream.address).or_insert(rank);
+        *held = rank.max(*held);
     }
+    newest.into_iter().map(|(a, (.., id))| (a, id)).collect()
 }
--- /dev/null
+++ b/crates/currantgate-flow/src/sync.rs
@@ -0,0 +1,365 @@
+//! Compares tables with other entries and fetches what differs.
+
+use std::hash::Hasher as _;
+use std::time::{Duration, Instant};
+
+use currantgate_config::{EntryId, UpstreamId};
+use currantgate_membership::EntryStage;
+use currantgate_packet::FlowHash;
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use siphasher::sip::SipHasher13;
+
+use crate::bucket::Bucket;
+use crate::pin::{self, Pin, PinGroup};
+use crate::router::{Place, Router};
+use crate::transfer::Cause;
+use crate::{BucketIndex, ChunkVersions, Message, Output, Phase, Version};
+
+/// Buckets whose versions share one digest.
+pub const CHUNK_BUCKETS: usize = 32;
+
+/// Time after the start before which an entry that sees no other one waits
+/// for others to appear.
+const ALONE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between digests while other entries have not confirmed the table.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Mean time between two digests to one other entry, in milliseconds.
+const DIGEST_INTERVAL_MS: u64 = 5_000;
+
+/// Time after which an unanswered pull is sent again.
+pub(crate) const PULL_RETRY: Duration = Duration::from_millis(1_000);
+
+/// How far an entry is in learning the table, and whom it asks next.
+#[derive(Debug)]
+pub(crate) struct SyncState {
+    done: bool,
+    done_at: Instant,
+    alone_at: Instant,
+    rng: ChaCha8Rng,
+    digest_at: Instant,
+    /// Entries and services whose table is known not to be ahead.
+    confirmed: IndexSet<(EntryId, usize)>,
+    next_peer: usize,
+}
+
+impl SyncState {
+    pub(crate) fn new(now: Instant, seed: u64) -> Self {
+        Self {
+            done: false,
+            done_at: now,
+            alone_at: now + ALONE_AFTER,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            digest_at: now,
+            confirmed: IndexSet::new(),
+            next_peer: 0,
+        }
+    }
+
+    /// Returns the instant at which the entry began to decide.
+    pub(crate) fn done_at(&self) -> Instant {
+        self.done_at
+    }
+
+    /// Tells whether the entry knows enough to decide about flows.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done
+    }
+}
+
+/// A bucket's state on its way from another entry.
+#[derive(Debug)]
+pub(crate) struct Pull {
+    /// The entry that is asked.
+    pub(crate) donor: EntryId,
+    /// The state that the pins so far go with.
+    pub(crate) state: Option<(Version, Phase)>,
+    /// The pins so far, in ascending order.
+    pub(crate) pins: Vec<Pin>,
+    /// The instant at which the next part is asked for.
+    pub(crate) send_at: Instant,
+}
+
+impl Pull {
+    /// Returns the highest flow hash that has come so far.
+    pub(crate) fn after(&self) -> Option<FlowHash> {
+        self.pins.last().map(|(hash, _)| *hash)
+    }
+}
+
+impl Router {
+    /// Tells whether this entry knows enough to decide about flows.
+    pub fn is_synced(&self) -> bool {
+        self.sync.done
+    }
+
+    /// Greets entries that have appeared and forgets those that have left.
+    pub(crate) fn meet_entries(&mut self, now: Instant, before: &IndexMap<EntryId, EntryStage>) {
+        let entries = &self.entries;
+        self.sync
+            .confirmed
+            .retain(|(peer, _)| entries.contains_key(peer));
+        self.pulls
+            .retain(|_, pull| entries.contains_key(&pull.donor));
+        let met = self.others();
+        for peer in met.into_iter().filter(|p| !before.contains_key(p)) {
+            self.send_digests(peer);
+        }
+        self.check_sync(now);
+    }
+
+    /// Ends the join once no entry is ahead, and sends digests that are due.
+    pub(crate) fn check_sync(&mut self, now: Instant) {
+        let others = self.others();
+        let is_confirmed = |peer: &EntryId| {
+            let mut tables = 0..self.tables.len();
+            tables.all(|t| self.sync.confirmed.contains(&(*peer, t)))
+        };
+        let (confirmed, unsure): (Vec<_>, Vec<_>) = others.iter().copied().partition(is_confirmed);
+        if !self.sync.done {
+            self.sync.done = now >= self.sync.alone_at
+                && self.pulls.is_empty()
+                && confirmed.len() == others.len();
+            if self.sync.done {
+                self.sync.done_at = now;
+                self.choose_keepers(now);
+                self.plan_at = now;
+            }
+        }
+        if now < self.sync.digest_at || others.is_empty() {
+            return;
+        }
+        if self.sync.done {
+            let peer = others[self.sync.next_peer % others.len()];
+            self.sync.next_peer += 1;
+            self.send_digests(peer);
+            let mean = DIGEST_INTERVAL_MS;
+            let wait = self.sync.rng.random_range(mean / 2..mean * 3 / 2);
+            self.sync.digest_at = now + Duration::from_millis(wait);
+        } else {
+            for peer in unsure {
+                self.send_digests(peer);
+            }
+            self.sync.digest_at = now + CONFIRM_INTERVAL;
+        }
+    }
+
+    fn send_digests(&mut self, to: EntryId) {
+        for table in &self.tables {
+            let message = Message::Digest {
+                service: table.id,
+                chunks: table.buckets.chunks(CHUNK_BUCKETS).map(digest).collect(),
+            };
+            self.outputs.push_back(Output::Send { to, message });
+        }
+    }
+
+    /// Answers a digest with the versions of the chunks that differ.
+    pub(crate) fn take_digest(&mut self, _now: Instant, from: EntryId, t: usize, theirs: &[u32]) {
+        let table = &self.tables[t];
+        let chunks = table.buckets.chunks(CHUNK_BUCKETS).zip(theirs).enumerate();
+        let differing = chunks.filter(|(_, (own, their))| digest(own) != **their);
+        let chunks: Vec<_> = differing.map(|(i, (own, _))| versions(i, own)).collect();
+        self.send_versions(from, t, true, chunks);
+    }
+
+    fn send_versions(&mut self, to: EntryId, t: usize, answer: bool, chunks: Vec<ChunkVersions>) {
+        let service = self.tables[t].id;
+        let sees_receiver = self.entries.contains_key(&to);
+        let mut rest = chunks;
+        loop {
+            let tail = rest.split_off(rest.len().min(CHUNKS_IN_MESSAGE));
+            let message = Message::Versions {
+                service,
+                // Only the last part may confirm that nothing else differs.
+                answer: answer && tail.is_empty(),
+                sees_receiver,
+                chunks: rest,
+            };
+            self.outputs.push_back(Output::Send { to, message });
+            rest = tail;
+            if rest.is_empty() {
+                break;
+            }
+        }
+    }
+
+    /// Fetches the buckets for which the sender is ahead, and tells it those
+    /// for which it is behind.
+    pub(crate) fn take_versions(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        t: usize,
+        (answer, sees_receiver): (bool, bool),
+        chunks: &[ChunkVersions],
+    ) {
+        let mut ahead = false;
+        let mut behind = Vec::new();
+        for chunk in chunks {
+            let first = usize::from(chunk.chunk) * CHUNK_BUCKETS;
+            for (i, theirs) in chunk.versions.iter().enumerate() {
+                let Some(own) = self.tables[t].buckets.get(first + i).map(Bucket::rank) else {
+                    continue;
+                };
+                if *theirs > own {
+                    ahead = true;
+                    self.pull(now, from, (t, (first + i) as BucketIndex));
+                } else if *theirs < own && !behind.contains(&chunk.chunk) {
+                    behind.push(chunk.chunk);
+                }
+            }
+        }
+        if answer && sees_receiver && !ahead {
+            self.sync.confirmed.insert((from, t));
+        }
+        if answer && !behind.is_empty() {
+            let buckets = &self.tables[t].buckets;
+            let chunk = |i: u16| {
+                let own = buckets.chunks(CHUNK_BUCKETS).nth(usize::from(i));
+                own.map(|own| versions(usize::from(i), own))
+            };
+            let chunks = behind.into_iter().filter_map(chunk).collect();
+            self.send_versions(from, t, false, chunks);
+        }
+    }
+
+    /// Fetches a bucket's state from another entry.
+    pub(crate) fn pull(&mut self, now: Instant, donor: EntryId, place: Place) {
+        self.send_at = now;
+        self.pulls.entry(place).or_insert_with(|| Pull {
+            donor,
+            state: None,
+            pins: Vec::new(),
+            send_at: now,
+        });
+    }
+
+    /// Queues a part of a bucket's state for an entry that asked for it.
+    pub(crate) fn take_pull(&mut self, to: EntryId, place: Place, after: Option<FlowHash>) {
+        self.requests.insert((to, place), after);
+    }
+
+    /// Takes a part of a bucket's state.
+    pub(crate) fn take_state(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        (version, phase): (Version, Phase),
+        (after, more, flows): (Option<FlowHash>, bool, &[PinGroup]),
+    ) {
+        let own = self.bucket_mut(place).rank();
+        let Some(pull) = self.pulls.get_mut(&place) else {
+            return;
+        };
+        if pull.donor != from || pull.after() != after {
+            return;
+        }
+        if (version, phase.is_stable()) <= own {
+            self.pulls.swap_remove(&place);
+            return;
+        }
+        if pull.state.is_some_and(|state| state != (version, phase)) {
+            // The bucket changed on the way: its pins are asked for anew.
+            pull.state = None;
+            pull.pins.clear();
+            pull.send_at = now;
+            self.send_at = now;
+            return;
+        }
+        pull.state = Some((version, phase));
+        let mut pins: Vec<_> = pin::ungroup(flows).collect();
+        pins.sort_unstable();
+        pull.pins.extend(pins);
+        pull.send_at = now;
+        self.send_at = now;
+        if !more && let Some(pull) = self.pulls.swap_remove(&place) {
+            self.adopt(now, place, (version, phase), &pull.pins);
+        }
+    }
+
+    /// Takes a state that other entries have come to without this one.
+    fn adopt(
+        &mut self,
+        now: Instant,
+        place: Place,
+        (version, phase): (Version, Phase),
+        pins: &[Pin],
+    ) {
+        let before = self.bucket_mut(place).phase;
+        self.transfers.swap_remove(&place);
+        for (hash, upstream) in pins {
+            let table = &mut self.tables[place.0];
+            if table.index(*hash) == place.1 {
+                table.pin(now, *hash, *upstream);
+            }
+        }
+        let bucket = self.bucket_mut(place);
+        let known: IndexSet<_> = pins.iter().map(|(hash, _)| *hash).collect();
+        let strays = bucket
+            .flows
+            .iter()
+            .any(|(hash, record)| Some(record.upstream) != phase.target() && !known.contains(hash));
+        bucket.adopt(version, phase);
+        // Flows that only this side of a cut knows are for all to know.
+        if strays && before != Phase::Unowned && phase.is_stable() {
+            self.reopens.insert(place, now);
+        }
+        if matches!(phase, Phase::Moving { .. }) {
+            self.plan_at = now;
+        }
+    }
+
+    /// Collects what entries know of a bucket, if this is its keeper.
+    pub(crate) fn take_reopen(&mut self, now: Instant, place: Place) {
+        let phase = self.bucket_mut(place).phase;
+        let Phase::Stable { owner } = phase else {
+            return;
+        };
+        let is_busy = self.transfers.contains_key(&place) || self.pulls.contains_key(&place);
+        if self.keeps(place) && !is_busy {
+            self.merge(now, place, owner);
+        }
+    }
+
+    fn merge(&mut self, now: Instant, place: Place, owner: UpstreamId) {
+        self.reopens.swap_remove(&place);
+        self.start_move(now, place, (owner, owner), Cause::Merge);
+    }
+
+    /// Asks keepers to collect what only this entry knows, or collects it.
+    pub(crate) fn reopen_own(&mut self, now: Instant) {
+        let places: Vec<_> = self.reopens.keys().copied().collect();
+        for place in places {
+            if self.keeps(place) {
+                self.take_reopen(now, place);
+            }
+        }
+    }
+}
+
+/// Chunks whose versions fit into one message.
+const CHUNKS_IN_MESSAGE: usize = 4;
+
+fn digest(buckets: &[Bucket]) -> u32 {
+    let mut hasher = SipHasher13::new();
+    for bucket in buckets {
+        let (version, is_stable) = bucket.rank();
+        hasher.write_u32(version.counter);
+        hasher.write_u16(version.mover);
+        hasher.write_u8(u8::from(is_stable));
+    }
+    // The low half is as well mixed as the whole.
+    hasher.finish() as u32
+}
+
+fn versions(chunk: usize, buckets: &[Bucket]) -> ChunkVersions {
+    ChunkVersions {
+        chunk: chunk as u16,
+        versions: buckets.iter().map(Bucket::rank).collect(),
+    }
+}
--- /dev/null
+++ b/crates/currantgate-flow/tests/common/mod.rs
@@ -0,0 +1,513 @@
+//! Routers joined by an in-memory network that loses, doubles and reorders.
+
+#![allow(dead_code, reason = "each test and benchmark uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use currantgate_config::{EntryId, Protocol, Service, Site, UpstreamId};
+use currantgate_flow::{
+    AnswerVerdict, DropReason, Forward, Message, Output, Router, RouterSettings, Verdict,
+};
+use currantgate_membership::{Budget, EntryStage, EntryView, Presence, Upstream, UpstreamState};
+use currantgate_packet::{FlowKey, Packet, PacketKind, Refusal};
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Bytes of the IPv4 and UDP headers around each message.
+const HEADER_BYTES: usize = 28;
+/// How often each router's time is kept.
+const STEP: Duration = Duration::from_millis(20);
+
+/// How the network treats what entries send each other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Link {
+    pub(crate) loss: f64,
+    pub(crate) doubling: f64,
+    /// The longest delay; each message draws its own.
+    pub(crate) delay_ms: u64,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            doubling: 0.0,
+            delay_ms: 3,
+        }
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) router: Router,
+    pub(crate) budget: Budget,
+    pub(crate) control_bytes: u64,
+    pub(crate) messages: u64,
+    pub(crate) largest: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Flow {
+    /// The upstream that got the first packet.
+    pub(crate) upstream: Option<UpstreamId>,
+    /// Every upstream that got any packet.
+    pub(crate) reached: IndexSet<UpstreamId>,
+    pub(crate) refused: Option<Refusal>,
+    pub(crate) broken: bool,
+    /// The flow ended in order.
+    pub(crate) closed: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Message(EntryId, EntryId, Message),
+    Packet(EntryId, EntryId, Forward, Packet),
+    Answer(EntryId, SocketAddr, Packet),
+    Upstreams(EntryId, Vec<(Upstream, Presence)>),
+    Entries(EntryId, Vec<EntryView>),
+}
+
+pub(crate) struct Net {
+    pub(crate) now: Instant,
+    pub(crate) nodes: IndexMap<EntryId, Node>,
+    pub(crate) stages: IndexMap<EntryId, EntryStage>,
+    pub(crate) upstreams: IndexMap<UpstreamId, (Upstream, Presence)>,
+    pub(crate) flows: IndexMap<FlowKey, Flow>,
+    pub(crate) drops: IndexMap<DropReason, u64>,
+    pub(crate) told_gone: IndexSet<FlowKey>,
+    pub(crate) misrouted: u64,
+    pub(crate) link: Link,
+    /// Upstreams answer each packet by way of any entry.
+    pub(crate) answers: bool,
+    /// Each new view reaches each entry within this time.
+    pub(crate) view_delay_ms: u64,
+    /// Entries that can't hear the others.
+    pub(crate) cut: IndexSet<EntryId>,
+    /// The last new flow that each upstream got.
+    pub(crate) last_new: IndexMap<UpstreamId, Instant>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) settings: RouterSettings,
+    pub(crate) budget: currantgate_config::Budget,
+    queue: BTreeMap<(Instant, u64), Event>,
+    sequence: u64,
+    ticked: Instant,
+    next_port: u32,
+}
+
+pub(crate) fn services(text: &str) -> Vec<Service> {
+    Site::parse(text, "test").unwrap().services
+}
+
+pub(crate) const TWO_SERVICES: &str = r#"
+domains = ["a", "b", "c", "d"]
+
+[[service]]
+name = "booking"
+address = "10.0.0.1:443"
+join = { warmup_ms = 2000 }
+
+[[service]]
+name = "calendar"
+address = "10.0.0.2:443"
+join = { warmup_ms = 2000 }
+"#;
+
+impl Net {
+    pub(crate) fn new(seed: u64, entries: u16, buckets: u32, site: &str) -> Self {
+        let now = Instant::now();
+        let domains = ["a", "b", "c", "d"];
+        let settings = RouterSettings {
+            services: services(site),
+            domains: (1..=64)
+                .map(|id| (id, domains[usize::from(id) % 4].into()))
+                .collect(),
+            hash_key: 7,
+            buckets,
+            ..RouterSettings::default()
+        };
+        let mut net = Self {
+            now,
+            nodes: IndexMap::new(),
+            stages: IndexMap::new(),
+            upstreams: IndexMap::new(),
+            flows: IndexMap::new(),
+            drops: IndexMap::new(),
+            told_gone: IndexSet::new(),
+            misrouted: 0,
+            link: Link::default(),
+            answers: true,
+            view_delay_ms: 5,
+            cut: IndexSet::new(),
+            last_new: IndexMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            settings,
+            budget: currantgate_config::Budget::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            ticked: now,
+            next_port: 1,
+        };
+        for id in 1..=entries {
+            net.start_entry(id, EntryStage::Serving);
+        }
+        net.spread_entries();
+        net
+    }
+
+    pub(crate) fn start_entry(&mut self, id: EntryId, stage: EntryStage) {
+        let settings = RouterSettings {
+            id,
+            seed: u64::from(id),
+            ..self.settings.clone()
+        };
+        let node = Node {
+            router: Router::new(settings, self.now),
+            budget: Budget::new(&self.budget, self.now),
+            control_bytes: 0,
+            messages: 0,
+            largest: 0,
+        };
+        self.nodes.insert(id, node);
+        self.stages.insert(id, stage);
+        let upstreams = self.upstreams.values().cloned().collect();
+        self.push(self.now, Event::Upstreams(id, upstreams));
+    }
+
+    pub(crate) fn kill_entry(&mut self, id: EntryId) {
+        self.nodes.shift_remove(&id);
+        self.stages.shift_remove(&id);
+    }
+
+    pub(crate) fn set_stage(&mut self, id: EntryId, stage: EntryStage) {
+        self.stages.insert(id, stage);
+        self.spread_entries();
+    }
+
+    /// Tells each entry who is alive; those that are cut off see their side.
+    pub(crate) fn spread_entries(&mut self) {
+        for to in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let side = self.cut.contains(&to);
+            let views = self
+                .stages
+                .iter()
+                .filter(|(id, _)| self.cut.contains(*id) == side)
+                .map(|(id, stage)| EntryView {
+                    id: *id,
+                    stage: *stage,
+                })
+                .collect();
+            let at = self.view_at();
+            self.push(at, Event::Entries(to, views));
+        }
+    }
+
+    pub(crate) fn spread_upstreams(&mut self) {
+        for to in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let at = self.view_at();
+            let upstreams = self.upstreams.values().cloned().collect();
+            self.push(at, Event::Upstreams(to, upstreams));
+        }
+    }
+
+    fn view_at(&mut self) -> Instant {
+        let delay = self.rng.random_range(0..=self.view_delay_ms);
+        self.now + Duration::from_millis(delay)
+    }
+
+    pub(crate) fn add_upstream(&mut self, service: usize, n: u16, incarnation: u64) -> UpstreamId {
+        let service = self.settings.services[service].id();
+        let upstream = Upstream {
+            name: format!("u{n}").into(),
+            incarnation,
+            service,
+            address: SocketAddr::from(([10, 1, (n >> 8) as u8, n as u8], 5555)),
+            domain: "a".into(),
+            slots: 1,
+            state: UpstreamState::Ready,
+        };
+        let id = upstream.id();
+        self.upstreams.insert(id, (upstream, Presence::Leased));
+        id
+    }
+
+    pub(crate) fn set_state(&mut self, id: UpstreamId, state: UpstreamState) {
+        self.upstreams[&id].0.state = state;
+        self.spread_upstreams();
+    }
+
+    pub(crate) fn set_presence(&mut self, id: UpstreamId, presence: Presence) {
+        self.upstreams[&id].1 = presence;
+        self.spread_upstreams();
+    }
+
+    pub(crate) fn key(&self, service: usize, n: u32) -> FlowKey {
+        let ip = Ipv4Addr::from_bits(0x0b00_0000 + n / 50_000);
+        FlowKey {
+            protocol: self.settings.services[service].protocol,
+            caller: SocketAddr::from((ip, 1_024 + (n % 50_000) as u16)),
+            service: self.settings.services[service].address,
+        }
+    }
+
+    /// Begins a flow at any entry.
+    pub(crate) fn open(&mut self, service: usize) -> FlowKey {
+        let key = self.key(service, self.next_port);
+        self.next_port += 1;
+        self.send(key, PacketKind::Open);
+        key
+    }
+
+    /// Begins flows over `time`, sends each first packet again as TCP would,
+    /// and some more once a flow stands.
+    pub(crate) fn open_many(&mut self, service: usize, count: u32, time: Duration) -> Vec<FlowKey> {
+        let mut keys = Vec::new();
+        for _ in 0..count {
+            keys.push(self.open(service));
+            self.run(time / count);
+        }
+        self.establish(&keys);
+        keys
+    }
+
+    /// Sends first packets again until each flow has an upstream.
+    pub(crate) fn establish(&mut self, keys: &[FlowKey]) {
+        for _ in 0..20 {
+            self.run(Duration::from_millis(500));
+            let left: Vec<_> = keys
+                .iter()
+                .filter(|k| self.flows[*k].upstream.is_none() && self.flows[*k].refused.is_none())
+                .copied()
+                .collect();
+            for key in left {
+                self.send(key, PacketKind::Open);
+            }
+        }
+    }
+
+    /// Sends a packet by way of any entry.
+    pub(crate) fn send(&mut self, key: FlowKey, kind: PacketKind) {
+        let at = self.rng.random_range(0..self.nodes.len());
+        let to = *self.nodes.get_index(at).unwrap().0;
+        self.send_to(to, key, kind);
+    }
+
+    /// Sends a packet by way of entry `to`.
+    pub(crate) fn send_to(&mut self, to: EntryId, key: FlowKey, kind: PacketKind) {
+        self.flows.entry(key).or_default();
+        let packet = packet(key, kind);
+        let now = self.now;
+        let verdict = self.nodes[&to].router.route(now, &packet);
+        self.carry_out(to, verdict, packet);
+    }
+
+    /// Sends packets of all flows through every entry, some at a time.
+    pub(crate) fn send_through_all(&mut self, keys: &[FlowKey]) {
+        let entries: Vec<_> = self.nodes.keys().copied().collect();
+        for (i, key) in keys.iter().enumerate() {
+            for to in &entries {
+                self.send_to(*to, *key, PacketKind::Data);
+            }
+            if i % 64 == 0 {
+                self.run(STEP);
+            }
+        }
+        self.run(Duration::from_millis(200));
+    }
+
+    fn carry_out(&mut self, at: EntryId, verdict: Verdict, packet: Packet) {
+        match verdict {
+            Verdict::Deliver { upstream, address } => self.delivered(upstream, address, packet),
+            Verdict::Forward { to, forward } => {
+                self.transmit(at, to, &Event::Packet(at, to, forward, packet));
+            }
+            Verdict::Refuse(refusal) => self.refused(&packet, refusal),
+            Verdict::Drop(reason) => *self.drops.entry(reason).or_default() += 1,
+        }
+    }
+
+    fn delivered(&mut self, upstream: UpstreamId, address: SocketAddr, packet: Packet) {
+        let holds = |(u, presence): &(Upstream, Presence)| {
+            u.address == address && *presence != Presence::Gone
+        };
+        let holder = self.upstreams.iter().rfind(|(_, u)| holds(u));
+        let holder = holder.map(|(id, (u, _))| (*id, u.service));
+        let service = self.settings.services.iter();
+        let service = service.clone().find(|s| s.address == packet.key.service);
+        let service = service.unwrap().id();
+        if holder.is_some_and(|(id, of)| of != service || id != upstream) {
+            self.misrouted += 1;
+        }
+        let flow = self.flows.get_mut(&packet.key).unwrap();
+        flow.reached.insert(upstream);
+        match flow.upstream {
+            Some(known) if known != upstream && !flow.closed => flow.broken = true,
+            Some(_) => {}
+            None if packet.kind == PacketKind::Open || packet.key.protocol == Protocol::Udp => {
+                flow.upstream = Some(upstream);
+                self.last_new.insert(upstream, self.now);
+            }
+            None => flow.broken = true,
+        }
+        if self.answers && packet.kind != PacketKind::Reset {
+            let at = self.rng.random_range(0..self.nodes.len());
+            let to = *self.nodes.get_index(at).unwrap().0;
+            let time = self.delay();
+            let answer = Packet {
+                kind: PacketKind::Data,
+                next_seq: 500,
+                ack: packet.next_seq,
+                ..packet
+            };
+            self.push(time, Event::Answer(to, address, answer));
+        }
+    }
+
+    fn refused(&mut self, packet: &Packet, refusal: Refusal) {
+        let flow = self.flows.get_mut(&packet.key).unwrap();
+        flow.refused = Some(refusal);
+        let presence = flow.upstream.and_then(|u| self.upstreams.get(&u));
+        let is_there = presence.is_some_and(|(_, p)| *p != Presence::Gone);
+        if is_there && !flow.closed {
+            flow.broken = true;
+        }
+    }
+
+    fn delay(&mut self) -> Instant {
+        let micros = self.rng.random_range(500..=self.link.delay_ms * 1_000);
+        self.now + Duration::from_micros(micros)
+    }
+
+    fn transmit(&mut self, from: EntryId, to: EntryId, event: &Event) {
+        if self.cut.contains(&from) != self.cut.contains(&to) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.link.doubling));
+        for _ in 0..copies {
+            let at = self.delay();
+            if !self.rng.random_bool(self.link.loss) {
+                self.push(at, event.clone());
+            }
+        }
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            let next_tick = self.ticked + STEP;
+            let next = self.queue.keys().next().map_or(next_tick, |(at, _)| *at);
+            let next = next.min(next_tick).max(self.now);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            if next == next_tick {
+                self.ticked = next;
+                self.tick_all();
+            } else if let Some((_, event)) = self.queue.pop_first() {
+                self.take(event);
+            }
+        }
+    }
+
+    pub(crate) fn run_s(&mut self, seconds: u64) {
+        self.run(Duration::from_secs(seconds));
+    }
+
+    fn tick_all(&mut self) {
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let now = self.now;
+            self.nodes[&id].router.tick(now);
+            self.flush(id);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now;
+        let (Event::Message(_, to, _)
+        | Event::Packet(_, to, _, _)
+        | Event::Answer(to, ..)
+        | Event::Upstreams(to, _)
+        | Event::Entries(to, _)) = &event;
+        let to = *to;
+        let Some(node) = self.nodes.get_mut(&to) else {
+            return;
+        };
+        match event {
+            Event::Message(from, _, message) => node.router.receive(now, from, &message),
+            Event::Packet(from, _, forward, packet) => {
+                let verdict = node.router.route_forwarded(now, from, &forward, &packet);
+                self.carry_out(to, verdict, packet);
+            }
+            Event::Answer(_, from, packet) => {
+                if let AnswerVerdict::Drop(reason) = node.router.answer(now, from, &packet) {
+                    *self.drops.entry(reason).or_default() += 1;
+                }
+            }
+            Event::Upstreams(_, upstreams) => {
+                let upstreams = upstreams.iter().map(|(u, p)| (u, *p));
+                node.router.set_upstreams(now, upstreams);
+            }
+            Event::Entries(_, views) => node.router.set_entries(now, &views),
+        }
+        self.flush(to);
+    }
+
+    fn flush(&mut self, id: EntryId) {
+        loop {
+            let node = &mut self.nodes[&id];
+            let Some(output) = node.router.poll_output(self.now, &mut node.budget) else {
+                return;
+            };
+            match output {
+                Output::Send { to, message } => {
+                    let config = bincode::config::standard();
+                    let bytes = bincode::serde::encode_to_vec(&message, config).unwrap();
+                    node.largest = node.largest.max(bytes.len());
+                    let size = bytes.len() + HEADER_BYTES;
+                    node.budget.spend(size);
+                    node.control_bytes += size as u64;
+                    node.messages += 1;
+                    self.transmit(id, to, &Event::Message(id, to, message));
+                }
+                Output::Refuse { packet, refusal } => {
+                    self.told_gone.insert(packet.key);
+                    self.refused(&packet, refusal);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn broken(&self) -> usize {
+        self.flows.values().filter(|f| f.broken).count()
+    }
+
+    pub(crate) fn moving(&self) -> usize {
+        self.nodes.values().map(|n| n.router.moving_buckets()).sum()
+    }
+
+    /// Tells whether all entries have the same table.
+    pub(crate) fn agree(&self) -> bool {
+        let mut tables = self.nodes.values().map(|n| n.router.states());
+        let first = tables.next().unwrap();
+        tables.all(|t| t == first)
+    }
+}
+
+pub(crate) fn packet(key: FlowKey, kind: PacketKind) -> Packet {
+    Packet {
+        key,
+        kind,
+        next_seq: if kind == PacketKind::Open { 100 } else { 200 },
+        ack: if kind == PacketKind::Open { 0 } else { 500 },
+        len: 64,
+    }
+}
