Keep two records of each flow as entries come and go

Change: packets that begin or end a flow pass keeper and backup, so both know. When one of the two changes, the other copies its records to the new one; may_leave tells a leaving entry when its copies are done. An entry that sees none of its peers waits five seconds before it serves alone. Other entries only cache what the table tells, for 30 seconds. A step with nothing to say no longer goes out as an empty message.

For the daemon: Forward::Record carries hops; Router::may_leave; RouterSettings::domains must name all entries of the site.

--- a/crates/currantgate-flow/src/bucket.rs
+++ b/crates/currantgate-flow/src/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use currantgate_config::EntryId;
+use currantgate_config::{EntryId, UpstreamId};
 use currantgate_packet::FlowHash;
 use indexmap::IndexSet;
 
@@ -82,6 +82,13 @@
         };
     }
 
+    /// Tells whether this entry, `me`, must remember a flow for as long as it
+    /// is open: it decides for the bucket, or the table alone would not tell.
+    pub(crate) fn must_remember(&self, me: EntryId, upstream: UpstreamId) -> bool {
+        let is_holder = self.keeper == Some(me) || self.backup == Some(me);
+        is_holder || self.phase != Phase::Stable { owner: upstream }
+    }
+
     /// Returns what orders the bucket's states: of two entries that have the
     /// same version, the one that has ended the move is ahead.
     pub(crate) fn rank(&self) -> (Version, bool) {
--- /dev/null
+++ b/crates/currantgate-flow/src/copy.rs
@@ -0,0 +1,142 @@
+//! Copies what the two entries of a bucket remember to a new one of the two.
+
+use std::time::{Duration, Instant};
+
+use currantgate_config::EntryId;
+use currantgate_packet::FlowHash;
+use indexmap::IndexMap;
+
+use crate::pin::{self, Pin, PinGroup};
+use crate::router::{Place, Router};
+use crate::{BucketItem, Step};
+
+/// Time after which an unanswered part is sent again.
+const COPY_RETRY: Duration = Duration::from_millis(1_500);
+
+/// Time for which a new keeper or backup must stay one before it gets a copy,
+/// so that views that waver for a moment cost nothing.
+const COPY_DELAY: Duration = Duration::from_millis(500);
+
+/// A keeper and its backup.
+pub(crate) type Pair = (Option<EntryId>, Option<EntryId>);
+
+/// Copies on their way, by bucket and receiver.
+pub(crate) type Copies = IndexMap<(Place, EntryId), CopyState>;
+
+/// How far one bucket's copy to one entry is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CopyState {
+    /// The highest flow hash that the receiver has.
+    after: Option<FlowHash>,
+    /// The instant at which the next part is sent.
+    pub(crate) send_at: Instant,
+}
+
+/// Returns the entries that `me` must copy a bucket's flows to, once the
+/// bucket's pair changes.
+///
+/// One of the old pair sends: the one that stays, else the keeper.
+pub(crate) fn receivers(
+    me: EntryId,
+    old: Pair,
+    new: Pair,
+    is_live: impl Fn(EntryId) -> bool,
+) -> impl Iterator<Item = EntryId> {
+    let olds = [old.0, old.1];
+    let news = [new.0, new.1];
+    let live = move |id: &EntryId| is_live(*id);
+    let stays = olds
+        .into_iter()
+        .flatten()
+        .find(|id| news.contains(&Some(*id)));
+    let sender = stays.or_else(|| olds.into_iter().flatten().find(live));
+    let receivers = news.into_iter().flatten();
+    receivers.filter(move |id| sender == Some(me) && !olds.contains(&Some(*id)))
+}
+
+impl Router {
+    /// Notes that a bucket's pair has changed.
+    pub(crate) fn begin_copy(&mut self, now: Instant, place: Place, to: EntryId) {
+        let state = CopyState {
+            after: None,
+            send_at: now + COPY_DELAY,
+        };
+        self.copies.entry((place, to)).or_insert(state);
+    }
+
+    /// Forgets copies to entries that have left a bucket's pair.
+    pub(crate) fn prune_copies(&mut self) {
+        let tables = &self.tables;
+        self.copies.retain(|((t, index), to), _| {
+            let bucket = &tables[*t].buckets[usize::from(*index)];
+            bucket.keeper == Some(*to) || bucket.backup == Some(*to)
+        });
+    }
+
+    /// Returns the next part of a copy, in at most `left` bytes.
+    pub(crate) fn copy_item(
+        &mut self,
+        now: Instant,
+        (place, to): (Place, EntryId),
+        left: usize,
+    ) -> Option<BucketItem> {
+        let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
+        let state = self.copies.get_mut(&(place, to))?;
+        let after = state.after;
+        let mut pins: Vec<Pin> = bucket
+            .flows
+            .iter()
+            .filter(|(hash, record)| after.is_none_or(|a| **hash > a) && record.is_open())
+            .map(|(hash, record)| (*hash, record.upstream))
+            .collect();
+        if pins.is_empty() {
+            self.copies.swap_remove(&(place, to));
+            return None;
+        }
+        pins.sort_unstable();
+        let count = pin::fitting(&pins, left);
+        if count == 0 {
+            return None;
+        }
+        state.send_at = now + COPY_RETRY;
+        Some(BucketItem {
+            bucket: place.1,
+            version: bucket.version,
+            step: Step::Copy {
+                flows: pin::group(&pins[..count]),
+            },
+        })
+    }
+
+    /// Takes flows that the other entry of a bucket's pair remembers.
+    pub(crate) fn take_copy(
+        &mut self,
+        now: Instant,
+        from: EntryId,
+        place: Place,
+        flows: &[PinGroup],
+    ) {
+        let mut last = 0;
+        for (hash, upstream) in pin::ungroup(flows) {
+            last = last.max(hash);
+            if self.tables[place.0].index(hash) != place.1 {
+                continue;
+            }
+            let known = self.bucket_mut(place).flows.get(&hash).map(|r| r.upstream);
+            let upstream = known.unwrap_or(upstream);
+            self.tables[place.0].pin(now, hash, upstream);
+            self.note_decided(now, place, hash, upstream);
+        }
+        let version = self.bucket_mut(place).version;
+        self.reply(from, place, version, Step::Copied { up_to: last });
+    }
+
+    /// Takes an entry's word that it has a part of a copy.
+    pub(crate) fn take_copied(&mut self, now: Instant, from: EntryId, place: Place, up_to: u64) {
+        if let Some(state) = self.copies.get_mut(&(place, from)) {
+            state.after = state.after.max(Some(up_to));
+            state.send_at = now;
+            self.send_at = now;
+        }
+    }
+}
--- a/crates/currantgate-flow/src/follower.rs
+++ b/crates/currantgate-flow/src/follower.rs
@@ -69,8 +69,13 @@
             {
                 extras.retain(|(_, upstream)| *upstream != to);
             }
+            // From now on a table alone doesn't tell their upstream.
+            for (hash, upstream) in &extras {
+                self.tables[place.0].pin(now, *hash, *upstream);
+            }
             fill.extras = Some(extras);
         }
+        let bucket = self.bucket_mut(place);
         let empty = Vec::new();
         let extras = fill.extras.as_ref().unwrap_or(&empty);
         let rest = extras.get(extras_have as usize..).unwrap_or_default();
--- a/crates/currantgate-flow/src/forward.rs
+++ b/crates/currantgate-flow/src/forward.rs
@@ -15,5 +15,7 @@
     Record {
         /// The upstream that the flow belongs to.
         upstream: UpstreamId,
+        /// Entries that have handed the packet on, the sender included.
+        hops: u8,
     },
 }
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod balance;
 mod bucket;
+mod copy;
 mod drop_reason;
 mod flow_map;
 mod follower;
--- a/crates/currantgate-flow/src/message.rs
+++ b/crates/currantgate-flow/src/message.rs
@@ -102,6 +102,16 @@
     /// The sender knows flows that the others may not know: the bucket's
     /// keeper is to collect them.
     Reopen,
+    /// Flows that the receiver, a new keeper or backup, is to remember.
+    Copy {
+        /// The flows, a run in ascending order of flow hash.
+        flows: Vec<PinGroup>,
+    },
+    /// The sender remembers a part of a copy.
+    Copied {
+        /// The highest flow hash of the part.
+        up_to: u64,
+    },
     /// The sender wants the bucket's state and its pins.
     Pull {
         /// The highest flow hash that the sender has had so far.
--- a/crates/currantgate-flow/src/mover.rs
+++ b/crates/currantgate-flow/src/mover.rs
@@ -80,6 +80,12 @@
         for progress in transfer.peers.values_mut() {
             progress.advance(now);
         }
+        for (hash, upstream) in &pins {
+            self.tables[place.0].pin(now, *hash, *upstream);
+        }
+        let Some(transfer) = self.transfers.get_mut(&place) else {
+            return;
+        };
         for (hash, upstream) in pins {
             if upstream != transfer.to || transfer.replaced.contains(&hash) {
                 transfer.add(now, hash, upstream);
--- a/crates/currantgate-flow/src/record.rs
+++ b/crates/currantgate-flow/src/record.rs
@@ -6,6 +6,9 @@
 use currantgate_config::UpstreamId;
 use currantgate_packet::{Packet, PacketKind};
 
+/// Silence after which a flow that its caller has closed is let go.
+const HALF_CLOSED_FOR: Duration = Duration::from_secs(30);
+
 /// Time for which a flow that both sides have closed is remembered, so that
 /// its last acknowledgements still find their way.
 const CLOSED_FOR: Duration = Duration::from_secs(10);
@@ -55,8 +58,14 @@
         }
     }
 
-    /// Takes in a packet that the caller sent.
-    pub(crate) fn see_request(&mut self, now: Instant, idle: Duration, packet: &Packet) {
+    /// Tells whether neither side has closed the flow, as far as is known here.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.stage.closed && !self.stage.caller_finished
+    }
+
+    /// Takes in a packet that the caller sent; `time` is how long the flow is
+    /// remembered from now on.
+    pub(crate) fn see_request(&mut self, now: Instant, time: Duration, packet: &Packet) {
         if packet.kind == PacketKind::IcmpError {
             return;
         }
@@ -68,11 +77,12 @@
             PacketKind::Finish => self.stage.caller_finished = true,
             _ => self.stage.established = true,
         }
-        self.extend(now, idle, packet.kind);
+        self.extend(now, time, packet.kind);
     }
 
-    /// Takes in a packet that the upstream sent.
-    pub(crate) fn see_answer(&mut self, now: Instant, idle: Duration, packet: &Packet) {
+    /// Takes in a packet that the upstream sent; `time` is how long the flow is
+    /// remembered from now on.
+    pub(crate) fn see_answer(&mut self, now: Instant, time: Duration, packet: &Packet) {
         if packet.kind == PacketKind::IcmpError {
             return;
         }
@@ -82,17 +92,25 @@
         if packet.kind == PacketKind::Finish {
             self.stage.upstream_finished = true;
         }
-        self.extend(now, idle, packet.kind);
+        self.extend(now, time, packet.kind);
     }
 
-    fn extend(&mut self, now: Instant, idle: Duration, kind: PacketKind) {
-        let finished = self.stage.caller_finished && self.stage.upstream_finished;
+    fn extend(&mut self, now: Instant, time: Duration, kind: PacketKind) {
         if self.stage.closed {
             return;
         }
-        self.stage.closed = finished || kind == PacketKind::Reset;
-        let time = if self.stage.closed { CLOSED_FOR } else { idle };
-        self.deadline = now + time.min(idle);
+        let FlowStage {
+            caller_finished,
+            upstream_finished,
+            ..
+        } = self.stage;
+        self.stage.closed = caller_finished && upstream_finished || kind == PacketKind::Reset;
+        let most = match (self.stage.closed, caller_finished) {
+            (true, _) => CLOSED_FOR,
+            (false, true) => HALF_CLOSED_FOR,
+            (false, false) => time,
+        };
+        self.deadline = now + time.min(most);
     }
 }
 
--- a/crates/currantgate-flow/src/route.rs
+++ b/crates/currantgate-flow/src/route.rs
@@ -42,9 +42,15 @@
         let hash = self.hasher.hash(&packet.key);
         match forward {
             Forward::Decide { hops } => self.decide(now, t, hash, packet, *hops),
-            Forward::Record { upstream } => {
+            Forward::Record { upstream, hops } => {
                 self.record(now, t, hash, *upstream, packet);
-                self.deliver(t, *upstream, packet)
+                let place = (t, self.tables[t].index(hash));
+                self.note_decided(now, place, hash, *upstream);
+                if self.keeps(place) {
+                    self.deliver_by_backup(place, *upstream, packet, *hops)
+                } else {
+                    self.deliver(t, *upstream, packet)
+                }
             }
         }
     }
@@ -62,12 +68,13 @@
             return AnswerVerdict::Drop(DropReason::WrongService);
         }
         let hash = self.hasher.hash(&packet.key);
+        let me = self.settings.id;
         let table = &mut self.tables[t];
-        let index = usize::from(table.index(hash));
-        let idle = table.idle;
-        match table.buckets[index].flows.get_mut(&hash) {
+        let index = table.index(hash);
+        let time = table.memory(index, me, upstream);
+        match table.buckets[usize::from(index)].flows.get_mut(&hash) {
             Some(record) if record.upstream == upstream => {
-                record.see_answer(now, idle, packet);
+                record.see_answer(now, time, packet);
                 AnswerVerdict::Pass
             }
             // Another upstream has the flow: its caller must not hear this one.
@@ -84,24 +91,20 @@
         packet: &Packet,
         hops: u8,
     ) -> Verdict {
-        let table = &mut self.tables[t];
-        let place = (t, table.index(hash));
-        let idle = table.idle;
-        let bucket = &mut table.buckets[usize::from(place.1)];
+        let place = (t, self.tables[t].index(hash));
+        let bucket = self.bucket_mut(place);
         let opens = packet.kind == PacketKind::Open;
-        if !opens && let Some(record) = bucket.flows.get_mut(&hash) {
-            record.see_request(now, idle, packet);
+        if !opens && let Some(record) = bucket.flows.get(&hash) {
             let upstream = record.upstream;
-            return self.deliver(t, upstream, packet);
+            return self.continue_flow(now, place, hash, (upstream, packet), hops);
         }
         let is_udp = packet.key.protocol == Protocol::Udp;
         let is_first = opens || is_udp && packet.kind == PacketKind::Data;
         if !is_first
-            && self.sync.is_done()
             && let Phase::Stable { owner } = bucket.phase
+            && self.sync.is_done()
         {
-            self.record(now, t, hash, owner, packet);
-            return self.deliver(t, owner, packet);
+            return self.continue_flow(now, place, hash, (owner, packet), hops);
         }
         match self.decider(place) {
             Some(_) if hops >= MAX_HOPS => Verdict::Drop(DropReason::ForwardedTooOften),
@@ -115,6 +118,32 @@
         }
     }
 
+    /// Sends a packet in the middle of a flow to the flow's upstream; one that
+    /// ends the flow passes the entries that remember it.
+    fn continue_flow(
+        &mut self,
+        now: Instant,
+        place: Place,
+        hash: FlowHash,
+        (upstream, packet): (UpstreamId, &Packet),
+        hops: u8,
+    ) -> Verdict {
+        self.record(now, place.0, hash, upstream, packet);
+        if !matches!(packet.kind, PacketKind::Finish | PacketKind::Reset) {
+            return self.deliver(place.0, upstream, packet);
+        }
+        match self.decider(place) {
+            Some(to) if hops < MAX_HOPS => Verdict::Forward {
+                to,
+                forward: Forward::Record {
+                    upstream,
+                    hops: hops + 1,
+                },
+            },
+            _ => self.deliver_by_backup(place, upstream, packet, hops),
+        }
+    }
+
     /// Returns the entry that decides for a bucket, unless it is this one.
     fn decider(&self, (t, index): Place) -> Option<EntryId> {
         let bucket = &self.tables[t].buckets[usize::from(index)];
@@ -153,7 +182,7 @@
             Some(upstream) => {
                 self.record(now, place.0, hash, upstream, packet);
                 self.note_decided(now, place, hash, upstream);
-                self.deliver_by_backup(place, upstream, packet)
+                self.deliver_by_backup(place, upstream, packet, 0)
             }
             None if self.any_takes_flows(now, place.0) => Verdict::Drop(DropReason::Deferred),
             None => self.refuse_new(now, place, packet),
@@ -177,7 +206,7 @@
                 self.tables[place.0].flows -= 1;
             }
             self.record(now, place.0, hash, record.upstream, packet);
-            return self.deliver(place.0, record.upstream, packet);
+            return self.deliver_by_backup(place, record.upstream, packet, 0);
         }
         self.replace(now, place, hash);
         Verdict::Drop(DropReason::Deferred)
@@ -266,7 +295,13 @@
     }
 
     /// Tells a move in progress of a flow that this entry has decided about.
-    fn note_decided(&mut self, now: Instant, place: Place, hash: FlowHash, upstream: UpstreamId) {
+    pub(crate) fn note_decided(
+        &mut self,
+        now: Instant,
+        place: Place,
+        hash: FlowHash,
+        upstream: UpstreamId,
+    ) {
         if let Some(transfer) = self.transfers.get_mut(&place)
             && transfer.stage == Stage::Filling
             && transfer.to != upstream
@@ -276,14 +311,24 @@
         }
     }
 
-    /// Hands a new flow's first packet to the backup, which then knows it too.
-    fn deliver_by_backup(&self, place: Place, upstream: UpstreamId, packet: &Packet) -> Verdict {
+    /// Hands a packet that begins or ends a flow to the backup, which then
+    /// knows of it too and delivers it.
+    fn deliver_by_backup(
+        &self,
+        place: Place,
+        upstream: UpstreamId,
+        packet: &Packet,
+        hops: u8,
+    ) -> Verdict {
         let backup = self.tables[place.0].buckets[usize::from(place.1)].backup;
         let me = self.settings.id;
         match backup {
-            Some(to) if to != me && self.entries.contains_key(&to) => Verdict::Forward {
+            Some(to) if to != me && hops < MAX_HOPS => Verdict::Forward {
                 to,
-                forward: Forward::Record { upstream },
+                forward: Forward::Record {
+                    upstream,
+                    hops: hops + 1,
+                },
             },
             _ => self.deliver(place.0, upstream, packet),
         }
@@ -301,11 +346,20 @@
         if packet.kind == PacketKind::IcmpError {
             return;
         }
-        let is_full = self.open_flows() >= self.settings.max_flows;
+        let open = self.open_flows();
+        let me = self.settings.id;
         let table = &mut self.tables[t];
-        let index = usize::from(table.index(hash));
-        let flows = &mut table.buckets[index].flows;
-        if is_full && !flows.contains_key(&hash) {
+        let index = table.index(hash);
+        let time = table.memory(index, me, upstream);
+        let bucket = &mut table.buckets[usize::from(index)];
+        // Flows that two others remember may take half of the room, at most.
+        let room = if bucket.must_remember(me, upstream) {
+            self.settings.max_flows
+        } else {
+            self.settings.max_flows / 2
+        };
+        let flows = &mut bucket.flows;
+        if open >= room && !flows.contains_key(&hash) {
             return;
         }
         let before = flows.len();
@@ -313,7 +367,7 @@
             .entry(hash)
             .or_insert_with(|| Record::new(upstream, now));
         record.upstream = upstream;
-        record.see_request(now, table.idle, packet);
+        record.see_request(now, time, packet);
         table.flows += flows.len() - before;
     }
 
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -10,6 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::bucket::Bucket;
+use crate::copy::{self, Copies};
 use crate::flow_map::UpstreamMap;
 use crate::keepers;
 use crate::known::Known;
@@ -50,6 +51,7 @@
     /// is next asked.
     pub(crate) reopens: IndexMap<Place, Instant>,
     pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<BucketItem>>,
+    pub(crate) copies: Copies,
     /// States that other entries have asked for.
     pub(crate) requests: IndexMap<(EntryId, Place), Option<u64>>,
     pub(crate) outputs: VecDeque<Output>,
@@ -82,6 +84,7 @@
             pulls: IndexMap::new(),
             reopens: IndexMap::new(),
             replies: IndexMap::new(),
+            copies: Copies::new(),
             requests: IndexMap::new(),
             outputs: VecDeque::new(),
             sync: SyncState::new(now, settings.seed),
@@ -193,6 +196,8 @@
             Step::Committed if is_own => self.take_committed(now, entry, place),
             Step::Prepared { .. } | Step::Filled { .. } | Step::Committed => {}
             Step::Refused => self.take_refused(now, entry, place, version),
+            Step::Copy { flows } => self.take_copy(now, entry, place, flows),
+            Step::Copied { up_to } => self.take_copied(now, entry, place, *up_to),
             Step::Reopen => self.take_reopen(now, place),
             Step::Pull { after } => self.take_pull(entry, place, *after),
             Step::State {
@@ -243,6 +248,12 @@
         buckets.map(|b| (b.version, b.phase)).collect()
     }
 
+    /// Tells whether nothing waits for this entry, so that it may stop once
+    /// the others have seen it leave.
+    pub fn may_leave(&self) -> bool {
+        self.transfers.is_empty() && self.reopens.is_empty() && self.copies.is_empty()
+    }
+
     /// Returns the number of buckets that this entry is moving.
     pub fn moving_buckets(&self) -> usize {
         self.transfers.len()
@@ -271,17 +282,26 @@
             serves.then_some(*id)
         };
         let candidates: Vec<_> = self.entries.iter().filter_map(serving).collect();
-        for table in &mut self.tables {
+        let mut copies = Vec::new();
+        for (t, table) in self.tables.iter_mut().enumerate() {
             for (index, bucket) in table.buckets.iter_mut().enumerate() {
                 let key = u64::from(table.id) << 32 | index as u64;
                 let (keeper, backup) = keepers::choose(key, &candidates, &self.settings.domains);
                 if keeper == Some(me) && bucket.keeper != Some(me) {
                     bucket.kept_since = (bucket.phase != Phase::Unowned).then_some(now);
                 }
+                let old = (bucket.keeper, bucket.backup);
+                let is_live = |id| self.entries.contains_key(&id);
+                let receivers = copy::receivers(me, old, (keeper, backup), is_live);
+                copies.extend(receivers.map(|to| ((t, index as BucketIndex), to)));
                 bucket.keeper = keeper;
                 bucket.backup = backup;
             }
         }
+        self.prune_copies();
+        for (place, to) in copies {
+            self.begin_copy(now, place, to);
+        }
     }
 
     fn update_peers(&mut self, now: Instant, place: Place) {
--- a/crates/currantgate-flow/src/send.rs
+++ b/crates/currantgate-flow/src/send.rs
@@ -41,6 +41,7 @@
         let due = due.or_else(|| self.poll_reopens(now));
         let due = due.or_else(|| self.poll_transfers(now, Urgency::Pins));
         let due = due.or_else(|| self.poll_states());
+        let due = due.or_else(|| self.poll_copies(now));
         if due.is_none() {
             self.send_at = self.next_send();
         }
@@ -56,13 +57,25 @@
     /// Returns the instant at which the next step is due.
     fn next_send(&self) -> Instant {
         let steps = self.transfers.values().flat_map(|t| {
-            let waiting = |p: &&Progress| !p.committed;
-            t.peers.values().filter(waiting).map(|p| p.send_at)
+            let total = t.list.len() as u32;
+            let stage = t.stage;
+            let waits = move |p: &&Progress| match stage {
+                Stage::Marking => !p.marked,
+                Stage::Filling => !p.is_filled(total),
+                Stage::Committing => !p.committed,
+            };
+            t.peers.values().filter(waits).map(|p| p.send_at)
         });
         let pulls = self.pulls.values().map(|p| p.send_at);
         let reopens = self.reopens.values().copied();
+        let copies = self.copies.values().map(|c| c.send_at);
         let idle = self.idle_until();
-        steps.chain(pulls).chain(reopens).min().unwrap_or(idle)
+        steps
+            .chain(pulls)
+            .chain(reopens)
+            .chain(copies)
+            .min()
+            .unwrap_or(idle)
     }
 
     fn poll_replies(&mut self) -> Option<Output> {
@@ -93,13 +106,14 @@
             let bucket = &self.tables[*t].buckets[usize::from(*index)];
             let due: Vec<_> = due_peers(transfer, bucket.backup, now, urgency).collect();
             for peer in due {
-                if *target.get_or_insert((peer, *t)) != (peer, *t) {
+                if target.is_some_and(|other| other != (peer, *t)) {
                     continue;
                 }
                 let step = next_step(transfer, peer, left);
                 let Some(step) = step.filter(|s| cost(s) <= left) else {
                     continue;
                 };
+                target = Some((peer, *t));
                 left -= cost(&step);
                 items.push(BucketItem {
                     bucket: *index,
@@ -160,6 +174,28 @@
         Some(self.buckets_message(to, t, items))
     }
 
+    fn poll_copies(&mut self, now: Instant) -> Option<Output> {
+        let mut target = None;
+        let mut items = Vec::new();
+        let mut left = MESSAGE_BYTES;
+        let due = self.copies.iter().filter(|(_, state)| state.send_at <= now);
+        let due: Vec<_> = due.map(|(key, _)| *key).collect();
+        for (place, to) in due {
+            if target.is_some_and(|other| other != (to, place.0)) {
+                continue;
+            }
+            let room = left.saturating_sub(ITEM_BYTES).min(PAGE_BYTES);
+            let Some(item) = self.copy_item(now, (place, to), room) else {
+                continue;
+            };
+            target = Some((to, place.0));
+            left -= cost(&item.step);
+            items.push(item);
+        }
+        let (to, t) = target?;
+        Some(self.buckets_message(to, t, items))
+    }
+
     /// Returns one message with states that another entry has asked for.
     fn poll_states(&mut self) -> Option<Output> {
         let ((to, (t, _)), _) = self.requests.first()?;
@@ -226,45 +262,46 @@
     urgency: Urgency,
 ) -> impl Iterator<Item = EntryId> {
     let total = transfer.list.len() as u32;
-    transfer.peers.iter().filter_map(move |(peer, progress)| {
-        let fills = transfer.stage == Stage::Filling && progress.marked;
-        let is_due = match urgency {
-            Urgency::Marks => !fills && !progress.committed,
-            Urgency::Pins => {
-                fills && transfer.may_fill(*peer, backup) && !progress.is_filled(total)
-            }
-        };
-        (is_due && progress.send_at <= now).then_some(*peer)
-    })
+    let is_due = move |peer: EntryId, progress: &Progress| match (transfer.stage, urgency) {
+        (Stage::Committing, Urgency::Marks) => !progress.committed,
+        (Stage::Marking | Stage::Filling, Urgency::Marks) => !progress.marked,
+        (Stage::Filling, Urgency::Pins) => {
+            let may_fill = progress.marked && transfer.may_fill(peer, backup);
+            may_fill && !progress.is_filled(total)
+        }
+        (Stage::Marking | Stage::Committing, Urgency::Pins) => false,
+    };
+    transfer
+        .peers
+        .iter()
+        .filter(move |(peer, progress)| progress.send_at <= now && is_due(**peer, progress))
+        .map(|(peer, _)| *peer)
 }
 
 /// Returns the step that `peer` is to be told next, in at most `left` bytes.
 fn next_step(transfer: &Transfer, peer: EntryId, left: usize) -> Option<Step> {
     let progress = &transfer.peers[&peer];
-    match transfer.stage {
-        Stage::Committing => Some(Step::Commit { owner: transfer.to }),
-        Stage::Marking | Stage::Filling if progress.marked && transfer.stage == Stage::Marking => {
-            None
-        }
-        Stage::Marking | Stage::Filling if !progress.marked => Some(Step::Prepare {
+    if transfer.stage == Stage::Committing {
+        return Some(Step::Commit { owner: transfer.to });
+    }
+    if !progress.marked {
+        return Some(Step::Prepare {
             from: transfer.from,
             to: transfer.to,
-        }),
-        Stage::Marking | Stage::Filling => {
-            let rest = &transfer.list[progress.have as usize..];
-            let room = left.saturating_sub(ITEM_BYTES + PINS_BYTES).min(PAGE_BYTES);
-            let count = pin::fitting(rest, room);
-            if count == 0 && !rest.is_empty() {
-                return None;
-            }
-            Some(Step::Pins {
-                offset: progress.have,
-                total: transfer.list.len() as u32,
-                extras_have: progress.extras_have,
-                flows: pin::group(&rest[..count]),
-            })
-        }
+        });
+    }
+    let rest = &transfer.list[progress.have as usize..];
+    let room = left.saturating_sub(ITEM_BYTES + PINS_BYTES).min(PAGE_BYTES);
+    let count = pin::fitting(rest, room);
+    if count == 0 && !rest.is_empty() {
+        return None;
     }
+    Some(Step::Pins {
+        offset: progress.have,
+        total: transfer.list.len() as u32,
+        extras_have: progress.extras_have,
+        flows: pin::group(&rest[..count]),
+    })
 }
 
 /// Bytes of the counts that go with pins, at most.
@@ -277,6 +314,8 @@
         Step::Prepared { .. } | Step::Committed | Step::Refused | Step::Reopen => 0,
         Step::Commit { .. } => 9,
         Step::Pins { flows, .. } | Step::Filled { flows, .. } => PINS_BYTES + groups(flows),
+        Step::Copy { flows } => groups(flows),
+        Step::Copied { .. } => 9,
         Step::Pull { .. } => 10,
         Step::State { flows, .. } => STATE_BYTES + groups(flows),
     };
--- a/crates/currantgate-flow/src/settings.rs
+++ b/crates/currantgate-flow/src/settings.rs
@@ -8,8 +8,8 @@
 pub struct RouterSettings {
     /// This entry's id.
     pub id: EntryId,
-    /// The failure domains of entries, so that two copies of what a flow
-    /// needs stand in two domains; entries that are missing share one.
+    /// All entries of the site and their failure domains, so that two copies
+    /// of what a flow needs stand in two domains.
     pub domains: IndexMap<EntryId, Domain>,
     /// The services of the site.
     pub services: Vec<Service>,
--- a/crates/currantgate-flow/src/sync.rs
+++ b/crates/currantgate-flow/src/sync.rs
@@ -20,9 +20,13 @@
 /// Buckets whose versions share one digest.
 pub const CHUNK_BUCKETS: usize = 32;
 
-/// Time after the start before which an entry that sees no other one waits
-/// for others to appear.
-const ALONE_AFTER: Duration = Duration::from_secs(1);
+/// Time after the start before which an entry waits for more of the others to
+/// appear.
+const MEET_TIME: Duration = Duration::from_secs(1);
+
+/// Time after the start before which an entry that sees none of the others
+/// waits for one to appear: alone, it would begin an empty table.
+const ALONE_AFTER: Duration = Duration::from_secs(5);
 
 /// Time between digests while other entries have not confirmed the table.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,7 +42,7 @@
 pub(crate) struct SyncState {
     done: bool,
     done_at: Instant,
-    alone_at: Instant,
+    started: Instant,
     rng: ChaCha8Rng,
     digest_at: Instant,
     /// Entries and services whose table is known not to be ahead.
@@ -51,7 +55,7 @@
         Self {
             done: false,
             done_at: now,
-            alone_at: now + ALONE_AFTER,
+            started: now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             digest_at: now,
             confirmed: IndexSet::new(),
@@ -120,7 +124,12 @@
         };
         let (confirmed, unsure): (Vec<_>, Vec<_>) = others.iter().copied().partition(is_confirmed);
         if !self.sync.done {
-            self.sync.done = now >= self.sync.alone_at
+            let wait = match others.is_empty() {
+                true if self.has_peers() => ALONE_AFTER,
+                true => Duration::ZERO,
+                false => MEET_TIME,
+            };
+            self.sync.done = now >= self.sync.started + wait
                 && self.pulls.is_empty()
                 && confirmed.len() == others.len();
             if self.sync.done {
@@ -147,6 +156,12 @@
         }
     }
 
+    /// Tells whether the settings name any other entry.
+    fn has_peers(&self) -> bool {
+        let me = self.settings.id;
+        self.settings.domains.keys().any(|id| *id != me)
+    }
+
     fn send_digests(&mut self, to: EntryId) {
         for table in &self.tables {
             let message = Message::Digest {
--- a/crates/currantgate-flow/src/table.rs
+++ b/crates/currantgate-flow/src/table.rs
@@ -2,13 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use currantgate_config::{Service, ServiceId, UpstreamId};
+use currantgate_config::{EntryId, Service, ServiceId, UpstreamId};
 use currantgate_packet::FlowHash;
 
 use crate::BucketIndex;
 use crate::bucket::Bucket;
 use crate::record::Record;
 
+/// Silence after which a flow that two other entries remember, and that the
+/// table alone tells the upstream of, is let go.
+const CACHED_FOR: Duration = Duration::from_secs(30);
+
 /// The buckets of one service.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -44,6 +48,15 @@
         ((hash >> 40) as usize & (self.buckets.len() - 1)) as BucketIndex
     }
 
+    /// Returns how long `me` remembers a flow of which a packet passes now.
+    pub(crate) fn memory(&self, index: BucketIndex, me: EntryId, upstream: UpstreamId) -> Duration {
+        if self.buckets[usize::from(index)].must_remember(me, upstream) {
+            self.idle
+        } else {
+            CACHED_FOR.min(self.idle)
+        }
+    }
+
     /// Remembers that another entry knows a flow's upstream.
     pub(crate) fn pin(&mut self, now: Instant, hash: FlowHash, upstream: UpstreamId) {
         let index = usize::from(self.index(hash));
@@ -54,6 +67,9 @@
             .entry(hash)
             .or_insert_with(|| Record::new(upstream, deadline));
         record.upstream = upstream;
+        if record.is_open() {
+            record.deadline = deadline;
+        }
         self.flows += self.buckets[index].flows.len() - before;
     }
 
--- a/crates/currantgate-flow/tests/common/mod.rs
+++ b/crates/currantgate-flow/tests/common/mod.rs
@@ -56,6 +56,8 @@
     pub(crate) reached: IndexSet<UpstreamId>,
     pub(crate) refused: Option<Refusal>,
     pub(crate) broken: bool,
+    /// When its caller sent the first packet for the first time.
+    pub(crate) begun: Option<Instant>,
     /// The flow ended in order.
     pub(crate) closed: bool,
 }
@@ -65,14 +67,18 @@
     Message(EntryId, EntryId, Message),
     Packet(EntryId, EntryId, Forward, Packet),
     Answer(EntryId, SocketAddr, Packet),
-    Upstreams(EntryId, Vec<(Upstream, Presence)>),
-    Entries(EntryId, Vec<EntryView>),
+    /// The caller acknowledges what it was answered.
+    Caller(FlowKey),
+    Upstreams(EntryId),
+    Entries(EntryId),
 }
 
 pub(crate) struct Net {
     pub(crate) now: Instant,
     pub(crate) nodes: IndexMap<EntryId, Node>,
     pub(crate) stages: IndexMap<EntryId, EntryStage>,
+    /// When each entry came to its stage.
+    pub(crate) staged: IndexMap<EntryId, Instant>,
     pub(crate) upstreams: IndexMap<UpstreamId, (Upstream, Presence)>,
     pub(crate) flows: IndexMap<FlowKey, Flow>,
     pub(crate) drops: IndexMap<DropReason, u64>,
@@ -85,7 +91,7 @@
     pub(crate) view_delay_ms: u64,
     /// Entries that can't hear the others.
     pub(crate) cut: IndexSet<EntryId>,
-    /// The last new flow that each upstream got.
+    /// When the latest of each upstream's flows was begun by its caller.
     pub(crate) last_new: IndexMap<UpstreamId, Instant>,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) settings: RouterSettings,
@@ -93,6 +99,7 @@
     queue: BTreeMap<(Instant, u64), Event>,
     sequence: u64,
     ticked: Instant,
+    base: Instant,
     next_port: u32,
 }
 
@@ -131,6 +138,7 @@
             now,
             nodes: IndexMap::new(),
             stages: IndexMap::new(),
+            staged: IndexMap::new(),
             upstreams: IndexMap::new(),
             flows: IndexMap::new(),
             drops: IndexMap::new(),
@@ -147,6 +155,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             ticked: now,
+            base: now,
             next_port: 1,
         };
         for id in 1..=entries {
@@ -171,8 +180,18 @@
         };
         self.nodes.insert(id, node);
         self.stages.insert(id, stage);
-        let upstreams = self.upstreams.values().cloned().collect();
-        self.push(self.now, Event::Upstreams(id, upstreams));
+        self.staged.insert(id, self.now);
+        self.push(self.now, Event::Upstreams(id));
+    }
+
+    pub(crate) fn serving(&self) -> Vec<EntryId> {
+        let serves =
+            |(id, stage): (&EntryId, &EntryStage)| (*stage == EntryStage::Serving).then_some(*id);
+        self.stages.iter().filter_map(serves).collect()
+    }
+
+    pub(crate) fn pick(&mut self) -> u32 {
+        self.rng.random()
     }
 
     pub(crate) fn kill_entry(&mut self, id: EntryId) {
@@ -182,35 +201,38 @@
 
     pub(crate) fn set_stage(&mut self, id: EntryId, stage: EntryStage) {
         self.stages.insert(id, stage);
+        self.staged.insert(id, self.now);
         self.spread_entries();
     }
 
-    /// Tells each entry who is alive; those that are cut off see their side.
+    /// Tells each entry who is alive, each after a time of its own.
     pub(crate) fn spread_entries(&mut self) {
         for to in self.nodes.keys().copied().collect::<Vec<_>>() {
-            let side = self.cut.contains(&to);
-            let views = self
-                .stages
-                .iter()
-                .filter(|(id, _)| self.cut.contains(*id) == side)
-                .map(|(id, stage)| EntryView {
-                    id: *id,
-                    stage: *stage,
-                })
-                .collect();
             let at = self.view_at();
-            self.push(at, Event::Entries(to, views));
+            self.push(at, Event::Entries(to));
         }
     }
 
+    /// Tells each entry of the upstreams, each after a time of its own.
     pub(crate) fn spread_upstreams(&mut self) {
         for to in self.nodes.keys().copied().collect::<Vec<_>>() {
             let at = self.view_at();
-            let upstreams = self.upstreams.values().cloned().collect();
-            self.push(at, Event::Upstreams(to, upstreams));
+            self.push(at, Event::Upstreams(to));
         }
     }
 
+    /// Returns the live entries as `to` sees them: those on its side of a cut.
+    fn views_of(&self, to: EntryId) -> Vec<EntryView> {
+        let side = self.cut.contains(&to);
+        let seen = self.stages.iter();
+        seen.filter(|(id, _)| self.cut.contains(*id) == side)
+            .map(|(id, stage)| EntryView {
+                id: *id,
+                stage: *stage,
+            })
+            .collect()
+    }
+
     fn view_at(&mut self) -> Instant {
         let delay = self.rng.random_range(0..=self.view_delay_ms);
         self.now + Duration::from_millis(delay)
@@ -295,9 +317,10 @@
 
     /// Sends a packet by way of entry `to`.
     pub(crate) fn send_to(&mut self, to: EntryId, key: FlowKey, kind: PacketKind) {
-        self.flows.entry(key).or_default();
-        let packet = packet(key, kind);
         let now = self.now;
+        let flow = self.flows.entry(key).or_default();
+        flow.begun.get_or_insert(now);
+        let packet = packet(key, kind);
         let verdict = self.nodes[&to].router.route(now, &packet);
         self.carry_out(to, verdict, packet);
     }
@@ -346,10 +369,16 @@
             Some(_) => {}
             None if packet.kind == PacketKind::Open || packet.key.protocol == Protocol::Udp => {
                 flow.upstream = Some(upstream);
-                self.last_new.insert(upstream, self.now);
+                let begun = flow.begun.unwrap();
+                let last = self.last_new.entry(upstream).or_insert(begun);
+                *last = begun.max(*last);
             }
             None => flow.broken = true,
         }
+        if packet.kind == PacketKind::Open {
+            let at = self.delay() + Duration::from_millis(2);
+            self.push(at, Event::Caller(packet.key));
+        }
         if self.answers && packet.kind != PacketKind::Reset {
             let at = self.rng.random_range(0..self.nodes.len());
             let to = *self.nodes.get_index(at).unwrap().0;
@@ -432,12 +461,20 @@
 
     fn take(&mut self, event: Event) {
         let now = self.now;
+        if let Event::Caller(key) = event {
+            self.send(key, PacketKind::Data);
+            return;
+        }
         let (Event::Message(_, to, _)
         | Event::Packet(_, to, _, _)
         | Event::Answer(to, ..)
-        | Event::Upstreams(to, _)
-        | Event::Entries(to, _)) = &event;
+        | Event::Upstreams(to)
+        | Event::Entries(to)) = &event
+        else {
+            return;
+        };
         let to = *to;
+        let views = self.views_of(to);
         let Some(node) = self.nodes.get_mut(&to) else {
             return;
         };
@@ -452,11 +489,12 @@
                     *self.drops.entry(reason).or_default() += 1;
                 }
             }
-            Event::Upstreams(_, upstreams) => {
-                let upstreams = upstreams.iter().map(|(u, p)| (u, *p));
+            Event::Upstreams(_) => {
+                let upstreams = self.upstreams.values().map(|(u, p)| (u, *p));
                 node.router.set_upstreams(now, upstreams);
             }
-            Event::Entries(_, views) => node.router.set_entries(now, &views),
+            Event::Entries(_) => node.router.set_entries(now, &views),
+            Event::Caller(_) => {}
         }
         self.flush(to);
     }
--- a/crates/currantgate-flow/tests/moves.rs
+++ b/crates/currantgate-flow/tests/moves.rs
@@ -56,3 +56,29 @@
     assert_eq!(net.broken(), 0);
     assert!(net.agree());
 }
+
+#[test]
+fn flows_that_stay_idle_outlive_the_replacement_of_every_entry() {
+    let (mut net, ups, keys) = net_with_flows(3);
+    for old in 1..=5 {
+        net.start_entry(old + 20, EntryStage::Joining);
+        net.spread_entries();
+        net.run_s(4);
+        assert!(net.nodes[&(old + 20)].router.is_synced());
+        net.set_stage(old + 20, EntryStage::Serving);
+        net.run_s(10);
+        net.set_stage(old, EntryStage::Leaving);
+        net.run_s(15);
+        assert!(net.nodes[&old].router.may_leave());
+        net.kill_entry(old);
+        net.spread_entries();
+        net.run_s(2);
+    }
+    for up in &ups[..4] {
+        net.set_state(*up, UpstreamState::Draining);
+    }
+    net.run_s(20);
+    net.send_through_all(&keys);
+    assert_eq!(net.broken(), 0);
+    assert!(net.agree());
+}
--- /dev/null
+++ b/crates/currantgate-flow/tests/planned_changes.rs
@@ -0,0 +1,204 @@
+//! Random sequences of planned changes over a network that loses, doubles
+//! and reorders, with views that reach entries at different times.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Link, Net, TWO_SERVICES};
+use currantgate_config::{EntryId, UpstreamId};
+use currantgate_membership::{EntryStage, UpstreamState};
+use currantgate_packet::{FlowKey, PacketKind};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Drain(usize),
+    Replace(usize),
+    Weigh(usize, u32),
+    Join,
+    Leave(usize),
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        max_shrink_iters: 64,
+        ..ProptestConfig::default()
+    }
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        3 => (0_usize..6).prop_map(Change::Drain),
+        3 => (0_usize..6).prop_map(Change::Replace),
+        1 => (0_usize..6, 1_u32..4).prop_map(|(u, slots)| Change::Weigh(u, slots)),
+        1 => Just(Change::Join),
+        1 => (0_usize..8).prop_map(Change::Leave),
+    ]
+}
+
+fn link() -> impl Strategy<Value = Link> {
+    (0.0..0.15, 0.0..0.2, 2_u64..60).prop_map(|(loss, doubling, delay_ms)| Link {
+        loss,
+        doubling,
+        delay_ms,
+    })
+}
+
+struct Run {
+    net: Net,
+    upstreams: Vec<UpstreamId>,
+    keys: Vec<FlowKey>,
+    next_entry: EntryId,
+    incarnation: u64,
+    drained: Vec<(UpstreamId, std::time::Instant)>,
+}
+
+impl Run {
+    fn new(seed: u64, link: Link, view_delay_ms: u64) -> Self {
+        let mut net = Net::new(seed, 5, 32, TWO_SERVICES);
+        let upstreams = (0..6).map(|n| net.add_upstream(0, n, 1)).collect();
+        net.add_upstream(1, 100, 1);
+        net.spread_upstreams();
+        net.run_s(3);
+        net.link = link;
+        net.view_delay_ms = view_delay_ms;
+        let keys = net.open_many(0, 120, Duration::from_secs(2));
+        Self {
+            net,
+            upstreams,
+            keys,
+            next_entry: 20,
+            incarnation: 1,
+            drained: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        match change {
+            Change::Drain(u) => self.drain(self.upstreams[u]),
+            Change::Replace(u) => {
+                // Some other upstream takes the place of one that drains; the
+                // old one stays until its flows have ended.
+                self.drain(self.upstreams[u]);
+                self.incarnation += 1;
+                let n = 200 + self.incarnation as u16;
+                self.upstreams[u] = self.net.add_upstream(0, n, self.incarnation);
+                self.net.upstreams[&self.upstreams[u]].0.state = UpstreamState::Warming;
+                self.net.spread_upstreams();
+            }
+            Change::Weigh(u, slots) => {
+                self.net.upstreams[&self.upstreams[u]].0.slots = slots;
+                self.net.spread_upstreams();
+            }
+            Change::Join => {
+                self.net.start_entry(self.next_entry, EntryStage::Joining);
+                self.next_entry += 1;
+                self.net.spread_entries();
+            }
+            Change::Leave(i) => self.leave(i),
+        }
+    }
+
+    fn drain(&mut self, id: UpstreamId) {
+        let up = &self.net.upstreams;
+        let is_last = up
+            .values()
+            .filter(|(u, _)| u.state != UpstreamState::Draining)
+            .filter(|(u, _)| u.service == up[&id].0.service)
+            .count()
+            < 3;
+        if is_last || up[&id].0.state == UpstreamState::Draining {
+            return;
+        }
+        self.drained.push((id, self.net.now));
+        self.net.set_state(id, UpstreamState::Draining);
+    }
+
+    fn leave(&mut self, i: usize) {
+        let serving: Vec<_> = self.net.serving();
+        if serving.len() < 4 {
+            return;
+        }
+        let id = serving[i % serving.len()];
+        self.net.set_stage(id, EntryStage::Leaving);
+    }
+
+    /// Lets entries that have learnt the table serve, and those that have
+    /// handed over stop.
+    fn step(&mut self) {
+        self.net.run(Duration::from_millis(400));
+        let stages: Vec<_> = self.net.stages.iter().map(|(i, s)| (*i, *s)).collect();
+        for (id, stage) in stages {
+            let router = &self.net.nodes[&id].router;
+            let (synced, idle) = (router.is_synced(), router.may_leave());
+            if stage == EntryStage::Joining && synced {
+                self.net.set_stage(id, EntryStage::Serving);
+            }
+            let seen = self.net.now >= self.net.staged[&id] + Duration::from_secs(4);
+            if stage == EntryStage::Leaving && seen && idle {
+                self.net.kill_entry(id);
+                self.net.spread_entries();
+            }
+        }
+        for _ in 0..8 {
+            let i = self.keys.len();
+            let key = self.keys[(self.net.pick() as usize) % i];
+            if self.net.flows[&key].upstream.is_some() {
+                self.net.send(key, PacketKind::Data);
+            }
+        }
+        let key = self.net.open(0);
+        self.keys.push(key);
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..60 {
+            self.step();
+        }
+        self.net.link = Link::default();
+        self.net.establish(&self.keys.clone());
+        self.net.run_s(20);
+    }
+}
+
+proptest! {
+    #![proptest_config(config(24))]
+
+    #[test]
+    fn planned_changes_break_no_flow(
+        seed: u64,
+        link in link(),
+        view_delay_ms in 1_u64..2_500,
+        changes in prop::collection::vec((change(), 0_usize..8), 1..10),
+    ) {
+        let mut run = Run::new(seed, link, view_delay_ms);
+        for (change, steps) in changes {
+            run.apply(change);
+            for _ in 0..steps {
+                run.step();
+            }
+        }
+        run.settle();
+        let keys = run.keys.clone();
+        run.net.send_through_all(&keys);
+        prop_assert_eq!(run.net.broken(), 0);
+        prop_assert_eq!(run.net.misrouted, 0);
+        prop_assert!(keys.iter().all(|k| run.net.flows[k].upstream.is_some()));
+        prop_assert!(run.net.flows.values().all(|f| f.refused.is_none()));
+        prop_assert_eq!(run.net.moving(), 0);
+        prop_assert!(run.net.agree());
+        for (id, at) in &run.drained {
+            let last = run.net.last_new.get(id).copied().unwrap_or(*at);
+            // The delay counts from when an entry hears of the drain; the last
+            // packet may be on its way over two links.
+            let slack = Duration::from_millis(3_000 + view_delay_ms + 2 * link.delay_ms);
+            prop_assert!(last <= *at + slack);
+        }
+    }
+}
