Test death of movers, gone upstreams, cuts and truth of refusals

Cause: the failures that the moves are meant for had no tests of their own.

A first packet after its caller's FIN now counts as a new flow.

--- a/crates/currantgate-flow/src/route.rs
+++ b/crates/currantgate-flow/src/route.rs
@@ -197,7 +197,7 @@
         hash: FlowHash,
         (record, packet): (Record, &Packet),
     ) -> Verdict {
-        let is_new = record.stage.closed
+        let is_new = !record.is_open()
             || record.stage.established && is_ahead(record.next_seq, packet.next_seq);
         let takes = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|k| k.takes_flows(now));
         if packet.key.protocol == Protocol::Udp || !is_new || takes(&record.upstream) {
--- a/crates/currantgate-flow/tests/common/mod.rs
+++ b/crates/currantgate-flow/tests/common/mod.rs
@@ -308,6 +308,38 @@
         }
     }
 
+    /// Ends a flow: both sides say that they have no more to send.
+    pub(crate) fn close(&mut self, key: FlowKey) {
+        self.send(key, PacketKind::Finish);
+        self.flows[&key].closed = true;
+    }
+
+    /// Begins flows while a cut lasts: each side has callers of its own.
+    pub(crate) fn open_on_sides(&mut self, count: u32) -> Vec<FlowKey> {
+        let entries: Vec<_> = self.nodes.keys().copied().collect();
+        let mut keys = Vec::new();
+        for n in 0..count {
+            let key = self.key(0, 30_000 + n);
+            let to = entries[n as usize % entries.len()];
+            for _ in 0..3 {
+                if self.flows.get(&key).is_none_or(|f| f.upstream.is_none()) {
+                    self.send_to(to, key, PacketKind::Open);
+                    self.run(Duration::from_millis(50));
+                }
+            }
+            keys.push(key);
+        }
+        keys
+    }
+
+    /// Hands an answer to any entry, as if it came from address `from`.
+    pub(crate) fn answer(&mut self, from: SocketAddr, key: FlowKey) {
+        let to = *self.nodes.first().unwrap().0;
+        let answer = packet(key, PacketKind::Data);
+        self.push(self.now, Event::Answer(to, from, answer));
+        self.run(Duration::from_millis(100));
+    }
+
     /// Sends a packet by way of any entry.
     pub(crate) fn send(&mut self, key: FlowKey, kind: PacketKind) {
         let at = self.rng.random_range(0..self.nodes.len());
@@ -375,7 +407,7 @@
             }
             None => flow.broken = true,
         }
-        if packet.kind == PacketKind::Open {
+        if packet.kind == PacketKind::Open && self.cut.is_empty() {
             let at = self.delay() + Duration::from_millis(2);
             self.push(at, Event::Caller(packet.key));
         }
