Spend control bytes on what entries don't know yet

Change: a joining entry learns from one entry, spread over all, and only then asks the rest to confirm. Moves list the flows that no earlier move told; an entry that lacks the version a move starts from says so and gets the whole list. Buckets with the same step share it in a message. Buckets without an owner and moves that can wait are planned once both views have rested for 1.5 s. States and pins take turns. Records of flows that must be known outlive four idle periods, since an entry sees only a part of the packets.

--- a/crates/currantgate-flow/src/balance.rs
+++ b/crates/currantgate-flow/src/balance.rs
@@ -13,6 +13,13 @@
 /// Time between two looks at the shares.
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which the views of entries and upstreams must rest before buckets
+/// are given out that no flow waits for.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
+
+/// Moves in progress above which no bucket is moved that could stay.
+const MAX_BUSY: usize = 8;
+
 /// Buckets that one look may move from an upstream that could keep them.
 const MAX_VOLUNTARY: usize = 2;
 
@@ -40,7 +47,11 @@
         if shares.is_empty() {
             return;
         }
+        let is_quiet = now >= self.changed_at + QUIET_TIME;
         for place in self.homeless(now, t) {
+            if !is_quiet && self.bucket_mut(place).phase == Phase::Unowned {
+                continue;
+            }
             let Some(to) = neediest(&shares, place) else {
                 break;
             };
@@ -51,7 +62,9 @@
                 Phase::Moving { .. } => {}
             }
         }
-        self.even_out(now, t, &mut shares);
+        if is_quiet && self.transfers.len() < MAX_BUSY && self.pulls.is_empty() {
+            self.even_out(now, t, &mut shares);
+        }
     }
 
     /// Returns what each upstream has and should have.
--- a/crates/currantgate-flow/src/bucket.rs
+++ b/crates/currantgate-flow/src/bucket.rs
@@ -33,6 +33,10 @@
 /// How much of the mover's list an entry has.
 #[derive(Debug, Default)]
 pub(crate) struct Fill {
+    /// Whether the list has all flows of other upstreams than the next owner.
+    pub(crate) full: bool,
+    /// This entry lacks what earlier moves told.
+    pub(crate) lacks_base: bool,
     /// The flows of the mover's list.
     pub(crate) listed: IndexSet<FlowHash>,
     /// Flows that were not in the list once all of it had come.
@@ -72,6 +76,26 @@
         pins
     }
 
+    /// Notes that every entry knows all flows that the owner doesn't have.
+    pub(crate) fn mark_pinned(&mut self) {
+        for record in self.flows.values_mut() {
+            let owned = self.phase
+                == Phase::Stable {
+                    owner: record.upstream,
+                };
+            record.stage.pinned = !owned;
+        }
+    }
+
+    /// Returns the flows that entries may not know alike, in ascending order:
+    /// those of the owner so far, and those that no move has told yet.
+    pub(crate) fn unpinned(&self, from: UpstreamId) -> Vec<Pin> {
+        let mut pins = self.pins();
+        let is_told = |pin: &Pin| self.flows[&pin.0].stage.pinned && pin.1 != from;
+        pins.retain(|pin| !is_told(pin));
+        pins
+    }
+
     /// Takes a new state.
     pub(crate) fn adopt(&mut self, version: Version, phase: Phase) {
         self.version = version;
--- a/crates/currantgate-flow/src/copy.rs
+++ b/crates/currantgate-flow/src/copy.rs
@@ -8,7 +8,7 @@
 
 use crate::pin::{self, Pin, PinGroup};
 use crate::router::{Place, Router};
-use crate::{BucketItem, Step};
+use crate::{Step, Version};
 
 /// Time after which an unanswered part is sent again.
 const COPY_RETRY: Duration = Duration::from_millis(1_500);
@@ -74,12 +74,12 @@
     }
 
     /// Returns the next part of a copy, in at most `left` bytes.
-    pub(crate) fn copy_item(
+    pub(crate) fn copy_step(
         &mut self,
         now: Instant,
         (place, to): (Place, EntryId),
         left: usize,
-    ) -> Option<BucketItem> {
+    ) -> Option<(Version, Step)> {
         let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
         let state = self.copies.get_mut(&(place, to))?;
         let after = state.after;
@@ -99,13 +99,8 @@
             return None;
         }
         state.send_at = now + COPY_RETRY;
-        Some(BucketItem {
-            bucket: place.1,
-            version: bucket.version,
-            step: Step::Copy {
-                flows: pin::group(&pins[..count]),
-            },
-        })
+        let flows = pin::group(&pins[..count]);
+        Some((bucket.version, Step::Copy { flows }))
     }
 
     /// Takes flows that the other entry of a bucket's pair remembers.
--- a/crates/currantgate-flow/src/follower.rs
+++ b/crates/currantgate-flow/src/follower.rs
@@ -6,7 +6,7 @@
 
 use crate::pin::{self, PinGroup};
 use crate::router::{Place, Router};
-use crate::{BucketItem, Phase, Step, Version};
+use crate::{Phase, Step, Version};
 
 /// Bytes of flows in one step.
 pub(crate) const PAGE_BYTES: usize = 900;
@@ -19,6 +19,7 @@
         place: Place,
         version: Version,
         (from, to): (UpstreamId, UpstreamId),
+        (base, full): (Version, bool),
     ) {
         let bucket = self.bucket_mut(place);
         if version < bucket.version {
@@ -26,13 +27,23 @@
             return;
         }
         let committed = bucket.phase == Phase::Stable { owner: to };
+        let has_base = bucket.version == base && bucket.phase.is_stable();
         if version > bucket.version {
             bucket.adopt(version, Phase::Moving { from, to });
+            if let Some(fill) = &mut bucket.fill {
+                fill.full = full;
+                fill.lacks_base = !has_base;
+            }
             self.transfers.swap_remove(&place);
             self.reopens.swap_remove(&place);
             self.pulls.swap_remove(&place);
         }
-        self.reply(from_entry, place, version, Step::Prepared { committed });
+        let fill = self.bucket_mut(place).fill.as_ref();
+        let step = Step::Prepared {
+            committed,
+            lacks_base: fill.is_some_and(|fill| fill.lacks_base),
+        };
+        self.reply(from_entry, place, version, step);
     }
 
     /// Takes flows of the mover's list.
@@ -62,7 +73,10 @@
         }
         let bucket = self.bucket_mut(place);
         if fill.listed.len() as u32 >= total && fill.extras.is_none() {
-            let mut extras = bucket.pins();
+            let mut extras = match bucket.phase {
+                Phase::Moving { from, .. } if !fill.full => bucket.unpinned(from),
+                _ => bucket.pins(),
+            };
             extras.retain(|(hash, _)| !fill.listed.contains(hash));
             if let Phase::Moving { from, to } = bucket.phase
                 && from == to
@@ -119,6 +133,7 @@
         }
         if !bucket.phase.is_stable() || is_first {
             bucket.adopt(version, Phase::Stable { owner });
+            bucket.mark_pinned();
         }
         self.reply(from, place, version, Step::Committed);
     }
@@ -131,14 +146,9 @@
 
     /// Queues an answer to a step of another entry.
     pub(crate) fn reply(&mut self, to: EntryId, place: Place, version: Version, step: Step) {
-        let item = BucketItem {
-            bucket: place.1,
-            version,
-            step,
-        };
         let queue = self.replies.entry((to, place.0)).or_default();
         if queue.len() < MAX_QUEUED_REPLIES {
-            queue.push_back(item);
+            queue.push_back((place.1, version, step));
         }
     }
 }
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/design/flow-routing.md`.
 
 mod balance;
+mod batch;
 mod bucket;
 mod copy;
 mod drop_reason;
--- a/crates/currantgate-flow/src/message.rs
+++ b/crates/currantgate-flow/src/message.rs
@@ -18,7 +18,7 @@
     Buckets {
         /// The service.
         service: ServiceId,
-        /// The steps, at most one kind for each bucket.
+        /// The steps.
         items: Vec<BucketItem>,
     },
     /// What the sender's table looks like, for comparison.
@@ -42,11 +42,12 @@
     },
 }
 
-/// One step about one bucket.
+/// One step about one or more buckets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BucketItem {
-    /// The bucket.
-    pub bucket: BucketIndex,
+    /// The buckets: the first one, then each one's distance to the next, which
+    /// wraps around.
+    pub buckets: Vec<BucketIndex>,
     /// The version that the step belongs to.
     pub version: Version,
     /// The step.
@@ -62,11 +63,18 @@
         from: UpstreamId,
         /// The upstream that is to have it.
         to: UpstreamId,
+        /// The version that the move starts from.
+        base: Version,
+        /// Whether the sender lists all flows of other upstreams, also those
+        /// that earlier moves told.
+        full: bool,
     },
     /// The sender has marked the bucket as moving.
     Prepared {
         /// Whether it had the target as the bucket's owner before.
         committed: bool,
+        /// Whether it lacks what earlier moves told.
+        lacks_base: bool,
     },
     /// Flows of the bucket that the mover knows.
     Pins {
--- a/crates/currantgate-flow/src/mover.rs
+++ b/crates/currantgate-flow/src/mover.rs
@@ -15,9 +15,10 @@
         let me = self.settings.id;
         let peers = self.others();
         let bucket = self.bucket_mut(place);
-        let version = bucket.version.next(me);
-        bucket.adopt(version, Phase::Stable { owner });
-        let mut transfer = Transfer::new(now, (owner, owner), Cause::Plan, peers.into_iter());
+        let base = bucket.version;
+        bucket.adopt(base.next(me), Phase::Stable { owner });
+        let ends = (owner, owner);
+        let mut transfer = Transfer::new(now, base, ends, Cause::Plan, peers.into_iter());
         transfer.stage = Stage::Committing;
         self.transfers.insert(place, transfer);
         self.advance(now, place);
@@ -34,9 +35,9 @@
         let me = self.settings.id;
         let peers = self.others();
         let bucket = self.bucket_mut(place);
-        let version = bucket.version.next(me);
-        bucket.adopt(version, Phase::Moving { from, to });
-        let transfer = Transfer::new(now, (from, to), cause, peers.into_iter());
+        let base = bucket.version;
+        bucket.adopt(base.next(me), Phase::Moving { from, to });
+        let transfer = Transfer::new(now, base, (from, to), cause, peers.into_iter());
         self.transfers.insert(place, transfer);
         self.advance(now, place);
     }
@@ -61,6 +62,7 @@
             }
             let bucket = self.bucket_mut(place);
             bucket.adopt(bucket.version, Phase::Stable { owner });
+            bucket.mark_pinned();
         }
         let Some(transfer) = self.transfers.get_mut(&place) else {
             return;
@@ -71,22 +73,28 @@
     }
 
     fn begin_fill(&mut self, now: Instant, place: Place) {
+        if let Some(transfer) = self.transfers.get_mut(&place) {
+            transfer.stage = Stage::Filling;
+            for progress in transfer.peers.values_mut() {
+                progress.advance(now);
+            }
+        }
+        self.list_flows(now, place);
+    }
+
+    /// Lists the flows that the other entries must know before the commit.
+    fn list_flows(&mut self, now: Instant, place: Place) {
         let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
-        let pins = bucket.pins();
         let Some(transfer) = self.transfers.get_mut(&place) else {
             return;
         };
-        transfer.stage = Stage::Filling;
-        for progress in transfer.peers.values_mut() {
-            progress.advance(now);
-        }
-        for (hash, upstream) in &pins {
-            self.tables[place.0].pin(now, *hash, *upstream);
-        }
-        let Some(transfer) = self.transfers.get_mut(&place) else {
-            return;
+        let pins = if transfer.is_full() {
+            bucket.pins()
+        } else {
+            bucket.unpinned(transfer.from)
         };
         for (hash, upstream) in pins {
+            self.tables[place.0].pin(now, hash, upstream);
             if upstream != transfer.to || transfer.replaced.contains(&hash) {
                 transfer.add(now, hash, upstream);
             }
@@ -99,7 +107,7 @@
         now: Instant,
         from: EntryId,
         place: Place,
-        committed: bool,
+        (committed, lacks_base): (bool, bool),
     ) {
         let Some(progress) = self.progress_mut(place, from) else {
             return;
@@ -110,6 +118,11 @@
         }
         if let Some(transfer) = self.transfers.get_mut(&place) {
             transfer.committed_before |= committed;
+            let lacks_more = lacks_base && !transfer.base_is_lacking;
+            transfer.base_is_lacking |= lacks_base;
+            if lacks_more && transfer.stage == Stage::Filling {
+                self.list_flows(now, place);
+            }
         }
         self.advance(now, place);
     }
--- a/crates/currantgate-flow/src/record.rs
+++ b/crates/currantgate-flow/src/record.rs
@@ -41,6 +41,8 @@
     pub(crate) upstream_finished: bool,
     /// The flow has ended.
     pub(crate) closed: bool,
+    /// Every entry knows that another upstream than the bucket's owner has it.
+    pub(crate) pinned: bool,
     /// The caller has been told that its upstream is gone.
     pub(crate) told: bool,
 }
--- a/crates/currantgate-flow/src/route.rs
+++ b/crates/currantgate-flow/src/route.rs
@@ -366,7 +366,10 @@
         let record = flows
             .entry(hash)
             .or_insert_with(|| Record::new(upstream, now));
-        record.upstream = upstream;
+        if record.upstream != upstream {
+            record.upstream = upstream;
+            record.stage.pinned = false;
+        }
         record.see_request(now, time, packet);
         table.flows += flows.len() - before;
     }
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -23,6 +23,9 @@
 /// Names a bucket: its service's place among the tables, and its index.
 pub(crate) type Place = (usize, BucketIndex);
 
+/// A step in answer to another entry's.
+pub(crate) type Reply = (BucketIndex, Version, Step);
+
 /// Time between two rounds of housekeeping.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,12 +53,15 @@
     /// Buckets whose keeper is to collect what this entry knows, and when it
     /// is next asked.
     pub(crate) reopens: IndexMap<Place, Instant>,
-    pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<BucketItem>>,
+    pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<Reply>>,
     pub(crate) copies: Copies,
     /// States that other entries have asked for.
     pub(crate) requests: IndexMap<(EntryId, Place), Option<u64>>,
     pub(crate) outputs: VecDeque<Output>,
     pub(crate) sync: SyncState,
+    /// When the view of entries or upstreams last changed.
+    pub(crate) changed_at: Instant,
+    pub(crate) states_first: bool,
     pub(crate) scan: GoneScan,
     pub(crate) send_at: Instant,
     pub(crate) plan_at: Instant,
@@ -88,6 +94,8 @@
             requests: IndexMap::new(),
             outputs: VecDeque::new(),
             sync: SyncState::new(now, settings.seed),
+            changed_at: now,
+            states_first: false,
             scan: GoneScan::default(),
             send_at: now,
             plan_at: now,
@@ -117,6 +125,9 @@
             let known = Known::new(now, (upstream, presence), service, before.get(&id));
             self.upstreams.insert(id, known);
         }
+        if !before.keys().eq(self.upstreams.keys()) {
+            self.changed_at = now;
+        }
         self.note_gone(before.keys().copied());
         for t in 0..self.tables.len() {
             self.plan(now, t);
@@ -127,6 +138,9 @@
     pub fn set_entries(&mut self, now: Instant, entries: &[EntryView]) {
         let before = std::mem::take(&mut self.entries);
         self.entries = entries.iter().map(|e| (e.id, e.stage)).collect();
+        if before != self.entries {
+            self.changed_at = now;
+        }
         self.choose_keepers(now);
         self.meet_entries(now, &before);
         let places: Vec<_> = self.transfers.keys().copied().collect();
@@ -151,9 +165,7 @@
         match message {
             Message::Buckets { items, .. } => {
                 for item in items {
-                    if usize::from(item.bucket) < self.tables[t].buckets.len() {
-                        self.take_item(now, from, t, item);
-                    }
+                    self.take_item(now, from, t, item);
                 }
             }
             Message::Digest { chunks, .. } => self.take_digest(now, from, t, chunks),
@@ -167,11 +179,25 @@
     }
 
     fn take_item(&mut self, now: Instant, entry: EntryId, t: usize, item: &BucketItem) {
-        let place = (t, item.bucket);
+        let mut index: BucketIndex = 0;
+        for distance in &item.buckets {
+            index = index.wrapping_add(*distance);
+            if usize::from(index) < self.tables[t].buckets.len() {
+                self.take_step(now, entry, (t, index), item);
+            }
+        }
+    }
+
+    fn take_step(&mut self, now: Instant, entry: EntryId, place: Place, item: &BucketItem) {
         let version = item.version;
         let is_own = self.bucket_mut(place).version == version;
         match &item.step {
-            Step::Prepare { from, to } => self.take_prepare(entry, place, version, (*from, *to)),
+            Step::Prepare {
+                from,
+                to,
+                base,
+                full,
+            } => self.take_prepare(entry, place, version, (*from, *to), (*base, *full)),
             Step::Pins {
                 offset,
                 total,
@@ -182,8 +208,11 @@
                 self.take_pins(now, entry, place, version, counts, flows);
             }
             Step::Commit { owner } => self.take_commit(now, entry, place, version, *owner),
-            Step::Prepared { committed } if is_own => {
-                self.take_prepared(now, entry, place, *committed);
+            Step::Prepared {
+                committed,
+                lacks_base,
+            } if is_own => {
+                self.take_prepared(now, entry, place, (*committed, *lacks_base));
             }
             Step::Filled {
                 have,
--- a/crates/currantgate-flow/src/send.rs
+++ b/crates/currantgate-flow/src/send.rs
@@ -5,18 +5,13 @@
 use currantgate_config::EntryId;
 use currantgate_membership::Budget;
 
+use crate::batch::Batch;
 use crate::follower::PAGE_BYTES;
-use crate::pin::{self, PinGroup};
+use crate::pin;
 use crate::router::{Place, Router};
 use crate::sync::PULL_RETRY;
 use crate::transfer::{Progress, Stage, Transfer};
-use crate::{BucketItem, Message, Output, Step, Version};
-
-/// Bytes of steps in one message; with its headers it stays below 1,200.
-const MESSAGE_BYTES: usize = 1_100;
-
-/// Bytes of a step's bucket, version and kind, at most.
-const ITEM_BYTES: usize = 12;
+use crate::{Output, Step, Version};
 
 /// How soon a step must go: new flows wait for the first kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +34,9 @@
         let due = due.or_else(|| self.outputs.pop_front());
         let due = due.or_else(|| self.poll_pulls(now));
         let due = due.or_else(|| self.poll_reopens(now));
+        // An entry that joins waits for states, a move for pins: in turns.
+        self.states_first = !self.states_first;
+        let due = due.or_else(|| self.states_first.then(|| self.poll_states()).flatten());
         let due = due.or_else(|| self.poll_transfers(now, Urgency::Pins));
         let due = due.or_else(|| self.poll_states());
         let due = due.or_else(|| self.poll_copies(now));
@@ -69,191 +67,147 @@
         let pulls = self.pulls.values().map(|p| p.send_at);
         let reopens = self.reopens.values().copied();
         let copies = self.copies.values().map(|c| c.send_at);
-        let idle = self.idle_until();
-        steps
-            .chain(pulls)
-            .chain(reopens)
-            .chain(copies)
-            .min()
-            .unwrap_or(idle)
+        let due = steps.chain(pulls).chain(reopens).chain(copies).min();
+        due.unwrap_or_else(|| self.idle_until())
     }
 
     fn poll_replies(&mut self) -> Option<Output> {
         let (to, t) = *self.replies.keys().next()?;
+        let mut batch = Batch::new(to, self.tables[t].id);
         let queue = self.replies.get_mut(&(to, t))?;
-        let mut items = Vec::new();
-        let mut left = MESSAGE_BYTES;
-        while let Some(item) = queue.front() {
-            let cost = cost(&item.step);
-            if cost > left && !items.is_empty() {
+        while let Some((bucket, version, step)) = queue.front() {
+            if !batch.add(*bucket, *version, step) {
                 break;
             }
-            left = left.saturating_sub(cost);
-            items.extend(queue.pop_front());
+            queue.pop_front();
         }
         if queue.is_empty() {
             self.replies.swap_remove(&(to, t));
         }
-        Some(self.buckets_message(to, t, items))
+        batch.finish()
     }
 
     /// Returns one message with all that is due to one entry.
     fn poll_transfers(&mut self, now: Instant, urgency: Urgency) -> Option<Output> {
-        let mut target = None;
-        let mut items = Vec::new();
-        let mut left = MESSAGE_BYTES;
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
         for ((t, index), transfer) in &mut self.transfers {
-            let bucket = &self.tables[*t].buckets[usize::from(*index)];
+            let table = &self.tables[*t];
+            let bucket = &table.buckets[usize::from(*index)];
             let due: Vec<_> = due_peers(transfer, bucket.backup, now, urgency).collect();
             for peer in due {
-                if target.is_some_and(|other| other != (peer, *t)) {
+                if batch
+                    .as_ref()
+                    .is_some_and(|(to, of, _)| (*to, *of) != (peer, *t))
+                {
                     continue;
                 }
-                let step = next_step(transfer, peer, left);
-                let Some(step) = step.filter(|s| cost(s) <= left) else {
+                let (.., batch) =
+                    batch.get_or_insert_with(|| (peer, *t, Batch::new(peer, table.id)));
+                let Some(step) = next_step(transfer, peer, batch.room_for_flows()) else {
                     continue;
                 };
-                target = Some((peer, *t));
-                left -= cost(&step);
-                items.push(BucketItem {
-                    bucket: *index,
-                    version: bucket.version,
-                    step,
-                });
-                transfer.peers[&peer].sent(now);
+                if batch.add(*index, bucket.version, &step) {
+                    transfer.peers[&peer].sent(now);
+                }
             }
         }
-        let (to, t) = target?;
-        Some(self.buckets_message(to, t, items))
+        batch?.2.finish()
     }
 
     fn poll_pulls(&mut self, now: Instant) -> Option<Output> {
-        let due = |p: &&mut crate::sync::Pull| p.send_at <= now;
-        let mut target = None;
-        let mut items = Vec::new();
-        for ((t, index), pull) in &mut self.pulls {
-            if !due(&pull) || items.len() >= MAX_PULLS {
+        let first = self.pulls.iter().find(|(_, pull)| pull.send_at <= now);
+        let (to, t) = first.map(|((t, _), pull)| (pull.donor, *t))?;
+        let mut batch = Batch::new(to, self.tables[t].id);
+        for ((of, index), pull) in &mut self.pulls {
+            if pull.send_at > now || (pull.donor, *of) != (to, t) {
                 continue;
             }
-            if *target.get_or_insert((pull.donor, *t)) != (pull.donor, *t) {
-                continue;
+            let step = Step::Pull {
+                after: pull.after(),
+            };
+            if batch.add(*index, Version::default(), &step) {
+                pull.send_at = now + PULL_RETRY;
             }
-            pull.send_at = now + PULL_RETRY;
-            items.push(BucketItem {
-                bucket: *index,
-                version: Version::default(),
-                step: Step::Pull {
-                    after: pull.after(),
-                },
-            });
         }
-        let (to, t) = target?;
-        Some(self.buckets_message(to, t, items))
+        batch.finish()
     }
 
     fn poll_reopens(&mut self, now: Instant) -> Option<Output> {
-        let mut target = None;
-        let mut items = Vec::new();
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
         for ((t, index), send_at) in &mut self.reopens {
-            let bucket = &self.tables[*t].buckets[usize::from(*index)];
+            let table = &self.tables[*t];
+            let bucket = &table.buckets[usize::from(*index)];
             let keeper = bucket.keeper.filter(|k| *k != self.settings.id);
-            let Some(keeper) = keeper.filter(|_| *send_at <= now && items.len() < MAX_PULLS) else {
+            let Some(keeper) = keeper.filter(|_| *send_at <= now) else {
                 continue;
             };
-            if *target.get_or_insert((keeper, *t)) != (keeper, *t) {
-                continue;
+            let (to, of, batch) =
+                batch.get_or_insert_with(|| (keeper, *t, Batch::new(keeper, table.id)));
+            let is_same = (*to, *of) == (keeper, *t);
+            if is_same && batch.add(*index, Version::default(), &Step::Reopen) {
+                *send_at = now + PULL_RETRY;
             }
-            *send_at = now + PULL_RETRY;
-            items.push(BucketItem {
-                bucket: *index,
-                version: bucket.version,
-                step: Step::Reopen,
-            });
-        }
-        let (to, t) = target?;
-        Some(self.buckets_message(to, t, items))
-    }
-
-    fn poll_copies(&mut self, now: Instant) -> Option<Output> {
-        let mut target = None;
-        let mut items = Vec::new();
-        let mut left = MESSAGE_BYTES;
-        let due = self.copies.iter().filter(|(_, state)| state.send_at <= now);
-        let due: Vec<_> = due.map(|(key, _)| *key).collect();
-        for (place, to) in due {
-            if target.is_some_and(|other| other != (to, place.0)) {
-                continue;
-            }
-            let room = left.saturating_sub(ITEM_BYTES).min(PAGE_BYTES);
-            let Some(item) = self.copy_item(now, (place, to), room) else {
-                continue;
-            };
-            target = Some((to, place.0));
-            left -= cost(&item.step);
-            items.push(item);
         }
-        let (to, t) = target?;
-        Some(self.buckets_message(to, t, items))
+        batch?.2.finish()
     }
 
     /// Returns one message with states that another entry has asked for.
     fn poll_states(&mut self) -> Option<Output> {
         let ((to, (t, _)), _) = self.requests.first()?;
         let (to, t) = (*to, *t);
-        let mut items = Vec::new();
-        let mut left = MESSAGE_BYTES;
         let wanted: Vec<(Place, Option<u64>)> = self
             .requests
             .iter()
             .filter(|((peer, place), _)| *peer == to && place.0 == t)
             .map(|((_, place), after)| (*place, *after))
             .collect();
+        let mut batch = Batch::new(to, self.tables[t].id);
         for (place, after) in wanted {
-            let item = self.state_item(place, after, left);
-            let cost = cost(&item.step);
-            if cost > left {
+            let (version, step) = self.state_step(place, after, batch.room_for_flows());
+            if !batch.add(place.1, version, &step) {
                 break;
             }
-            left -= cost;
-            items.push(item);
             self.requests.shift_remove(&(to, place));
         }
-        Some(self.buckets_message(to, t, items))
+        batch.finish()
     }
 
-    fn state_item(&self, place: Place, after: Option<u64>, left: usize) -> BucketItem {
+    fn state_step(&self, place: Place, after: Option<u64>, room: usize) -> (Version, Step) {
         let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
         let mut pins = bucket.exceptions();
         pins.retain(|(hash, _)| after.is_none_or(|after| *hash > after));
-        let room = left
-            .saturating_sub(ITEM_BYTES + STATE_BYTES)
-            .min(PAGE_BYTES);
-        let count = pin::fitting(&pins, room);
-        BucketItem {
-            bucket: place.1,
-            version: bucket.version,
-            step: Step::State {
-                phase: bucket.phase,
-                after,
-                more: count < pins.len(),
-                flows: pin::group(&pins[..count]),
-            },
-        }
+        let count = pin::fitting(&pins, room.min(PAGE_BYTES));
+        let step = Step::State {
+            phase: bucket.phase,
+            after,
+            more: count < pins.len(),
+            flows: pin::group(&pins[..count]),
+        };
+        (bucket.version, step)
     }
 
-    fn buckets_message(&self, to: EntryId, t: usize, items: Vec<BucketItem>) -> Output {
-        let service = self.tables[t].id;
-        let message = Message::Buckets { service, items };
-        Output::Send { to, message }
+    fn poll_copies(&mut self, now: Instant) -> Option<Output> {
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
+        let due = self.copies.iter().filter(|(_, state)| state.send_at <= now);
+        let due: Vec<_> = due.map(|(key, _)| *key).collect();
+        for (place, to) in due {
+            if batch
+                .as_ref()
+                .is_some_and(|(of, t, _)| (*of, *t) != (to, place.0))
+            {
+                continue;
+            }
+            let id = self.tables[place.0].id;
+            let (.., batch) = batch.get_or_insert_with(|| (to, place.0, Batch::new(to, id)));
+            let room = batch.room_for_flows().min(PAGE_BYTES);
+            if let Some((version, step)) = self.copy_step(now, (place, to), room) {
+                batch.add(place.1, version, &step);
+            }
+        }
+        batch?.2.finish()
     }
 }
 
-/// Bytes of a state without its flows, at most.
-const STATE_BYTES: usize = 32;
-
-/// Pulls or requests to reopen in one message.
-const MAX_PULLS: usize = 48;
-
 /// Returns the entries that are due to be told a step of a move.
 fn due_peers(
     transfer: &Transfer,
@@ -278,8 +232,9 @@
         .map(|(peer, _)| *peer)
 }
 
-/// Returns the step that `peer` is to be told next, in at most `left` bytes.
-fn next_step(transfer: &Transfer, peer: EntryId, left: usize) -> Option<Step> {
+/// Returns the step that `peer` is to be told next, with flows that take at
+/// most `room` bytes.
+fn next_step(transfer: &Transfer, peer: EntryId, room: usize) -> Option<Step> {
     let progress = &transfer.peers[&peer];
     if transfer.stage == Stage::Committing {
         return Some(Step::Commit { owner: transfer.to });
@@ -288,11 +243,12 @@
         return Some(Step::Prepare {
             from: transfer.from,
             to: transfer.to,
+            base: transfer.base,
+            full: transfer.is_full(),
         });
     }
     let rest = &transfer.list[progress.have as usize..];
-    let room = left.saturating_sub(ITEM_BYTES + PINS_BYTES).min(PAGE_BYTES);
-    let count = pin::fitting(rest, room);
+    let count = pin::fitting(rest, room.min(PAGE_BYTES));
     if count == 0 && !rest.is_empty() {
         return None;
     }
@@ -303,26 +259,3 @@
         flows: pin::group(&rest[..count]),
     })
 }
-
-/// Bytes of the counts that go with pins, at most.
-const PINS_BYTES: usize = 16;
-
-/// Returns the bytes that a step takes in a message, at most.
-fn cost(step: &Step) -> usize {
-    let own = match step {
-        Step::Prepare { .. } => 18,
-        Step::Prepared { .. } | Step::Committed | Step::Refused | Step::Reopen => 0,
-        Step::Commit { .. } => 9,
-        Step::Pins { flows, .. } | Step::Filled { flows, .. } => PINS_BYTES + groups(flows),
-        Step::Copy { flows } => groups(flows),
-        Step::Copied { .. } => 9,
-        Step::Pull { .. } => 10,
-        Step::State { flows, .. } => STATE_BYTES + groups(flows),
-    };
-    ITEM_BYTES + own
-}
-
-fn groups(flows: &[PinGroup]) -> usize {
-    let bytes = |g: &PinGroup| pin::GROUP_BYTES + g.flows.len() * pin::PIN_BYTES;
-    flows.iter().map(bytes).sum()
-}
--- a/crates/currantgate-flow/src/sync.rs
+++ b/crates/currantgate-flow/src/sync.rs
@@ -29,7 +29,11 @@
 const ALONE_AFTER: Duration = Duration::from_secs(5);
 
 /// Time between digests while other entries have not confirmed the table.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Digests and versions that may wait to be sent; what is beyond is lost, as
+/// it could be on the way.
+const MAX_QUEUED: usize = 128;
 
 /// Mean time between two digests to one other entry, in milliseconds.
 const DIGEST_INTERVAL_MS: u64 = 5_000;
@@ -48,6 +52,8 @@
     /// Entries and services whose table is known not to be ahead.
     confirmed: IndexSet<(EntryId, usize)>,
     next_peer: usize,
+    /// Some bucket has been fetched.
+    has_pulled: bool,
 }
 
 impl SyncState {
@@ -60,6 +66,7 @@
             digest_at: now,
             confirmed: IndexSet::new(),
             next_peer: 0,
+            has_pulled: false,
         }
     }
 
@@ -108,9 +115,11 @@
             .retain(|(peer, _)| entries.contains_key(peer));
         self.pulls
             .retain(|_, pull| entries.contains_key(&pull.donor));
-        let met = self.others();
-        for peer in met.into_iter().filter(|p| !before.contains_key(p)) {
-            self.send_digests(peer);
+        if self.sync.done {
+            let met = self.others();
+            for peer in met.into_iter().filter(|p| !before.contains_key(p)) {
+                self.greet(peer);
+            }
         }
         self.check_sync(now);
     }
@@ -141,18 +150,38 @@
         if now < self.sync.digest_at || others.is_empty() {
             return;
         }
+        self.sync.next_peer += 1;
         if self.sync.done {
-            let peer = others[self.sync.next_peer % others.len()];
-            self.sync.next_peer += 1;
-            self.send_digests(peer);
+            self.send_digests(others[self.sync.next_peer % others.len()]);
             let mean = DIGEST_INTERVAL_MS;
             let wait = self.sync.rng.random_range(mean / 2..mean * 3 / 2);
             self.sync.digest_at = now + Duration::from_millis(wait);
+        } else {
+            self.sync.digest_at = now + CONFIRM_INTERVAL;
+            self.ask_to_confirm(&confirmed, &unsure);
+        }
+    }
+
+    /// Compares with an entry that has appeared, unless that one asks first.
+    fn greet(&mut self, peer: EntryId) {
+        if self.entries.get(&peer) == Some(&EntryStage::Serving) {
+            self.send_digests(peer);
+        }
+    }
+
+    /// Compares with one entry until the table is learnt, then with the rest.
+    fn ask_to_confirm(&mut self, confirmed: &[EntryId], unsure: &[EntryId]) {
+        if !self.pulls.is_empty() || unsure.is_empty() {
+            return;
+        }
+        if confirmed.is_empty() && self.sync.has_pulled {
+            self.send_digests(unsure[0]);
+        } else if confirmed.is_empty() {
+            self.send_digests(unsure[self.sync.next_peer % unsure.len()]);
         } else {
             for peer in unsure {
-                self.send_digests(peer);
+                self.send_digests(*peer);
             }
-            self.sync.digest_at = now + CONFIRM_INTERVAL;
         }
     }
 
@@ -168,7 +197,9 @@
                 service: table.id,
                 chunks: table.buckets.chunks(CHUNK_BUCKETS).map(digest).collect(),
             };
-            self.outputs.push_back(Output::Send { to, message });
+            if self.outputs.len() < MAX_QUEUED {
+                self.outputs.push_back(Output::Send { to, message });
+            }
         }
     }
 
@@ -194,7 +225,9 @@
                 sees_receiver,
                 chunks: rest,
             };
-            self.outputs.push_back(Output::Send { to, message });
+            if self.outputs.len() < MAX_QUEUED {
+                self.outputs.push_back(Output::Send { to, message });
+            }
             rest = tail;
             if rest.is_empty() {
                 break;
@@ -245,6 +278,12 @@
     /// Fetches a bucket's state from another entry.
     pub(crate) fn pull(&mut self, now: Instant, donor: EntryId, place: Place) {
         self.send_at = now;
+        self.sync.has_pulled = true;
+        let donor = if self.sync.done {
+            donor
+        } else {
+            self.spread(donor, place)
+        };
         self.pulls.entry(place).or_insert_with(|| Pull {
             donor,
             state: None,
@@ -253,6 +292,17 @@
         });
     }
 
+    /// Spreads the pulls of an entry that joins over those that serve.
+    fn spread(&self, donor: EntryId, place: Place) -> EntryId {
+        let serving = self
+            .entries
+            .iter()
+            .filter(|(id, stage)| **stage == EntryStage::Serving && **id != self.settings.id);
+        let serving: Vec<_> = serving.map(|(id, _)| *id).collect();
+        let i = usize::from(place.1) % serving.len().max(1);
+        serving.get(i).copied().unwrap_or(donor)
+    }
+
     /// Queues a part of a bucket's state for an entry that asked for it.
     pub(crate) fn take_pull(&mut self, to: EntryId, place: Place, after: Option<FlowHash>) {
         self.requests.insert((to, place), after);
@@ -320,6 +370,11 @@
             .iter()
             .any(|(hash, record)| Some(record.upstream) != phase.target() && !known.contains(hash));
         bucket.adopt(version, phase);
+        for hash in &known {
+            if let Some(record) = bucket.flows.get_mut(hash) {
+                record.stage.pinned = true;
+            }
+        }
         // Flows that only this side of a cut knows are for all to know.
         if strays && before != Phase::Unowned && phase.is_stable() {
             self.reopens.insert(place, now);
--- a/crates/currantgate-flow/src/table.rs
+++ b/crates/currantgate-flow/src/table.rs
@@ -9,6 +9,10 @@
 use crate::bucket::Bucket;
 use crate::record::Record;
 
+/// Periods of idleness for which an entry remembers a flow, since it sees only
+/// a part of the flow's packets itself.
+const SPRAY_FACTOR: u32 = 4;
+
 /// Silence after which a flow that two other entries remember, and that the
 /// table alone tells the upstream of, is let go.
 const CACHED_FOR: Duration = Duration::from_secs(30);
@@ -51,22 +55,25 @@
     /// Returns how long `me` remembers a flow of which a packet passes now.
     pub(crate) fn memory(&self, index: BucketIndex, me: EntryId, upstream: UpstreamId) -> Duration {
         if self.buckets[usize::from(index)].must_remember(me, upstream) {
-            self.idle
+            self.idle * SPRAY_FACTOR
         } else {
             CACHED_FOR.min(self.idle)
         }
     }
 
-    /// Remembers that another entry knows a flow's upstream.
+    /// Remembers what another entry knows of a flow's upstream.
     pub(crate) fn pin(&mut self, now: Instant, hash: FlowHash, upstream: UpstreamId) {
         let index = usize::from(self.index(hash));
-        let deadline = now + self.idle;
+        let deadline = now + self.idle * SPRAY_FACTOR;
         let before = self.buckets[index].flows.len();
         let record = self.buckets[index]
             .flows
             .entry(hash)
             .or_insert_with(|| Record::new(upstream, deadline));
-        record.upstream = upstream;
+        if record.upstream != upstream {
+            record.upstream = upstream;
+            record.stage.pinned = false;
+        }
         if record.is_open() {
             record.deadline = deadline;
         }
--- a/crates/currantgate-flow/src/transfer.rs
+++ b/crates/currantgate-flow/src/transfer.rs
@@ -6,13 +6,18 @@
 use currantgate_packet::FlowHash;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::Version;
 use crate::pin::Pin;
 
-/// Time after which an unanswered step is sent again for the first time.
-const FIRST_RETRY: Duration = Duration::from_millis(300);
+/// Time after which an unanswered mark is sent again for the first time.
+const MARK_RETRY: Duration = Duration::from_millis(300);
+
+/// Time after which unanswered flows are sent again for the first time; the
+/// answer may wait for the other entry's budget.
+const FILL_RETRY: Duration = Duration::from_millis(1_500);
 
 /// Doublings of the time between retries, at most.
-const MAX_DOUBLINGS: u32 = 4;
+const MAX_DOUBLINGS: u32 = 3;
 
 /// The steps of a move, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,8 +48,12 @@
     pub(crate) from: UpstreamId,
     /// The upstream that is to have it.
     pub(crate) to: UpstreamId,
+    /// The version that it starts from.
+    pub(crate) base: Version,
     /// How the move came about.
     pub(crate) cause: Cause,
+    /// An entry lacks what earlier moves told.
+    pub(crate) base_is_lacking: bool,
     /// How far it is.
     pub(crate) stage: Stage,
     /// Whether an entry had taken an earlier commit to the same owner.
@@ -93,7 +102,8 @@
 
     /// Notes that the next step has been sent.
     pub(crate) fn sent(&mut self, now: Instant) {
-        self.send_at = now + FIRST_RETRY * 2_u32.pow(self.tries.min(MAX_DOUBLINGS));
+        let first = if self.marked { FILL_RETRY } else { MARK_RETRY };
+        self.send_at = now + first * 2_u32.pow(self.tries.min(MAX_DOUBLINGS));
         self.tries += 1;
     }
 
@@ -117,6 +127,7 @@
     /// Returns a move that no other entry has been told of.
     pub(crate) fn new(
         now: Instant,
+        base: Version,
         (from, to): (UpstreamId, UpstreamId),
         cause: Cause,
         peers: impl Iterator<Item = EntryId>,
@@ -124,7 +135,9 @@
         Self {
             from,
             to,
+            base,
             cause,
+            base_is_lacking: false,
             stage: Stage::Marking,
             committed_before: false,
             list: Vec::new(),
@@ -159,6 +172,11 @@
         }
     }
 
+    /// Tells whether all flows are listed, also those of earlier moves.
+    pub(crate) fn is_full(&self) -> bool {
+        self.cause != Cause::Plan || self.base_is_lacking
+    }
+
     /// Tells whether every entry hands unknown flows to the mover.
     pub(crate) fn all_marked(&self) -> bool {
         self.peers.values().all(|p| p.marked)
