Measure broken flows, balance, control traffic and memory

Cause: the targets had no benchmark; in a deploy, control traffic was above its target.

Change: benches/flow.rs runs 8 entries, 15 upstreams and 30,000 flows in virtual time, beside modulo and consistent hash, and fails on a missed target. Buckets that can be moved for free go first: those whose flows were told by an earlier move.

--- /dev/null
+++ b/crates/currantgate-flow/benches/flow.rs
@@ -0,0 +1,382 @@
+//! Broken flows, balance, control traffic and memory, in virtual time.
+//!
+//! Prints each figure beside its target and fails when a target is missed.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+mod report;
+
+use std::time::Duration;
+
+use common::Net;
+use currantgate_config::UpstreamId;
+use currantgate_flow::{Router, RouterSettings};
+use currantgate_membership::{EntryStage, EntryView, Presence, UpstreamState};
+use currantgate_packet::{FlowHasher, FlowKey, PacketKind};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use report::Report;
+
+const SITE: &str = r#"
+domains = ["a", "b", "c", "d"]
+
+[[service]]
+name = "booking"
+address = "10.0.0.1:443"
+limits = { max_flows = 1000000 }
+"#;
+const ENTRIES: u16 = 8;
+const UPSTREAMS: u16 = 15;
+const FLOWS_EACH: usize = 2_000;
+/// Mean time that a flow is open while flows turn over.
+const LIFETIME: Duration = Duration::from_secs(60);
+/// Virtual time between two rounds of opening and closing.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// A site with a steady number of open flows.
+struct Load {
+    net: Net,
+    open: Vec<FlowKey>,
+    upstreams: Vec<UpstreamId>,
+    incarnation: u64,
+    rng: ChaCha8Rng,
+    owed: f64,
+}
+
+impl Load {
+    fn new(seed: u64, entries: u16, upstreams: u16, flows: usize) -> Self {
+        let mut net = Net::new(seed, entries, 1_024, SITE);
+        let ids = (0..upstreams).map(|n| net.add_upstream(0, n, 1)).collect();
+        net.spread_upstreams();
+        net.run_s(3);
+        let mut load = Self {
+            net,
+            open: Vec::new(),
+            upstreams: ids,
+            incarnation: 1,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            owed: 0.0,
+        };
+        for i in 0..flows {
+            let key = load.net.open(0);
+            load.open.push(key);
+            if i % 64 == 0 {
+                load.net.run(Duration::from_millis(20));
+            }
+        }
+        load.net.run_s(1);
+        load
+    }
+
+    /// Lets flows end and as many others begin for `time`.
+    fn churn(&mut self, time: Duration) {
+        let end = self.net.now + time;
+        let a_round = ROUND.as_secs_f64() / LIFETIME.as_secs_f64();
+        while self.net.now < end {
+            self.owed += self.open.len() as f64 * a_round;
+            while self.owed >= 1.0 {
+                self.owed -= 1.0;
+                self.replace_one();
+            }
+            for _ in 0..self.open.len() / 200 {
+                let key = self.open[self.rng.random_range(0..self.open.len())];
+                if self.net.flows[&key].upstream.is_some() {
+                    self.net.send(key, PacketKind::Data);
+                }
+            }
+            self.net.run(ROUND);
+        }
+    }
+
+    /// Goes on until `is_done`, and prints how long that took.
+    fn wait(&mut self, name: &str, report: &mut Report, is_done: fn(&Net) -> bool) {
+        let begun = self.net.now;
+        for _ in 0..600 {
+            if is_done(&self.net) {
+                break;
+            }
+            self.churn(ROUND);
+        }
+        let time = self.net.now - begun;
+        report.print(name, time.as_secs_f64());
+    }
+
+    fn replace_one(&mut self) {
+        let i = self.rng.random_range(0..self.open.len());
+        let key = self.open[i];
+        if self.net.flows[&key].upstream.is_none() {
+            // Its first packet was deferred: the caller sends it again.
+            self.net.send(key, PacketKind::Open);
+            return;
+        }
+        self.net.close(key);
+        self.open[i] = self.net.open(0);
+    }
+
+    /// Returns max / mean of the open flows of the present upstreams.
+    fn imbalance(&self) -> f64 {
+        let mut counts = vec![0_usize; self.upstreams.len()];
+        for key in &self.open {
+            let upstream = self.net.flows[key].upstream;
+            let found = self.upstreams.iter().position(|u| Some(*u) == upstream);
+            if let Some(i) = found {
+                counts[i] += 1;
+            }
+        }
+        max_to_mean(&counts)
+    }
+
+    fn replace_upstream(&mut self, i: usize) {
+        self.net
+            .set_state(self.upstreams[i], UpstreamState::Draining);
+        self.churn(Duration::from_secs(4));
+        self.incarnation += 1;
+        let n = 100 + self.incarnation as u16;
+        self.upstreams[i] = self.net.add_upstream(0, n, self.incarnation);
+        let id = self.upstreams[i];
+        self.net.upstreams[&id].0.state = UpstreamState::Warming;
+        self.net.spread_upstreams();
+        self.churn(Duration::from_secs(12));
+        self.net.set_state(id, UpstreamState::Ready);
+    }
+
+    fn control_bytes(&self) -> Vec<(u16, u64)> {
+        let nodes = self.net.nodes.iter();
+        nodes.map(|(id, n)| (*id, n.control_bytes)).collect()
+    }
+
+    /// Sends each flow's packets through every entry.
+    fn check_all(&mut self) -> usize {
+        let keys: Vec<_> = self
+            .open
+            .iter()
+            .filter(|key| self.net.flows[*key].upstream.is_some())
+            .copied()
+            .collect();
+        self.net.send_through_all(&keys);
+        self.net.broken()
+    }
+}
+
+fn max_to_mean(counts: &[usize]) -> f64 {
+    let sum: usize = counts.iter().sum();
+    let max = counts.iter().max().copied().unwrap_or(0);
+    max as f64 * counts.len() as f64 / sum as f64
+}
+
+/// Chooses an upstream by a flow's hash alone.
+type Choose = fn(u64, &[UpstreamId]) -> UpstreamId;
+
+/// Returns the upstream by modulo of the hash.
+fn modulo(hash: u64, upstreams: &[UpstreamId]) -> UpstreamId {
+    upstreams[(hash % upstreams.len() as u64) as usize]
+}
+
+/// Returns the upstream by highest random weight, without any pin.
+fn consistent(hash: u64, upstreams: &[UpstreamId]) -> UpstreamId {
+    let weight = |id: &UpstreamId| {
+        let mixed = (hash ^ id).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed ^ mixed >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+    };
+    *upstreams.iter().max_by_key(|id| weight(id)).unwrap()
+}
+
+/// Planned changes: an upstream drains, one joins, one changes its weight, an
+/// entry joins and one leaves.
+fn planned(report: &mut Report) {
+    let mut load = Load::new(1, ENTRIES, UPSTREAMS, FLOWS_EACH * usize::from(UPSTREAMS));
+    let pause = Duration::from_secs(6);
+    report.print("imbalance of static shares", load.imbalance());
+    load.net.view_delay_ms = 1_000;
+    let drained = load.upstreams.remove(0);
+    load.net.set_state(drained, UpstreamState::Draining);
+    load.churn(pause);
+    let joined = load.net.add_upstream(0, 50, 9);
+    load.upstreams.push(joined);
+    load.net.spread_upstreams();
+    load.churn(pause);
+    load.net.upstreams[&joined].0.slots = 2;
+    load.net.spread_upstreams();
+    load.churn(pause);
+    load.net.start_entry(20, EntryStage::Joining);
+    load.net.spread_entries();
+    load.wait("until a joining entry serves, s", report, |net| {
+        net.nodes[&20].router.is_synced()
+    });
+    load.net.set_stage(20, EntryStage::Serving);
+    load.churn(pause);
+    load.net.set_stage(3, EntryStage::Leaving);
+    load.churn(pause);
+    load.wait("until a leaving entry may stop, s", report, |net| {
+        net.nodes[&3].router.may_leave()
+    });
+    load.net.kill_entry(3);
+    load.net.spread_entries();
+    load.churn(pause);
+    let broken = load.check_all();
+    report.bound("broken flows per planned change", broken as f64 / 5.0, 0.0);
+    report.bound(
+        "packets to a wrong upstream",
+        load.net.misrouted as f64,
+        0.0,
+    );
+    baselines(report, &load);
+    let before = load.net.broken();
+    load.net.kill_entry(5);
+    load.churn(Duration::from_secs(2));
+    load.net.spread_entries();
+    load.churn(pause);
+    let broken = load.check_all() - before;
+    report.bound("broken flows per unplanned entry death", broken as f64, 0.0);
+}
+
+/// What the two baselines would have broken by the drain and the join.
+fn baselines(report: &mut Report, load: &Load) {
+    let hasher = FlowHasher::new(7);
+    let hashes: Vec<_> = load.open.iter().map(|k| hasher.hash(k)).collect();
+    let all = &load.upstreams;
+    let (fewer, rest) = (&all[1..], all);
+    let choices: [(&str, Choose); 2] = [("modulo hash", modulo), ("consistent hash", consistent)];
+    for (name, choose) in choices {
+        let moved = hashes
+            .iter()
+            .filter(|h| choose(**h, fewer) != choose(**h, rest));
+        let broken = moved.count() as f64;
+        report.print(&format!("  {name}: broken by one drain"), broken);
+        let mut counts = vec![0; all.len()];
+        for hash in &hashes {
+            let id = choose(*hash, all);
+            counts[all.iter().position(|u| *u == id).unwrap()] += 1;
+        }
+        report.print(&format!("  {name}: imbalance"), max_to_mean(&counts));
+    }
+}
+
+/// A rolling deploy of all upstreams, one balancer replaced on the way.
+fn deploy(report: &mut Report) {
+    let mut load = Load::new(2, ENTRIES, UPSTREAMS, FLOWS_EACH * usize::from(UPSTREAMS));
+    load.churn(LIFETIME * 3);
+    let mut steady = Vec::new();
+    for _ in 0..10 {
+        load.churn(LIFETIME / 4);
+        steady.push(load.imbalance());
+    }
+    steady.sort_by(f64::total_cmp);
+    report.print("steady imbalance, best of 10 samples", steady[0]);
+    report.print("steady imbalance, worst of 10 samples", steady[9]);
+    let median = f64::midpoint(steady[4], steady[5]);
+    report.bound("steady imbalance, median", median, 1.05);
+    let begun = load.net.now;
+    let before = load.control_bytes();
+    for i in 0..usize::from(UPSTREAMS) {
+        match i {
+            5 => {
+                load.net.kill_entry(4);
+                load.net.run_s(2);
+                load.net.spread_entries();
+            }
+            7 => {
+                load.net.start_entry(24, EntryStage::Joining);
+                load.net.spread_entries();
+            }
+            _ if i > 7 && load.net.stages[&24] == EntryStage::Joining => {
+                load.wait("until the replaced balancer serves, s", report, |net| {
+                    net.nodes[&24].router.is_synced()
+                });
+                load.net.set_stage(24, EntryStage::Serving);
+            }
+            _ => {}
+        }
+        load.replace_upstream(i);
+    }
+    let time = (load.net.now - begun).as_secs_f64();
+    let spent = |id: u16, bytes: u64| {
+        let first = before.iter().find(|(b, _)| *b == id);
+        bytes - first.map_or(0, |(_, bytes)| *bytes)
+    };
+    let rates: Vec<f64> = load
+        .control_bytes()
+        .into_iter()
+        .map(|(id, bytes)| spent(id, bytes) as f64 / time)
+        .collect();
+    let most = rates.iter().copied().fold(0.0, f64::max);
+    report.bound("control bytes/s per entry during the deploy", most, 4_096.0);
+    load.churn(LIFETIME * 3);
+    report.bound("imbalance after the deploy", load.imbalance(), 1.10);
+    let quiet = load.control_bytes();
+    load.churn(Duration::from_secs(30));
+    let spent: u64 = load.control_bytes().iter().map(|(_, b)| b).sum::<u64>()
+        - quiet.iter().map(|(_, b)| b).sum::<u64>();
+    let rate = spent as f64 / 30.0 / quiet.len() as f64;
+    report.print("control bytes/s per entry at rest", rate);
+    let broken = load.check_all();
+    report.bound("broken flows in the deploy", broken as f64, 0.0);
+}
+
+/// What a move costs, with more entries and more flows.
+fn slopes(report: &mut Report) {
+    for (entries, flows) in [(8, 7_500), (8, 30_000), (16, 30_000), (32, 30_000)] {
+        let mut load = Load::new(3, entries, UPSTREAMS, flows);
+        load.net.run_s(12);
+        let before = load.control_bytes();
+        let drained = load.upstreams[0];
+        let open = load.open.iter();
+        let moved = open.filter(|k| load.net.flows[*k].upstream == Some(drained));
+        let moved = moved.count() as f64;
+        load.net.set_state(drained, UpstreamState::Draining);
+        load.net.run_s(20);
+        let spent: u64 = load.control_bytes().iter().map(|(_, b)| b).sum::<u64>()
+            - before.iter().map(|(_, b)| b).sum::<u64>();
+        let each = spent as f64 / f64::from(entries);
+        let name = format!("  drain, {entries} entries, {flows} flows: ");
+        report.print(&(name.clone() + "bytes sent per entry"), each);
+        report.print(
+            &(name + "bytes per flow, all entries"),
+            spent as f64 / moved,
+        );
+    }
+}
+
+/// Memory that one router takes for each flow.
+fn memory(report: &mut Report) {
+    for flows in [250_000, 1_000_000] {
+        let net = Net::new(4, 1, 1_024, SITE);
+        let settings = RouterSettings {
+            id: 1,
+            ..net.settings.clone()
+        };
+        let mut router = Router::new(settings, net.now);
+        let mut now = net.now + Duration::from_secs(10);
+        let view = EntryView {
+            id: 1,
+            stage: EntryStage::Serving,
+        };
+        router.set_entries(now, &[view]);
+        router.tick(now);
+        let mut other = Net::new(4, 1, 1_024, SITE);
+        other.add_upstream(0, 1, 1);
+        let upstreams = other.upstreams.values().map(|(u, _)| (u, Presence::Leased));
+        router.set_upstreams(now, upstreams);
+        now += Duration::from_secs(5);
+        router.tick(now);
+        let before = report::resident_bytes();
+        for n in 0..flows {
+            now += Duration::from_micros(20);
+            let packet = common::packet(other.key(0, n), PacketKind::Open);
+            router.route(now, &packet);
+        }
+        assert_eq!(router.open_flows(), flows as usize);
+        let each = (report::resident_bytes() - before) as f64 / f64::from(flows);
+        let name = format!("heap bytes per flow, {flows} flows");
+        report.bound(&name, each, 268.0);
+    }
+}
+
+fn main() {
+    let mut report = Report::default();
+    memory(&mut report);
+    planned(&mut report);
+    deploy(&mut report);
+    slopes(&mut report);
+    report.finish();
+}
--- a/crates/currantgate-flow/src/balance.rs
+++ b/crates/currantgate-flow/src/balance.rs
@@ -146,14 +146,17 @@
         let over = |id: &UpstreamId| shares.get(id).map_or(0, |s| s.has - s.quota);
         let places = (0..self.tables[t].buckets.len()).map(|i| (t, i as BucketIndex));
         let movable = places.filter(|place| self.may_plan(*place));
-        let owned =
-            movable.filter_map(
-                |place| match self.tables[t].buckets[usize::from(place.1)].phase {
-                    Phase::Stable { owner } if over(&owner) > 0 => Some((place, owner)),
-                    _ => None,
-                },
-            );
-        let (place, from) = owned.max_by_key(|(_, owner)| over(owner))?;
+        let owned = movable.filter_map(|place| {
+            let bucket = &self.tables[t].buckets[usize::from(place.1)];
+            match bucket.phase {
+                Phase::Stable { owner } if over(&owner) > 0 => {
+                    Some((bucket.count_unpinned(owner), place, owner))
+                }
+                _ => None,
+            }
+        });
+        // The fewer flows the others must be told, the better.
+        let (_, place, from) = owned.min_by_key(|(flows, _, owner)| (*flows, -over(owner)))?;
         let to = neediest(shares, place)?;
         (over(&to) < 0).then_some((place, from, to))
     }
--- a/crates/currantgate-flow/src/bucket.rs
+++ b/crates/currantgate-flow/src/bucket.rs
@@ -8,6 +8,7 @@
 
 use crate::flow_map::FlowMap;
 use crate::pin::Pin;
+use crate::record::Record;
 use crate::{Phase, Version};
 
 /// One bucket of a service's table, with the flows that fall into it.
@@ -90,12 +91,17 @@
     /// Returns the flows that entries may not know alike, in ascending order:
     /// those of the owner so far, and those that no move has told yet.
     pub(crate) fn unpinned(&self, from: UpstreamId) -> Vec<Pin> {
-        let mut pins = self.pins();
-        let is_told = |pin: &Pin| self.flows[&pin.0].stage.pinned && pin.1 != from;
-        pins.retain(|pin| !is_told(pin));
+        let untold = self.flows.iter().filter(|(_, r)| is_untold(r, from));
+        let mut pins: Vec<_> = untold.map(|(hash, r)| (*hash, r.upstream)).collect();
+        pins.sort_unstable();
         pins
     }
 
+    /// Returns how many flows a move from `from` would have to tell.
+    pub(crate) fn count_unpinned(&self, from: UpstreamId) -> usize {
+        self.flows.values().filter(|r| is_untold(r, from)).count()
+    }
+
     /// Takes a new state.
     pub(crate) fn adopt(&mut self, version: Version, phase: Phase) {
         self.version = version;
@@ -119,3 +125,7 @@
         (self.version, self.phase.is_stable())
     }
 }
+
+fn is_untold(record: &Record, from: UpstreamId) -> bool {
+    !record.stage.pinned || record.upstream == from
+}
