Check site and settings files whole, and keep the hash key out of messages

Cause: a file with a wrong name, range or reference was taken, the two loaders were written twice, and the flow hash key showed up in debug output and in the parser's quote of the line at fault.

Change: one loader reads, parses and checks both kinds of file; errors name the file with the line and column, or the key. The key is a type of its own that debug output hides, and syntax errors no longer quote the line.

--- a/crates/currantgate-config/src/entry.rs
+++ b/crates/currantgate-config/src/entry.rs
@@ -5,7 +5,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ConfigError, Domain, EntryId};
+use crate::check::{check_name, check_positive};
+use crate::file::{self, Checked};
+use crate::{ConfigError, Domain, EntryId, HashKey};
+
+/// The most buckets that a service can have.
+const MAX_BUCKETS: u32 = 65_536;
+
+/// The smallest packet that every IPv4 host must take whole, in bytes.
+const MIN_INNER_MTU_BYTES: u16 = 576;
 
 /// What one entry VM knows of itself when it starts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,7 +108,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct FlowSettings {
     /// The secret that flow hashes are keyed with, as 32 hexadecimal digits.
-    pub hash_key: Box<str>,
+    pub hash_key: HashKey,
     /// Buckets for each service; a power of two.
     pub buckets: u32,
     /// The most open flows that the entry keeps for all services together.
@@ -112,7 +120,7 @@
 impl Default for FlowSettings {
     fn default() -> Self {
         Self {
-            hash_key: "00000000000000000000000000000000".into(),
+            hash_key: HashKey::default(),
             buckets: 1_024,
             max_flows: 1_000_000,
             inner_mtu: 1_400,
@@ -120,35 +128,16 @@
     }
 }
 
-impl FlowSettings {
-    /// Returns the hash key as the number it spells.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the text is not 32 hexadecimal digits.
-    pub fn key(&self) -> Result<u128, ConfigError> {
-        let problem = "must be 32 hexadecimal digits";
-        if self.hash_key.len() != 32 {
-            return Err(ConfigError::value("flow.hash_key", problem));
-        }
-        u128::from_str_radix(&self.hash_key, 16)
-            .map_err(|_| ConfigError::value("flow.hash_key", problem))
-    }
-}
-
 impl EntrySettings {
     /// Reads and checks the settings file at `path`.
     ///
+    /// The site file's path is taken relative to the settings file.
+    ///
     /// # Errors
     ///
     /// Returns an error that names the file, and the line or key at fault.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
-            file: name.as_str().into(),
-            source,
-        })?;
-        let mut settings = Self::parse(&text, &name)?;
+        let mut settings: Self = file::load(path)?;
         if let Some(folder) = path.parent() {
             settings.site = folder.join(&settings.site);
         }
@@ -161,39 +150,95 @@
     ///
     /// Returns an error that names the file, and the line or key at fault.
     pub fn parse(text: &str, name: &str) -> Result<Self, ConfigError> {
-        let settings: Self = toml::from_str(text).map_err(|source| ConfigError::Syntax {
-            file: name.into(),
-            source: Box::new(source),
-        })?;
-        settings.check().map_err(|e| e.in_file(name))?;
-        Ok(settings)
+        file::parse(text, name)
     }
 
-    fn check(&self) -> Result<(), ConfigError> {
-        self.flow.key()?;
-        if !self.flow.buckets.is_power_of_two() {
-            return Err(ConfigError::value("flow.buckets", "must be a power of two"));
+    fn check_peer(&self, i: usize) -> Result<(), ConfigError> {
+        let peer = &self.peers[i];
+        let earlier = &self.peers[..i];
+        if peer.id == self.id {
+            return Err(ConfigError::value(
+                "peer.id",
+                format!("{} is this entry's own id", peer.id),
+            ));
         }
-        for (i, peer) in self.peers.iter().enumerate() {
-            if peer.id == self.id {
-                return Err(ConfigError::value(
-                    "peer.id",
-                    format!("{} is this entry's own id", peer.id),
-                ));
-            }
-            if self.peers[..i].iter().any(|p| p.id == peer.id) {
-                return Err(ConfigError::value(
-                    "peer.id",
-                    format!("{} is listed twice", peer.id),
-                ));
-            }
-            if self.peers[..i].iter().any(|p| p.address == peer.address) {
-                return Err(ConfigError::value(
-                    "peer.address",
-                    format!("{} is listed twice", peer.address),
-                ));
-            }
+        if earlier.iter().any(|p| p.id == peer.id) {
+            return Err(ConfigError::value(
+                "peer.id",
+                format!("{} is listed twice", peer.id),
+            ));
+        }
+        if earlier.iter().any(|p| p.address == peer.address) || peer.address == self.listen.peer {
+            return Err(ConfigError::value(
+                "peer.address",
+                format!("{} is listed twice", peer.address),
+            ));
         }
         Ok(())
     }
 }
+
+impl Checked for EntrySettings {
+    fn check(&self) -> Result<(), ConfigError> {
+        check_name("domain", &self.domain)?;
+        self.listen.check()?;
+        self.budget.check()?;
+        self.flow.check()?;
+        (0..self.peers.len()).try_for_each(|i| self.check_peer(i))
+    }
+}
+
+impl Listen {
+    fn check(&self) -> Result<(), ConfigError> {
+        let udp = [
+            ("listen.fabric", self.fabric),
+            ("listen.tunnel", self.tunnel),
+            ("listen.peer", self.peer),
+        ];
+        let tcp = [
+            ("listen.announce", self.announce),
+            ("listen.metrics", self.metrics),
+        ];
+        check_distinct(&udp)?;
+        check_distinct(&tcp)
+    }
+}
+
+/// Checks that no two keys name the same address; port 0 is chosen anew each time.
+fn check_distinct(addresses: &[(&'static str, SocketAddr)]) -> Result<(), ConfigError> {
+    for (i, (key, address)) in addresses.iter().enumerate() {
+        let taken = addresses[..i].iter().find(|(_, a)| a == address);
+        if let Some((other, _)) = taken.filter(|_| address.port() != 0) {
+            return Err(ConfigError::value(
+                *key,
+                format!("{address} is taken by `{other}`"),
+            ));
+        }
+    }
+    Ok(())
+}
+
+impl Budget {
+    fn check(&self) -> Result<(), ConfigError> {
+        check_positive("budget.bytes_per_second", u64::from(self.bytes_per_second))?;
+        check_positive("budget.burst_bytes", u64::from(self.burst_bytes))
+    }
+}
+
+impl FlowSettings {
+    fn check(&self) -> Result<(), ConfigError> {
+        if !self.buckets.is_power_of_two() || self.buckets > MAX_BUCKETS {
+            return Err(ConfigError::value(
+                "flow.buckets",
+                format!("must be a power of two up to {MAX_BUCKETS}"),
+            ));
+        }
+        if self.inner_mtu < MIN_INNER_MTU_BYTES {
+            return Err(ConfigError::value(
+                "flow.inner_mtu",
+                format!("must be at least {MIN_INNER_MTU_BYTES} bytes"),
+            ));
+        }
+        check_positive("flow.max_flows", self.max_flows as u64)
+    }
+}
--- a/crates/currantgate-config/src/error.rs
+++ b/crates/currantgate-config/src/error.rs
@@ -14,12 +14,16 @@
         /// What the system said.
         source: io::Error,
     },
-    /// {file}: {source}
+    /// {file}: line {line}, column {column}: {problem}
     Syntax {
         /// The file's path.
         file: Box<str>,
-        /// What the parser said; it tells line and column.
-        source: Box<toml::de::Error>,
+        /// The line, counted from 1.
+        line: usize,
+        /// The column, counted from 1.
+        column: usize,
+        /// What the parser said.
+        problem: Box<str>,
     },
     /// {file}: key `{key}`: {problem}
     Value {
@@ -33,6 +37,21 @@
 }
 
 impl ConfigError {
+    /// Builds an error from what the TOML parser said about `text`.
+    ///
+    /// The text itself is not quoted: it may hold a secret.
+    pub(crate) fn syntax(file: &str, text: &str, source: &toml::de::Error) -> Self {
+        let start = source.span().map_or(0, |span| span.start);
+        let before = text.get(..start).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
+        Self::Syntax {
+            file: file.into(),
+            line: before.matches('\n').count() + 1,
+            column: before.len() - line_start + 1,
+            problem: source.message().into(),
+        }
+    }
+
     /// Builds an error about one key of a file that is named later.
     pub(crate) fn value(key: impl Into<Box<str>>, problem: impl Into<Box<str>>) -> Self {
         Self::Value {
@@ -59,8 +78,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Read { source, .. } => Some(source),
-            Self::Syntax { source, .. } => Some(source),
-            Self::Value { .. } => None,
+            Self::Syntax { .. } | Self::Value { .. } => None,
         }
     }
 }
--- /dev/null
+++ b/crates/currantgate-config/src/file.rs
@@ -0,0 +1,34 @@
+//! Reads TOML files whole or not at all.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::ConfigError;
+
+/// A file's contents that can be checked beyond their syntax.
+pub(crate) trait Checked {
+    /// Checks what the syntax alone can't.
+    fn check(&self) -> Result<(), ConfigError>;
+}
+
+/// Reads and checks the file at `path`.
+pub(crate) fn load<T: Checked + DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
+        file: name.as_str().into(),
+        source,
+    })?;
+    parse(&text, &name)
+}
+
+/// Reads and checks the text of a file called `name`.
+pub(crate) fn parse<T: Checked + DeserializeOwned>(
+    text: &str,
+    name: &str,
+) -> Result<T, ConfigError> {
+    let contents: T =
+        toml::from_str(text).map_err(|source| ConfigError::syntax(name, text, &source))?;
+    contents.check().map_err(|e| e.in_file(name))?;
+    Ok(contents)
+}
--- /dev/null
+++ b/crates/currantgate-config/src/hash_key.rs
@@ -0,0 +1,49 @@
+//! The secret that flow hashes are keyed with.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Hexadecimal digits of a key.
+const KEY_DIGITS: usize = 32;
+
+/// The secret that flow hashes are keyed with, written as 32 hexadecimal digits.
+///
+/// Whoever knows it can choose which bucket a flow falls into, so it is left
+/// out of debug output.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct HashKey(u128);
+
+impl HashKey {
+    /// Returns the key as a number.
+    pub fn value(self) -> u128 {
+        self.0
+    }
+}
+
+impl TryFrom<Box<str>> for HashKey {
+    type Error = &'static str;
+
+    fn try_from(text: Box<str>) -> Result<Self, Self::Error> {
+        let digits = text.bytes().all(|b| b.is_ascii_hexdigit());
+        if text.len() != KEY_DIGITS || !digits {
+            return Err("hash_key must be 32 hexadecimal digits");
+        }
+        u128::from_str_radix(&text, 16)
+            .map(Self)
+            .map_err(|_| "hash_key must be 32 hexadecimal digits")
+    }
+}
+
+impl From<HashKey> for Box<str> {
+    fn from(key: HashKey) -> Self {
+        format!("{:032x}", key.0).into()
+    }
+}
+
+impl fmt::Debug for HashKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("HashKey(hidden)")
+    }
+}
--- a/crates/currantgate-config/src/lib.rs
+++ b/crates/currantgate-config/src/lib.rs
@@ -24,9 +24,12 @@
 //! # Ok::<(), currantgate_config::ConfigError>(())
 //! ```
 
+mod check;
 mod domain;
 mod entry;
 mod error;
+mod file;
+mod hash_key;
 mod id;
 mod join;
 mod leave;
@@ -38,6 +41,7 @@
 pub use domain::Domain;
 pub use entry::{Budget, EntrySettings, FlowSettings, Listen, Peer};
 pub use error::ConfigError;
+pub use hash_key::HashKey;
 pub use id::{EntryId, Incarnation, ServiceId, UpstreamId, service_id, upstream_id};
 pub use join::Join;
 pub use leave::Leave;
--- a/crates/currantgate-config/src/service.rs
+++ b/crates/currantgate-config/src/service.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Domain, Join, Leave, Limits, Protocol, ServiceId, service_id};
+use crate::check::{check_name, check_positive};
+use crate::{ConfigError, Domain, Join, Leave, Limits, Protocol, ServiceId, service_id};
 
 /// One service that callers reach at an address of its own.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,4 +37,22 @@
     pub fn id(&self) -> ServiceId {
         service_id(&self.name)
     }
+
+    /// Checks what the syntax alone can't: names, addresses and ranges.
+    pub(crate) fn check(&self) -> Result<(), ConfigError> {
+        check_name("service.name", &self.name)?;
+        let key = |part: &str| format!("service.{}.{part}", self.name);
+        if self.address.port() == 0 {
+            return Err(ConfigError::value(key("address"), "port 0 can't be called"));
+        }
+        if self.address.ip().is_unspecified() || self.address.ip().is_multicast() {
+            return Err(ConfigError::value(
+                key("address"),
+                format!("{} is not the address of one service", self.address.ip()),
+            ));
+        }
+        check_positive(key("join.lease_ms"), self.join.lease_ms)?;
+        check_positive(key("limits.max_flows"), self.limits.max_flows as u64)?;
+        check_positive(key("limits.idle_seconds"), self.limits.idle_seconds)
+    }
 }
--- a/crates/currantgate-config/src/site.rs
+++ b/crates/currantgate-config/src/site.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::check::check_name;
+use crate::file::{self, Checked};
 use crate::{ConfigError, Domain, Service};
 
 /// Everything that operators say about a site, applied as a whole.
@@ -25,12 +27,7 @@
     /// Returns an error that names the file, and the line or key at fault,
     /// when it can't be read or any part of it is wrong.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
-            file: name.as_str().into(),
-            source,
-        })?;
-        Self::parse(&text, &name)
+        file::load(path)
     }
 
     /// Reads and checks the text of a site file; `name` appears in errors.
@@ -39,23 +36,28 @@
     ///
     /// Returns an error that names the file, and the line or key at fault.
     pub fn parse(text: &str, name: &str) -> Result<Self, ConfigError> {
-        let site: Self = toml::from_str(text).map_err(|source| ConfigError::Syntax {
-            file: name.into(),
-            source: Box::new(source),
-        })?;
-        site.check().map_err(|problem| problem.in_file(name))?;
-        Ok(site)
+        file::parse(text, name)
     }
 
+    fn check_domains(&self, service: &Service) -> Result<(), ConfigError> {
+        match service.domains.iter().find(|d| !self.domains.contains(d)) {
+            None => Ok(()),
+            Some(unknown) => Err(ConfigError::value(
+                format!("service.{}.domains", service.name),
+                format!("`{unknown}` is not among the site's domains"),
+            )),
+        }
+    }
+}
+
+impl Checked for Site {
     /// Checks what the syntax alone can't: names, addresses and references.
     fn check(&self) -> Result<(), ConfigError> {
-        for (i, service) in self.services.iter().enumerate() {
-            for other in &self.services[..i] {
-                check_pair(service, other)?;
-            }
-            self.check_domains(service)?;
+        if self.domains.is_empty() {
+            return Err(ConfigError::value("domains", "lists no failure domain"));
         }
         for (i, domain) in self.domains.iter().enumerate() {
+            check_name("domains", domain)?;
             if self.domains[..i].contains(domain) {
                 return Err(ConfigError::value(
                     "domains",
@@ -63,17 +65,14 @@
                 ));
             }
         }
-        Ok(())
-    }
-
-    fn check_domains(&self, service: &Service) -> Result<(), ConfigError> {
-        match service.domains.iter().find(|d| !self.domains.contains(d)) {
-            None => Ok(()),
-            Some(unknown) => Err(ConfigError::value(
-                format!("service.{}.domains", service.name),
-                format!("`{unknown}` is not among the site's domains"),
-            )),
+        for (i, service) in self.services.iter().enumerate() {
+            service.check()?;
+            for other in &self.services[..i] {
+                check_pair(service, other)?;
+            }
+            self.check_domains(service)?;
         }
+        Ok(())
     }
 }
 
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -52,7 +52,7 @@
         let router = Router::new(RouterSettings {
             id: settings.id,
             services: site.services.clone(),
-            hash_key: settings.flow.key()?,
+            hash_key: settings.flow.hash_key.value(),
             buckets: settings.flow.buckets,
             max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
