Count, log at a limited rate and answer bad input at an entry

Cause: drops were counted under debug names and logged never or always, so hostile traffic could be neither told apart nor kept from filling the log.

Tests send garbage, packets for no service, messages from no peer, answers from no upstream and announcements with each kind of fault to a real entry on loopback.

Each of the 12 tests waits for a counter or an answer and fails without it.

--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -1,5 +1,6 @@
 //! One entry's state machines, wired to each other without any I/O.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -8,9 +9,11 @@
 use currantgate_membership::{
     AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
 };
-use currantgate_packet::{Packet, build_refusal, parse_answer, parse_request};
+use currantgate_packet::{Packet, PacketError, build_refusal, parse_answer, parse_request};
 use indexmap::IndexMap;
 
+use super::label;
+use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
 use crate::EntryError;
@@ -37,6 +40,7 @@
     members: Members,
     budget: Budget,
     metrics: EntryMetrics,
+    log_limit: LogLimit,
     fabric: SocketAddr,
     peers: IndexMap<EntryId, SocketAddr>,
     peer_ids: IndexMap<SocketAddr, EntryId>,
@@ -72,6 +76,7 @@
             members,
             budget: Budget::new(&settings.budget, now),
             metrics,
+            log_limit: LogLimit::default(),
             fabric: settings.fabric,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
@@ -80,9 +85,9 @@
 
     /// Takes an IP packet from the fabric.
     pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_request(buf))?;
+        let packet = self.parsed(now, "the fabric", parse_request(buf))?;
         let verdict = self.router.route(now, &packet);
-        self.carry_out(verdict, &packet, buf)
+        self.carry_out(now, verdict, &packet, buf)
     }
 
     /// Takes an IP packet from an upstream.
@@ -92,14 +97,15 @@
         from: SocketAddr,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_answer(buf))?;
+        let packet = self.parsed(now, &from, parse_answer(buf))?;
         match self.router.answer(now, from, &packet) {
             AnswerVerdict::Pass => {
                 self.metrics.answered.inc();
                 Some(Datagram::ToFabric(self.fabric, buf))
             }
             AnswerVerdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("an answer from {from} in flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
@@ -107,19 +113,21 @@
 
     /// Reads a datagram from the address of another entry.
     pub(crate) fn decode_peer(
-        &self,
+        &mut self,
+        now: Instant,
         from: SocketAddr,
         buf: &[u8],
     ) -> Option<(EntryId, PeerMessage)> {
-        let Some(id) = self.peer_ids.get(&from) else {
-            self.metrics.count_drop(&"unknown_peer");
+        let Some(id) = self.peer_ids.get(&from).copied() else {
+            let what = format_args!("a message from {from}, which is no peer");
+            self.count_drop(now, "unknown_peer", what);
             return None;
         };
         match PeerMessage::decode(buf) {
-            Ok(message) => Some((*id, message)),
+            Ok(message) => Some((id, message)),
             Err(e) => {
-                log::debug!("entry {id} at {from} sent a message that can't be read: {e}");
-                self.metrics.count_drop(&"bad_peer_message");
+                let what = format_args!("a message from entry {id} at {from}: {e}");
+                self.count_drop(now, "bad_peer_message", what);
                 None
             }
         }
@@ -140,9 +148,10 @@
             }
             PeerMessage::Flow(message) => match *message {},
             PeerMessage::Packet { forward, bytes } => {
-                let packet = self.parsed(parse_request(bytes))?;
+                let packet =
+                    self.parsed(now, &format_args!("entry {from}"), parse_request(bytes))?;
                 let verdict = self.router.route_forwarded(now, from, forward, &packet);
-                self.carry_out(verdict, &packet, bytes)
+                self.carry_out(now, verdict, &packet, bytes)
             }
         }
     }
@@ -220,18 +229,40 @@
         }
     }
 
-    fn parsed(&self, parsed: Result<Packet, currantgate_packet::PacketError>) -> Option<Packet> {
+    fn parsed(
+        &mut self,
+        now: Instant,
+        from: &(impl Display + ?Sized),
+        parsed: Result<Packet, PacketError>,
+    ) -> Option<Packet> {
         match parsed {
             Ok(packet) => Some(packet),
             Err(e) => {
-                self.metrics.count_drop(&format!("{e:?}").to_lowercase());
+                self.count_drop(
+                    now,
+                    label::packet_error(e),
+                    format_args!("a packet from {from}: {e}"),
+                );
                 None
             }
         }
     }
 
+    /// Counts a drop under `label` and logs it as often as the limit allows.
+    fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
+        self.metrics.count_drop(label);
+        match self.log_limit.allow(now) {
+            Some(0) => log::warn!("dropped {what}"),
+            Some(suppressed) => {
+                log::warn!("dropped {what} ({suppressed} more drops were not logged)");
+            }
+            None => {}
+        }
+    }
+
     fn carry_out<'a>(
         &mut self,
+        now: Instant,
         verdict: Verdict,
         packet: &Packet,
         buf: &'a [u8],
@@ -252,7 +283,8 @@
                 Some(Datagram::RefusalToFabric(self.fabric, bytes))
             }
             Verdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("a packet of flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
--- a/crates/currantgate/src/entry/daemon.rs
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -158,7 +158,7 @@
         };
         if let Err(e) = sent {
             log::debug!("a datagram could not be sent: {e}");
-            self.metrics.count_drop(&"send_failed");
+            self.metrics.count_drop("send_failed");
         }
     }
 
@@ -209,11 +209,11 @@
         let Ok((len, from)) = shared.peer.recv_from(&mut buf).await else {
             continue;
         };
-        let decoded = shared.core.borrow().decode_peer(from, &buf[..len]);
+        let now = Instant::now();
+        let decoded = shared.core.borrow_mut().decode_peer(now, from, &buf[..len]);
         let Some((from, message)) = decoded else {
             continue;
         };
-        let now = Instant::now();
         let output = shared
             .core
             .borrow_mut()
--- a/crates/currantgate/src/entry/metrics.rs
+++ b/crates/currantgate/src/entry/metrics.rs
@@ -63,10 +63,10 @@
     }
 
     /// Counts one dropped packet.
-    pub(crate) fn count_drop(&self, reason: &dyn std::fmt::Display) {
+    pub(crate) fn count_drop(&self, reason: &str) {
         self.dropped
             .get_or_create(&Reason {
-                reason: reason.to_string(),
+                reason: reason.into(),
             })
             .inc();
     }
--- a/crates/currantgate/src/entry/mod.rs
+++ b/crates/currantgate/src/entry/mod.rs
@@ -4,6 +4,8 @@
 mod core;
 mod daemon;
 mod error;
+mod label;
+mod log_limit;
 mod metrics;
 mod peer_message;
 mod sockets;
--- /dev/null
+++ b/crates/currantgate/tests/bad_input.rs
@@ -0,0 +1,98 @@
+//! Bad input is counted and, where the protocol has an answer, answered.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use rstest::rstest;
+use support::{Fixture, syn};
+
+#[actix_rt::test]
+async fn bytes_that_are_no_packet_are_counted() {
+    let fixture = Fixture::start();
+    let to = fixture.entry.addresses().fabric;
+    fixture.outside.send_to(b"no packet", to).unwrap();
+    let sample = "currantgate_entry_packets_dropped_total{reason=\"bad_ip_header\"}";
+    fixture.wait_for_sample(sample, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn a_packet_for_no_service_is_counted() {
+    let fixture = Fixture::start();
+    let packet = syn(SocketAddr::from(([127, 20, 0, 9], 443)));
+    let to = fixture.entry.addresses().fabric;
+    fixture.outside.send_to(&packet, to).unwrap();
+    let sample = "currantgate_entry_packets_dropped_total{reason=\"unknown_service\"}";
+    fixture.wait_for_sample(sample, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn a_message_from_no_peer_is_counted() {
+    let fixture = Fixture::start();
+    let to = fixture.entry.addresses().peer;
+    fixture.outside.send_to(&[0, 0], to).unwrap();
+    let sample = "currantgate_entry_packets_dropped_total{reason=\"unknown_peer\"}";
+    fixture.wait_for_sample(sample, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn an_answer_from_no_upstream_is_counted() {
+    let fixture = Fixture::start();
+    let packet = syn(SocketAddr::from(([127, 20, 0, 1], 443)));
+    let to = fixture.entry.addresses().tunnel;
+    fixture.outside.send_to(&packet, to).unwrap();
+    let sample = "currantgate_entry_packets_dropped_total{reason=\"unknown_upstream\"}";
+    fixture.wait_for_sample(sample, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn a_flow_with_no_upstream_is_reset_as_not_run() {
+    let fixture = Fixture::start();
+    let packet = syn(SocketAddr::from(([127, 20, 0, 1], 443)));
+    let to = fixture.entry.addresses().fabric;
+    fixture.outside.send_to(&packet, to).unwrap();
+    let answer = fixture.receive().await;
+    let sliced = etherparse::SlicedPacket::from_ip(&answer).unwrap();
+    let Some(etherparse::TransportSlice::Tcp(tcp)) = sliced.transport else {
+        panic!("the answer is not TCP");
+    };
+    assert!(tcp.rst());
+    assert_eq!(tcp.acknowledgment_number(), 2);
+    assert_eq!(tcp.destination_port(), 40_000);
+}
+
+#[rstest]
+#[case::good(
+    "booking/b-1",
+    r#"{"incarnation":1,"address":"127.0.2.1:5555","domain":"riga-1"}"#,
+    200
+)]
+#[case::unknown_service(
+    "bookings/b-1",
+    r#"{"incarnation":1,"address":"127.0.2.1:5555","domain":"riga-1"}"#,
+    404
+)]
+#[case::not_json("booking/b-1", "incarnation=1", 400)]
+#[case::unknown_key(
+    "booking/b-1",
+    r#"{"incarnation":1,"address":"127.0.2.1:5555","domain":"riga-1","slot":3}"#,
+    400
+)]
+#[case::no_address("booking/b-1", r#"{"incarnation":1,"domain":"riga-1"}"#, 400)]
+#[case::unknown_path(
+    "booking",
+    r#"{"incarnation":1,"address":"127.0.2.1:5555","domain":"riga-1"}"#,
+    404
+)]
+#[actix_rt::test]
+async fn an_announcement_is_answered(#[case] path: &str, #[case] body: &str, #[case] status: u16) {
+    let fixture = Fixture::start();
+    assert_eq!(fixture.announce(path, body.into()).await, status);
+}
+
+#[actix_rt::test]
+async fn a_large_announcement_is_refused_unread() {
+    let fixture = Fixture::start();
+    let body = format!(r#"{{"incarnation":1,"address":"{}"}}"#, "1".repeat(100_000));
+    assert_eq!(fixture.announce("booking/b-1", body).await, 413);
+}
--- /dev/null
+++ b/crates/currantgate/tests/support/mod.rs
@@ -0,0 +1,114 @@
+//! An entry on loopback and what a test needs to talk to it.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use currantgate::{Entry, EntrySockets};
+use currantgate_config::{EntrySettings, Listen, Site};
+
+/// How long a test waits for something to become true.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// How long a test waits before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// The site that tests run.
+pub(crate) const SITE: &str = r#"
+domains = ["riga-1", "riga-2"]
+
+[[service]]
+name = "booking"
+address = "127.20.0.1:443"
+domains = ["riga-1"]
+"#;
+
+/// One entry alone and a socket that stands for all around it.
+pub(crate) struct Fixture {
+    pub(crate) entry: Entry,
+    pub(crate) outside: UdpSocket,
+}
+
+impl Fixture {
+    /// Starts the entry on ports that the system chooses.
+    pub(crate) fn start() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listen = Listen {
+            fabric: any,
+            tunnel: any,
+            peer: any,
+            announce: any,
+            metrics: any,
+        };
+        let sockets = EntrySockets::bind(&listen).unwrap();
+        let outside = UdpSocket::bind(any).unwrap();
+        outside.set_nonblocking(true).unwrap();
+        let settings = EntrySettings {
+            id: 1,
+            domain: "riga-1".into(),
+            site: "site.toml".into(),
+            listen: sockets.addresses().unwrap(),
+            fabric: outside.local_addr().unwrap(),
+            peers: Vec::new(),
+            budget: Default::default(),
+            flow: Default::default(),
+        };
+        let site = Site::parse(SITE, "site.toml").unwrap();
+        let entry = Entry::start(&settings, &site, sockets).unwrap();
+        Self { entry, outside }
+    }
+
+    /// Returns the value of the sample of `/metrics` that starts with `name`.
+    pub(crate) async fn sample(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.entry.addresses().metrics);
+        let mut answer = awc::Client::default().get(url).send().await.unwrap();
+        let body = answer.body().await.unwrap();
+        let text = std::str::from_utf8(&body).unwrap();
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Waits until the sample called `name` is at least `value`.
+    pub(crate) async fn wait_for_sample(&self, name: &str, value: f64) {
+        let deadline = Instant::now() + PATIENCE;
+        while self.sample(name).await.unwrap_or(0.0) < value {
+            assert!(Instant::now() < deadline, "{name} stays below {value}");
+            actix_rt::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Sends an announcement and returns the status of the answer.
+    pub(crate) async fn announce(&self, path: &str, body: String) -> u16 {
+        let address = self.entry.addresses().announce;
+        let url = format!("http://{address}/v1/upstreams/{path}");
+        let request = awc::Client::default()
+            .put(url)
+            .content_type("application/json");
+        request.send_body(body).await.unwrap().status().as_u16()
+    }
+
+    /// Waits for a datagram from the entry.
+    pub(crate) async fn receive(&self) -> Vec<u8> {
+        let deadline = Instant::now() + PATIENCE;
+        let mut buf = [0; 2_048];
+        loop {
+            if let Ok((len, _)) = self.outside.recv_from(&mut buf) {
+                return buf[..len].to_vec();
+            }
+            assert!(Instant::now() < deadline, "the entry sends nothing");
+            actix_rt::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+/// Builds a TCP SYN from a caller to `service`.
+pub(crate) fn syn(service: SocketAddr) -> Vec<u8> {
+    let SocketAddr::V4(service) = service else {
+        panic!("the tests use IPv4");
+    };
+    let builder = etherparse::PacketBuilder::ipv4([127, 30, 0, 1], service.ip().octets(), 64)
+        .tcp(40_000, service.port(), 1, 65_000)
+        .syn();
+    let mut buf = Vec::new();
+    builder.write(&mut buf, &[]).unwrap();
+    buf
+}
