--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -2,23 +2,20 @@
 
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{ArgMatches, Command};
+
+use crate::error::CommandError;
 
 mod cmd;
 mod error;
 mod log_setup;
+mod trace;
 
 fn main() -> ExitCode {
     let matches = make_command().get_matches();
     log_setup::init(&matches);
 
-    let result = match matches.subcommand() {
-        Some(("entry", sub)) => cmd::entry::execute(sub),
-        Some(("demo", sub)) => cmd::demo::execute(sub),
-        Some(("check", sub)) => cmd::check::execute(sub),
-        _ => unreachable!("clap accepts no other subcommand"),
-    };
-    match result {
+    match trace::init(&matches).and_then(|()| execute(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("currantgate: {e}");
@@ -27,6 +24,15 @@
     }
 }
 
+fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    match matches.subcommand() {
+        Some(("entry", sub)) => cmd::entry::execute(sub),
+        Some(("demo", sub)) => cmd::demo::execute(sub),
+        Some(("check", sub)) => cmd::check::execute(sub),
+        _ => unreachable!("clap accepts no other subcommand"),
+    }
+}
+
 fn make_command() -> Command {
     Command::new("currantgate")
         .about("A layer-4 load balancer for a fleet of entry VMs")
@@ -34,6 +40,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(log_setup::make_arg())
+        .arg(trace::make_arg())
         .subcommand(cmd::entry::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -9,14 +9,16 @@
 use currantgate_membership::{
     AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
 };
-use currantgate_packet::{Packet, PacketError, build_refusal, parse_answer, parse_request};
+use currantgate_packet::{
+    FlowHasher, Packet, PacketError, PacketKind, build_refusal, parse_answer, parse_request,
+};
 use indexmap::IndexMap;
 
 use super::label;
 use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::EntryError;
+use crate::{EntryError, TRACE_TARGET};
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
 const HEADER_BYTES: usize = 28;
@@ -36,6 +38,8 @@
 
 /// One entry's state machines and counters.
 pub(crate) struct Core {
+    id: EntryId,
+    hasher: FlowHasher,
     router: Router,
     members: Members,
     budget: Budget,
@@ -72,6 +76,8 @@
             now,
         );
         Ok(Self {
+            id: settings.id,
+            hasher: FlowHasher::new(settings.flow.hash_key.value()),
             router,
             members,
             budget: Budget::new(&settings.budget, now),
@@ -248,6 +254,23 @@
         }
     }
 
+    /// Writes a span for the first packet of a flow and for each refusal.
+    fn trace(&self, verdict: &Verdict, packet: &Packet) {
+        let rare = packet.kind == PacketKind::Open || matches!(verdict, Verdict::Refuse(_));
+        if rare && tracing::enabled!(target: TRACE_TARGET, tracing::Level::DEBUG) {
+            let flow = format!("{:016x}", self.hasher.hash(&packet.key));
+            tracing::debug_span!(
+                target: TRACE_TARGET,
+                "entry",
+                entry = self.id,
+                flow,
+                key = %packet.key,
+                verdict = ?verdict,
+            )
+            .in_scope(|| {});
+        }
+    }
+
     /// Counts a drop under `label` and logs it as often as the limit allows.
     fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
         self.metrics.count_drop(label);
@@ -267,6 +290,7 @@
         packet: &Packet,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
+        self.trace(&verdict, packet);
         match verdict {
             Verdict::Deliver { address, .. } => {
                 self.metrics.delivered.inc();
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -24,5 +24,7 @@
 //! ```
 
 mod entry;
+mod trace;
 
 pub use entry::{Entry, EntryError, EntrySockets};
+pub use trace::TRACE_TARGET;
