--- /dev/null
+++ b/crates/currantgate-config/tests/reference.rs
@@ -0,0 +1,67 @@
+//! The guide's configuration reference lists just the keys that the files
+//! have, with their defaults.
+
+use std::collections::BTreeMap;
+
+use currantgate_config::{EntrySettings, Site};
+use serde::Serialize;
+
+const REFERENCE: &str = include_str!("../../../guide/src/reference/configuration.md");
+
+/// Reads the table under `heading`: key to default.
+fn documented(heading: &str) -> BTreeMap<String, String> {
+    let start = REFERENCE.find(&format!("## {heading}")).expect(heading);
+    let section = REFERENCE[start + 3..].split("\n## ").next().unwrap();
+    let rows = section.lines().filter(|line| line.starts_with("| `"));
+    rows.map(|row| {
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        (cells[1].replace('`', ""), cells[2].replace('`', ""))
+    })
+    .collect()
+}
+
+/// Lists the keys of a value that has every part once: key to value.
+fn keys(value: &impl Serialize) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    collect("", &toml::Value::try_from(value).unwrap(), &mut found);
+    found
+}
+
+fn collect(key: &str, value: &toml::Value, found: &mut BTreeMap<String, String>) {
+    let tables = value.as_array().and_then(|array| array.first());
+    match tables.filter(|first| first.is_table()).unwrap_or(value) {
+        toml::Value::Table(table) => {
+            for (name, value) in table {
+                let dot = if key.is_empty() { "" } else { "." };
+                collect(&format!("{key}{dot}{name}"), value, found);
+            }
+        }
+        other => {
+            found.insert(key.into(), other.to_string());
+        }
+    }
+}
+
+fn compare(heading: &str, with_defaults: &impl Serialize) {
+    let documented = documented(heading);
+    let actual = keys(with_defaults);
+    let names = |map: &BTreeMap<String, String>| map.keys().cloned().collect::<Vec<_>>();
+    assert_eq!(names(&documented), names(&actual), "keys of: {heading}");
+    for (key, default) in documented.iter().filter(|(_, d)| *d != "required") {
+        assert_eq!(default, &actual[key], "default of `{key}`");
+    }
+}
+
+#[test]
+fn the_site_file_is_documented() {
+    let text = "domains = [\"a\"]\n[[service]]\nname = \"booking\"\naddress = \"127.0.0.1:1\"\n";
+    compare("Site file", &Site::parse(text, "site.toml").unwrap());
+}
+
+#[test]
+fn the_entry_settings_are_documented() {
+    let text = "id = 1\ndomain = \"a\"\nsite = \"site.toml\"\nfabric = \"127.0.0.1:1\"\nlisten = {}\n\
+                [[peer]]\nid = 2\ndomain = \"a\"\naddress = \"127.0.0.1:2\"\n";
+    let settings = EntrySettings::parse(text, "entry.toml").unwrap();
+    compare("Entry settings", &settings);
+}
