Spread upstream leases by deltas and digests, and entry liveness by ages

Cause: each heartbeat carried every upstream in full to every other entry, a restarted or frozen entry looked as before, silence alone removed an upstream from the view, and announcements were not checked.

Change: an upstream's record has one owner and an owner-assigned sequence. Changes go to all live entries until acknowledged; heartbeats carry a digest of the owner's set, and what differs is pulled by groups. Heartbeats report the age of the last sign of life of other entries, so that an entry is alive while any live one hears it. Leases that run out are expired, never gone; when more than half of a service or failure domain fall silent at once they are kept for `join.grace_ms` unless another entry that hears upstreams confirms the silence. A withdrawn or replaced incarnation is gone for good. Records of dead owners are adopted by one live entry of the domain.

What the daemon has to call, besides the calls it makes already: - `MembersSettings::incarnation`: milliseconds of the wall clock at the start; - `Members::set_stage(now, Serving)` once `is_synced(now)` and the router is ready (a machine starts in Joining), `leave(now)` at a planned stop; - `Output::Resync`: the entry stood still and is back in Joining; resync; - `withdraw(now, service, name, incarnation)` for a graceful end; - `upstreams()` now also lists Expired and Gone upstreams, so that the router must look at the presence; `warm_until(id)` gives the end of the ramp. EntryView has the failure domain and is Clone, not Copy.

The edits in the entry daemon and the stand-in are those that keep them building: new error variants, the new output, the load hint. New key `join.grace_ms` in the site file.

--- a/crates/currantgate-config/src/join.rs
+++ b/crates/currantgate-config/src/join.rs
@@ -10,6 +10,9 @@
     pub warmup_ms: u64,
     /// Milliseconds that an announcement holds without being renewed.
     pub lease_ms: u64,
+    /// Milliseconds that leases hold on for when most of a service or failure
+    /// domain seem to run out at once, unless other entries confirm it.
+    pub grace_ms: u64,
 }
 
 impl Default for Join {
@@ -17,6 +20,7 @@
         Self {
             warmup_ms: 10_000,
             lease_ms: 6_000,
+            grace_ms: 6_000,
         }
     }
 }
--- a/crates/currantgate-membership/src/announcement.rs
+++ b/crates/currantgate-membership/src/announcement.rs
@@ -10,7 +10,7 @@
 /// What an upstream sends, as JSON, to announce itself and to renew its lease.
 ///
 /// It is sent with `PUT /v1/upstreams/{service}/{name}` to an entry of the
-/// upstream's own failure domain.
+/// upstream's own failure domain, at least three times in each lease period.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
@@ -26,6 +26,13 @@
     /// The stage of its life.
     #[serde(default)]
     pub state: UpstreamState,
+    /// The share of its capacity in use, in percent, as its own load endpoint
+    /// reports it.
+    ///
+    /// It may lag or be wrong, so it is a hint only: it is kept at the entry
+    /// that took the announcement, is never spread and decides nothing here.
+    #[serde(default)]
+    pub load: Option<u32>,
 }
 
 const fn one_slot() -> u32 {
--- a/crates/currantgate-membership/src/entry_view.rs
+++ b/crates/currantgate-membership/src/entry_view.rs
@@ -1,6 +1,6 @@
 //! One entry as the others know it.
 
-use currantgate_config::EntryId;
+use currantgate_config::{Domain, EntryId};
 use serde::{Deserialize, Serialize};
 
 /// The stage of an entry's life.
@@ -18,10 +18,12 @@
 }
 
 /// One live entry as the others know it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct EntryView {
     /// The entry's id.
     pub id: EntryId,
     /// The stage of its life.
     pub stage: EntryStage,
+    /// The failure domain it stands in.
+    pub domain: Domain,
 }
--- a/crates/currantgate-membership/src/members.rs
+++ b/crates/currantgate-membership/src/members.rs
@@ -3,195 +3,333 @@
 use std::time::{Duration, Instant};
 
 use currantgate_config::{EntryId, UpstreamId};
-use indexmap::IndexMap;
-
-use crate::{
-    AnnounceError, Announcement, Budget, EntryStage, EntryView, Lease, MembersSettings, Message,
-    Presence, Upstream,
-};
-
-/// How often an entry tells the others that it is alive.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Silence after which an entry no longer counts as alive.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// What the state machine wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Send a message to another entry.
-    Send {
-        /// The other entry.
-        to: EntryId,
-        /// What it is told.
-        message: Message,
-    },
-    /// The set of upstreams changed: see [`Members::upstreams`].
-    UpstreamsChanged,
-    /// The set of live entries changed: see [`Members::entries`].
-    EntriesChanged,
-}
+use rand::seq::SliceRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 
-#[derive(Debug)]
-struct Leased {
-    upstream: Upstream,
-    lease: Lease,
-    own: bool,
+use crate::liveness::{Beat, ENTRY_TIMEOUT, Liveness};
+use crate::message::Heard;
+use crate::outbox::{Outbox, Pending};
+use crate::record::UpstreamKey;
+use crate::table::Table;
+use crate::{Budget, EntryStage, EntryView, MembersSettings, Message, Output, Presence, Upstream};
+
+/// How often heartbeats are sent and leases are looked through.
+pub(crate) const ROUND: Duration = Duration::from_millis(250);
+
+/// How many other entries get a heartbeat in each round.
+const FANOUT: usize = 2;
+
+/// The least time that an entry listens before it counts as synced.
+const LISTEN_TIME: Duration = Duration::from_secs(1);
+
+/// The most time that an entry waits for records that it can't get.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Changes that the caller has not been told of.
+#[derive(Debug, Default)]
+pub(crate) struct Changes {
+    pub(crate) resync: bool,
+    pub(crate) entries: bool,
+    pub(crate) upstreams: bool,
 }
 
 /// Keeps upstream leases and the set of live entries.
+///
+/// It starts in [`EntryStage::Joining`]; the caller moves it on with
+/// [`Members::set_stage`].
 #[derive(Debug)]
 pub struct Members {
-    settings: MembersSettings,
-    upstreams: IndexMap<UpstreamId, Leased>,
-    heard: IndexMap<EntryId, Instant>,
-    next_heartbeat: Instant,
-    outputs: std::collections::VecDeque<Output>,
+    pub(crate) settings: MembersSettings,
+    pub(crate) stage: EntryStage,
+    pub(crate) table: Table,
+    pub(crate) liveness: Liveness,
+    pub(crate) outbox: Outbox,
+    pub(crate) changes: Changes,
+    /// When the last announcement stops to prove that they get through.
+    pub(crate) hearing_until: Option<Instant>,
+    /// When the next slice may be sent.
+    pub(crate) next_slice: Instant,
+    /// The other entries in the order in which heartbeats reach them.
+    cycle: Vec<EntryId>,
+    cycle_at: usize,
+    heartbeats: u64,
+    shown: Vec<EntryView>,
+    next_round: Instant,
+    /// Without a call until then, this entry has stood still.
+    awake_until: Instant,
+    listen_until: Instant,
+    sync_until: Instant,
+    rng: ChaCha8Rng,
 }
 
 impl Members {
     /// Returns a machine that knows no one but itself.
     pub fn new(settings: MembersSettings, now: Instant) -> Self {
-        Self {
+        let peers = &settings.peers;
+        let rounds = u32::try_from(peers.len().div_ceil(FANOUT)).unwrap_or(u32::MAX);
+        let mut members = Self {
+            stage: EntryStage::Joining,
+            table: Table::new(settings.max_upstreams),
+            liveness: Liveness::new(peers, ROUND.saturating_mul(rounds)),
+            outbox: peers.iter().map(|p| (p.id, Pending::new(now))).collect(),
+            changes: Changes::default(),
+            hearing_until: None,
+            next_slice: now,
+            cycle: peers.iter().map(|p| p.id).collect(),
+            cycle_at: peers.len(),
+            heartbeats: 0,
+            shown: Vec::new(),
+            next_round: now,
+            awake_until: now + ENTRY_TIMEOUT,
+            listen_until: now + LISTEN_TIME,
+            sync_until: now + SYNC_TIMEOUT,
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
-            upstreams: IndexMap::new(),
-            heard: IndexMap::new(),
-            next_heartbeat: now,
-            outputs: std::collections::VecDeque::new(),
-        }
+        };
+        members.refresh_entries(now);
+        members
     }
 
-    /// Takes an announcement that an upstream of `service` called `name` sent.
+    /// Moves this entry to another stage of its life and tells all others.
     ///
-    /// # Errors
+    /// Leaving is the last stage; nothing leads out of it.
+    pub fn set_stage(&mut self, now: Instant, stage: EntryStage) {
+        if self.stage == stage || self.stage == EntryStage::Leaving {
+            return;
+        }
+        self.stage = stage;
+        self.refresh_entries(now);
+        for pending in self.outbox.values_mut() {
+            pending.heartbeat = true;
+        }
+    }
+
+    /// Tells all other entries that this one leaves.
+    pub fn leave(&mut self, now: Instant) {
+        self.set_stage(now, EntryStage::Leaving);
+    }
+
+    /// Returns the stage of this entry's life.
+    pub fn stage(&self) -> EntryStage {
+        self.stage
+    }
+
+    /// Tells whether this entry knows what the live others know of upstreams.
     ///
-    /// Returns why the announcement is not accepted; nothing has changed then.
-    pub fn announce(
-        &mut self,
-        now: Instant,
-        service: &str,
-        name: &str,
-        announcement: Announcement,
-    ) -> Result<Lease, AnnounceError> {
-        let found = self.settings.services.iter().find(|s| &*s.name == service);
-        let service = found.ok_or_else(|| AnnounceError::UnknownService(service.into()))?;
-        let lease = Lease {
-            deadline: now + Duration::from_millis(service.join.lease_ms),
-        };
-        let upstream = Upstream {
-            name: name.into(),
-            incarnation: announcement.incarnation,
-            service: service.id(),
-            address: announcement.address,
-            domain: announcement.domain,
-            slots: announcement.slots,
-            state: announcement.state,
-        };
-        self.store(upstream, lease, true);
-        Ok(lease)
+    /// Others that it can't agree with hold it up for a bounded time only.
+    pub fn is_synced(&self, now: Instant) -> bool {
+        if now < self.listen_until {
+            return false;
+        }
+        now >= self.sync_until || self.settings.peers.iter().all(|p| self.agrees(now, p.id))
     }
 
     /// Takes a message that entry `from` sent.
     pub fn receive(&mut self, now: Instant, from: EntryId, message: Message) {
-        if self.heard.insert(from, now + ENTRY_TIMEOUT).is_none() {
-            self.outputs.push_back(Output::EntriesChanged);
+        self.notice_gap(now);
+        if !self.liveness.is_peer(from) {
+            return;
         }
-        let Message::Heartbeat { upstreams } = message;
-        for upstream in upstreams {
-            let Some(service) = self
-                .settings
-                .services
-                .iter()
-                .find(|s| s.id() == upstream.service)
-            else {
-                continue;
-            };
-            let deadline = now + Duration::from_millis(service.join.lease_ms);
-            self.store(upstream, Lease { deadline }, false);
+        match message {
+            Message::Heartbeat {
+                incarnation,
+                sequence,
+                stage,
+                digest,
+                heard,
+                late,
+            } => {
+                let beat = Beat {
+                    incarnation,
+                    sequence,
+                    stage,
+                    digest,
+                };
+                self.take_heartbeat(now, from, beat, &heard);
+                self.note_late(now, from, &late);
+            }
+            Message::Records(records) => self.take_records(now, from, records),
+            Message::Ack(hashes) => self.take_ack(from, &hashes),
+            Message::Pull { digests } => self.take_pull(from, &digests),
+            Message::Slice {
+                bucket,
+                from: first,
+                to: last,
+                records,
+            } => self.take_slice(now, from, bucket, (first, last), records),
+            Message::Renewed(renewals) => self.take_renewals(now, &renewals),
+            Message::Doubt(keys) => self.take_doubt(now, from, &keys),
+            Message::Silent(keys) => self.take_silent(&keys),
         }
     }
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Instant) {
-        let before = self.heard.len();
-        self.heard.retain(|_, deadline| *deadline > now);
-        if self.heard.len() != before {
-            self.outputs.push_back(Output::EntriesChanged);
-        }
-        let before = self.upstreams.len();
-        self.upstreams
-            .retain(|_, leased| leased.lease.deadline > now);
-        if self.upstreams.len() != before {
-            self.outputs.push_back(Output::UpstreamsChanged);
-        }
-        if now >= self.next_heartbeat {
-            self.next_heartbeat = now + HEARTBEAT_INTERVAL;
-            self.send_heartbeats();
+        self.notice_gap(now);
+        if now < self.next_round {
+            return;
         }
+        self.next_round = now + ROUND;
+        self.liveness.expire(now);
+        self.refresh_entries(now);
+        self.clear_dead(now);
+        self.look_through_leases(now);
+        self.compare_digests(now);
+        self.queue_heartbeats();
     }
 
     /// Returns the instant at which [`Members::tick`] is next wanted.
     pub fn next_deadline(&self) -> Instant {
-        self.next_heartbeat
+        self.next_round
     }
 
-    /// Returns the next thing to do, or nothing while the budget is closed.
+    /// Returns the next thing to do, or no message while the budget is closed.
     pub fn poll_output(&mut self, now: Instant, budget: &mut Budget) -> Option<Output> {
-        if matches!(self.outputs.front(), Some(Output::Send { .. })) && !budget.is_open(now) {
+        if let Some(change) = self.next_change() {
+            return Some(change);
+        }
+        if !budget.is_open(now) {
             return None;
         }
-        self.outputs.pop_front()
+        let (to, message) = self.next_message(now)?;
+        Some(Output::Send { to, message })
     }
 
     /// Returns all known upstreams and how sure their presence is.
     pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, Presence)> {
-        self.upstreams
-            .values()
-            .map(|leased| (&leased.upstream, Presence::Leased))
+        self.table.upstreams()
+    }
+
+    /// Returns when the share of an upstream is at its full size.
+    ///
+    /// It counts from the upstream's first announcement to any entry.
+    pub fn warm_until(&self, id: UpstreamId) -> Option<Instant> {
+        let mut all = self.table.iter();
+        let (_, held) = all.find(|(_, h)| h.record.upstream.id() == id)?;
+        Some(held.warm_until)
+    }
+
+    /// Returns what an upstream's load endpoint said, if it announces itself
+    /// here, in percent of its capacity.
+    pub fn load_hint(&self, id: UpstreamId) -> Option<u32> {
+        let mut all = self.table.iter();
+        let (_, held) = all.find(|(_, h)| h.record.upstream.id() == id)?;
+        held.load
     }
 
     /// Returns the live entries in ascending order, this one included.
     pub fn entries(&self) -> Vec<EntryView> {
-        let mut ids: Vec<_> = self.heard.keys().copied().collect();
-        ids.push(self.settings.id);
-        ids.sort_unstable();
-        let serving = |id| EntryView {
-            id,
-            stage: EntryStage::Serving,
-        };
-        ids.into_iter().map(serving).collect()
-    }
-
-    fn store(&mut self, upstream: Upstream, lease: Lease, own: bool) {
-        let id = upstream.id();
-        let previous = self.upstreams.insert(
-            id,
-            Leased {
-                upstream,
-                lease,
-                own,
-            },
-        );
-        let changed = previous.is_none_or(|p| p.upstream != self.upstreams[&id].upstream);
-        if changed {
-            self.outputs.push_back(Output::UpstreamsChanged);
-        }
-    }
-
-    fn send_heartbeats(&mut self) {
-        let upstreams: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(|leased| leased.own)
-            .map(|leased| leased.upstream.clone())
-            .collect();
-        for peer in &self.settings.peers {
-            self.outputs.push_back(Output::Send {
-                to: peer.id,
-                message: Message::Heartbeat {
-                    upstreams: upstreams.clone(),
-                },
-            });
+        self.shown.clone()
+    }
+
+    /// Tells whether an entry, which may be this one, is alive.
+    pub(crate) fn is_live(&self, now: Instant, id: EntryId) -> bool {
+        id == self.settings.id || self.liveness.is_alive(now, id)
+    }
+
+    /// Queues a record for all live entries.
+    pub(crate) fn spread(&mut self, now: Instant, key: UpstreamKey) {
+        for (id, pending) in &mut self.outbox {
+            if self.liveness.is_alive(now, *id) {
+                pending.add_delta(now, key);
+            }
+        }
+    }
+
+    pub(crate) fn heartbeat(&mut self, now: Instant, to: EntryId) -> Message {
+        self.heartbeats += 1;
+        Message::Heartbeat {
+            incarnation: self.settings.incarnation,
+            sequence: self.heartbeats,
+            stage: self.stage,
+            digest: self.table.digest(self.settings.id),
+            heard: self.liveness.reports(now, to),
+            late: self.late_keys(now),
+        }
+    }
+
+    fn take_heartbeat(&mut self, now: Instant, from: EntryId, beat: Beat, heard: &[Heard]) {
+        if !self.liveness.take_beat(now, from, beat) {
+            return;
+        }
+        for report in heard {
+            self.liveness.take_report(now, *report);
+        }
+        self.refresh_entries(now);
+        self.compare_digest(now, from);
+    }
+
+    fn next_change(&mut self) -> Option<Output> {
+        if std::mem::take(&mut self.changes.resync) {
+            return Some(Output::Resync);
+        }
+        if std::mem::take(&mut self.changes.entries) {
+            return Some(Output::EntriesChanged);
+        }
+        if std::mem::take(&mut self.changes.upstreams) {
+            return Some(Output::UpstreamsChanged);
         }
+        None
+    }
+
+    /// Starts anew when this entry has stood still for so long that the others
+    /// have taken it for dead.
+    pub(crate) fn notice_gap(&mut self, now: Instant) {
+        let is_asleep = now > self.awake_until;
+        self.awake_until = now + ENTRY_TIMEOUT;
+        if !is_asleep {
+            return;
+        }
+        self.settings.incarnation = self.settings.incarnation.saturating_add(1);
+        self.liveness.restart(now);
+        self.extend_leases(now);
+        self.listen_until = now + LISTEN_TIME;
+        self.sync_until = now + SYNC_TIMEOUT;
+        self.changes.resync = true;
+        self.set_stage(now, EntryStage::Joining);
+    }
+
+    fn refresh_entries(&mut self, now: Instant) {
+        let mut views: Vec<_> = self.liveness.views(now).collect();
+        views.push(EntryView {
+            id: self.settings.id,
+            stage: self.stage,
+            domain: self.settings.domain.clone(),
+        });
+        views.sort_unstable_by_key(|view| view.id);
+        if views != self.shown {
+            self.shown = views;
+            self.changes.entries = true;
+        }
+    }
+
+    fn clear_dead(&mut self, now: Instant) {
+        for (id, pending) in &mut self.outbox {
+            if !self.liveness.is_alive(now, *id) {
+                pending.clear();
+            }
+        }
+    }
+
+    /// Picks who gets this round's heartbeats: all others in turn, dead ones
+    /// too, since they may have come back, in an order that changes.
+    fn queue_heartbeats(&mut self) {
+        for _ in 0..FANOUT.min(self.cycle.len()) {
+            if self.cycle_at >= self.cycle.len() {
+                self.cycle.shuffle(&mut self.rng);
+                self.cycle_at = 0;
+            }
+            let id = self.cycle[self.cycle_at];
+            self.cycle_at += 1;
+            if let Some(pending) = self.outbox.get_mut(&id) {
+                pending.heartbeat = true;
+            }
+        }
+    }
+
+    /// Returns a random number for spreading load over time.
+    pub(crate) fn random_below(&mut self, bound: usize) -> usize {
+        self.rng.random_range(0..bound)
     }
 }
--- /dev/null
+++ b/crates/currantgate-membership/src/table.rs
@@ -0,0 +1,243 @@
+//! All upstreams that one entry knows.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use currantgate_config::{EntryId, Incarnation, UpstreamId};
+use indexmap::IndexMap;
+
+use crate::held::Held;
+use crate::message::BUCKETS;
+use crate::record::UpstreamKey;
+use crate::{Presence, Status, Upstream};
+
+/// Time for which an ended incarnation is still shown as gone.
+pub(crate) const TOMBSTONE_TIME: Duration = Duration::from_secs(60);
+
+/// An incarnation that a newer one has replaced.
+#[derive(Debug)]
+struct Replaced {
+    upstream: Upstream,
+    deadline: Instant,
+}
+
+/// All upstreams that one entry knows, with the digests of each owner's set.
+///
+/// Its size is bounded: each collection holds at most the given number.
+#[derive(Debug)]
+pub(crate) struct Table {
+    limit: usize,
+    held: IndexMap<UpstreamKey, Held>,
+    /// Who claims an address; ended upstreams don't.
+    claims: IndexMap<SocketAddr, Vec<UpstreamKey>>,
+    digests: IndexMap<EntryId, [u64; BUCKETS]>,
+    replaced: IndexMap<UpstreamId, Replaced>,
+    /// The lowest incarnation that a forgotten upstream may come back with.
+    floors: IndexMap<UpstreamKey, Incarnation>,
+}
+
+impl Table {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            held: IndexMap::new(),
+            claims: IndexMap::new(),
+            digests: IndexMap::new(),
+            replaced: IndexMap::new(),
+            floors: IndexMap::new(),
+        }
+    }
+
+    pub(crate) fn get(&self, key: UpstreamKey) -> Option<&Held> {
+        self.held.get(&key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Held)> {
+        self.held.iter().map(|(key, held)| (*key, held))
+    }
+
+    /// Returns the keys of all records for which `wanted` holds.
+    pub(crate) fn keys_where(&self, wanted: impl Fn(&Held) -> bool) -> Vec<UpstreamKey> {
+        let found = self.iter().filter(|(_, held)| wanted(held));
+        found.map(|(key, _)| key).collect()
+    }
+
+    /// Returns the lowest incarnation that may be announced under `key`.
+    pub(crate) fn floor(&self, key: UpstreamKey) -> Incarnation {
+        self.floors.get(&key).copied().unwrap_or(0)
+    }
+
+    /// Returns the key of the leased upstream that holds `address`.
+    pub(crate) fn leased_at(&self, address: SocketAddr) -> Option<UpstreamKey> {
+        let key = self.claimant(address)?;
+        let held = self.held.get(&key)?;
+        (held.record.status == Status::Leased).then_some(key)
+    }
+
+    /// Tells how sure the presence of a held upstream is.
+    ///
+    /// An address has room for one process, so that of two upstreams that
+    /// claim one only the stronger claim counts and the other one is gone.
+    pub(crate) fn presence(&self, key: UpstreamKey, held: &Held) -> Presence {
+        let status = held.record.status;
+        if status == Status::Gone || self.claimant(held.record.upstream.address) != Some(key) {
+            return Presence::Gone;
+        }
+        match status {
+            Status::Leased => Presence::Leased,
+            _ => Presence::Expired,
+        }
+    }
+
+    /// Returns all upstreams, those included that have ended of late.
+    pub(crate) fn upstreams(&self) -> impl Iterator<Item = (&Upstream, Presence)> {
+        let held = self
+            .iter()
+            .map(|(key, held)| (&held.record.upstream, self.presence(key, held)));
+        let replaced = self
+            .replaced
+            .values()
+            .map(|r| (&r.upstream, Presence::Gone));
+        held.chain(replaced)
+    }
+
+    /// Returns the digests of the records that `owner` vouches for.
+    pub(crate) fn digests(&self, owner: EntryId) -> [u64; BUCKETS] {
+        self.digests.get(&owner).copied().unwrap_or([0; BUCKETS])
+    }
+
+    /// Returns one digest over all that `owner` vouches for.
+    pub(crate) fn digest(&self, owner: EntryId) -> u64 {
+        self.digests(owner).iter().fold(0, |all, one| all ^ one)
+    }
+
+    /// Tells whether one more upstream fits only in the place of another one.
+    pub(crate) fn is_full(&self) -> bool {
+        self.held.len() >= self.limit
+    }
+
+    /// Makes room for one more upstream; tells whether there is some.
+    ///
+    /// Upstreams that have ended go first, then those whose lease ran out.
+    pub(crate) fn make_room(&mut self) -> bool {
+        if !self.is_full() {
+            return true;
+        }
+        let first_with = |status| self.iter().find(|(_, h)| h.record.status == status);
+        let found = first_with(Status::Gone).or_else(|| first_with(Status::Expired));
+        let Some(key) = found.map(|(key, _)| key) else {
+            return false;
+        };
+        self.remove(key);
+        true
+    }
+
+    /// Stores a record in place of the one that its upstream had.
+    pub(crate) fn put(&mut self, now: Instant, key: UpstreamKey, held: Held) {
+        let new = held.record.upstream.incarnation;
+        if let Some(old) = self.detach(key)
+            && old.record.upstream.incarnation != new
+            && old.record.status != Status::Gone
+        {
+            self.keep_replaced(now, old.record.upstream);
+        }
+        self.attach(key, held);
+    }
+
+    /// Changes what only this entry knows about a held upstream.
+    ///
+    /// The record itself changes by [`Table::put`] only.
+    pub(crate) fn update(&mut self, key: UpstreamKey, change: impl FnOnce(&mut Held)) {
+        if let Some(mut held) = self.detach(key) {
+            change(&mut held);
+            self.attach(key, held);
+        }
+    }
+
+    /// Forgets an upstream, but not which of its incarnations have ended.
+    pub(crate) fn remove(&mut self, key: UpstreamKey) {
+        let Some(held) = self.detach(key) else {
+            return;
+        };
+        self.held.shift_remove(&key);
+        let ended = u64::from(held.record.status == Status::Gone);
+        let floor = held.record.upstream.incarnation.saturating_add(ended);
+        bound(&mut self.floors, self.limit);
+        self.floors.insert(key, floor);
+    }
+
+    /// Forgets the ended incarnations that are due; tells whether any was.
+    pub(crate) fn forget(&mut self, now: Instant) -> bool {
+        let due = |h: &Held| h.record.status == Status::Gone && h.lease.deadline <= now;
+        let keys = self.keys_where(due);
+        let before = self.replaced.len();
+        self.replaced.retain(|_, r| r.deadline > now);
+        for key in &keys {
+            self.remove(*key);
+        }
+        !keys.is_empty() || self.replaced.len() != before
+    }
+
+    fn claimant(&self, address: SocketAddr) -> Option<UpstreamKey> {
+        let keys = self.claims.get(&address)?;
+        let strength = |key: &&UpstreamKey| {
+            let record = &self.held.get(*key)?.record;
+            Some((
+                record.status,
+                record.upstream.incarnation,
+                record.upstream.id(),
+            ))
+        };
+        keys.iter().max_by_key(strength).copied()
+    }
+
+    fn keep_replaced(&mut self, now: Instant, upstream: Upstream) {
+        bound(&mut self.replaced, self.limit);
+        let deadline = now + TOMBSTONE_TIME;
+        let id = upstream.id();
+        self.replaced.insert(id, Replaced { upstream, deadline });
+    }
+
+    /// Takes a record's part out of the claims and digests.
+    fn detach(&mut self, key: UpstreamKey) -> Option<Held> {
+        let held = self.held.get(&key)?.clone();
+        self.count(key, &held);
+        let address = held.record.upstream.address;
+        if let Some(keys) = self.claims.get_mut(&address) {
+            keys.retain(|k| *k != key);
+            if keys.is_empty() {
+                self.claims.swap_remove(&address);
+            }
+        }
+        Some(held)
+    }
+
+    fn attach(&mut self, key: UpstreamKey, held: Held) {
+        self.count(key, &held);
+        if held.record.status != Status::Gone {
+            let address = held.record.upstream.address;
+            self.claims.entry(address).or_default().push(key);
+        }
+        self.held.insert(key, held);
+    }
+
+    /// Adds a record to its owner's digest, or takes it out again.
+    fn count(&mut self, key: UpstreamKey, held: &Held) {
+        if held.is_counted() {
+            let digests = self.digests.entry(held.record.owner).or_default();
+            digests[bucket_of(key)] ^= held.hash;
+        }
+    }
+}
+
+/// Returns the group that an upstream is compared in.
+pub(crate) fn bucket_of(key: UpstreamKey) -> usize {
+    key as usize % BUCKETS
+}
+
+/// Drops the oldest item of a full collection.
+fn bound<K, V>(items: &mut IndexMap<K, V>, limit: usize) {
+    if items.len() >= limit && !items.is_empty() {
+        items.shift_remove_index(0);
+    }
+}
--- /dev/null
+++ b/crates/currantgate-membership/tests/leases.rs
@@ -0,0 +1,265 @@
+//! Announcements and leases of upstreams.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cluster, address, announcement, domain_name};
+use currantgate_membership::{AnnounceError, Announcement, Presence, UpstreamState};
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Returns a cluster that knows upstream `up-1` in incarnation 5.
+fn with_upstream() -> Cluster {
+    let mut cluster = Cluster::serving(8, 4, 1);
+    let first = announcement(5, 1, 0);
+    cluster.announce(0, "booking", "up-1", first).unwrap();
+    cluster.run(SECOND);
+    cluster
+}
+
+#[rstest]
+#[case::unknown_service("ballots", "up-2", announcement(1, 2, 0),
+    AnnounceError::UnknownService("ballots".into()))]
+#[case::wrong_domain(
+    "booking",
+    "up-2",
+    announcement(1, 2, 7),
+    AnnounceError::WrongDomain(domain_name(7))
+)]
+#[case::old_incarnation("booking", "up-1", announcement(4, 1, 0),
+    AnnounceError::OldIncarnation { given: 4, known: 5 })]
+#[case::address_changed(
+    "booking",
+    "up-1",
+    announcement(5, 2, 0),
+    AnnounceError::AddressChanged(address(1))
+)]
+#[case::address_in_use(
+    "booking",
+    "up-2",
+    announcement(1, 1, 0),
+    AnnounceError::AddressInUse(address(1))
+)]
+#[case::address_in_use_elsewhere(
+    "calendar",
+    "up-2",
+    announcement(1, 1, 0),
+    AnnounceError::AddressInUse(address(1))
+)]
+#[case::no_slots("booking", "up-2", Announcement { slots: 0, ..announcement(1, 2, 0) },
+    AnnounceError::OutOfRange("slots", 65_536))]
+#[case::many_slots("booking", "up-2", Announcement { slots: 65_537, ..announcement(1, 2, 0) },
+    AnnounceError::OutOfRange("slots", 65_536))]
+#[case::no_name("booking", "", announcement(1, 2, 0), AnnounceError::BadName(64))]
+#[case::odd_name("booking", "up 2", announcement(1, 2, 0), AnnounceError::BadName(64))]
+#[case::long_name("booking", &"u".repeat(65), announcement(1, 2, 0), AnnounceError::BadName(64))]
+#[case::no_port("booking", "up-2",
+    Announcement { address: ([10, 0, 0, 2], 0).into(), ..announcement(1, 2, 0) },
+    AnnounceError::BadAddress(([10, 0, 0, 2], 0).into()))]
+fn a_bad_announcement_is_refused_by_every_entry(
+    #[case] service: &str,
+    #[case] name: &str,
+    #[case] given: Announcement,
+    #[case] error: AnnounceError,
+) {
+    let mut cluster = with_upstream();
+    let before = cluster.view(0);
+    for at in 0..8 {
+        let result = cluster.announce(at, service, name, given.clone());
+        assert_eq!(result.unwrap_err(), error, "at {at}");
+    }
+    cluster.run(SECOND);
+    assert_eq!(cluster.view(0), before);
+}
+
+#[test]
+fn a_service_takes_upstreams_of_its_own_domains_only() {
+    let mut cluster = Cluster::new(1, 1, 1);
+    cluster.services[0].domains = vec![domain_name(3)];
+    cluster.start(0);
+    let error = cluster.announce(0, "booking", "up-1", announcement(1, 1, 0));
+    assert_eq!(
+        error.unwrap_err(),
+        AnnounceError::WrongDomain(domain_name(0))
+    );
+    let other = cluster.announce(0, "booking", "up-1", announcement(1, 1, 3));
+    assert!(other.is_ok());
+}
+
+#[test]
+fn a_full_table_takes_no_more_until_one_expires() {
+    let mut cluster = Cluster::new(1, 1, 1);
+    cluster.max_upstreams = 2;
+    cluster.start(0);
+    for host in 1..=2 {
+        let name = format!("up-{host}");
+        let given = announcement(1, host, 0);
+        cluster.announce(0, "booking", &name, given).unwrap();
+    }
+    let third = announcement(1, 3, 0);
+    let full = cluster.announce(0, "booking", "up-3", third.clone());
+    assert_eq!(full.unwrap_err(), AnnounceError::TooMany(2));
+    cluster.run_renewing(20, &[(0, "up-2", announcement(1, 2, 0))]);
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Expired));
+    cluster.announce(0, "booking", "up-3", third).unwrap();
+    assert_eq!(cluster.presence(0, "up-1"), None);
+}
+
+#[test]
+fn a_leaving_entry_takes_no_announcements() {
+    let mut cluster = with_upstream();
+    let now = cluster.now;
+    cluster.members(0).leave(now);
+    let result = cluster.announce(0, "booking", "up-1", announcement(5, 1, 0));
+    assert_eq!(result.unwrap_err(), AnnounceError::Leaving);
+}
+
+#[test]
+fn every_entry_learns_state_and_time_left_to_warm() {
+    let mut cluster = with_upstream();
+    let warm = Announcement {
+        state: UpstreamState::Warming,
+        ..announcement(1, 2, 1)
+    };
+    let started = cluster.now;
+    cluster.announce(1, "booking", "up-2", warm).unwrap();
+    cluster.run(SECOND);
+    for entry in cluster.entries.values() {
+        let mut all = entry.members.upstreams();
+        let (found, presence) = all.find(|(u, _)| &*u.name == "up-2").unwrap();
+        assert_eq!(found.state, UpstreamState::Warming);
+        assert_eq!(presence, Presence::Leased);
+        let until = entry.members.warm_until(found.id()).unwrap();
+        let expected = started + SECOND * 10;
+        assert!(until >= expected && until <= expected + SECOND / 10);
+    }
+}
+
+#[test]
+fn a_new_incarnation_ends_the_old_one_for_good() {
+    let mut cluster = with_upstream();
+    cluster
+        .announce(4, "booking", "up-1", announcement(6, 1, 0))
+        .unwrap();
+    cluster.run(SECOND);
+    for entry in cluster.entries.values() {
+        let all = entry.members.upstreams();
+        let shown: Vec<_> = all.map(|(u, p)| (u.incarnation, p)).collect();
+        assert_eq!(shown, [(6, Presence::Leased), (5, Presence::Gone)]);
+    }
+}
+
+#[test]
+fn a_withdrawn_upstream_is_gone_and_can_t_come_back() {
+    let mut cluster = with_upstream();
+    let now = cluster.now;
+    let result = cluster.members(4).withdraw(now, "booking", "up-1", 5);
+    assert_eq!(result, Ok(()));
+    cluster.run(SECOND);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Gone); 8]);
+    let again = cluster.announce(0, "booking", "up-1", announcement(5, 1, 0));
+    assert_eq!(again.unwrap_err(), AnnounceError::Ended(5));
+    cluster.run(SECOND * 70);
+    assert_eq!(cluster.presences("up-1"), vec![None; 8]);
+    let late = cluster.announce(0, "booking", "up-1", announcement(5, 1, 0));
+    assert!(matches!(late, Err(AnnounceError::OldIncarnation { .. })));
+    cluster
+        .announce(0, "booking", "up-1", announcement(6, 1, 0))
+        .unwrap();
+}
+
+#[test]
+fn one_silent_upstream_of_many_expires_and_stays_expired() {
+    let mut cluster = Cluster::serving(8, 4, 2);
+    let others: Vec<_> = (2..8)
+        .map(|i| {
+            (
+                i % 8,
+                format!("up-{i}"),
+                announcement(1, i, usize::from(i % 4)),
+            )
+        })
+        .collect();
+    let others: Vec<_> = others
+        .iter()
+        .map(|(e, n, a)| (*e, &**n, a.clone()))
+        .collect();
+    let silent = announcement(1, 1, 0);
+    cluster
+        .announce(0, "booking", "up-1", silent.clone())
+        .unwrap();
+    cluster.run_renewing(5, &others);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Leased); 8]);
+    cluster.run_renewing(3, &others);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Expired); 8]);
+    cluster.run_renewing(300, &others);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Expired); 8]);
+    cluster.announce(0, "booking", "up-1", silent).unwrap();
+    cluster.run(SECOND);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Leased); 8]);
+}
+
+#[test]
+fn an_address_that_an_expired_upstream_had_can_be_used_anew() {
+    let mut cluster = Cluster::serving(8, 4, 3);
+    let others = [
+        (1, "up-2", announcement(1, 2, 1)),
+        (2, "up-3", announcement(1, 3, 2)),
+    ];
+    cluster
+        .announce(0, "booking", "up-1", announcement(1, 1, 0))
+        .unwrap();
+    cluster.run_renewing(8, &others);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Expired); 8]);
+    cluster
+        .announce(4, "calendar", "up-9", announcement(1, 1, 0))
+        .unwrap();
+    cluster.run(SECOND);
+    assert_eq!(cluster.presences("up-9"), vec![Some(Presence::Leased); 8]);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Gone); 8]);
+}
+
+#[test]
+fn a_lease_that_is_renewed_with_two_entries_in_turn_stays_quiet() {
+    let mut cluster = with_upstream();
+    // Later heartbeats are longer by the digits of their sequence.
+    run_in_turn(&mut cluster, &[0]);
+    run_in_turn(&mut cluster, &[0]);
+    let sent_before = sent(&cluster);
+    let quiet = run_in_turn(&mut cluster, &[0]) - sent_before;
+    let sent_before = sent(&cluster);
+    let in_turn = run_in_turn(&mut cluster, &[0, 4]) - sent_before;
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Leased); 8]);
+    // Every other second one renewal passes between the two entries.
+    assert!(in_turn < quiet + 30 * 60, "{in_turn} against {quiet} bytes");
+}
+
+fn run_in_turn(cluster: &mut Cluster, entries: &[u16]) -> u64 {
+    for second in 0..30 {
+        let at = entries[second % entries.len()];
+        let given = announcement(5, 1, 0);
+        cluster.announce(at, "booking", "up-1", given).unwrap();
+        cluster.run(SECOND);
+    }
+    sent(cluster)
+}
+
+fn sent(cluster: &Cluster) -> u64 {
+    cluster.entries.values().map(|e| e.sent).sum()
+}
+
+#[test]
+fn a_load_report_is_kept_as_a_hint_where_it_arrived() {
+    let mut cluster = with_upstream();
+    let given = Announcement {
+        load: Some(250),
+        ..announcement(5, 1, 0)
+    };
+    cluster.announce(0, "booking", "up-1", given).unwrap();
+    cluster.run(SECOND);
+    let id = *cluster.view(0).keys().next().unwrap();
+    assert_eq!(cluster.members(0).load_hint(id), Some(250));
+    assert_eq!(cluster.members(1).load_hint(id), None);
+}
--- a/crates/currantgate-standin/src/upstream.rs
+++ b/crates/currantgate-standin/src/upstream.rs
@@ -182,6 +182,7 @@
             domain: self.settings.domain.clone(),
             slots: 1,
             state: self.state.get(),
+            load: None,
         };
         announcer::announce(
             &self.settings.announce,
--- a/crates/currantgate/src/entry/announce.rs
+++ b/crates/currantgate/src/entry/announce.rs
@@ -133,14 +133,18 @@
 fn status(e: &AnnounceError) -> actix_web::http::StatusCode {
     use actix_web::http::StatusCode;
     match e {
-        AnnounceError::UnknownService(_) => StatusCode::NOT_FOUND,
-        AnnounceError::TooMany(_) => StatusCode::SERVICE_UNAVAILABLE,
-        AnnounceError::OldIncarnation { .. } | AnnounceError::AddressInUse(_) => {
-            StatusCode::CONFLICT
-        }
-        AnnounceError::WrongDomain(_) | AnnounceError::OutOfRange(..) => {
-            StatusCode::UNPROCESSABLE_ENTITY
+        AnnounceError::UnknownService(_) | AnnounceError::UnknownUpstream(_) => {
+            StatusCode::NOT_FOUND
         }
+        AnnounceError::TooMany(_) | AnnounceError::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        AnnounceError::OldIncarnation { .. }
+        | AnnounceError::Ended(_)
+        | AnnounceError::AddressChanged(_)
+        | AnnounceError::AddressInUse(_) => StatusCode::CONFLICT,
+        AnnounceError::WrongDomain(_)
+        | AnnounceError::BadAddress(_)
+        | AnnounceError::BadName(_)
+        | AnnounceError::OutOfRange(..) => StatusCode::UNPROCESSABLE_ENTITY,
     }
 }
 
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -64,6 +64,7 @@
                 peers: settings.peers.clone(),
                 services: site.services.clone(),
                 seed: u64::from(settings.id),
+                ..MembersSettings::default()
             },
             now,
         );
@@ -180,6 +181,7 @@
                 Output::Send { to, message } => {
                     return self.control_datagram(to, &PeerMessage::Members(message));
                 }
+                Output::Resync => {}
                 Output::UpstreamsChanged => {
                     self.router.set_upstreams(now, self.members.upstreams());
                 }
