Run the whole site as separate processes

The fabric checks its entries by TCP and leaves dead ones out of the spray. Upstreams send answers by entries that they heard from lately.

Stand-ins now keep sequence numbers as a kernel does: random first ones, resets only when they match, closed flows remembered for a repeated FIN. The earlier ones counted a FIN whose answer was lost as a broken flow: a caller's 300 flows had 13 broken when one of four entries was killed. Upstreams have slots and a service time, a cold start, downloads, freezing, restarts and a planned leave that withdraws by DELETE /v1/upstreams/{service}/{name}?incarnation=N.

--- a/crates/currantgate-cli/src/cmd/demo.rs
+++ b/crates/currantgate-cli/src/cmd/demo.rs
@@ -7,7 +7,8 @@
 use currantgate::{Entry, EntrySockets};
 use currantgate_config::{EntryId, EntrySettings, Listen, Peer, Site};
 use currantgate_standin::{
-    Caller, CallerSettings, Fabric, FabricHandle, Tally, Upstream, UpstreamSettings,
+    Caller, CallerSettings, Fabric, FabricHandle, FabricSettings, SprayTarget, Tally, Upstream,
+    UpstreamSettings,
 };
 
 use crate::error::CommandError;
@@ -61,7 +62,11 @@
 
 async fn run(duration: Duration) -> Result<(), CommandError> {
     let site = Site::parse(SITE, "demo")?;
-    let fabric = Fabric::start(Ipv4Addr::LOCALHOST, 1).await?;
+    let fabric = Fabric::start(FabricSettings {
+        seed: 1,
+        ..FabricSettings::default()
+    })
+    .await?;
     let entries = start_entries(&site, &fabric.handle())?;
     let upstreams = start_upstreams(&site, &entries).await?;
     actix_rt::time::sleep(SETTLE).await;
@@ -102,7 +107,12 @@
         ));
     }
     let peers: Vec<Peer> = bound.iter().map(|(peer, ..)| peer.clone()).collect();
-    fabric.set_entries(bound.iter().map(|(_, listen, _)| listen.fabric).collect());
+    let targets = bound.iter().map(|(peer, listen, _)| SprayTarget {
+        address: listen.fabric,
+        domain: peer.domain.clone(),
+        check: None,
+    });
+    fabric.set_entries(targets.collect());
     bound
         .into_iter()
         .map(|(own, listen, sockets)| {
@@ -165,6 +175,7 @@
             flows: FLOWS_PER_SECOND[s] * u32::try_from(duration.as_secs()).unwrap_or(u32::MAX),
             requests: 8,
             pause_ms: 1_000,
+            ..CallerSettings::default()
         };
         callers.push(Caller::start(settings).await?);
     }
@@ -179,10 +190,10 @@
 }
 
 fn print_report(callers: &[Caller], upstreams: &[Upstream], entries: &[Entry], time: Duration) {
-    let total = callers
-        .iter()
-        .map(Caller::tally)
-        .fold(Tally::default(), add);
+    let mut total = Tally::default();
+    for caller in callers {
+        total += caller.tally();
+    }
     let misrouted: u64 = upstreams.iter().map(Upstream::misrouted).sum();
     println!("flows opened       {:>8}", total.opened);
     println!("flows established  {:>8}", total.established);
@@ -207,14 +218,3 @@
         println!("{:>5} {rate:>17.0}", entry.id());
     }
 }
-
-fn add(a: Tally, b: Tally) -> Tally {
-    Tally {
-        opened: a.opened + b.opened,
-        established: a.established + b.established,
-        finished: a.finished + b.finished,
-        broken: a.broken + b.broken,
-        refused: a.refused + b.refused,
-        misrouted: a.misrouted + b.misrouted,
-    }
-}
--- a/crates/currantgate-cli/src/cmd/entry.rs
+++ b/crates/currantgate-cli/src/cmd/entry.rs
@@ -5,8 +5,8 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use currantgate::{Entry, EntrySockets};
 use currantgate_config::{EntrySettings, Site};
-use tokio::signal::unix::{SignalKind, signal};
 
+use super::stop_signal;
 use crate::error::CommandError;
 
 /// Returns the `entry` subcommand.
@@ -32,13 +32,8 @@
     let site = Site::load(&settings.site)?;
     let sockets = EntrySockets::bind(&settings.listen)?;
     actix_rt::System::new().block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
         let entry = Entry::start(&settings, &site, sockets)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        stop_signal::wait().await?;
         entry.stop().await;
         Ok(())
     })
--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -3,3 +3,5 @@
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod entry;
+pub(crate) mod standin;
+mod stop_signal;
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/standin.rs
@@ -0,0 +1,117 @@
+//! `currantgate standin`: what surrounds the entries, as small stand-ins.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use currantgate_standin::{
+    Caller, CallerReport, CallerSettings, Fabric, FabricSettings, Settings, StandinError, Upstream,
+    UpstreamSettings,
+};
+
+use super::stop_signal;
+use crate::error::CommandError;
+
+/// How often a caller is asked whether it is done.
+const DONE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Returns the `standin` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("standin")
+        .about("Runs a stand-in for what surrounds the entries")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("fabric")
+                .about("Sprays callers' packets over entries at random")
+                .arg(make_config_arg()),
+        )
+        .subcommand(
+            Command::new("upstream")
+                .about("Announces itself and answers flows")
+                .arg(make_config_arg()),
+        )
+        .subcommand(
+            Command::new("caller")
+                .about("Opens flows and tells what became of them")
+                .arg(make_config_arg())
+                .arg(
+                    Arg::new("json")
+                        .long("json")
+                        .action(ArgAction::SetTrue)
+                        .help("Print the tally as JSON"),
+                ),
+        )
+}
+
+fn make_config_arg() -> Arg {
+    Arg::new("config")
+        .long("config")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The stand-in's settings file")
+}
+
+/// Runs the `standin` subcommand until SIGTERM or SIGINT; a caller also ends
+/// when all its flows have.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let system = actix_rt::System::new();
+    match matches.subcommand() {
+        Some(("fabric", sub)) => system.block_on(run_fabric(load(sub)?)),
+        Some(("upstream", sub)) => system.block_on(run_upstream(load(sub)?)),
+        Some(("caller", sub)) => system.block_on(run_caller(load(sub)?, sub.get_flag("json"))),
+        _ => unreachable!("clap accepts no other subcommand"),
+    }
+}
+
+fn load<T: Settings>(matches: &ArgMatches) -> Result<T, StandinError> {
+    let file = matches
+        .get_one::<PathBuf>("config")
+        .expect("clap requires the settings file");
+    T::load(file)
+}
+
+async fn run_fabric(settings: FabricSettings) -> Result<(), CommandError> {
+    let fabric = Fabric::start(settings).await?;
+    log::info!(
+        "fabric takes callers' packets on {} and answers on {}",
+        fabric.handle().caller_side(),
+        fabric.handle().entry_side()
+    );
+    Ok(stop_signal::wait().await?)
+}
+
+async fn run_upstream(settings: UpstreamSettings) -> Result<(), CommandError> {
+    let upstream = Upstream::start(settings).await?;
+    log::info!("upstream {} serves {}", upstream.name(), upstream.service());
+    stop_signal::wait().await?;
+    upstream.leave().await;
+    log::info!("upstream {} has left", upstream.name());
+    Ok(())
+}
+
+async fn run_caller(settings: CallerSettings, json: bool) -> Result<(), CommandError> {
+    let caller = Caller::start(settings).await?;
+    tokio::select! {
+        stopped = stop_signal::wait() => stopped?,
+        () = all_done(&caller) => {}
+    }
+    print_report(&caller.report(), json)
+}
+
+async fn all_done(caller: &Caller) {
+    while !caller.is_done() {
+        actix_rt::time::sleep(DONE_INTERVAL).await;
+    }
+}
+
+fn print_report(report: &CallerReport, json: bool) -> Result<(), CommandError> {
+    if json {
+        let text = serde_json::to_string(report).map_err(std::io::Error::from)?;
+        println!("{text}");
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/stop_signal.rs
@@ -0,0 +1,20 @@
+//! Waiting to be told to stop.
+
+use std::io;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Returns once SIGTERM or SIGINT arrives.
+///
+/// # Errors
+///
+/// Returns an error when the signals can't be waited for.
+pub(crate) async fn wait() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -31,7 +31,9 @@
     /// Returns the exit code that the guide lists for the error.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Config(_) | Self::Entry(EntryError::Config(_)) => ExitCode::from(EXIT_CONFIG),
+            Self::Config(_)
+            | Self::Entry(EntryError::Config(_))
+            | Self::Standin(StandinError::Config(_)) => ExitCode::from(EXIT_CONFIG),
             Self::Entry(_) | Self::Standin(_) | Self::Io(_) => ExitCode::from(EXIT_FAILED),
         }
     }
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -15,6 +15,7 @@
     let result = match matches.subcommand() {
         Some(("entry", sub)) => cmd::entry::execute(sub),
         Some(("demo", sub)) => cmd::demo::execute(sub),
+        Some(("standin", sub)) => cmd::standin::execute(sub),
         Some(("check", sub)) => cmd::check::execute(sub),
         _ => unreachable!("clap accepts no other subcommand"),
     };
@@ -36,5 +37,6 @@
         .arg(log_setup::make_arg())
         .subcommand(cmd::entry::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
+        .subcommand(cmd::standin::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
 }
--- a/crates/currantgate-standin/src/fabric.rs
+++ b/crates/currantgate-standin/src/fabric.rs
@@ -4,33 +4,43 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use etherparse::Ipv4HeaderSlice;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 
-use crate::StandinError;
+use crate::spray::Spray;
+use crate::{FabricSettings, SprayTarget, StandinError};
 
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
+/// How often entries are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long an entry may take to accept a connection.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A fabric that hands each caller's packet to an entry chosen at random.
 ///
 /// Callers and entries both send it encapsulated packets. It learns where a
-/// caller is from the caller's own packets.
+/// caller is from the caller's own packets. Entries that no longer accept
+/// connections are left out within a second, as a fabric that checks its next
+/// hops would do.
 pub struct Fabric {
     handle: FabricHandle,
     tasks: Vec<JoinHandle<()>>,
 }
 
-/// Sets which entries the fabric sprays over, while it runs.
+/// Changes what the fabric does while it runs.
 #[derive(Clone)]
 pub struct FabricHandle {
     caller_side: SocketAddr,
     entry_side: SocketAddr,
-    entries: Rc<RefCell<Vec<SocketAddr>>>,
+    spray: Rc<RefCell<Spray>>,
 }
 
 impl FabricHandle {
@@ -45,53 +55,46 @@
     }
 
     /// Sets the entries that packets are sprayed over.
-    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
-        *self.entries.borrow_mut() = entries;
+    pub fn set_entries(&self, entries: Vec<SprayTarget>) {
+        self.spray.borrow_mut().set_targets(entries);
     }
 }
 
 struct Shared {
     caller_side: UdpSocket,
     entry_side: UdpSocket,
-    entries: Rc<RefCell<Vec<SocketAddr>>>,
+    spray: Rc<RefCell<Spray>>,
     callers: RefCell<HashMap<Ipv4Addr, SocketAddr>>,
     rng: RefCell<ChaCha8Rng>,
 }
 
 impl Fabric {
-    /// Starts a fabric on ports that the system chooses.
+    /// Starts a fabric.
     ///
     /// # Errors
     ///
     /// Returns an error when a socket can't be bound.
-    pub async fn start(ip: Ipv4Addr, seed: u64) -> Result<Self, StandinError> {
-        let bind = async || {
-            UdpSocket::bind((ip, 0))
-                .await
-                .map_err(|e| StandinError::Socket("fabric", e))
-        };
-        let caller_side = bind().await?;
-        let entry_side = bind().await?;
-        let address = |socket: &UdpSocket| {
-            socket
-                .local_addr()
-                .map_err(|e| StandinError::Socket("fabric", e))
-        };
+    pub async fn start(settings: FabricSettings) -> Result<Self, StandinError> {
+        let error = |e| StandinError::Socket("fabric", e);
+        let caller_side = UdpSocket::bind(settings.callers).await.map_err(error)?;
+        let entry_side = UdpSocket::bind(settings.answers).await.map_err(error)?;
         let handle = FabricHandle {
-            caller_side: address(&caller_side)?,
-            entry_side: address(&entry_side)?,
-            entries: Rc::default(),
+            caller_side: caller_side.local_addr().map_err(error)?,
+            entry_side: entry_side.local_addr().map_err(error)?,
+            spray: Rc::default(),
         };
+        handle.set_entries(settings.entries);
         let shared = Rc::new(Shared {
             caller_side,
             entry_side,
-            entries: Rc::clone(&handle.entries),
+            spray: Rc::clone(&handle.spray),
             callers: RefCell::default(),
-            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(settings.seed)),
         });
         let tasks = vec![
             actix_rt::spawn(spray(Rc::clone(&shared))),
             actix_rt::spawn(return_answers(shared)),
+            actix_rt::spawn(check_entries(Rc::clone(&handle.spray))),
         ];
         Ok(Self { handle, tasks })
     }
@@ -150,13 +153,30 @@
     }
 }
 
+async fn check_entries(spray: Rc<RefCell<Spray>>) {
+    loop {
+        let checks = spray.borrow().checks();
+        for check in checks {
+            let spray = Rc::clone(&spray);
+            actix_rt::spawn(async move {
+                let connect = TcpStream::connect(check);
+                let answer = actix_rt::time::timeout(CHECK_TIMEOUT, connect).await;
+                let healthy = matches!(answer, Ok(Ok(_)));
+                spray.borrow_mut().set_healthy(check, healthy);
+            });
+        }
+        actix_rt::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 impl Shared {
     fn choose_entry(&self) -> Option<SocketAddr> {
-        let entries = self.entries.borrow();
-        if entries.is_empty() {
+        let spray = self.spray.borrow();
+        let live = spray.live();
+        if live.is_empty() {
             return None;
         }
-        let i = self.rng.borrow_mut().random_range(0..entries.len());
-        Some(entries[i])
+        let i = self.rng.borrow_mut().random_range(0..live.len());
+        Some(live[i])
     }
 }
--- /dev/null
+++ b/crates/currantgate-standin/src/fabric_settings.rs
@@ -0,0 +1,50 @@
+//! What a stand-in fabric is told at the start.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde::Deserialize;
+
+use crate::settings::{Problem, Settings};
+use crate::spray_target::SprayTarget;
+
+/// What a stand-in fabric is told at the start.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FabricSettings {
+    /// Where callers send encapsulated packets; port 0 lets the system choose.
+    pub callers: SocketAddr,
+    /// Where entries send encapsulated answers; port 0 lets the system choose.
+    pub answers: SocketAddr,
+    /// The entries that packets are sprayed over.
+    #[serde(rename = "entry")]
+    pub entries: Vec<SprayTarget>,
+    /// Seeds all random choices.
+    pub seed: u64,
+}
+
+impl Default for FabricSettings {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            callers: any,
+            answers: any,
+            entries: Vec::new(),
+            seed: 0,
+        }
+    }
+}
+
+impl Settings for FabricSettings {
+    fn check(&self) -> Result<(), Problem> {
+        for (i, entry) in self.entries.iter().enumerate() {
+            let same = |other: &SprayTarget| other.address == entry.address;
+            if self.entries[..i].iter().any(same) {
+                return Err(Problem::new(
+                    "entry.address",
+                    format!("{} is listed twice", entry.address),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/currantgate-standin/src/lib.rs
+++ b/crates/currantgate-standin/src/lib.rs
@@ -7,14 +7,33 @@
 
 mod announcer;
 mod caller;
+mod caller_flow;
+mod caller_report;
+mod caller_settings;
+mod download;
 mod error;
 mod fabric;
+mod fabric_settings;
+mod heard;
 mod segment;
+mod served_flow;
+mod server;
+mod settings;
+mod slots;
+mod spray;
+mod spray_target;
 mod tally;
 mod upstream;
+mod upstream_settings;
 
-pub use caller::{Caller, CallerSettings};
+pub use caller::Caller;
+pub use caller_report::CallerReport;
+pub use caller_settings::CallerSettings;
 pub use error::StandinError;
 pub use fabric::{Fabric, FabricHandle};
+pub use fabric_settings::FabricSettings;
+pub use settings::{Problem, Settings};
+pub use spray_target::SprayTarget;
 pub use tally::Tally;
-pub use upstream::{Upstream, UpstreamSettings};
+pub use upstream::Upstream;
+pub use upstream_settings::UpstreamSettings;
--- a/crates/currantgate-standin/src/segment.rs
+++ b/crates/currantgate-standin/src/segment.rs
@@ -30,6 +30,35 @@
     pub(crate) rst: bool,
 }
 
+impl Flags {
+    const NONE: Self = Self {
+        syn: false,
+        ack: false,
+        fin: false,
+        rst: false,
+    };
+    pub(crate) const SYN: Self = Self {
+        syn: true,
+        ..Self::NONE
+    };
+    pub(crate) const ACK: Self = Self {
+        ack: true,
+        ..Self::NONE
+    };
+    pub(crate) const SYN_ACK: Self = Self {
+        syn: true,
+        ..Self::ACK
+    };
+    pub(crate) const FIN_ACK: Self = Self {
+        fin: true,
+        ..Self::ACK
+    };
+    pub(crate) const RST: Self = Self {
+        rst: true,
+        ..Self::NONE
+    };
+}
+
 impl Segment {
     /// Returns the sequence number after everything in the segment.
     pub(crate) fn next_seq(&self) -> u32 {
@@ -40,6 +69,18 @@
             .wrapping_add(u32::from(self.flags.fin))
     }
 
+    /// Returns the reset that a kernel sends for a segment of no flow it knows.
+    pub(crate) fn reset(&self) -> Self {
+        Self {
+            from: self.to,
+            to: self.from,
+            seq: self.ack,
+            ack: 0,
+            flags: Flags::RST,
+            payload: Vec::new(),
+        }
+    }
+
     /// Builds the IP packet that carries the segment.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut builder = PacketBuilder::ipv4(self.from.ip().octets(), self.to.ip().octets(), TTL)
--- a/crates/currantgate-standin/src/upstream.rs
+++ b/crates/currantgate-standin/src/upstream.rs
@@ -1,10 +1,9 @@
 //! An upstream that answers TCP flows as a kernel would.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_rt::task::JoinHandle;
 use currantgate_config::Incarnation;
@@ -13,58 +12,21 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use crate::StandinError;
 use crate::announcer;
-use crate::segment::{Flags, Segment};
+use crate::heard::Heard;
+use crate::segment::Segment;
+use crate::server::{Job, Server};
+use crate::{StandinError, UpstreamSettings};
 
 /// How often an announcement is renewed.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The first sequence number that an upstream uses.
-const FIRST_SEQ: u32 = 1_000;
+/// How often downloads are looked at, and flows while the upstream leaves.
+const TICK: Duration = Duration::from_millis(20);
 
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
-/// What a stand-in upstream is told at the start.
-#[derive(Clone, Debug)]
-pub struct UpstreamSettings {
-    /// The service it serves.
-    pub service: Box<str>,
-    /// Its own name.
-    pub name: Box<str>,
-    /// Counts its starts.
-    pub incarnation: Incarnation,
-    /// The failure domain it stands in.
-    pub domain: Box<str>,
-    /// The service's address, to which it answers.
-    pub service_address: SocketAddrV4,
-    /// The address it takes encapsulated packets on; port 0 lets the system choose.
-    pub listen: SocketAddrV4,
-    /// Where the entries of its domain take announcements.
-    pub announce: Vec<SocketAddr>,
-    /// Where entries take encapsulated answers; each answer goes to one at random.
-    pub entries: Vec<SocketAddr>,
-    /// Seeds the choice of entries.
-    pub seed: u64,
-}
-
-impl Default for UpstreamSettings {
-    fn default() -> Self {
-        Self {
-            service: "".into(),
-            name: "".into(),
-            incarnation: 1,
-            domain: "".into(),
-            service_address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
-            listen: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
-            announce: Vec::new(),
-            entries: Vec::new(),
-            seed: 0,
-        }
-    }
-}
-
 /// A running stand-in upstream.
 pub struct Upstream {
     shared: Rc<Shared>,
@@ -73,12 +35,13 @@
 
 struct Shared {
     settings: UpstreamSettings,
+    incarnation: Cell<Incarnation>,
     address: SocketAddr,
     socket: UdpSocket,
-    state: Cell<UpstreamState>,
-    flows: RefCell<HashMap<SocketAddrV4, u32>>,
-    accepted: Cell<u64>,
-    misrouted: Cell<u64>,
+    draining: Cell<bool>,
+    frozen: Cell<bool>,
+    server: RefCell<Server>,
+    heard: RefCell<Heard>,
     rng: RefCell<ChaCha8Rng>,
 }
 
@@ -94,15 +57,17 @@
         let shared = Rc::new(Shared {
             address: socket.local_addr().map_err(error)?,
             socket,
-            state: Cell::new(UpstreamState::Ready),
-            flows: RefCell::default(),
-            accepted: Cell::new(0),
-            misrouted: Cell::new(0),
+            incarnation: Cell::new(first_incarnation(&settings)),
+            draining: Cell::new(false),
+            frozen: Cell::new(false),
+            server: RefCell::new(Server::new(Instant::now(), &settings)),
+            heard: RefCell::new(Heard::new(settings.entries.clone())),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(settings.seed)),
             settings,
         });
         let tasks = vec![
             actix_rt::spawn(serve(Rc::clone(&shared))),
+            actix_rt::spawn(send_downloads(Rc::clone(&shared))),
             actix_rt::spawn(keep_announced(Rc::clone(&shared))),
         ];
         Ok(Self { shared, tasks })
@@ -110,10 +75,49 @@
 
     /// Announces that the upstream takes no more new flows.
     pub async fn drain(&self) {
-        self.shared.state.set(UpstreamState::Draining);
+        self.shared.draining.set(true);
         self.shared.announce().await;
     }
 
+    /// Leaves in plan: drains, waits for the open flows to end, but not for
+    /// longer than the settings say, and withdraws.
+    pub async fn leave(&self) {
+        let deadline = Instant::now() + Duration::from_millis(self.shared.settings.leave_ms);
+        self.drain().await;
+        while self.open_flows() > 0 && Instant::now() < deadline {
+            actix_rt::time::sleep(TICK).await;
+        }
+        self.withdraw().await;
+    }
+
+    /// Tells the entries that this incarnation is no longer there.
+    pub async fn withdraw(&self) {
+        self.shared.frozen.set(true);
+        let settings = &self.shared.settings;
+        announcer::withdraw(
+            &settings.announce,
+            &settings.service,
+            &settings.name,
+            self.shared.incarnation.get(),
+        )
+        .await;
+    }
+
+    /// Starts anew at the same address, without a memory of any flow.
+    pub async fn restart(&self) {
+        let shared = &self.shared;
+        shared.incarnation.set(shared.incarnation.get() + 1);
+        shared.server.borrow_mut().restart(Instant::now());
+        shared.draining.set(false);
+        shared.frozen.set(false);
+        shared.announce().await;
+    }
+
+    /// Goes silent, as a VM that hangs, or comes back with all it knew.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.shared.frozen.set(frozen);
+    }
+
     /// Returns the upstream's own name.
     pub fn name(&self) -> &str {
         &self.shared.settings.name
@@ -126,17 +130,17 @@
 
     /// Returns how many flows are open.
     pub fn open_flows(&self) -> usize {
-        self.shared.flows.borrow().len()
+        self.shared.server.borrow().open_flows()
     }
 
-    /// Returns how many flows were accepted since the start.
+    /// Returns how many flows were accepted since the first start.
     pub fn accepted(&self) -> u64 {
-        self.shared.accepted.get()
+        self.shared.server.borrow().accepted
     }
 
     /// Returns how many packets for another service arrived.
     pub fn misrouted(&self) -> u64 {
-        self.shared.misrouted.get()
+        self.shared.server.borrow().misrouted
     }
 }
 
@@ -148,9 +152,21 @@
     }
 }
 
+fn first_incarnation(settings: &UpstreamSettings) -> Incarnation {
+    if settings.incarnation != 0 {
+        return settings.incarnation;
+    }
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(1)
+}
+
 async fn keep_announced(shared: Rc<Shared>) {
     loop {
-        shared.announce().await;
+        if !shared.frozen.get() {
+            shared.announce().await;
+        }
         actix_rt::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
@@ -158,99 +174,83 @@
 async fn serve(shared: Rc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((len, _)) = shared.socket.recv_from(&mut buf).await else {
+        let Ok((len, entry)) = shared.socket.recv_from(&mut buf).await else {
             continue;
         };
+        if shared.frozen.get() {
+            continue;
+        }
+        let now = Instant::now();
+        shared.heard.borrow_mut().note(now, entry);
         let Some(segment) = Segment::decode(&buf[..len]) else {
             continue;
         };
-        if segment.to != shared.settings.service_address {
-            shared.misrouted.set(shared.misrouted.get() + 1);
-            continue;
-        }
-        if let Some(answer) = shared.answer(&segment) {
+        let (answer, job) = shared.server.borrow_mut().take(now, &segment);
+        if let Some(answer) = answer {
             shared.send(&answer);
         }
+        if let Some(job) = job {
+            actix_rt::spawn(finish(Rc::clone(&shared), job));
+        }
+    }
+}
+
+async fn finish(shared: Rc<Shared>, job: Job) {
+    actix_rt::time::sleep_until(job.done_at.into()).await;
+    let answer = shared.server.borrow_mut().finish(&job);
+    if let Some(answer) = answer {
+        shared.send(&answer);
+    }
+}
+
+async fn send_downloads(shared: Rc<Shared>) {
+    loop {
+        actix_rt::time::sleep(TICK).await;
+        let due = shared.server.borrow_mut().tick(Instant::now());
+        for segment in due {
+            shared.send(&segment);
+        }
     }
 }
 
 impl Shared {
     async fn announce(&self) {
+        let settings = &self.settings;
         let announcement = Announcement {
-            incarnation: self.settings.incarnation,
+            incarnation: self.incarnation.get(),
             address: self.address,
-            domain: self.settings.domain.clone(),
-            slots: 1,
-            state: self.state.get(),
+            domain: settings.domain.clone(),
+            slots: settings.slots,
+            state: self.state(),
         };
         announcer::announce(
-            &self.settings.announce,
-            &self.settings.service,
-            &self.settings.name,
+            &settings.announce,
+            &settings.service,
+            &settings.name,
             &announcement,
         )
         .await;
     }
 
-    fn answer(&self, segment: &Segment) -> Option<Segment> {
-        let reply = |seq, flags, payload| Segment {
-            from: segment.to,
-            to: segment.from,
-            seq,
-            ack: segment.next_seq(),
-            flags,
-            payload,
-        };
-        let ack = Flags {
-            ack: true,
-            ..Flags::default()
-        };
-        let mut flows = self.flows.borrow_mut();
-        if segment.flags.rst {
-            flows.remove(&segment.from);
-            return None;
-        }
-        if segment.flags.syn {
-            if flows.insert(segment.from, FIRST_SEQ + 1).is_none() {
-                self.accepted.set(self.accepted.get() + 1);
-            }
-            return Some(reply(FIRST_SEQ, Flags { syn: true, ..ack }, Vec::new()));
+    fn state(&self) -> UpstreamState {
+        if self.draining.get() {
+            UpstreamState::Draining
+        } else if self.server.borrow().is_warming(Instant::now()) {
+            UpstreamState::Warming
+        } else {
+            UpstreamState::Ready
         }
-        let Some(next) = flows.get_mut(&segment.from) else {
-            let reset = Flags {
-                rst: true,
-                ..Flags::default()
-            };
-            return Some(reply(segment.ack, reset, Vec::new()));
-        };
-        if segment.flags.fin {
-            let seq = *next;
-            flows.remove(&segment.from);
-            return Some(reply(seq, Flags { fin: true, ..ack }, Vec::new()));
-        }
-        if segment.payload.is_empty() {
-            return None;
-        }
-        let payload = self.echo(&segment.payload);
-        let seq = *next;
-        *next = next.wrapping_add(u32::try_from(payload.len()).unwrap_or(0));
-        Some(reply(seq, ack, payload))
-    }
-
-    /// Returns the answer to a request: who answers, then the request itself.
-    fn echo(&self, request: &[u8]) -> Vec<u8> {
-        let mut payload = format!("{}/{} ", self.settings.service, self.settings.name).into_bytes();
-        payload.extend_from_slice(request);
-        payload
     }
 
     fn send(&self, segment: &Segment) {
-        let entries = &self.settings.entries;
-        if entries.is_empty() {
+        if self.frozen.get() {
             return;
         }
-        let i = self.rng.borrow_mut().random_range(0..entries.len());
-        // A full socket loses the packet, as a full link would.
-        let _ = self.socket.try_send_to(&segment.encode(), entries[i]);
+        let draw = self.rng.borrow_mut().random_range(0..usize::MAX);
+        let entry = self.heard.borrow_mut().choose(Instant::now(), draw);
+        if let Some(entry) = entry {
+            // A full socket loses the packet, as a full link would.
+            let _ = self.socket.try_send_to(&segment.encode(), entry);
+        }
     }
 }
