--- a/crates/currantgate-config/src/error.rs
+++ b/crates/currantgate-config/src/error.rs
@@ -53,7 +53,7 @@
     }
 
     /// Builds an error about one key of a file that is named later.
-    pub(crate) fn value(key: impl Into<Box<str>>, problem: impl Into<Box<str>>) -> Self {
+    pub fn value(key: impl Into<Box<str>>, problem: impl Into<Box<str>>) -> Self {
         Self::Value {
             file: "".into(),
             key: key.into(),
--- a/crates/currantgate-config/src/file.rs
+++ b/crates/currantgate-config/src/file.rs
@@ -7,13 +7,21 @@
 use crate::ConfigError;
 
 /// A file's contents that can be checked beyond their syntax.
-pub(crate) trait Checked {
+pub trait Checked {
     /// Checks what the syntax alone can't.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first key whose value is wrong.
     fn check(&self) -> Result<(), ConfigError>;
 }
 
 /// Reads and checks the file at `path`.
-pub(crate) fn load<T: Checked + DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+///
+/// # Errors
+///
+/// Returns an error that names the file, and the line or key at fault.
+pub fn load<T: Checked + DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
         file: name.as_str().into(),
@@ -23,10 +31,11 @@
 }
 
 /// Reads and checks the text of a file called `name`.
-pub(crate) fn parse<T: Checked + DeserializeOwned>(
-    text: &str,
-    name: &str,
-) -> Result<T, ConfigError> {
+///
+/// # Errors
+///
+/// Returns an error that names the file, and the line or key at fault.
+pub fn parse<T: Checked + DeserializeOwned>(text: &str, name: &str) -> Result<T, ConfigError> {
     let contents: T =
         toml::from_str(text).map_err(|source| ConfigError::syntax(name, text, &source))?;
     contents.check().map_err(|e| e.in_file(name))?;
--- a/crates/currantgate-flow/tests/common/mod.rs
+++ b/crates/currantgate-flow/tests/common/mod.rs
@@ -196,6 +196,7 @@
                 .map(|(id, stage)| EntryView {
                     id: *id,
                     stage: *stage,
+                    domain: "".into(),
                 })
                 .collect();
             let at = self.view_at();
--- a/crates/currantgate/src/entry/metrics.rs
+++ b/crates/currantgate/src/entry/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
 /// Labels that tell why something was dropped or refused.
@@ -25,6 +26,12 @@
     pub(crate) refused: Family<Reason, Counter>,
     /// Packets that were dropped.
     pub(crate) dropped: Family<Reason, Counter>,
+    /// Flows that the entry remembers.
+    pub(crate) open_flows: Gauge,
+    /// Buckets that the entry sees on the move.
+    pub(crate) moving_buckets: Gauge,
+    /// Entries that count as alive, this one included.
+    pub(crate) live_entries: Gauge,
     /// Bytes of control messages sent, UDP and IP headers included.
     pub(crate) control_bytes: Counter,
 }
@@ -54,6 +61,21 @@
             self.refused.clone(),
         );
         registry.register("packets_dropped", "Packets dropped", self.dropped.clone());
+        registry.register(
+            "open_flows",
+            "Flows that the entry remembers",
+            self.open_flows.clone(),
+        );
+        registry.register(
+            "moving_buckets",
+            "Buckets that the entry sees on the move",
+            self.moving_buckets.clone(),
+        );
+        registry.register(
+            "live_entries",
+            "Entries that count as alive, this one included",
+            self.live_entries.clone(),
+        );
         registry.register_with_unit(
             "control_sent",
             "Control messages sent, UDP and IP headers included",
