Read ICMP errors, tell bad packets apart and build every refusal

Packets now come apart in three steps: the IP layer (one whole packet, header checksum right, no fragment), the transport, and for ICMP errors the packet that they quote, whose direction is the other way. An error whose quotation was not sent by the one it goes to is forged and dropped. Lengths and checksums have errors of their own, so that they are counted apart.

`refuse(packet, buf, refusal)` takes the packet's bytes and answers UDP too: administratively prohibited or host unreachable, with the packet's start quoted. Resets follow RFC 9293 (no ACK flag where the packet had one), and neither resets nor ICMP errors are answered. `build_refusal(packet, refusal)` stays for the entry until it calls `refuse`, and is then to go. New: `build_too_big`, `build_reset` and `build_upstream_reset`.

The maximum segment size of a SYN is not clamped: etherparse stops at options it doesn't know, such as those of Multipath TCP and Fast Open, and the route of an upstream can announce the right size itself.

--- /dev/null
+++ b/crates/currantgate-packet/src/ip.rs
@@ -0,0 +1,55 @@
+//! Reads the IP layer of a packet.
+
+use std::net::IpAddr;
+
+use etherparse::{IpNumber, IpSlice, Ipv6Header, Ipv6Slice, checksum::u64_16bit_word};
+
+use crate::PacketError;
+
+/// The IP layer of one whole packet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct IpPacket<'a> {
+    pub(crate) source: IpAddr,
+    pub(crate) destination: IpAddr,
+    pub(crate) protocol: IpNumber,
+    pub(crate) payload: &'a [u8],
+}
+
+impl<'a> IpPacket<'a> {
+    /// Reads a packet that fills `buf`; fragments are an error.
+    pub(crate) fn read(buf: &'a [u8]) -> Result<Self, PacketError> {
+        let ip = IpSlice::from_slice(buf).map_err(|_| PacketError::Ip)?;
+        check_header(&ip, buf)?;
+        if ip.is_fragmenting_payload() {
+            return Err(PacketError::Fragment);
+        }
+        Ok(Self {
+            source: ip.source_addr(),
+            destination: ip.destination_addr(),
+            protocol: ip.payload_ip_number(),
+            payload: ip.payload().payload,
+        })
+    }
+}
+
+fn check_header(ip: &IpSlice<'_>, buf: &[u8]) -> Result<(), PacketError> {
+    match ip {
+        IpSlice::Ipv4(v4) => {
+            let header = v4.header();
+            if usize::from(header.total_len()) != buf.len() {
+                return Err(PacketError::Length);
+            }
+            let sum = u64_16bit_word::add_slice(0, header.slice());
+            if u64_16bit_word::ones_complement(sum) != 0 {
+                return Err(PacketError::Checksum);
+            }
+            Ok(())
+        }
+        IpSlice::Ipv6(v6) if ipv6_len(v6) != buf.len() => Err(PacketError::Length),
+        IpSlice::Ipv6(_) => Ok(()),
+    }
+}
+
+fn ipv6_len(ip: &Ipv6Slice<'_>) -> usize {
+    Ipv6Header::LEN + usize::from(ip.header().payload_length())
+}
--- a/crates/currantgate-packet/src/lib.rs
+++ b/crates/currantgate-packet/src/lib.rs
@@ -9,10 +9,14 @@
 mod error;
 mod flow_hash;
 mod flow_key;
+mod icmp;
+mod ip;
 mod kind;
 mod packet;
 mod parse;
 mod refuse;
+mod reset;
+mod unreachable;
 
 pub use error::PacketError;
 pub use flow_hash::{FlowHash, FlowHasher};
@@ -20,4 +24,6 @@
 pub use kind::PacketKind;
 pub use packet::Packet;
 pub use parse::{parse_answer, parse_request};
-pub use refuse::{Refusal, build_refusal};
+pub use refuse::{Refusal, build_refusal, refuse};
+pub use reset::{build_reset, build_upstream_reset};
+pub use unreachable::build_too_big;
--- a/crates/currantgate-packet/src/parse.rs
+++ b/crates/currantgate-packet/src/parse.rs
@@ -1,84 +1,114 @@
 //! Reads packets of both directions.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use currantgate_config::Protocol;
-use etherparse::{NetSlice, SlicedPacket, TcpSlice, TransportSlice};
+use etherparse::{TcpSlice, UdpSlice, ip_number};
 
+use crate::icmp::Quoted;
+use crate::ip::IpPacket;
 use crate::{FlowKey, Packet, PacketError, PacketKind};
 
+/// Who sent a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    Caller,
+    Upstream,
+}
+
 /// Reads an IP packet that a caller sent to a service.
 ///
+/// An ICMP error from a caller's side is about an answer of the service.
+///
 /// # Errors
 ///
 /// Returns why the packet can't be routed; nothing is read past `buf`.
 pub fn parse_request(buf: &[u8]) -> Result<Packet, PacketError> {
-    parse(buf, |source, destination| (source, destination))
+    parse(buf, Sender::Caller)
 }
 
 /// Reads an IP packet that an upstream sent to a caller.
 ///
+/// An ICMP error from an upstream's side is about a packet of the caller.
+///
 /// # Errors
 ///
 /// Returns why the packet can't be routed; nothing is read past `buf`.
 pub fn parse_answer(buf: &[u8]) -> Result<Packet, PacketError> {
-    parse(buf, |source, destination| (destination, source))
+    parse(buf, Sender::Upstream)
+}
+
+fn parse(buf: &[u8], sender: Sender) -> Result<Packet, PacketError> {
+    let ip = IpPacket::read(buf)?;
+    let packet = match (ip.protocol, ip.source.is_ipv4()) {
+        (ip_number::TCP, _) => parse_tcp(&ip, sender)?,
+        (ip_number::UDP, _) => parse_udp(&ip, sender)?,
+        (ip_number::ICMP, true) => icmp_error(Quoted::read_v4(&ip)?, sender),
+        (ip_number::IPV6_ICMP, false) => icmp_error(Quoted::read_v6(&ip)?, sender),
+        (other, _) => return Err(PacketError::Protocol(other.0)),
+    };
+    Ok(Packet {
+        len: buf.len(),
+        ..packet
+    })
 }
 
-fn parse(
-    buf: &[u8],
-    orient: fn(SocketAddr, SocketAddr) -> (SocketAddr, SocketAddr),
-) -> Result<Packet, PacketError> {
-    let sliced = SlicedPacket::from_ip(buf).map_err(|_| PacketError::Ip)?;
-    let (source, destination) = addresses(&sliced)?;
-    let packet = |protocol, source_port, destination_port| {
-        let (caller, service) = orient(
-            SocketAddr::new(source, source_port),
-            SocketAddr::new(destination, destination_port),
-        );
-        Packet {
-            key: FlowKey {
-                protocol,
-                caller,
-                service,
-            },
-            kind: PacketKind::Data,
-            next_seq: 0,
-            ack: 0,
-            len: buf.len(),
-        }
+fn parse_tcp(ip: &IpPacket<'_>, sender: Sender) -> Result<Packet, PacketError> {
+    let tcp = TcpSlice::from_slice(ip.payload).map_err(|_| PacketError::Transport)?;
+    let source = SocketAddr::new(ip.source, tcp.source_port());
+    let destination = SocketAddr::new(ip.destination, tcp.destination_port());
+    let ack = if tcp.ack() {
+        tcp.acknowledgment_number()
+    } else {
+        0
     };
-    match sliced.transport {
-        Some(TransportSlice::Tcp(tcp)) => Ok(Packet {
-            kind: tcp_kind(&tcp),
-            next_seq: next_seq(&tcp),
-            ack: if tcp.ack() {
-                tcp.acknowledgment_number()
-            } else {
-                0
-            },
-            ..packet(Protocol::Tcp, tcp.source_port(), tcp.destination_port())
-        }),
-        Some(TransportSlice::Udp(udp)) => Ok(packet(
-            Protocol::Udp,
-            udp.source_port(),
-            udp.destination_port(),
-        )),
-        _ => Err(PacketError::Transport),
+    Ok(Packet {
+        kind: tcp_kind(&tcp),
+        next_seq: next_seq(&tcp),
+        ack,
+        ..data(Protocol::Tcp, source, destination, sender)
+    })
+}
+
+fn parse_udp(ip: &IpPacket<'_>, sender: Sender) -> Result<Packet, PacketError> {
+    let udp = UdpSlice::from_slice(ip.payload).map_err(|_| PacketError::Transport)?;
+    let source = SocketAddr::new(ip.source, udp.source_port());
+    let destination = SocketAddr::new(ip.destination, udp.destination_port());
+    Ok(data(Protocol::Udp, source, destination, sender))
+}
+
+/// Returns an ICMP error, whose quotation went the other way than itself.
+fn icmp_error(quoted: Quoted, sender: Sender) -> Packet {
+    let quoted_sender = match sender {
+        Sender::Caller => Sender::Upstream,
+        Sender::Upstream => Sender::Caller,
+    };
+    let Quoted {
+        protocol,
+        source,
+        destination,
+    } = quoted;
+    Packet {
+        kind: PacketKind::IcmpError,
+        ..data(protocol, source, destination, quoted_sender)
     }
 }
 
-fn addresses(sliced: &SlicedPacket<'_>) -> Result<(IpAddr, IpAddr), PacketError> {
-    match &sliced.net {
-        Some(NetSlice::Ipv4(ip)) => Ok((
-            IpAddr::V4(ip.header().source_addr()),
-            IpAddr::V4(ip.header().destination_addr()),
-        )),
-        Some(NetSlice::Ipv6(ip)) => Ok((
-            IpAddr::V6(ip.header().source_addr()),
-            IpAddr::V6(ip.header().destination_addr()),
-        )),
-        _ => Err(PacketError::Ip),
+fn data(protocol: Protocol, source: SocketAddr, destination: SocketAddr, sender: Sender) -> Packet {
+    let (caller, service) = match sender {
+        Sender::Caller => (source, destination),
+        Sender::Upstream => (destination, source),
+    };
+    Packet {
+        key: FlowKey {
+            protocol,
+            caller,
+            service,
+        },
+        kind: PacketKind::Data,
+        next_seq: 0,
+        ack: 0,
+        len: 0,
     }
 }
 
--- a/crates/currantgate-packet/src/refuse.rs
+++ b/crates/currantgate-packet/src/refuse.rs
@@ -1,11 +1,10 @@
 //! Builds the refusals that callers are sent.
 
-use std::net::IpAddr;
-
 use currantgate_config::Protocol;
-use etherparse::PacketBuilder;
 
-use crate::{FlowKey, Packet, PacketError};
+use crate::reset::answer_with_reset;
+use crate::unreachable::answer_with_unreachable;
+use crate::{Packet, PacketError, PacketKind};
 
 /// What a caller is told about a flow that can't be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,37 +15,34 @@
     Gone,
 }
 
-/// Hops that a refusal may travel.
-const TTL: u8 = 64;
-
-/// Builds the IP packet that tells the caller of `packet` about `refusal`.
+/// Builds the IP packet that tells the caller about `refusal`.
+///
+/// `packet` was read from `buf`. A TCP caller is sent a reset. A UDP caller is
+/// sent an ICMP error that quotes its packet: administratively prohibited for
+/// [`Refusal::NotRun`] and host unreachable for [`Refusal::Gone`].
 ///
 /// # Errors
 ///
-/// Returns an error when the flow's two addresses are of different families.
-pub fn build_refusal(packet: &Packet, _refusal: Refusal) -> Result<Vec<u8>, PacketError> {
-    match packet.key.protocol {
-        Protocol::Tcp => build_reset(packet),
-        Protocol::Udp => Err(PacketError::Protocol(17)),
+/// Returns [`PacketError::NeverAnswered`] for a reset or an ICMP error, so
+/// that no two hosts answer each other for ever.
+pub fn refuse(packet: &Packet, buf: &[u8], refusal: Refusal) -> Result<Vec<u8>, PacketError> {
+    match (packet.kind, packet.key.protocol) {
+        (PacketKind::IcmpError, _) => Err(PacketError::NeverAnswered),
+        (_, Protocol::Tcp) => answer_with_reset(packet),
+        (_, Protocol::Udp) => answer_with_unreachable(buf, refusal),
     }
 }
 
-fn build_reset(packet: &Packet) -> Result<Vec<u8>, PacketError> {
-    let FlowKey {
-        caller, service, ..
-    } = packet.key;
-    let builder = match (service.ip(), caller.ip()) {
-        (IpAddr::V4(from), IpAddr::V4(to)) => PacketBuilder::ipv4(from.octets(), to.octets(), TTL),
-        (IpAddr::V6(from), IpAddr::V6(to)) => PacketBuilder::ipv6(from.octets(), to.octets(), TTL),
-        _ => return Err(PacketError::Ip),
-    };
-    let builder = builder
-        .tcp(service.port(), caller.port(), packet.ack, 0)
-        .rst()
-        .ack(packet.next_seq);
-    let mut buf = Vec::with_capacity(builder.size(0));
-    builder
-        .write(&mut buf, &[])
-        .map_err(|_| PacketError::Transport)?;
-    Ok(buf)
+/// Builds the reset that refuses a TCP packet; use [`refuse`], which refuses
+/// UDP packets too.
+///
+/// # Errors
+///
+/// Returns an error for a packet that [`refuse`] does not answer, or of UDP.
+pub fn build_refusal(packet: &Packet, _refusal: Refusal) -> Result<Vec<u8>, PacketError> {
+    match (packet.kind, packet.key.protocol) {
+        (PacketKind::IcmpError, _) => Err(PacketError::NeverAnswered),
+        (_, Protocol::Tcp) => answer_with_reset(packet),
+        (_, Protocol::Udp) => Err(PacketError::Protocol(17)),
+    }
 }
--- /dev/null
+++ b/crates/currantgate-packet/src/reset.rs
@@ -0,0 +1,84 @@
+//! Builds TCP resets.
+
+use std::net::{IpAddr, SocketAddr};
+
+use etherparse::{IpHeaders, PacketBuilder, PacketBuilderStep};
+
+use crate::{FlowKey, Packet, PacketError, PacketKind};
+
+/// Hops that a packet of an entry may travel.
+pub(crate) const TTL: u8 = 64;
+
+/// Builds the reset that answers `packet`, as RFC 9293 (3.10.7.1) has it.
+pub(crate) fn answer_with_reset(packet: &Packet) -> Result<Vec<u8>, PacketError> {
+    if packet.kind == PacketKind::Reset {
+        return Err(PacketError::NeverAnswered);
+    }
+    let FlowKey {
+        caller, service, ..
+    } = packet.key;
+    if packet.ack == 0 {
+        build(service, caller, 0, Some(packet.next_seq))
+    } else {
+        build(service, caller, packet.ack, None)
+    }
+}
+
+/// Builds the reset that ends a flow towards its caller.
+///
+/// `seq` must be the number that the caller expects next from the service,
+/// and `ack` the one that the caller sends next; its kernel ignores others.
+///
+/// # Errors
+///
+/// Returns an error when the flow's two addresses are of different families.
+pub fn build_reset(key: &FlowKey, seq: u32, ack: u32) -> Result<Vec<u8>, PacketError> {
+    build(key.service, key.caller, seq, Some(ack))
+}
+
+/// Builds the reset that ends a flow towards its upstream.
+///
+/// `seq` must be the number that the upstream expects next from the caller,
+/// and `ack` the one that the upstream sends next; its kernel ignores others.
+///
+/// # Errors
+///
+/// Returns an error when the flow's two addresses are of different families.
+pub fn build_upstream_reset(key: &FlowKey, seq: u32, ack: u32) -> Result<Vec<u8>, PacketError> {
+    build(key.caller, key.service, seq, Some(ack))
+}
+
+fn build(
+    from: SocketAddr,
+    to: SocketAddr,
+    seq: u32,
+    ack: Option<u32>,
+) -> Result<Vec<u8>, PacketError> {
+    let mut builder = ip_header(from.ip(), to.ip())?
+        .tcp(from.port(), to.port(), seq, 0)
+        .rst();
+    if let Some(ack) = ack {
+        builder = builder.ack(ack);
+    }
+    let mut buf = Vec::with_capacity(builder.size(0));
+    builder
+        .write(&mut buf, &[])
+        .map_err(|_| PacketError::Transport)?;
+    Ok(buf)
+}
+
+/// Starts a packet between two addresses of the same family.
+pub(crate) fn ip_header(
+    from: IpAddr,
+    to: IpAddr,
+) -> Result<PacketBuilderStep<IpHeaders>, PacketError> {
+    match (from, to) {
+        (IpAddr::V4(from), IpAddr::V4(to)) => {
+            Ok(PacketBuilder::ipv4(from.octets(), to.octets(), TTL))
+        }
+        (IpAddr::V6(from), IpAddr::V6(to)) => {
+            Ok(PacketBuilder::ipv6(from.octets(), to.octets(), TTL))
+        }
+        _ => Err(PacketError::Ip),
+    }
+}
--- /dev/null
+++ b/crates/currantgate-packet/tests/packets/main.rs
@@ -0,0 +1,7 @@
+//! Packets of every kind, good and bad.
+
+mod answers;
+mod build;
+mod errors;
+mod kinds;
+mod random;
