--- a/crates/currantgate-standin/src/caller_settings.rs
+++ b/crates/currantgate-standin/src/caller_settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Problem, Settings};
+use currantgate_config::{Checked, ConfigError};
 
 /// The most flows that one caller opens: each has a port of its own.
 pub(crate) const MAX_FLOWS: u32 = 60_000;
@@ -60,31 +60,31 @@
     }
 }
 
-impl Settings for CallerSettings {
-    fn check(&self) -> Result<(), Problem> {
+impl Checked for CallerSettings {
+    fn check(&self) -> Result<(), ConfigError> {
         if self.service.is_empty() {
-            return Err(Problem::new("service", "must not be empty"));
+            return Err(ConfigError::value("service", "must not be empty"));
         }
         if self.service_address.port() == 0 {
-            return Err(Problem::new("service_address", "must have a port"));
+            return Err(ConfigError::value("service_address", "must have a port"));
         }
         if self.fabric.port() == 0 {
-            return Err(Problem::new("fabric", "must have a port"));
+            return Err(ConfigError::value("fabric", "must have a port"));
         }
         if self.requests == 0 {
-            return Err(Problem::new("requests", "must be at least 1"));
+            return Err(ConfigError::value("requests", "must be at least 1"));
         }
         if self.chunks == 0 {
-            return Err(Problem::new("chunks", "must be at least 1"));
+            return Err(ConfigError::value("chunks", "must be at least 1"));
         }
         if self.chunk_ms > MAX_CHUNK_MS {
-            return Err(Problem::new(
+            return Err(ConfigError::value(
                 "chunk_ms",
                 format!("must be at most {MAX_CHUNK_MS}"),
             ));
         }
         if self.flows > MAX_FLOWS {
-            return Err(Problem::new(
+            return Err(ConfigError::value(
                 "flows",
                 format!("must be at most {MAX_FLOWS}"),
             ));
--- a/crates/currantgate-standin/src/fabric_settings.rs
+++ b/crates/currantgate-standin/src/fabric_settings.rs
@@ -4,8 +4,8 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Problem, Settings};
 use crate::spray_target::SprayTarget;
+use currantgate_config::{Checked, ConfigError};
 
 /// What a stand-in fabric is told at the start.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -34,12 +34,12 @@
     }
 }
 
-impl Settings for FabricSettings {
-    fn check(&self) -> Result<(), Problem> {
+impl Checked for FabricSettings {
+    fn check(&self) -> Result<(), ConfigError> {
         for (i, entry) in self.entries.iter().enumerate() {
             let same = |other: &SprayTarget| other.address == entry.address;
             if self.entries[..i].iter().any(same) {
-                return Err(Problem::new(
+                return Err(ConfigError::value(
                     "entry.address",
                     format!("{} is listed twice", entry.address),
                 ));
--- a/crates/currantgate-standin/src/lib.rs
+++ b/crates/currantgate-standin/src/lib.rs
@@ -32,7 +32,7 @@
 pub use error::StandinError;
 pub use fabric::{Fabric, FabricHandle};
 pub use fabric_settings::FabricSettings;
-pub use settings::{Problem, Settings};
+pub use settings::Settings;
 pub use spray_target::SprayTarget;
 pub use tally::Tally;
 pub use upstream::Upstream;
--- a/crates/currantgate-standin/src/upstream.rs
+++ b/crates/currantgate-standin/src/upstream.rs
@@ -222,6 +222,7 @@
             domain: settings.domain.clone(),
             slots: settings.slots,
             state: self.state(),
+            load: None,
         };
         announcer::announce(
             &settings.announce,
--- a/crates/currantgate-standin/src/upstream_settings.rs
+++ b/crates/currantgate-standin/src/upstream_settings.rs
@@ -5,7 +5,7 @@
 use currantgate_config::Incarnation;
 use serde::Deserialize;
 
-use crate::settings::{Problem, Settings};
+use currantgate_config::{Checked, ConfigError};
 
 /// What a stand-in upstream is told at the start.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -70,8 +70,8 @@
     }
 }
 
-impl Settings for UpstreamSettings {
-    fn check(&self) -> Result<(), Problem> {
+impl Checked for UpstreamSettings {
+    fn check(&self) -> Result<(), ConfigError> {
         let required = [
             ("service", &self.service),
             ("name", &self.name),
@@ -79,20 +79,23 @@
         ];
         for (key, value) in required {
             if value.is_empty() {
-                return Err(Problem::new(key, "must not be empty"));
+                return Err(ConfigError::value(key, "must not be empty"));
             }
         }
         if self.service_address.port() == 0 {
-            return Err(Problem::new("service_address", "must have a port"));
+            return Err(ConfigError::value("service_address", "must have a port"));
         }
         if self.slots == 0 {
-            return Err(Problem::new("slots", "must be at least 1"));
+            return Err(ConfigError::value("slots", "must be at least 1"));
         }
         if self.cold_slowdown == 0 {
-            return Err(Problem::new("cold_slowdown", "must be at least 1"));
+            return Err(ConfigError::value("cold_slowdown", "must be at least 1"));
         }
         if self.announce.is_empty() {
-            return Err(Problem::new("announce", "must name at least one entry"));
+            return Err(ConfigError::value(
+                "announce",
+                "must name at least one entry",
+            ));
         }
         Ok(())
     }
--- a/crates/currantgate/src/entry/announce.rs
+++ b/crates/currantgate/src/entry/announce.rs
@@ -6,9 +6,10 @@
 
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{App, HttpResponse, HttpServer, web};
+use currantgate_config::Incarnation;
 use currantgate_membership::{AnnounceError, Announcement, Lease};
 use prometheus_client::registry::Registry;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::EntryError;
@@ -16,16 +17,40 @@
 /// The largest announcement that is read, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
 
+/// Hands requests to the entry's task.
+type Sender = mpsc::Sender<AnnounceRequest>;
+
 /// Announcements that may wait for the entry's task.
 pub(crate) const ANNOUNCE_QUEUE: usize = 256;
 
-/// One announcement on its way from the HTTP server to the entry's task.
+/// What an upstream asks for, on its way from the HTTP server to the entry's task.
 #[derive(Debug)]
 pub(crate) struct AnnounceRequest {
     pub(crate) service: Box<str>,
     pub(crate) name: Box<str>,
-    pub(crate) announcement: Announcement,
-    pub(crate) reply: oneshot::Sender<Result<Lease, AnnounceError>>,
+    pub(crate) action: AnnounceAction,
+}
+
+/// What an upstream asks for.
+#[derive(Debug)]
+pub(crate) enum AnnounceAction {
+    /// To be known, or known for longer.
+    Announce {
+        announcement: Announcement,
+        reply: oneshot::Sender<Result<Lease, AnnounceError>>,
+    },
+    /// To be forgotten: its flows have ended.
+    Withdraw {
+        incarnation: Incarnation,
+        reply: oneshot::Sender<Result<(), AnnounceError>>,
+    },
+}
+
+/// The query of a withdrawal.
+#[derive(Deserialize)]
+struct WithdrawQuery {
+    /// The incarnation that ends.
+    incarnation: Incarnation,
 }
 
 /// What an accepted announcement is answered with.
@@ -45,16 +70,17 @@
 /// Starts the server for announcements.
 pub(crate) fn serve_announcements(
     listener: TcpListener,
-    tx: mpsc::Sender<AnnounceRequest>,
+    tx: Sender,
 ) -> Result<ServerHandle, EntryError> {
     let build = move |listener| {
         HttpServer::new(move || {
             App::new()
                 .app_data(web::Data::new(tx.clone()))
                 .app_data(web::JsonConfig::default().limit(MAX_ANNOUNCEMENT_BYTES))
-                .route(
-                    "/v1/upstreams/{service}/{name}",
-                    web::put().to(put_upstream),
+                .service(
+                    web::resource("/v1/upstreams/{service}/{name}")
+                        .route(web::put().to(put_upstream))
+                        .route(web::delete().to(delete_upstream)),
                 )
         })
         .workers(1)
@@ -101,28 +127,59 @@
 async fn put_upstream(
     path: web::Path<(String, String)>,
     body: web::Json<Announcement>,
-    tx: web::Data<mpsc::Sender<AnnounceRequest>>,
+    tx: web::Data<Sender>,
 ) -> HttpResponse {
-    let (service, name) = path.into_inner();
     let (reply, rx) = oneshot::channel();
-    let request = AnnounceRequest {
-        service: service.into(),
-        name: name.into(),
+    let action = AnnounceAction::Announce {
         announcement: body.into_inner(),
         reply,
     };
-    if tx.try_send(request).is_err() {
-        return HttpResponse::ServiceUnavailable().finish();
+    match ask(path.into_inner(), action, &tx, rx).await {
+        Some(Ok(lease)) => HttpResponse::Ok().json(accepted(lease)),
+        Some(Err(e)) => rejected(&e),
+        None => HttpResponse::ServiceUnavailable().finish(),
     }
-    match rx.await {
-        Ok(Ok(lease)) => HttpResponse::Ok().json(accepted(lease)),
-        Ok(Err(e)) => HttpResponse::build(status(&e)).json(Rejected {
-            error: e.to_string(),
-        }),
-        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+}
+
+async fn delete_upstream(
+    path: web::Path<(String, String)>,
+    query: web::Query<WithdrawQuery>,
+    tx: web::Data<Sender>,
+) -> HttpResponse {
+    let (reply, rx) = oneshot::channel();
+    let action = AnnounceAction::Withdraw {
+        incarnation: query.incarnation,
+        reply,
+    };
+    match ask(path.into_inner(), action, &tx, rx).await {
+        Some(Ok(())) => HttpResponse::NoContent().finish(),
+        Some(Err(e)) => rejected(&e),
+        None => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
+/// Asks the entry's task; nothing comes back when it has too much to do.
+async fn ask<T>(
+    (service, name): (String, String),
+    action: AnnounceAction,
+    tx: &Sender,
+    rx: oneshot::Receiver<T>,
+) -> Option<T> {
+    let request = AnnounceRequest {
+        service: service.into(),
+        name: name.into(),
+        action,
+    };
+    tx.try_send(request).ok()?;
+    rx.await.ok()
+}
+
+fn rejected(e: &AnnounceError) -> HttpResponse {
+    HttpResponse::build(status(e)).json(Rejected {
+        error: e.to_string(),
+    })
+}
+
 fn accepted(lease: Lease) -> Accepted {
     let left = lease.deadline.saturating_duration_since(Instant::now());
     Accepted {
@@ -133,14 +190,18 @@
 fn status(e: &AnnounceError) -> actix_web::http::StatusCode {
     use actix_web::http::StatusCode;
     match e {
-        AnnounceError::UnknownService(_) => StatusCode::NOT_FOUND,
-        AnnounceError::TooMany(_) => StatusCode::SERVICE_UNAVAILABLE,
-        AnnounceError::OldIncarnation { .. } | AnnounceError::AddressInUse(_) => {
-            StatusCode::CONFLICT
-        }
-        AnnounceError::WrongDomain(_) | AnnounceError::OutOfRange(..) => {
-            StatusCode::UNPROCESSABLE_ENTITY
+        AnnounceError::UnknownService(_) | AnnounceError::UnknownUpstream(_) => {
+            StatusCode::NOT_FOUND
         }
+        AnnounceError::TooMany(_) | AnnounceError::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        AnnounceError::OldIncarnation { .. }
+        | AnnounceError::Ended(_)
+        | AnnounceError::AddressChanged(_)
+        | AnnounceError::AddressInUse(_) => StatusCode::CONFLICT,
+        AnnounceError::WrongDomain(_)
+        | AnnounceError::BadAddress(_)
+        | AnnounceError::BadName(_)
+        | AnnounceError::OutOfRange(..) => StatusCode::UNPROCESSABLE_ENTITY,
     }
 }
 
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -1,19 +1,25 @@
 //! One entry's state machines, wired to each other without any I/O.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use currantgate_config::{EntryId, EntrySettings, Site};
+use currantgate_config::{EntryId, EntrySettings, Incarnation, Site};
 use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
-use currantgate_membership::{
-    AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
+use currantgate_membership::{AnnounceError, Budget, EntryStage, Members, MembersSettings};
+use currantgate_packet::{
+    FlowHasher, Packet, PacketError, PacketKind, Refusal, build_refusal, parse_answer,
+    parse_request,
 };
-use currantgate_packet::{Packet, build_refusal, parse_answer, parse_request};
 use indexmap::IndexMap;
+use tokio::sync::oneshot;
 
+use super::announce::{AnnounceAction, AnnounceRequest};
+use super::label;
+use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::EntryError;
+use crate::TRACE_TARGET;
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
 const HEADER_BYTES: usize = 28;
@@ -33,10 +39,14 @@
 
 /// One entry's state machines and counters.
 pub(crate) struct Core {
+    id: EntryId,
+    hasher: FlowHasher,
     router: Router,
+    router_settings: RouterSettings,
     members: Members,
     budget: Budget,
     metrics: EntryMetrics,
+    log_limit: LogLimit,
     fabric: SocketAddr,
     peers: IndexMap<EntryId, SocketAddr>,
     peer_ids: IndexMap<SocketAddr, EntryId>,
@@ -47,42 +57,56 @@
         settings: &EntrySettings,
         site: &Site,
         metrics: EntryMetrics,
+        incarnation: Incarnation,
         now: Instant,
-    ) -> Result<Self, EntryError> {
-        let router = Router::new(RouterSettings {
+    ) -> Self {
+        let mut domains: IndexMap<_, _> = settings
+            .peers
+            .iter()
+            .map(|p| (p.id, p.domain.clone()))
+            .collect();
+        domains.insert(settings.id, settings.domain.clone());
+        let router_settings = RouterSettings {
             id: settings.id,
+            domains,
             services: site.services.clone(),
-            hash_key: settings.flow.key()?,
+            hash_key: settings.flow.hash_key.value(),
             buckets: settings.flow.buckets,
             max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
-        });
+        };
         let members = Members::new(
             MembersSettings {
                 id: settings.id,
+                incarnation,
                 domain: settings.domain.clone(),
                 peers: settings.peers.clone(),
                 services: site.services.clone(),
                 seed: u64::from(settings.id),
+                ..MembersSettings::default()
             },
             now,
         );
-        Ok(Self {
-            router,
+        Self {
+            id: settings.id,
+            hasher: FlowHasher::new(settings.flow.hash_key.value()),
+            router: Router::new(router_settings.clone(), now),
+            router_settings,
             members,
             budget: Budget::new(&settings.budget, now),
             metrics,
+            log_limit: LogLimit::default(),
             fabric: settings.fabric,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
-        })
+        }
     }
 
     /// Takes an IP packet from the fabric.
     pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_request(buf))?;
+        let packet = self.parsed(now, "the fabric", parse_request(buf))?;
         let verdict = self.router.route(now, &packet);
-        self.carry_out(verdict, &packet, buf)
+        self.carry_out(now, verdict, &packet, buf)
     }
 
     /// Takes an IP packet from an upstream.
@@ -92,14 +116,15 @@
         from: SocketAddr,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_answer(buf))?;
+        let packet = self.parsed(now, &from, parse_answer(buf))?;
         match self.router.answer(now, from, &packet) {
             AnswerVerdict::Pass => {
                 self.metrics.answered.inc();
                 Some(Datagram::ToFabric(self.fabric, buf))
             }
             AnswerVerdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("an answer from {from} in flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
@@ -107,19 +132,21 @@
 
     /// Reads a datagram from the address of another entry.
     pub(crate) fn decode_peer(
-        &self,
+        &mut self,
+        now: Instant,
         from: SocketAddr,
         buf: &[u8],
     ) -> Option<(EntryId, PeerMessage)> {
-        let Some(id) = self.peer_ids.get(&from) else {
-            self.metrics.count_drop(&"unknown_peer");
+        let Some(id) = self.peer_ids.get(&from).copied() else {
+            let what = format_args!("a message from {from}, which is no peer");
+            self.count_drop(now, "unknown_peer", what);
             return None;
         };
         match PeerMessage::decode(buf) {
-            Ok(message) => Some((*id, message)),
+            Ok(message) => Some((id, message)),
             Err(e) => {
-                log::debug!("entry {id} at {from} sent a message that can't be read: {e}");
-                self.metrics.count_drop(&"bad_peer_message");
+                let what = format_args!("a message from entry {id} at {from}: {e}");
+                self.count_drop(now, "bad_peer_message", what);
                 None
             }
         }
@@ -138,30 +165,88 @@
                 self.members.receive(now, from, message.clone());
                 None
             }
-            PeerMessage::Flow(message) => match *message {},
+            PeerMessage::Flow(message) => {
+                self.router.receive(now, from, message);
+                None
+            }
             PeerMessage::Packet { forward, bytes } => {
-                let packet = self.parsed(parse_request(bytes))?;
+                let packet =
+                    self.parsed(now, &format_args!("entry {from}"), parse_request(bytes))?;
                 let verdict = self.router.route_forwarded(now, from, forward, &packet);
-                self.carry_out(verdict, &packet, bytes)
+                self.carry_out(now, verdict, &packet, bytes)
+            }
+        }
+    }
+
+    /// Takes what an upstream asks for and answers it.
+    pub(crate) fn take_announce_request(&mut self, now: Instant, request: AnnounceRequest) {
+        let AnnounceRequest {
+            service,
+            name,
+            action,
+        } = request;
+        match action {
+            AnnounceAction::Announce {
+                announcement,
+                reply,
+            } => {
+                let result = self.members.announce(now, &service, &name, announcement);
+                self.answer(
+                    now,
+                    &format!("announcement of {service}/{name}"),
+                    result,
+                    reply,
+                );
+            }
+            AnnounceAction::Withdraw { incarnation, reply } => {
+                let result = self.members.withdraw(now, &service, &name, incarnation);
+                self.answer(
+                    now,
+                    &format!("withdrawal of {service}/{name}"),
+                    result,
+                    reply,
+                );
             }
         }
     }
 
-    /// Takes an announcement of an upstream.
-    pub(crate) fn announce(
+    fn answer<T>(
         &mut self,
         now: Instant,
-        service: &str,
-        name: &str,
-        announcement: Announcement,
-    ) -> Result<Lease, AnnounceError> {
-        self.members.announce(now, service, name, announcement)
+        what: &str,
+        result: Result<T, AnnounceError>,
+        reply: oneshot::Sender<Result<T, AnnounceError>>,
+    ) {
+        if let Err(e) = &result {
+            self.log_limited(now, format_args!("rejected the {what}: {e}"));
+        }
+        // The upstream may have hung up meanwhile; it will ask again.
+        let _ = reply.send(result);
+    }
+
+    /// Tells the other entries that this one is about to stop.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        self.members.leave(now);
+    }
+
+    /// Tells whether the entry decides about flows.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.members.stage() == EntryStage::Serving
     }
 
     /// Does what is due at `now`.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.members.tick(now);
         self.router.tick(now);
+        let joining = self.members.stage() == EntryStage::Joining;
+        if joining && self.members.is_synced(now) && self.router.is_synced() {
+            log::info!("entry {} knows what the others know and serves", self.id);
+            self.members.set_stage(now, EntryStage::Serving);
+        }
+        self.metrics.open_flows.set(self.router.open_flows() as i64);
+        self.metrics
+            .moving_buckets
+            .set(self.router.moving_buckets() as i64);
     }
 
     /// Returns the instant at which [`Core::tick`] is next wanted.
@@ -172,26 +257,48 @@
             .map_or(members, |router| router.min(members))
     }
 
-    /// Returns the next control message to send.
+    /// Returns the next datagram that no packet asked for.
     pub(crate) fn poll_output(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        self.poll_members(now).or_else(|| self.poll_router(now))
+    }
+
+    fn poll_members(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        use currantgate_membership::Output;
         while let Some(output) = self.members.poll_output(now, &mut self.budget) {
-            use currantgate_membership::Output;
             match output {
                 Output::Send { to, message } => {
                     return self.control_datagram(to, &PeerMessage::Members(message));
                 }
+                Output::Resync => {
+                    log::warn!("entry {} stood still; it joins anew", self.id);
+                    self.router = Router::new(self.router_settings.clone(), now);
+                    self.router.set_upstreams(now, self.members.upstreams());
+                }
                 Output::UpstreamsChanged => {
                     self.router.set_upstreams(now, self.members.upstreams());
                 }
                 Output::EntriesChanged => {
                     let entries = self.members.entries();
+                    self.metrics.live_entries.set(entries.len() as i64);
                     self.router.set_entries(now, &entries);
                 }
             }
         }
-        let currantgate_flow::Output::Send { to, message } =
-            self.router.poll_output(now, &mut self.budget)?;
-        self.control_datagram(to, &PeerMessage::Flow(message))
+        None
+    }
+
+    fn poll_router(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        use currantgate_flow::Output;
+        match self.router.poll_output(now, &mut self.budget)? {
+            Output::Send { to, message } => self.control_datagram(to, &PeerMessage::Flow(message)),
+            Output::Refuse { packet, refusal } => self.refusal(&packet, refusal),
+        }
+    }
+
+    fn refusal(&mut self, packet: &Packet, refusal: Refusal) -> Option<Datagram<'static>> {
+        self.metrics.count_refusal(&refusal);
+        let bytes = build_refusal(packet, refusal).ok()?;
+        Some(Datagram::RefusalToFabric(self.fabric, bytes))
     }
 
     fn control_datagram(
@@ -220,22 +327,64 @@
         }
     }
 
-    fn parsed(&self, parsed: Result<Packet, currantgate_packet::PacketError>) -> Option<Packet> {
+    fn parsed(
+        &mut self,
+        now: Instant,
+        from: &(impl Display + ?Sized),
+        parsed: Result<Packet, PacketError>,
+    ) -> Option<Packet> {
         match parsed {
             Ok(packet) => Some(packet),
             Err(e) => {
-                self.metrics.count_drop(&format!("{e:?}").to_lowercase());
+                self.count_drop(
+                    now,
+                    label::packet_error(e),
+                    format_args!("a packet from {from}: {e}"),
+                );
                 None
             }
         }
     }
 
+    /// Writes a span for the first packet of a flow and for each refusal.
+    fn trace(&self, verdict: &Verdict, packet: &Packet) {
+        let rare = packet.kind == PacketKind::Open || matches!(verdict, Verdict::Refuse(_));
+        if rare && tracing::enabled!(target: TRACE_TARGET, tracing::Level::DEBUG) {
+            let flow = format!("{:016x}", self.hasher.hash(&packet.key));
+            tracing::debug_span!(
+                target: TRACE_TARGET,
+                "entry",
+                entry = self.id,
+                flow,
+                key = %packet.key,
+                verdict = ?verdict,
+            )
+            .in_scope(|| {});
+        }
+    }
+
+    /// Counts a drop under `label` and logs it as often as the limit allows.
+    fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
+        self.metrics.count_drop(label);
+        self.log_limited(now, format_args!("dropped {what}"));
+    }
+
+    fn log_limited(&mut self, now: Instant, what: impl Display) {
+        match self.log_limit.allow(now) {
+            Some(0) => log::warn!("{what}"),
+            Some(suppressed) => log::warn!("{what} ({suppressed} more lines were held back)"),
+            None => {}
+        }
+    }
+
     fn carry_out<'a>(
         &mut self,
+        now: Instant,
         verdict: Verdict,
         packet: &Packet,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
+        self.trace(&verdict, packet);
         match verdict {
             Verdict::Deliver { address, .. } => {
                 self.metrics.delivered.inc();
@@ -246,13 +395,10 @@
                 let bytes = buf.to_vec();
                 self.peer_datagram(to, &PeerMessage::Packet { forward, bytes })
             }
-            Verdict::Refuse(refusal) => {
-                self.metrics.count_refusal(&refusal);
-                let bytes = build_refusal(packet, refusal).ok()?;
-                Some(Datagram::RefusalToFabric(self.fabric, bytes))
-            }
+            Verdict::Refuse(refusal) => self.refusal(packet, refusal),
             Verdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("a packet of flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
--- a/crates/currantgate/src/entry/daemon.rs
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_rt::task::JoinHandle;
 use actix_web::dev::ServerHandle;
-use currantgate_config::{EntryId, EntrySettings, Listen, Site};
+use currantgate_config::{EntryId, EntrySettings, Incarnation, Listen, Site};
 use prometheus_client::registry::Registry;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -21,6 +21,9 @@
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
+/// How long an entry goes on after it has said that it leaves.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
 /// A running entry.
 ///
 /// It takes packets on the thread that started it, and stops when it is
@@ -29,6 +32,7 @@
     id: EntryId,
     addresses: Listen,
     metrics: EntryMetrics,
+    shared: Rc<Shared>,
     tasks: Vec<JoinHandle<()>>,
     servers: Vec<ServerHandle>,
 }
@@ -59,7 +63,13 @@
         let mut registry = Registry::default();
         metrics.register(&mut registry);
 
-        let core = Core::new(settings, site, metrics.clone(), Instant::now())?;
+        let core = Core::new(
+            settings,
+            site,
+            metrics.clone(),
+            incarnation(),
+            Instant::now(),
+        );
         let (tx, rx) = mpsc::channel(announce::ANNOUNCE_QUEUE);
         let servers = vec![
             announce::serve_announcements(sockets.announce, tx)?,
@@ -80,7 +90,7 @@
             actix_rt::spawn(receive_from_tunnel(Rc::clone(&shared))),
             actix_rt::spawn(receive_from_peers(Rc::clone(&shared))),
             actix_rt::spawn(take_announcements(Rc::clone(&shared), rx)),
-            actix_rt::spawn(keep_time(shared)),
+            actix_rt::spawn(keep_time(Rc::clone(&shared))),
         ];
         log::info!(
             "entry {} in {} takes packets on {}",
@@ -92,6 +102,7 @@
             id: settings.id,
             addresses,
             metrics,
+            shared,
             tasks,
             servers,
         })
@@ -119,14 +130,24 @@
         }
     }
 
-    /// Stops in plan.
+    /// Stops in plan: the entry hands over what it decides about and goes on
+    /// passing packets meanwhile.
     pub async fn stop(mut self) {
+        let now = Instant::now();
+        self.shared.core.borrow_mut().leave(now);
+        self.shared.flush(now);
+        actix_rt::time::sleep(HAND_OVER).await;
         for server in std::mem::take(&mut self.servers) {
             server.stop(true).await;
         }
         self.kill();
         log::info!("entry {} stopped", self.id);
     }
+
+    /// Tells whether the entry decides about flows.
+    pub fn is_serving(&self) -> bool {
+        self.shared.core.borrow().is_serving()
+    }
 }
 
 impl Drop for Entry {
@@ -139,6 +160,12 @@
     }
 }
 
+/// Returns a number that grows with each start of the VM's entry.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn bind_error(address: SocketAddr, source: std::io::Error) -> EntryError {
     EntryError::Bind {
         address,
@@ -158,7 +185,7 @@
         };
         if let Err(e) = sent {
             log::debug!("a datagram could not be sent: {e}");
-            self.metrics.count_drop(&"send_failed");
+            self.metrics.count_drop("send_failed");
         }
     }
 
@@ -209,11 +236,11 @@
         let Ok((len, from)) = shared.peer.recv_from(&mut buf).await else {
             continue;
         };
-        let decoded = shared.core.borrow().decode_peer(from, &buf[..len]);
+        let now = Instant::now();
+        let decoded = shared.core.borrow_mut().decode_peer(now, from, &buf[..len]);
         let Some((from, message)) = decoded else {
             continue;
         };
-        let now = Instant::now();
         let output = shared
             .core
             .borrow_mut()
@@ -228,21 +255,7 @@
 async fn take_announcements(shared: Rc<Shared>, mut rx: mpsc::Receiver<AnnounceRequest>) {
     while let Some(request) = rx.recv().await {
         let now = Instant::now();
-        let result = shared.core.borrow_mut().announce(
-            now,
-            &request.service,
-            &request.name,
-            request.announcement,
-        );
-        if let Err(e) = &result {
-            log::warn!(
-                "announcement of {}/{} rejected: {e}",
-                request.service,
-                request.name
-            );
-        }
-        // The upstream may have hung up meanwhile; it will announce again.
-        let _ = request.reply.send(result);
+        shared.core.borrow_mut().take_announce_request(now, request);
         shared.flush(now);
     }
 }
