Keep the errors of packets apart from those of answers

The entry names each PacketError in its metrics, so it keeps to the five kinds that it knows: wrong lengths and header checksums are bad IP headers, and a damaged ICMP message is no error about a flow. What can go wrong with an answer has a type of its own.

--- a/crates/currantgate-packet/src/icmp.rs
+++ b/crates/currantgate-packet/src/icmp.rs
@@ -26,7 +26,7 @@
         let icmp = Icmpv4Slice::from_slice(ip.payload).map_err(|_| PacketError::Icmp)?;
         let sum = u64_16bit_word::add_slice(0, ip.payload);
         if u64_16bit_word::ones_complement(sum) != 0 {
-            return Err(PacketError::Checksum);
+            return Err(PacketError::Icmp);
         }
         match icmp.type_u8() {
             icmpv4::TYPE_DEST_UNREACH
@@ -43,7 +43,7 @@
             return Err(PacketError::Icmp);
         };
         if !icmp.is_checksum_valid(source.octets(), destination.octets()) {
-            return Err(PacketError::Checksum);
+            return Err(PacketError::Icmp);
         }
         match icmp.type_u8() {
             icmpv6::TYPE_DST_UNREACH
--- a/crates/currantgate-packet/src/ip.rs
+++ b/crates/currantgate-packet/src/ip.rs
@@ -37,15 +37,15 @@
         IpSlice::Ipv4(v4) => {
             let header = v4.header();
             if usize::from(header.total_len()) != buf.len() {
-                return Err(PacketError::Length);
+                return Err(PacketError::Ip);
             }
             let sum = u64_16bit_word::add_slice(0, header.slice());
             if u64_16bit_word::ones_complement(sum) != 0 {
-                return Err(PacketError::Checksum);
+                return Err(PacketError::Ip);
             }
             Ok(())
         }
-        IpSlice::Ipv6(v6) if ipv6_len(v6) != buf.len() => Err(PacketError::Length),
+        IpSlice::Ipv6(v6) if ipv6_len(v6) != buf.len() => Err(PacketError::Ip),
         IpSlice::Ipv6(_) => Ok(()),
     }
 }
--- a/crates/currantgate-packet/src/refuse.rs
+++ b/crates/currantgate-packet/src/refuse.rs
@@ -4,7 +4,7 @@
 
 use crate::reset::answer_with_reset;
 use crate::unreachable::answer_with_unreachable;
-use crate::{Packet, PacketError, PacketKind};
+use crate::{AnswerError, Packet, PacketKind};
 
 /// What a caller is told about a flow that can't be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,11 +23,11 @@
 ///
 /// # Errors
 ///
-/// Returns [`PacketError::NeverAnswered`] for a reset or an ICMP error, so
+/// Returns [`AnswerError::NeverAnswered`] for a reset or an ICMP error, so
 /// that no two hosts answer each other for ever.
-pub fn refuse(packet: &Packet, buf: &[u8], refusal: Refusal) -> Result<Vec<u8>, PacketError> {
+pub fn refuse(packet: &Packet, buf: &[u8], refusal: Refusal) -> Result<Vec<u8>, AnswerError> {
     match (packet.kind, packet.key.protocol) {
-        (PacketKind::IcmpError, _) => Err(PacketError::NeverAnswered),
+        (PacketKind::IcmpError, _) => Err(AnswerError::NeverAnswered),
         (_, Protocol::Tcp) => answer_with_reset(packet),
         (_, Protocol::Udp) => answer_with_unreachable(buf, refusal),
     }
@@ -39,10 +39,10 @@
 /// # Errors
 ///
 /// Returns an error for a packet that [`refuse`] does not answer, or of UDP.
-pub fn build_refusal(packet: &Packet, _refusal: Refusal) -> Result<Vec<u8>, PacketError> {
+pub fn build_refusal(packet: &Packet, _refusal: Refusal) -> Result<Vec<u8>, AnswerError> {
     match (packet.kind, packet.key.protocol) {
-        (PacketKind::IcmpError, _) => Err(PacketError::NeverAnswered),
+        (PacketKind::IcmpError, _) => Err(AnswerError::NeverAnswered),
         (_, Protocol::Tcp) => answer_with_reset(packet),
-        (_, Protocol::Udp) => Err(PacketError::Protocol(17)),
+        (_, Protocol::Udp) => Err(AnswerError::Build),
     }
 }
--- a/crates/currantgate-packet/src/unreachable.rs
+++ b/crates/currantgate-packet/src/unreachable.rs
@@ -6,7 +6,7 @@
 
 use crate::ip::IpPacket;
 use crate::reset::ip_header;
-use crate::{PacketError, Refusal};
+use crate::{AnswerError, Refusal};
 
 /// The most bytes that an ICMP error for IPv4 may have, by RFC 1812.
 const MAX_ICMPV4_BYTES: usize = 576;
@@ -27,7 +27,7 @@
 ///
 /// Returns an error when `buf` is not a whole IP packet or must not be
 /// answered.
-pub fn build_too_big(buf: &[u8], mtu: u16) -> Result<Vec<u8>, PacketError> {
+pub fn build_too_big(buf: &[u8], mtu: u16) -> Result<Vec<u8>, AnswerError> {
     let v4 = icmpv4::DestUnreachableHeader::FragmentationNeeded { next_hop_mtu: mtu };
     let v6 = Icmpv6Type::PacketTooBig {
         mtu: u32::from(mtu),
@@ -39,7 +39,7 @@
 pub(crate) fn answer_with_unreachable(
     buf: &[u8],
     refusal: Refusal,
-) -> Result<Vec<u8>, PacketError> {
+) -> Result<Vec<u8>, AnswerError> {
     use icmpv4::DestUnreachableHeader as V4;
     use icmpv6::DestUnreachableCode as V6;
     let (v4, v6) = match refusal {
@@ -53,10 +53,10 @@
     buf: &[u8],
     v4: icmpv4::DestUnreachableHeader,
     v6: Icmpv6Type,
-) -> Result<Vec<u8>, PacketError> {
+) -> Result<Vec<u8>, AnswerError> {
     let ip = IpPacket::read(buf)?;
     if !may_answer(&ip) {
-        return Err(PacketError::NeverAnswered);
+        return Err(AnswerError::NeverAnswered);
     }
     let builder = ip_header(ip.destination, ip.source)?;
     let mut out = Vec::new();
@@ -68,7 +68,7 @@
             .icmpv6(v6)
             .write(&mut out, quote(buf, MAX_ICMPV6_BYTES - ICMPV6_HEADER_BYTES)),
     };
-    written.map_err(|_| PacketError::Icmp)?;
+    written.map_err(|_| AnswerError::Build)?;
     Ok(out)
 }
 
