Agree on one configuration among control VMs

Cause: nothing kept an accepted site file through the loss of a VM. A message that rests on a write is given out only after the write is confirmed synced. Conclusion: one, three and five voters accept changes on a quiet network; a leader that is cut off refuses writes and says that the last one is unknown.

--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -1,1 +1,47 @@
 //! One agreed configuration, kept by a quorum of control VMs.
+//!
+//! [`Replica`] is the consensus of the control VMs as a deterministic state
+//! machine: messages, requests of operators, confirmations of synced writes
+//! and the current time go in; messages, writes and answers come out. It
+//! holds no clock, no socket and no task. See `docs/design/control.md`.
+
+mod apply;
+mod batch;
+mod change;
+mod codec;
+mod digest;
+mod entry;
+mod id;
+mod members;
+mod message;
+mod output;
+mod progress;
+mod raft_log;
+mod read;
+mod replace;
+mod replica;
+mod settings;
+mod site_state;
+mod snapshot;
+mod status;
+mod storage;
+mod timing;
+
+pub use apply::{ApplyAnswer, ApplyRequest, RefuseReason};
+pub use batch::{Batch, HardState, Recovered};
+pub use change::{Base, Change};
+pub use digest::Digest;
+pub use entry::{Command, Entry};
+pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
+pub use members::Members;
+pub use message::{AppendOutcome, Message};
+pub use output::Output;
+pub use read::{Freshness, Read};
+pub use replace::{ReplaceAnswer, ReplaceRequest};
+pub use replica::Replica;
+pub use settings::ReplicaSettings;
+pub use site_state::SiteState;
+pub use snapshot::Snapshot;
+pub use status::{RoleName, Status};
+pub use storage::{Disk, Folder, Journal, StorageError};
+pub use timing::{CLOCK_RATE_BOUND_PERCENT, HEARTBEAT_INTERVAL, LEASE_TIMEOUT, PROMISE_TIMEOUT};
--- /dev/null
+++ b/crates/currantgate-control/src/replica/commit.rs
@@ -0,0 +1,93 @@
+//! Commitment: entries that a quorum has synced, and what they do.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::Replica;
+use super::role::Role;
+use crate::{ApplyAnswer, Change, Command, Index, Output, Snapshot};
+
+impl Replica {
+    /// Commits what a quorum has synced, when this replica leads.
+    pub(super) fn advance_commit(&mut self, now: Instant) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let own = self.id();
+        let durable = self.durable_index();
+        let reached = self.log.members().1.reached_by_quorum(|id| {
+            if id == own {
+                return durable;
+            }
+            leader.progress.get(&id).map_or(0, |p| p.matched)
+        });
+        let index = reached.unwrap_or(0);
+        // Entries of earlier terms are only safe beneath one of this term.
+        let current = self.log.term(index) == Some(self.hard.term);
+        if index > self.commit && current {
+            self.commit_to(now, index);
+            // Followers learn it now rather than with the next heartbeat.
+            self.send_to_all(now);
+        }
+    }
+
+    /// Puts all entries up to `index` in force.
+    pub(super) fn commit_to(&mut self, now: Instant, index: Index) {
+        while self.commit < index.min(self.log.last_index()) {
+            self.commit += 1;
+            let command = self.log.get(self.commit).map(|e| e.command.clone());
+            if let Some(Command::Change(change)) = command {
+                self.accept(change);
+            }
+            self.answer_pending();
+        }
+        self.compact();
+        self.advance_replacement(now);
+        self.take_waiting(now);
+    }
+
+    fn accept(&mut self, change: Arc<Change>) {
+        self.state.accept(Arc::clone(&change));
+        self.outputs.push_back(Output::Committed(change));
+    }
+
+    /// Hands on the change in force, after a snapshot replaced the state.
+    pub(super) fn announce_current(&mut self) {
+        if let Some(change) = self.state.current() {
+            let change = Arc::clone(change);
+            self.outputs.push_back(Output::Committed(change));
+        }
+    }
+
+    fn answer_pending(&mut self) {
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some((_, request)) = leader.pending.take_if(|(index, _)| *index == commit) else {
+            return;
+        };
+        let answer = ApplyAnswer::Accepted(self.state.base().revision);
+        self.outputs.push_back(Output::Applied { request, answer });
+    }
+
+    /// Cuts the log down to a snapshot once enough of it is committed.
+    fn compact(&mut self) {
+        let first = self.log.snapshot().last_index + 1;
+        let committed = (self.commit + 1).saturating_sub(first) as usize;
+        let entries = &self.log.entries()[..committed];
+        let bytes: usize = entries.iter().map(|e| e.size_bytes()).sum();
+        let due =
+            committed >= self.settings.snapshot_entries || bytes >= self.settings.snapshot_bytes;
+        let Some(last_term) = self.log.term(self.commit).filter(|_| due) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            last_index: self.commit,
+            last_term,
+            members: self.log.members_at(self.commit),
+            state: self.state.clone(),
+        };
+        self.install_in_log(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/replica/election.rs
@@ -0,0 +1,197 @@
+//! Elections: first a question without effect, then votes.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexSet;
+use rand::RngExt as _;
+
+use super::Replica;
+use super::role::Role;
+use crate::{HardState, Index, Message, PROMISE_TIMEOUT, Term, VoterId};
+
+/// The term and index of a last entry, in the order that elections compare.
+pub(super) type LastEntry = (Term, Index);
+
+impl Replica {
+    pub(super) fn last_entry(&self) -> LastEntry {
+        (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Puts the next election one to two promise timeouts ahead.
+    pub(super) fn reset_election_deadline(&mut self, now: Instant) {
+        let spread = PROMISE_TIMEOUT.as_millis() as u64;
+        let extra = Duration::from_millis(self.rng.random_range(0..spread));
+        self.election_deadline = now + PROMISE_TIMEOUT + extra;
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Instant) {
+        self.reset_election_deadline(now);
+        if !self.may_vote() || !self.log.members().1.contains(self.id()) {
+            return;
+        }
+        self.role = Role::PreCandidate {
+            granted: IndexSet::new(),
+        };
+        self.ask_for_votes(false);
+        self.receive_pre_vote_reply(now, self.id(), self.hard.term + 1, true);
+    }
+
+    fn start_election(&mut self, now: Instant) {
+        if now < self.promised_until {
+            return;
+        }
+        let hard = HardState {
+            term: self.hard.term + 1,
+            vote: Some(self.id()),
+            ..self.hard
+        };
+        self.set_hard(hard);
+        self.role = Role::Candidate {
+            granted: IndexSet::new(),
+        };
+        self.reset_election_deadline(now);
+        self.ask_for_votes(true);
+        self.receive_vote_reply(now, self.id(), hard.term, true);
+    }
+
+    fn ask_for_votes(&mut self, binding: bool) {
+        let (last_term, last_index) = self.last_entry();
+        let term = self.hard.term;
+        let message = if binding {
+            Message::Vote {
+                term,
+                last_index,
+                last_term,
+            }
+        } else {
+            Message::PreVote {
+                term: term + 1,
+                last_index,
+                last_term,
+            }
+        };
+        let own = self.id();
+        let others: Vec<_> = self.log.members().1.ids().filter(|id| *id != own).collect();
+        for to in others {
+            self.send_synced(to, message.clone());
+        }
+    }
+
+    pub(super) fn receive_pre_vote(
+        &mut self,
+        now: Instant,
+        from: VoterId,
+        term: Term,
+        last: LastEntry,
+    ) {
+        let granted = self.may_vote()
+            && now >= self.promised_until
+            && !self.leads()
+            && term > self.hard.term
+            && last >= self.last_entry();
+        let term = if granted { term } else { self.hard.term };
+        self.send_synced(from, Message::PreVoteReply { term, granted });
+    }
+
+    pub(super) fn receive_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        from: VoterId,
+        term: Term,
+        granted: bool,
+    ) {
+        if !granted {
+            self.step_down_before(now, term);
+            return;
+        }
+        let Role::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        if term == self.hard.term + 1 {
+            granted.insert(from);
+        }
+        if self.is_quorum_granted() {
+            self.start_election(now);
+        }
+    }
+
+    pub(super) fn receive_vote(
+        &mut self,
+        now: Instant,
+        from: VoterId,
+        term: Term,
+        last: LastEntry,
+    ) {
+        // A vote now could end a lease that this replica helped to give.
+        if !self.may_vote() || now < self.promised_until {
+            return;
+        }
+        self.step_down_before(now, term);
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = term == self.hard.term && free && last >= self.last_entry();
+        if granted {
+            self.set_hard(HardState {
+                vote: Some(from),
+                ..self.hard
+            });
+            self.reset_election_deadline(now);
+        }
+        let term = self.hard.term;
+        self.send_synced(from, Message::VoteReply { term, granted });
+    }
+
+    pub(super) fn receive_vote_reply(
+        &mut self,
+        now: Instant,
+        from: VoterId,
+        term: Term,
+        granted: bool,
+    ) {
+        self.step_down_before(now, term);
+        let Role::Candidate { granted: votes } = &mut self.role else {
+            return;
+        };
+        if granted && term == self.hard.term {
+            votes.insert(from);
+        }
+        if self.is_quorum_granted() {
+            self.start_leading(now);
+        }
+    }
+
+    fn is_quorum_granted(&self) -> bool {
+        let (Role::PreCandidate { granted } | Role::Candidate { granted }) = &self.role else {
+            return false;
+        };
+        let members = self.log.members().1;
+        members.ids().filter(|id| granted.contains(id)).count() >= members.quorum()
+    }
+
+    /// Follows no one when `term` is newer than this replica's.
+    pub(super) fn step_down_before(&mut self, now: Instant, term: Term) {
+        if term <= self.hard.term {
+            return;
+        }
+        self.set_hard(HardState {
+            term,
+            vote: None,
+            ..self.hard
+        });
+        self.follow(now, None);
+    }
+
+    /// Becomes a follower, and settles what it was asked for as a leader.
+    pub(super) fn follow(&mut self, now: Instant, leader: Option<VoterId>) {
+        let before = std::mem::replace(&mut self.role, Role::Follower { leader });
+        if let Role::Leader(before) = before {
+            self.settle_requests(*before, leader);
+            self.reset_election_deadline(now);
+        }
+    }
+
+    /// Tells whether the replica may vote and lead: a fresh disk may not
+    /// before it was filled as a learner's.
+    fn may_vote(&self) -> bool {
+        self.hard.joined
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/replica/follower.rs
@@ -0,0 +1,181 @@
+//! What a follower does with the messages of its leader.
+
+use std::time::{Duration, Instant};
+
+use super::Replica;
+use super::role::Role;
+use crate::codec;
+use crate::{
+    AppendOutcome, Entry, HardState, Index, Message, PROMISE_TIMEOUT, Snapshot, Term, VoterId,
+};
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    last_index: Index,
+    digest: [u8; 32],
+    bytes: Vec<u8>,
+}
+
+impl Replica {
+    pub(super) fn receive_from_leader(&mut self, now: Instant, from: VoterId, message: Message) {
+        let term = message.term();
+        let (sent, learner) = match &message {
+            Message::Append { sent, learner, .. } | Message::Snapshot { sent, learner, .. } => {
+                (*sent, *learner)
+            }
+            _ => return,
+        };
+        if term < self.hard.term {
+            self.reply(from, Duration::ZERO, AppendOutcome::StaleTerm);
+            return;
+        }
+        if !self.hard.joined && !learner {
+            // An id that voted before has come back with a fresh disk.
+            return;
+        }
+        self.step_down_before(now, term);
+        self.follow(now, Some(from));
+        self.promised_until = now + PROMISE_TIMEOUT;
+        self.reset_election_deadline(now);
+        let outcome = match message {
+            Message::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                ..
+            } => Some(self.take_entries(now, (prev_term, prev_index), entries, commit)),
+            Message::Snapshot {
+                last_index,
+                offset,
+                total,
+                digest,
+                data,
+                ..
+            } => self.take_chunk(last_index, offset, total, digest, &data),
+            _ => None,
+        };
+        if let Some(outcome) = outcome {
+            self.reply(from, sent, outcome);
+        }
+    }
+
+    fn reply(&mut self, to: VoterId, sent: Duration, outcome: AppendOutcome) {
+        let term = self.hard.term;
+        let message = Message::AppendReply {
+            term,
+            sent,
+            outcome,
+        };
+        self.send_synced(to, message);
+    }
+
+    fn take_entries(
+        &mut self,
+        now: Instant,
+        (prev_term, prev_index): (Term, Index),
+        entries: Vec<Entry>,
+        commit: Index,
+    ) -> AppendOutcome {
+        let last = prev_index + entries.len() as u64;
+        if prev_index < self.log.snapshot().last_index {
+            // All up to the snapshot is committed, so the leader has it too.
+            let covered = self.log.snapshot().last_index;
+            let rest = entries.into_iter().filter(|e| e.index > covered).collect();
+            self.store_entries(rest);
+        } else if self.log.term(prev_index) == Some(prev_term) {
+            self.store_entries(entries);
+        } else {
+            let before = prev_index.saturating_sub(1);
+            let hint = self.log.last_index().min(before).max(self.commit);
+            return AppendOutcome::Mismatch { prev_index, hint };
+        }
+        let matched = last.max(self.log.snapshot().last_index);
+        self.commit_to(now, commit.min(matched));
+        AppendOutcome::Matched(matched)
+    }
+
+    fn store_entries(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            match self.log.term(entry.index) {
+                Some(term) if term == entry.term => {}
+                Some(term) if entry.index <= self.commit => {
+                    let index = entry.index;
+                    log::error!("entry {index} of term {term} is committed and stays");
+                    return;
+                }
+                Some(_) => {
+                    self.truncate_log(entry.index);
+                    self.append_entry(entry);
+                }
+                None => self.append_entry(entry),
+            }
+        }
+    }
+
+    fn take_chunk(
+        &mut self,
+        last_index: Index,
+        offset: u64,
+        total: u64,
+        digest: [u8; 32],
+        data: &[u8],
+    ) -> Option<AppendOutcome> {
+        if last_index <= self.commit {
+            self.incoming = None;
+            return Some(AppendOutcome::Matched(self.commit));
+        }
+        let same = |i: &&mut Incoming| i.last_index == last_index && i.digest == digest;
+        let incoming = match self.incoming.as_mut().filter(same) {
+            Some(incoming) => incoming,
+            None => self.incoming.insert(Incoming {
+                last_index,
+                digest,
+                bytes: Vec::new(),
+            }),
+        };
+        if incoming.bytes.len() as u64 == offset {
+            incoming.bytes.extend_from_slice(data);
+        }
+        let taken = incoming.bytes.len() as u64;
+        if taken < total {
+            let offset = taken;
+            return Some(AppendOutcome::Chunk { last_index, offset });
+        }
+        let incoming = self.incoming.take()?;
+        self.install_snapshot(&incoming)
+            .then_some(AppendOutcome::Matched(last_index))
+    }
+
+    /// Installs a received snapshot; a damaged one is dropped and sent again.
+    fn install_snapshot(&mut self, incoming: &Incoming) -> bool {
+        if *blake3::hash(&incoming.bytes).as_bytes() != incoming.digest {
+            log::warn!("a snapshot arrived damaged and is asked for again");
+            return false;
+        }
+        let Ok(snapshot) = codec::decode::<Snapshot>(&incoming.bytes) else {
+            log::warn!("a snapshot can't be decoded and is asked for again");
+            return false;
+        };
+        self.commit = snapshot.last_index;
+        self.state = snapshot.state.clone();
+        self.install_in_log(snapshot);
+        if !self.hard.joined {
+            self.set_hard(HardState {
+                joined: true,
+                ..self.hard
+            });
+        }
+        self.announce_current();
+        true
+    }
+
+    pub(super) fn leader_id(&self) -> Option<VoterId> {
+        match &self.role {
+            Role::Follower { leader } => *leader,
+            Role::Leader(_) => Some(self.id()),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/replica/leader.rs
@@ -0,0 +1,266 @@
+//! What a leader does: heartbeats, replication and snapshots.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::Replica;
+use super::role::{Leader, Role};
+use crate::codec;
+use crate::progress::{Progress, Transfer};
+use crate::{
+    AppendOutcome, Command, Entry, HEARTBEAT_INTERVAL, Index, Message, PROMISE_TIMEOUT, Term,
+    VoterId,
+};
+
+/// The most bytes of entries in one message, unless one entry is larger.
+const MAX_APPEND_BYTES: usize = 256 << 10;
+
+impl Replica {
+    pub(super) fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    pub(super) fn start_leading(&mut self, now: Instant) {
+        let first_index = self.log.last_index() + 1;
+        self.role = Role::Leader(Box::new(Leader {
+            progress: IndexMap::new(),
+            first_index,
+            next_heartbeat: now + HEARTBEAT_INTERVAL,
+            quorum_deadline: now + PROMISE_TIMEOUT,
+            waiting: VecDeque::new(),
+            pending: None,
+            replacement: None,
+        }));
+        self.promised_until = now + PROMISE_TIMEOUT;
+        self.append_as_leader(Command::Noop);
+        self.track_followers();
+        self.send_to_all(now);
+        self.advance_commit(now);
+    }
+
+    pub(super) fn append_as_leader(&mut self, command: Command) -> Index {
+        let index = self.log.last_index() + 1;
+        self.append_entry(Entry {
+            term: self.hard.term,
+            index,
+            command,
+        });
+        index
+    }
+
+    /// Keeps one progress for each other voter, and one for a learner.
+    pub(super) fn track_followers(&mut self) {
+        let last = self.log.last_index();
+        let own = self.settings.id;
+        let members = self.log.members().1;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let learner = leader.replacement.as_ref().map(|r| r.request.fresh);
+        let wanted: Vec<_> = members
+            .ids()
+            .chain(learner)
+            .filter(|id| *id != own)
+            .collect();
+        leader.progress.retain(|id, _| wanted.contains(id));
+        for id in wanted {
+            leader
+                .progress
+                .entry(id)
+                .or_insert_with(|| Progress::new(last));
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self, now: Instant) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        if now < leader.next_heartbeat {
+            return;
+        }
+        // Followers that still hear this leader would wait for it for ever.
+        if now >= leader.quorum_deadline && !self.has_lease(now) {
+            log::warn!("no quorum answers: giving up the lead");
+            self.follow(now, None);
+            return;
+        }
+        self.restart_silent_followers(now);
+        self.send_to_all(now);
+    }
+
+    fn restart_silent_followers(&mut self, now: Instant) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        for progress in leader.progress.values_mut() {
+            let heard = std::mem::replace(&mut progress.heard, false);
+            if !heard && !progress.probing {
+                progress.next = progress.matched + 1;
+            }
+        }
+    }
+
+    pub(super) fn send_to_all(&mut self, now: Instant) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let followers: Vec<_> = leader.progress.keys().copied().collect();
+        for to in followers {
+            self.send_next(now, to);
+        }
+    }
+
+    /// Sends what a follower needs next, or a bare heartbeat.
+    fn send_next(&mut self, now: Instant, to: VoterId) {
+        let sent = now.duration_since(self.started);
+        let term = self.hard.term;
+        let learner = !self.log.members().1.contains(to);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        if progress.next <= self.log.snapshot().last_index && progress.transfer.is_none() {
+            progress.transfer = Some(start_transfer(self.log.snapshot()));
+        }
+        let message = match &progress.transfer {
+            Some(transfer) => next_chunk(transfer, self.settings.chunk_bytes, term, sent, learner),
+            None => {
+                let prev_index = progress.next - 1;
+                let Some(prev_term) = self.log.term(prev_index) else {
+                    progress.next = progress.matched + 1;
+                    return;
+                };
+                let entries = self.log.slice(progress.next, MAX_APPEND_BYTES);
+                if !progress.probing {
+                    progress.next += entries.len() as u64;
+                }
+                Message::Append {
+                    term,
+                    prev_index,
+                    prev_term,
+                    entries,
+                    commit: self.commit,
+                    sent,
+                    learner,
+                }
+            }
+        };
+        self.send_as_leader(to, message);
+    }
+
+    pub(super) fn receive_append_reply(
+        &mut self,
+        now: Instant,
+        from: VoterId,
+        term: Term,
+        sent: Duration,
+        outcome: AppendOutcome,
+    ) {
+        self.step_down_before(now, term);
+        let started = self.started;
+        let last_index = self.log.last_index();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if term != self.hard.term || outcome == AppendOutcome::StaleTerm {
+            return;
+        }
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard = true;
+        progress.acked_sent = progress.acked_sent.max(Some(started + sent));
+        let more = take_outcome(progress, outcome, last_index);
+        if more {
+            self.send_next(now, from);
+        }
+        self.extend_quorum_deadline(now);
+        self.advance_commit(now);
+        self.advance_replacement(now);
+        self.take_waiting(now);
+    }
+
+    fn extend_quorum_deadline(&mut self, now: Instant) {
+        if !self.has_lease(now) {
+            return;
+        }
+        if let Role::Leader(leader) = &mut self.role {
+            leader.quorum_deadline = now + PROMISE_TIMEOUT;
+            self.promised_until = now + PROMISE_TIMEOUT;
+        }
+    }
+}
+
+/// Notes what a follower answered; returns whether to send more at once.
+fn take_outcome(progress: &mut Progress, outcome: AppendOutcome, last_index: Index) -> bool {
+    match outcome {
+        AppendOutcome::Matched(index) => {
+            progress.matched = progress.matched.max(index);
+            progress.next = progress.next.max(progress.matched + 1);
+            progress.probing = false;
+            let done = |t: &Transfer| progress.matched >= t.last_index;
+            if progress.transfer.as_ref().is_some_and(done) {
+                progress.transfer = None;
+                progress.next = progress.matched + 1;
+            }
+            progress.next <= last_index
+        }
+        AppendOutcome::Mismatch { prev_index, hint } => {
+            // An answer to an older message says nothing about the next one.
+            if prev_index <= progress.matched {
+                return false;
+            }
+            progress.next = hint.min(prev_index - 1).max(progress.matched) + 1;
+            progress.probing = true;
+            true
+        }
+        AppendOutcome::Chunk { last_index, offset } => {
+            let Some(transfer) = &mut progress.transfer else {
+                return false;
+            };
+            let moved = transfer.last_index == last_index && transfer.offset != offset;
+            if moved {
+                transfer.offset = offset;
+            }
+            moved
+        }
+        AppendOutcome::StaleTerm => false,
+    }
+}
+
+fn start_transfer(snapshot: &crate::Snapshot) -> Transfer {
+    let bytes: Arc<[u8]> = codec::encode(snapshot).into();
+    Transfer {
+        last_index: snapshot.last_index,
+        digest: *blake3::hash(&bytes).as_bytes(),
+        bytes,
+        offset: 0,
+    }
+}
+
+fn next_chunk(
+    transfer: &Transfer,
+    chunk_bytes: usize,
+    term: Term,
+    sent: Duration,
+    learner: bool,
+) -> Message {
+    let start = (transfer.offset as usize).min(transfer.bytes.len());
+    let end = (start + chunk_bytes).min(transfer.bytes.len());
+    Message::Snapshot {
+        term,
+        last_index: transfer.last_index,
+        offset: start as u64,
+        total: transfer.bytes.len() as u64,
+        digest: transfer.digest,
+        data: transfer.bytes[start..end].to_vec(),
+        sent,
+        learner,
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/replica/lease.rs
@@ -0,0 +1,53 @@
+//! The leader's lease: until when no other replica can be leader.
+
+use std::time::Instant;
+
+use super::Replica;
+use super::role::Role;
+use crate::{Freshness, LEASE_TIMEOUT, Read};
+
+impl Replica {
+    /// Returns the instant at which the leader's lease ends; nothing when
+    /// the replica does not lead or has no lease yet.
+    ///
+    /// A quorum promised, after the newest message that it acknowledged was
+    /// sent, to vote for no one else; see [`crate::PROMISE_TIMEOUT`].
+    pub fn lease_deadline(&self, now: Instant) -> Option<Instant> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let own = self.id();
+        let sent = self.log.members().1.reached_by_quorum(|id| {
+            if id == own {
+                return Some(now);
+            }
+            leader.progress.get(&id).and_then(|p| p.acked_sent)
+        });
+        sent.flatten().map(|sent| sent + LEASE_TIMEOUT)
+    }
+
+    /// Tells whether the replica holds the lease at `now`.
+    pub fn has_lease(&self, now: Instant) -> bool {
+        self.lease_deadline(now).is_some_and(|end| now < end)
+    }
+
+    /// Tells whether what the replica knows as accepted is the present.
+    pub fn freshness(&self, now: Instant) -> Freshness {
+        let Role::Leader(leader) = &self.role else {
+            return Freshness::Stale;
+        };
+        if self.commit >= leader.first_index && self.has_lease(now) {
+            Freshness::Present
+        } else {
+            Freshness::Stale
+        }
+    }
+
+    /// Reads the accepted site file.
+    pub fn read(&self, now: Instant) -> Read {
+        Read {
+            freshness: self.freshness(now),
+            change: self.state.current().cloned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/replica/mod.rs
@@ -0,0 +1,151 @@
+//! The consensus state machine.
+//!
+//! One file a matter: elections, what a follower does, what a leader does,
+//! commitment, the lease, requests of operators, and the order of writes and
+//! messages. See `docs/design/control.md`.
+
+mod commit;
+mod election;
+mod follower;
+mod leader;
+mod lease;
+mod operator;
+mod persist;
+mod role;
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::raft_log::RaftLog;
+use crate::{
+    Entry, HardState, Index, Message, Output, PROMISE_TIMEOUT, Recovered, ReplicaSettings,
+    SiteState, VoterId,
+};
+use follower::Incoming;
+use persist::Persist;
+use role::Role;
+
+/// One control VM's part of the consensus.
+#[derive(Debug)]
+pub struct Replica {
+    settings: ReplicaSettings,
+    rng: ChaCha8Rng,
+    started: Instant,
+    hard: HardState,
+    log: RaftLog,
+    commit: Index,
+    state: SiteState,
+    role: Role,
+    incoming: Option<Incoming>,
+    /// Before this instant the replica votes for no one.
+    promised_until: Instant,
+    /// When the replica asks for votes unless it hears a leader.
+    election_deadline: Instant,
+    persist: Persist,
+    outputs: VecDeque<Output>,
+}
+
+impl Replica {
+    /// Starts a replica from what its disk holds.
+    ///
+    /// It votes for no one until every promise that it may have given before
+    /// has passed.
+    pub fn new(settings: ReplicaSettings, recovered: Recovered, now: Instant) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let commit = recovered.snapshot.last_index;
+        let state = recovered.snapshot.state.clone();
+        let log = RaftLog::new(recovered.snapshot, recovered.entries);
+        let mut replica = Self {
+            persist: Persist::new(log.last_index()),
+            settings,
+            rng,
+            started: now,
+            hard: recovered.hard,
+            log,
+            commit,
+            state,
+            role: Role::Follower { leader: None },
+            incoming: None,
+            promised_until: now + PROMISE_TIMEOUT,
+            election_deadline: now,
+            outputs: VecDeque::new(),
+        };
+        replica.reset_election_deadline(now);
+        replica
+    }
+
+    /// Returns the replica's id.
+    pub fn id(&self) -> VoterId {
+        self.settings.id
+    }
+
+    /// Returns the committed entry at `index`, unless a snapshot covers it.
+    pub fn committed(&self, index: Index) -> Option<&Entry> {
+        self.log.get(index).filter(|_| index <= self.commit)
+    }
+
+    /// Takes a message that control VM `from` sent.
+    pub fn receive(&mut self, now: Instant, from: VoterId, message: Message) {
+        if !message.is_well_formed() {
+            log::warn!("control VM {from} sent a malformed message, which is ignored");
+            return;
+        }
+        match message {
+            Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => self.receive_pre_vote(now, from, term, (last_term, last_index)),
+            Message::PreVoteReply { term, granted } => {
+                self.receive_pre_vote_reply(now, from, term, granted);
+            }
+            Message::Vote {
+                term,
+                last_index,
+                last_term,
+            } => self.receive_vote(now, from, term, (last_term, last_index)),
+            Message::VoteReply { term, granted } => {
+                self.receive_vote_reply(now, from, term, granted);
+            }
+            message @ (Message::Append { .. } | Message::Snapshot { .. }) => {
+                self.receive_from_leader(now, from, message);
+            }
+            Message::AppendReply {
+                term,
+                sent,
+                outcome,
+            } => self.receive_append_reply(now, from, term, sent, outcome),
+        }
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Instant) {
+        match self.role {
+            Role::Leader(_) => self.tick_leader(now),
+            _ if now >= self.election_deadline => self.start_pre_vote(now),
+            _ => {}
+        }
+    }
+
+    /// Returns the instant at which [`Replica::tick`] is next wanted.
+    pub fn next_deadline(&self) -> Instant {
+        match &self.role {
+            Role::Leader(leader) => leader.next_heartbeat,
+            _ => self.election_deadline,
+        }
+    }
+
+    /// Returns the next thing to do; `Persist` comes before what depends on it.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        if let Some(output) = self.take_batch() {
+            return Some(output);
+        }
+        if let Some(output) = self.outputs.pop_front() {
+            return Some(output);
+        }
+        self.take_released_message()
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/storage/journal.rs
@@ -0,0 +1,175 @@
+//! The journal: every batch that was synced, since the newest snapshot.
+
+use std::io;
+
+use super::frame::{self, Parsed};
+use super::{Disk, StorageError};
+use crate::{Batch, HardState, Members, Recovered, Snapshot, codec};
+
+/// The journal in use.
+const JOURNAL: &str = "journal";
+
+/// The next journal, until it takes the place of the one in use.
+const NEXT: &str = "journal.next";
+
+/// Writes batches, and reads them back after a restart.
+///
+/// A batch with a snapshot begins a new file, which takes the old one's place
+/// in one step; other batches are appended. After an error the journal must
+/// not be used again: what the disk holds is then only known by reading it.
+#[derive(Debug)]
+pub struct Journal<D> {
+    disk: D,
+    bytes: u64,
+}
+
+impl<D: Disk> Journal<D> {
+    /// Opens the journal of a voter that ran before.
+    ///
+    /// A torn last frame, which was never confirmed, is cut off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and the byte when a frame before
+    /// the last one is damaged, and when there is no journal.
+    pub fn open(mut disk: D) -> Result<(Self, Recovered), StorageError> {
+        let bytes = disk.read(JOURNAL).map_err(at(JOURNAL))?;
+        let bytes = bytes.ok_or_else(|| StorageError::Missing {
+            file: JOURNAL.into(),
+        })?;
+        let (recovered, len) = replay(&bytes)?;
+        if len < bytes.len() {
+            log::warn!(
+                "{JOURNAL}: cut from {} to {len} bytes: the last write was torn",
+                bytes.len()
+            );
+            disk.truncate(JOURNAL, len as u64).map_err(at(JOURNAL))?;
+        }
+        // What was read may not be synced yet, and answers will rest on it.
+        disk.sync(JOURNAL).map_err(at(JOURNAL))?;
+        disk.sync_folder().map_err(at(JOURNAL))?;
+        let bytes = len as u64;
+        Ok((Self { disk, bytes }, recovered))
+    }
+
+    /// Begins the journal of one of the first voters of a new site.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is a journal already.
+    pub fn init(disk: D, members: Members) -> Result<(Self, Recovered), StorageError> {
+        let hard = HardState {
+            joined: true,
+            ..HardState::default()
+        };
+        Self::create(disk, hard, Snapshot::initial(members))
+    }
+
+    /// Begins the journal of a new voter of a site that exists.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is a journal already.
+    pub fn join(disk: D) -> Result<(Self, Recovered), StorageError> {
+        Self::create(disk, HardState::default(), Snapshot::default())
+    }
+
+    fn create(
+        mut disk: D,
+        hard: HardState,
+        snapshot: Snapshot,
+    ) -> Result<(Self, Recovered), StorageError> {
+        if disk.read(JOURNAL).map_err(at(JOURNAL))?.is_some() {
+            return Err(StorageError::Exists {
+                file: JOURNAL.into(),
+            });
+        }
+        let mut journal = Self { disk, bytes: 0 };
+        let batch = Batch {
+            snapshot: Some(snapshot),
+            hard: Some(hard),
+            ..Batch::default()
+        };
+        journal.write(&batch)?;
+        let mut recovered = Recovered::default();
+        recovered.replay(batch);
+        Ok((journal, recovered))
+    }
+
+    /// Writes and syncs a batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said; the journal must not be used again.
+    pub fn write(&mut self, batch: &Batch) -> Result<(), StorageError> {
+        let frame = frame::encode(&codec::encode(batch));
+        if batch.snapshot.is_some() {
+            return self.replace(&frame).map_err(at(NEXT));
+        }
+        self.append(&frame).map_err(at(JOURNAL))
+    }
+
+    fn append(&mut self, frame: &[u8]) -> io::Result<()> {
+        self.disk.append(JOURNAL, frame)?;
+        self.disk.sync(JOURNAL)?;
+        self.bytes += frame.len() as u64;
+        Ok(())
+    }
+
+    fn replace(&mut self, frame: &[u8]) -> io::Result<()> {
+        self.disk.write(NEXT, frame)?;
+        self.disk.sync(NEXT)?;
+        self.disk.rename(NEXT, JOURNAL)?;
+        self.disk.sync_folder()?;
+        self.bytes = frame.len() as u64;
+        Ok(())
+    }
+
+    /// Returns the length of the journal in bytes.
+    pub fn len_bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Gives back the disk.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+}
+
+fn at(file: &'static str) -> impl Fn(io::Error) -> StorageError {
+    move |source| StorageError::Io {
+        file: file.into(),
+        source,
+    }
+}
+
+/// Returns what the frames add up to, and where the last whole one ends.
+fn replay(bytes: &[u8]) -> Result<(Recovered, usize), StorageError> {
+    let mut recovered = Recovered::default();
+    let mut offset = 0;
+    loop {
+        match frame::parse(bytes, offset) {
+            Parsed::End => return Ok((recovered, offset)),
+            Parsed::Frame { payload, next } => {
+                let error = || StorageError::Inconsistent {
+                    file: JOURNAL.into(),
+                    offset: offset as u64,
+                };
+                let batch: Batch = codec::decode(payload).map_err(|_| error())?;
+                recovered.replay(batch);
+                if !recovered.is_consistent() {
+                    return Err(error());
+                }
+                offset = next;
+            }
+            // The first frame is in place before the file gets its name.
+            Parsed::Broken if offset == 0 || frame::any_after(bytes, offset) => {
+                return Err(StorageError::Damaged {
+                    file: JOURNAL.into(),
+                    offset: offset as u64,
+                });
+            }
+            Parsed::Broken => return Ok((recovered, offset)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/src/storage/mod.rs
@@ -0,0 +1,16 @@
+//! What survives a restart: one checksummed journal in the data folder.
+//!
+//! [`Journal`] turns batches into frames and syncs them; it works on a
+//! [`Disk`], so that tests can lose and tear what is not synced. See
+//! `docs/design/control.md`.
+
+mod disk;
+mod error;
+mod folder;
+mod frame;
+mod journal;
+
+pub use disk::Disk;
+pub use error::StorageError;
+pub use folder::Folder;
+pub use journal::Journal;
--- /dev/null
+++ b/crates/currantgate-control/tests/common/checks.rs
@@ -0,0 +1,91 @@
+//! What must hold at every step, whatever happens.
+
+use std::collections::HashMap;
+
+use currantgate_control::{
+    ApplyAnswer, ApplyRequest, Base, Change, Entry, Freshness, Index, Read, Revision,
+};
+
+/// Everything that was ever committed or answered.
+#[derive(Debug, Default)]
+pub struct Checks {
+    entries: HashMap<Index, Entry>,
+    revisions: HashMap<Revision, Change>,
+    winners: HashMap<Revision, Base>,
+    newest: Revision,
+    pub accepted: Vec<(ApplyRequest, Revision)>,
+    pub presents: usize,
+    pub unknowns: usize,
+}
+
+impl Checks {
+    /// One value per log index.
+    pub fn committed_entry(&mut self, entry: &Entry) {
+        let known = self.entries.entry(entry.index).or_insert(entry.clone());
+        assert_eq!(known, entry, "two values at index {}", entry.index);
+    }
+
+    /// One value per revision, each upon the one before.
+    pub fn committed_change(&mut self, change: &Change) {
+        let known = self
+            .revisions
+            .entry(change.revision)
+            .or_insert(change.clone());
+        assert_eq!(known, change, "revision {} has two values", change.revision);
+        assert_eq!(change.base.revision + 1, change.revision);
+        self.newest = self.newest.max(change.revision);
+    }
+
+    /// A read labelled present is so.
+    pub fn read(&mut self, read: &Read) {
+        if read.freshness == Freshness::Stale {
+            return;
+        }
+        self.presents += 1;
+        let revision = read.change.as_ref().map_or(0, |change| change.revision);
+        assert!(
+            revision >= self.newest,
+            "read labelled present is revision {revision}, but {} was accepted",
+            self.newest
+        );
+    }
+
+    /// One winner per base, and truthful answers.
+    pub fn answer(&mut self, request: &ApplyRequest, answer: &ApplyAnswer) {
+        match answer {
+            ApplyAnswer::Accepted(revision) => {
+                let made = &self.revisions[revision];
+                assert_eq!((made.base, made.digest), (request.base, request.digest()));
+                let winner = self.winners.insert(request.base.revision, made.as_base());
+                assert_eq!(winner, None, "two winners upon {:?}", request.base);
+                self.accepted.push((request.clone(), *revision));
+            }
+            ApplyAnswer::AlreadyAccepted(revision) => {
+                let made = &self.revisions[revision];
+                assert_eq!((made.base, made.digest), (request.base, request.digest()));
+            }
+            ApplyAnswer::Conflict(winner) => {
+                if winner.revision > 0 {
+                    assert_eq!(self.revisions[&winner.revision].as_base(), *winner);
+                }
+                assert!(
+                    winner.revision > request.base.revision || winner.digest != request.base.digest
+                );
+            }
+            ApplyAnswer::Unknown => self.unknowns += 1,
+            ApplyAnswer::Refused(_) => {}
+        }
+    }
+
+    pub fn newest(&self) -> Base {
+        self.revisions
+            .get(&self.newest)
+            .map_or(Base::empty(), Change::as_base)
+    }
+
+    pub fn has(&self, base: &Base) -> bool {
+        self.revisions
+            .get(&base.revision)
+            .is_some_and(|c| c.digest == base.digest)
+    }
+}
--- /dev/null
+++ b/crates/currantgate-control/tests/consensus.rs
@@ -0,0 +1,84 @@
+//! The consensus on a quiet network: elections, replication and answers.
+
+mod common;
+
+use common::net::Net;
+use currantgate_control::{ApplyAnswer, Base, Digest, RefuseReason};
+
+fn lead(net: &mut Net) -> u16 {
+    net.run_until("a leader", |net| net.leader().is_some());
+    net.leader().unwrap()
+}
+
+fn accept(net: &mut Net, base: Base, text: &str) -> Base {
+    let leader = lead(net);
+    let id = net.apply(leader, base, text);
+    net.run_until("an answer", |net| net.answers.contains_key(&id));
+    let revision = base.revision + 1;
+    assert_eq!(net.answers[&id], ApplyAnswer::Accepted(revision));
+    Base {
+        revision,
+        digest: Digest::of(text),
+    }
+}
+
+#[rstest::rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[case::five(5)]
+fn an_accepted_change_reaches_every_voter(#[case] voters: u16) {
+    let mut net = Net::new(voters, 1);
+    let base = accept(&mut net, Base::empty(), "a");
+    net.run_until("all voters have it", |net| net.all_at(base));
+}
+
+#[test]
+fn races_and_resends_get_truthful_answers() {
+    let mut net = Net::new(3, 2);
+    let first = accept(&mut net, Base::empty(), "a");
+    let leader = lead(&mut net);
+    let ids = ["b", "c", "b"].map(|text| net.apply(leader, first, text));
+    net.run_until("three answers", |net| {
+        ids.iter().all(|id| net.answers.contains_key(id))
+    });
+    let second = Base {
+        revision: 2,
+        digest: Digest::of("b"),
+    };
+    assert_eq!(net.answers[&ids[0]], ApplyAnswer::Accepted(2));
+    assert_eq!(net.answers[&ids[1]], ApplyAnswer::Conflict(second));
+    assert_eq!(net.answers[&ids[2]], ApplyAnswer::AlreadyAccepted(2));
+    accept(&mut net, second, "d");
+    let resent = net.apply(leader, Base::empty(), "a");
+    assert_eq!(net.answers[&resent], ApplyAnswer::AlreadyAccepted(1));
+}
+
+#[test]
+fn a_leader_cut_off_refuses_and_its_last_change_is_settled_as_unknown() {
+    let mut net = Net::new(3, 3);
+    let base = accept(&mut net, Base::empty(), "a");
+    let old = lead(&mut net);
+    net.isolate(old);
+    let lost = net.apply(old, base, "b");
+    net.run_until("a new leader", |net| net.leader().is_some_and(|l| l != old));
+    let newer = accept(&mut net, base, "c");
+    net.run_until("an answer", |net| net.answers.contains_key(&lost));
+    assert_eq!(net.answers[&lost], ApplyAnswer::Unknown);
+    let refused = net.apply(old, base, "d");
+    let reason = RefuseReason::NotLeader { leader: None };
+    assert_eq!(net.answers[&refused], ApplyAnswer::Refused(reason));
+    net.heal();
+    net.run_until("all voters have it", |net| net.all_at(newer));
+}
+
+#[test]
+fn a_leader_that_hears_no_one_gives_up() {
+    let mut net = Net::new(3, 4);
+    let old = lead(&mut net);
+    for other in net.ids() {
+        net.cut(other, old);
+    }
+    net.run_until("another leader", |net| {
+        net.leader().is_some_and(|l| l != old)
+    });
+}
