--- a/crates/currantgate-control/tests/common/fake_disk.rs
+++ b/crates/currantgate-control/tests/common/fake_disk.rs
@@ -56,6 +56,11 @@
         self.0.borrow_mut().crash_at = Some(n);
     }
 
+    /// Takes back [`FakeDisk::crash_at`].
+    pub fn crash_no_more(&self) {
+        self.0.borrow_mut().crash_at = None;
+    }
+
     /// Loses what is not synced, in part or as a whole, and starts again.
     pub fn restart(&self) {
         let state = &mut *self.0.borrow_mut();
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -134,6 +134,11 @@
         self.nodes[&id].running.is_some()
     }
 
+    /// Loses a VM and its disk for good.
+    pub fn lose(&mut self, id: VoterId) {
+        self.nodes.remove(&id);
+    }
+
     /// Starts a VM from its disk, unless it runs.
     pub fn restart(&mut self, id: VoterId) {
         let now = self.local(id);
@@ -271,6 +276,9 @@
             .partition(|flight| flight.due <= now);
         self.flights = later;
         for flight in due {
+            if !self.nodes.contains_key(&flight.to) {
+                continue;
+            }
             let local = self.local(flight.to);
             if let Some(running) = &mut self.nodes.get_mut(&flight.to).unwrap().running {
                 running.replica.receive(local, flight.from, flight.message);
--- /dev/null
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -0,0 +1,262 @@
+//! Random schedules of faults and operators; the checks in `common` hold at
+//! every step, and at the end the site comes back to one accepted state.
+
+mod common;
+
+use std::time::Duration;
+
+use common::net::Net;
+use currantgate_control::{ApplyAnswer, Base, Digest, ReplaceAnswer, VoterId};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+#[derive(Clone, Debug)]
+enum Action {
+    Run(u64),
+    Apply {
+        to: usize,
+        base: BaseChoice,
+        text: u8,
+    },
+    Race {
+        a: usize,
+        b: usize,
+    },
+    Resend {
+        to: usize,
+        accepted: usize,
+    },
+    CutOneWay {
+        from: usize,
+        to: usize,
+    },
+    Isolate(usize),
+    IsolateLeader,
+    Heal,
+    Crash(usize),
+    CrashAtOperation {
+        vm: usize,
+        after: usize,
+    },
+    RestartAll,
+    Faults {
+        loss: u32,
+        slow_writes: u32,
+    },
+    LoseDisk(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum BaseChoice {
+    Newest,
+    Known(usize),
+    Before,
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    let vm = 0..5_usize;
+    let base = prop_oneof![
+        6 => Just(BaseChoice::Newest),
+        1 => (0..5_usize).prop_map(BaseChoice::Known),
+        1 => Just(BaseChoice::Before),
+    ];
+    prop_oneof![
+        10 => (10..2_500_u64).prop_map(Action::Run),
+        8 => (vm.clone(), base, 0..9_u8).prop_map(|(to, base, text)| Action::Apply { to, base, text }),
+        3 => (vm.clone(), vm.clone()).prop_map(|(a, b)| Action::Race { a, b }),
+        2 => (vm.clone(), 0..20_usize).prop_map(|(to, accepted)| Action::Resend { to, accepted }),
+        2 => (vm.clone(), vm.clone()).prop_map(|(from, to)| Action::CutOneWay { from, to }),
+        1 => vm.clone().prop_map(Action::Isolate),
+        2 => Just(Action::IsolateLeader),
+        3 => Just(Action::Heal),
+        2 => vm.clone().prop_map(Action::Crash),
+        2 => (vm.clone(), 0..6_usize).prop_map(|(vm, after)| Action::CrashAtOperation { vm, after }),
+        3 => Just(Action::RestartAll),
+        2 => (0..20_u32, 0..80_u32).prop_map(|(loss, slow_writes)| Action::Faults { loss, slow_writes }),
+        1 => vm.prop_map(Action::LoseDisk),
+    ]
+}
+
+/// The voter that is to be replaced, and by which.
+struct Repair {
+    lost: VoterId,
+    fresh: VoterId,
+}
+
+struct Run {
+    net: Net,
+    repair: Option<Repair>,
+    next_id: VoterId,
+}
+
+impl Run {
+    fn new(voters: u16, seed: u64) -> Self {
+        Self {
+            net: Net::new(voters, seed),
+            repair: None,
+            next_id: voters + 1,
+        }
+    }
+
+    fn vm(&self, n: usize) -> VoterId {
+        let ids = self.net.ids();
+        ids[n % ids.len()]
+    }
+
+    /// Sends to the leader, if any, so that many changes are accepted.
+    fn target(&self, n: usize) -> VoterId {
+        match self.net.leader() {
+            Some(leader) if n < 4 => leader,
+            _ => self.vm(n),
+        }
+    }
+
+    fn act(&mut self, action: &Action) {
+        match *action {
+            Action::Run(ms) => self.net.run(Duration::from_millis(ms)),
+            Action::Apply { to, base, text } => {
+                let base = self.choose(base);
+                let text = format!("{}.{text}", base.revision);
+                self.net.apply(self.target(to), base, &text);
+            }
+            Action::Race { a, b } => {
+                let base = self.net.checks.newest();
+                self.net
+                    .apply(self.target(a), base, &format!("{}.a", base.revision));
+                self.net
+                    .apply(self.target(b), base, &format!("{}.b", base.revision));
+            }
+            Action::Resend { to, accepted } => {
+                let earlier = self.net.checks.accepted.get(accepted).cloned();
+                if let Some((request, _)) = earlier {
+                    self.net.apply(self.target(to), request.base, &request.text);
+                }
+            }
+            Action::CutOneWay { from, to } => self.net.cut(self.vm(from), self.vm(to)),
+            Action::Isolate(vm) => self.net.isolate(self.vm(vm)),
+            Action::IsolateLeader => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.isolate(leader);
+                }
+            }
+            Action::Heal => self.net.heal(),
+            Action::Crash(vm) => self.net.crash(self.vm(vm)),
+            Action::CrashAtOperation { vm, after } => {
+                let disk = self.net.disk(self.vm(vm));
+                disk.crash_at(disk.operations() + after);
+            }
+            Action::RestartAll => self.restart_all(),
+            Action::Faults { loss, slow_writes } => {
+                self.net.loss = loss;
+                self.net.slow_writes = slow_writes;
+            }
+            Action::LoseDisk(vm) => self.lose_disk(self.vm(vm)),
+        }
+        self.go_on_with_repair();
+    }
+
+    fn choose(&self, base: BaseChoice) -> Base {
+        match base {
+            BaseChoice::Newest => self.net.checks.newest(),
+            BaseChoice::Known(vm) => self.net.accepted(self.vm(vm)).unwrap_or_else(Base::empty),
+            BaseChoice::Before => {
+                let accepted = &self.net.checks.accepted;
+                accepted
+                    .last()
+                    .map_or_else(Base::empty, |(request, _)| request.base)
+            }
+        }
+    }
+
+    fn restart_all(&mut self) {
+        for id in self.net.ids() {
+            self.net.restart(id);
+        }
+    }
+
+    /// One disk at a time: the next may be lost as soon as the repair is done.
+    fn lose_disk(&mut self, lost: VoterId) {
+        if self.repair.is_some() {
+            return;
+        }
+        let fresh = self.next_id;
+        self.next_id += 1;
+        self.net.lose(lost);
+        self.net.join(fresh);
+        self.repair = Some(Repair { lost, fresh });
+    }
+
+    /// Asks again until the repair is done, as an operator whose answer is lost.
+    fn go_on_with_repair(&mut self) {
+        let (Some(repair), Some(leader)) = (&self.repair, self.net.leader()) else {
+            return;
+        };
+        let id = self.net.replace(leader, repair.lost, repair.fresh);
+        if self.net.replaced.get(&id) == Some(&ReplaceAnswer::Done) {
+            self.repair = None;
+        }
+    }
+
+    /// Ends all faults; the site must come back by itself.
+    fn settle(&mut self) {
+        self.net.heal();
+        self.net.loss = 0;
+        self.net.slow_writes = 0;
+        for id in self.net.ids() {
+            self.net.disk(id).crash_no_more();
+        }
+        self.restart_all();
+        for _ in 0..60 {
+            self.net.run(Duration::from_millis(500));
+            self.restart_all();
+            self.go_on_with_repair();
+        }
+        assert!(self.repair.is_none(), "the repair ends");
+        let leader = self.net.leader().expect("a leader is found");
+        let base = self.net.checks.newest();
+        let id = self.net.apply(leader, base, "end");
+        self.net.run(Duration::from_secs(1));
+        assert_eq!(
+            self.net.answers.get(&id),
+            Some(&ApplyAnswer::Accepted(base.revision + 1))
+        );
+        let end = Base {
+            revision: base.revision + 1,
+            digest: Digest::of("end"),
+        };
+        assert!(self.net.all_at(end), "all voters have the last change");
+        for (request, revision) in self.net.checks.accepted.clone() {
+            let id = self.net.apply(leader, request.base, &request.text);
+            let answer = &self.net.answers[&id];
+            assert_eq!(*answer, ApplyAnswer::AlreadyAccepted(revision));
+        }
+    }
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(96))]
+
+    #[test]
+    fn accepted_revisions_survive_any_schedule(
+        voters in prop_oneof![Just(3_u16), Just(5)],
+        seed in any::<u64>(),
+        actions in prop::collection::vec(any_action(), 10..60),
+    ) {
+        let mut run = Run::new(voters, seed);
+        for action in &actions {
+            run.act(action);
+        }
+        run.settle();
+    }
+}
