--- a/crates/currantgate-control/src/change.rs
+++ b/crates/currantgate-control/src/change.rs
@@ -7,7 +7,7 @@
 use crate::{Digest, Revision};
 
 /// The revision that a change was read at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Base {
     /// The revision.
     pub revision: Revision,
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod change;
 mod codec;
 mod digest;
+mod distribution;
 mod entry;
 mod id;
 mod members;
@@ -31,6 +32,10 @@
 pub use batch::{Batch, HardState, Recovered};
 pub use change::{Base, Change};
 pub use digest::Digest;
+pub use distribution::{
+    AdoptedFile, Delta, Publisher, PublisherMessage, PublisherOutput, PublisherSettings, Reach,
+    Subscriber, SubscriberId, SubscriberMessage, SubscriberOutput, SubscriberSettings, Update,
+};
 pub use entry::{Command, Entry};
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
 pub use members::Members;
@@ -44,4 +49,7 @@
 pub use snapshot::Snapshot;
 pub use status::{RoleName, Status};
 pub use storage::{Disk, Folder, Journal, StorageError};
-pub use timing::{CLOCK_RATE_BOUND_PERCENT, HEARTBEAT_INTERVAL, LEASE_TIMEOUT, PROMISE_TIMEOUT};
+pub use timing::{
+    CLOCK_RATE_BOUND_PERCENT, HEARTBEAT_INTERVAL, LEASE_TIMEOUT, PROMISE_TIMEOUT,
+    PUBLISHER_INTERVAL, SILENCE_TIMEOUT,
+};
--- a/crates/currantgate-control/src/storage/journal.rs
+++ b/crates/currantgate-control/src/storage/journal.rs
@@ -3,15 +3,13 @@
 use std::io;
 
 use super::frame::{self, Parsed};
+use super::whole_file::{at, replace_bytes};
 use super::{Disk, StorageError};
 use crate::{Batch, HardState, Members, Recovered, Snapshot, codec};
 
 /// The journal in use.
 const JOURNAL: &str = "journal";
 
-/// The next journal, until it takes the place of the one in use.
-const NEXT: &str = "journal.next";
-
 /// Writes batches, and reads them back after a restart.
 ///
 /// A batch with a snapshot begins a new file, which takes the old one's place
@@ -104,7 +102,7 @@
     pub fn write(&mut self, batch: &Batch) -> Result<(), StorageError> {
         let frame = frame::encode(&codec::encode(batch));
         if batch.snapshot.is_some() {
-            return self.replace(&frame).map_err(at(NEXT));
+            return self.replace(&frame).map_err(at(JOURNAL));
         }
         self.append(&frame).map_err(at(JOURNAL))
     }
@@ -117,10 +115,7 @@
     }
 
     fn replace(&mut self, frame: &[u8]) -> io::Result<()> {
-        self.disk.write(NEXT, frame)?;
-        self.disk.sync(NEXT)?;
-        self.disk.rename(NEXT, JOURNAL)?;
-        self.disk.sync_folder()?;
+        replace_bytes(&mut self.disk, JOURNAL, frame)?;
         self.bytes = frame.len() as u64;
         Ok(())
     }
@@ -136,13 +131,6 @@
     }
 }
 
-fn at(file: &'static str) -> impl Fn(io::Error) -> StorageError {
-    move |source| StorageError::Io {
-        file: file.into(),
-        source,
-    }
-}
-
 /// Returns what the frames add up to, and where the last whole one ends.
 fn replay(bytes: &[u8]) -> Result<(Recovered, usize), StorageError> {
     let mut recovered = Recovered::default();
--- a/crates/currantgate-control/src/storage/mod.rs
+++ b/crates/currantgate-control/src/storage/mod.rs
@@ -9,8 +9,10 @@
 mod folder;
 mod frame;
 mod journal;
+mod whole_file;
 
 pub use disk::Disk;
 pub use error::StorageError;
 pub use folder::Folder;
 pub use journal::Journal;
+pub(crate) use whole_file::{load_file, replace_file};
--- a/crates/currantgate-control/src/timing.rs
+++ b/crates/currantgate-control/src/timing.rs
@@ -19,5 +19,11 @@
         / (100 + CLOCK_RATE_BOUND_PERCENT as u64),
 );
 
+/// How often a publisher tells its subscribers that it is alive.
+pub const PUBLISHER_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Silence after which a subscriber looks for another publisher.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// How often a leader tells its followers that it leads.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -55,8 +55,10 @@
     rng: ChaCha8Rng,
     /// Percent of messages that are lost, and as many that come twice.
     pub loss: u32,
-    /// Percent of writes that are confirmed late.
+    /// Percent of writes that are not done at once, nor in any one step.
     pub slow_writes: u32,
+    /// The longest delay of a message in milliseconds.
+    pub delay_ms: u64,
     requests: HashMap<RequestId, ApplyRequest>,
     pub answers: HashMap<RequestId, ApplyAnswer>,
     pub replaced: HashMap<RequestId, ReplaceAnswer>,
@@ -76,6 +78,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             loss: 0,
             slow_writes: 0,
+            delay_ms: 10,
             requests: HashMap::new(),
             answers: HashMap::new(),
             replaced: HashMap::new(),
@@ -256,7 +259,9 @@
     pub fn step(&mut self) {
         self.now += STEP;
         for id in self.ids() {
-            self.confirm_writes(id);
+            if self.rng.random_range(0..100) >= self.slow_writes {
+                self.confirm_writes(id);
+            }
             let now = self.local(id);
             if let Some(running) = &mut self.nodes.get_mut(&id).unwrap().running
                 && now >= running.replica.next_deadline()
@@ -351,7 +356,9 @@
         let copies = usize::from(!lost) + usize::from(twice);
         for _ in 0..copies {
             let late = self.loss > 0 && self.rng.random_range(0..20) == 0;
-            let delay = self.rng.random_range(1..if late { 3_000 } else { 10 });
+            let delay = self
+                .rng
+                .random_range(1..if late { 3_000 } else { self.delay_ms });
             let due = self.now + Duration::from_millis(delay);
             self.flights.push(Flight {
                 due,
--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -39,9 +39,14 @@
         after: usize,
     },
     RestartAll,
+    /// All VMs crash, and all but a minority start again.
+    PowerLoss {
+        down: usize,
+    },
     Faults {
         loss: u32,
         slow_writes: u32,
+        delay_ms: u64,
     },
     LoseDisk(usize),
 }
@@ -72,7 +77,10 @@
         2 => vm.clone().prop_map(Action::Crash),
         2 => (vm.clone(), 0..6_usize).prop_map(|(vm, after)| Action::CrashAtOperation { vm, after }),
         3 => Just(Action::RestartAll),
-        2 => (0..20_u32, 0..80_u32).prop_map(|(loss, slow_writes)| Action::Faults { loss, slow_writes }),
+        4 => vm.clone().prop_map(|down| Action::PowerLoss { down }),
+        4 => (0..20_u32, 0..98_u32, 10..600_u64).prop_map(|(loss, slow_writes, delay_ms)| {
+            Action::Faults { loss, slow_writes, delay_ms }
+        }),
         1 => vm.prop_map(Action::LoseDisk),
     ]
 }
@@ -146,9 +154,15 @@
                 disk.crash_at(disk.operations() + after);
             }
             Action::RestartAll => self.restart_all(),
-            Action::Faults { loss, slow_writes } => {
+            Action::PowerLoss { down } => self.power_loss(down),
+            Action::Faults {
+                loss,
+                slow_writes,
+                delay_ms,
+            } => {
                 self.net.loss = loss;
                 self.net.slow_writes = slow_writes;
+                self.net.delay_ms = delay_ms;
             }
             Action::LoseDisk(vm) => self.lose_disk(self.vm(vm)),
         }
@@ -174,6 +188,17 @@
         }
     }
 
+    fn power_loss(&mut self, down: usize) {
+        let ids = self.net.ids();
+        for id in &ids {
+            self.net.crash(*id);
+        }
+        let minority = (ids.len() - 1) / 2;
+        for n in minority..ids.len() {
+            self.net.restart(ids[(down + n) % ids.len()]);
+        }
+    }
+
     /// One disk at a time: the next may be lost as soon as the repair is done.
     fn lose_disk(&mut self, lost: VoterId) {
         if self.repair.is_some() {
@@ -206,11 +231,16 @@
             self.net.disk(id).crash_no_more();
         }
         self.restart_all();
+        self.net.delay_ms = 10;
         for _ in 0..60 {
             self.net.run(Duration::from_millis(500));
             self.restart_all();
             self.go_on_with_repair();
+            if self.repair.is_none() && self.net.all_at(self.net.checks.newest()) {
+                break;
+            }
         }
+        self.net.run(Duration::from_secs(5));
         assert!(self.repair.is_none(), "the repair ends");
         let leader = self.net.leader().expect("a leader is found");
         let base = self.net.checks.newest();
@@ -245,7 +275,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(96))]
+    #![proptest_config(config(256))]
 
     #[test]
     fn accepted_revisions_survive_any_schedule(
