--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -1,5 +1,6 @@
 //! One entry's state machines, wired to each other without any I/O.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -8,12 +9,16 @@
 use currantgate_membership::{
     AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
 };
-use currantgate_packet::{Packet, build_refusal, parse_answer, parse_request};
+use currantgate_packet::{
+    FlowHasher, Packet, PacketError, PacketKind, build_refusal, parse_answer, parse_request,
+};
 use indexmap::IndexMap;
 
+use super::label;
+use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::EntryError;
+use crate::{EntryError, TRACE_TARGET};
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
 const HEADER_BYTES: usize = 28;
@@ -33,10 +38,13 @@
 
 /// One entry's state machines and counters.
 pub(crate) struct Core {
+    id: EntryId,
+    hasher: FlowHasher,
     router: Router,
     members: Members,
     budget: Budget,
     metrics: EntryMetrics,
+    log_limit: LogLimit,
     fabric: SocketAddr,
     peers: IndexMap<EntryId, SocketAddr>,
     peer_ids: IndexMap<SocketAddr, EntryId>,
@@ -52,7 +60,7 @@
         let router = Router::new(RouterSettings {
             id: settings.id,
             services: site.services.clone(),
-            hash_key: settings.flow.key()?,
+            hash_key: settings.flow.hash_key.value(),
             buckets: settings.flow.buckets,
             max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
@@ -68,10 +76,13 @@
             now,
         );
         Ok(Self {
+            id: settings.id,
+            hasher: FlowHasher::new(settings.flow.hash_key.value()),
             router,
             members,
             budget: Budget::new(&settings.budget, now),
             metrics,
+            log_limit: LogLimit::default(),
             fabric: settings.fabric,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
@@ -80,9 +91,9 @@
 
     /// Takes an IP packet from the fabric.
     pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_request(buf))?;
+        let packet = self.parsed(now, "the fabric", parse_request(buf))?;
         let verdict = self.router.route(now, &packet);
-        self.carry_out(verdict, &packet, buf)
+        self.carry_out(now, verdict, &packet, buf)
     }
 
     /// Takes an IP packet from an upstream.
@@ -92,14 +103,15 @@
         from: SocketAddr,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_answer(buf))?;
+        let packet = self.parsed(now, &from, parse_answer(buf))?;
         match self.router.answer(now, from, &packet) {
             AnswerVerdict::Pass => {
                 self.metrics.answered.inc();
                 Some(Datagram::ToFabric(self.fabric, buf))
             }
             AnswerVerdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("an answer from {from} in flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
@@ -107,19 +119,21 @@
 
     /// Reads a datagram from the address of another entry.
     pub(crate) fn decode_peer(
-        &self,
+        &mut self,
+        now: Instant,
         from: SocketAddr,
         buf: &[u8],
     ) -> Option<(EntryId, PeerMessage)> {
-        let Some(id) = self.peer_ids.get(&from) else {
-            self.metrics.count_drop(&"unknown_peer");
+        let Some(id) = self.peer_ids.get(&from).copied() else {
+            let what = format_args!("a message from {from}, which is no peer");
+            self.count_drop(now, "unknown_peer", what);
             return None;
         };
         match PeerMessage::decode(buf) {
-            Ok(message) => Some((*id, message)),
+            Ok(message) => Some((id, message)),
             Err(e) => {
-                log::debug!("entry {id} at {from} sent a message that can't be read: {e}");
-                self.metrics.count_drop(&"bad_peer_message");
+                let what = format_args!("a message from entry {id} at {from}: {e}");
+                self.count_drop(now, "bad_peer_message", what);
                 None
             }
         }
@@ -140,9 +154,10 @@
             }
             PeerMessage::Flow(message) => match *message {},
             PeerMessage::Packet { forward, bytes } => {
-                let packet = self.parsed(parse_request(bytes))?;
+                let packet =
+                    self.parsed(now, &format_args!("entry {from}"), parse_request(bytes))?;
                 let verdict = self.router.route_forwarded(now, from, forward, &packet);
-                self.carry_out(verdict, &packet, bytes)
+                self.carry_out(now, verdict, &packet, bytes)
             }
         }
     }
@@ -220,22 +235,62 @@
         }
     }
 
-    fn parsed(&self, parsed: Result<Packet, currantgate_packet::PacketError>) -> Option<Packet> {
+    fn parsed(
+        &mut self,
+        now: Instant,
+        from: &(impl Display + ?Sized),
+        parsed: Result<Packet, PacketError>,
+    ) -> Option<Packet> {
         match parsed {
             Ok(packet) => Some(packet),
             Err(e) => {
-                self.metrics.count_drop(&format!("{e:?}").to_lowercase());
+                self.count_drop(
+                    now,
+                    label::packet_error(e),
+                    format_args!("a packet from {from}: {e}"),
+                );
                 None
             }
         }
     }
 
+    /// Writes a span for the first packet of a flow and for each refusal.
+    fn trace(&self, verdict: &Verdict, packet: &Packet) {
+        let rare = packet.kind == PacketKind::Open || matches!(verdict, Verdict::Refuse(_));
+        if rare && tracing::enabled!(target: TRACE_TARGET, tracing::Level::DEBUG) {
+            let flow = format!("{:016x}", self.hasher.hash(&packet.key));
+            tracing::debug_span!(
+                target: TRACE_TARGET,
+                "entry",
+                entry = self.id,
+                flow,
+                key = %packet.key,
+                verdict = ?verdict,
+            )
+            .in_scope(|| {});
+        }
+    }
+
+    /// Counts a drop under `label` and logs it as often as the limit allows.
+    fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
+        self.metrics.count_drop(label);
+        match self.log_limit.allow(now) {
+            Some(0) => log::warn!("dropped {what}"),
+            Some(suppressed) => {
+                log::warn!("dropped {what} ({suppressed} more drops were not logged)");
+            }
+            None => {}
+        }
+    }
+
     fn carry_out<'a>(
         &mut self,
+        now: Instant,
         verdict: Verdict,
         packet: &Packet,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
+        self.trace(&verdict, packet);
         match verdict {
             Verdict::Deliver { address, .. } => {
                 self.metrics.delivered.inc();
@@ -252,7 +307,8 @@
                 Some(Datagram::RefusalToFabric(self.fabric, bytes))
             }
             Verdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("a packet of flow {}: {reason}", packet.key);
+                self.count_drop(now, &reason.to_string(), what);
                 None
             }
         }
