Apply, show, diff and replace by command, against real control processes

Cause: operators had no command to change or read the accepted file. A change names the revision it was read at, and is tried again until its outcome is known. Test: three control processes on loopback; the leader is killed, a change is applied and shown, the killed one restarts and all come to the same revision; a lost voter is replaced and the next one is lost at once.

--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/apply.rs
@@ -0,0 +1,90 @@
+//! `currantgate apply`: replaces the accepted site file.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command};
+use currantgate::{ClientError, ControlClient};
+use currantgate_config::{ConfigError, Site};
+use currantgate_control::{ApplyRequest, Base, Digest};
+
+use super::operator;
+use crate::error::CommandError;
+
+/// Returns the `apply` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    operator::with_options(
+        Command::new("apply")
+            .about("Replaces the accepted site file, as a whole, upon the revision it was read at")
+            .arg(operator::make_file_arg())
+            .arg(
+                Arg::new("base")
+                    .long("base")
+                    .value_name("REVISION")
+                    .required(true)
+                    .value_parser(parse_base)
+                    .help(
+                        "The revision that the file was read at, as `3` or `3@DIGEST`; 0 for none",
+                    ),
+            ),
+    )
+}
+
+/// A revision, and its digest if it is known.
+#[derive(Clone, Copy, Debug)]
+struct BaseArg {
+    revision: u64,
+    digest: Option<Digest>,
+}
+
+fn parse_base(text: &str) -> Result<BaseArg, String> {
+    let (revision, digest) = text.split_once('@').unwrap_or((text, ""));
+    let revision = revision
+        .parse()
+        .map_err(|_| "must be a number, or a number, `@` and a digest")?;
+    let digest = match digest {
+        "" => None,
+        digest => Some(Digest::parse(digest).ok_or("the digest must be 64 hexadecimal digits")?),
+    };
+    Ok(BaseArg { revision, digest })
+}
+
+/// Runs the `apply` subcommand.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let file = matches
+        .get_one::<PathBuf>("file")
+        .expect("clap requires the file");
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|source| ConfigError::Read {
+        file: name.as_str().into(),
+        source,
+    })?;
+    Site::parse(&text, &name)?;
+    let base = *matches.get_one("base").expect("clap requires the base");
+    let client = operator::client(matches)?;
+    let until = operator::deadline(matches);
+    let digest = Digest::of(&text);
+    let revision = operator::run(async {
+        let base = resolve(&client, base).await?;
+        let text = text.into();
+        client.apply(ApplyRequest { base, text }, until).await
+    })?;
+    if matches.get_flag("json") {
+        let answer = serde_json::json!({ "revision": revision, "digest": digest.to_string() });
+        println!("{answer}");
+    } else {
+        println!("revision {revision}@{digest} is accepted");
+    }
+    Ok(())
+}
+
+/// Asks for the digest of the base unless the operator gave it.
+async fn resolve(client: &ControlClient, base: BaseArg) -> Result<Base, ClientError> {
+    match base.digest {
+        Some(digest) => Ok(Base {
+            revision: base.revision,
+            digest,
+        }),
+        None if base.revision == 0 => Ok(Base::empty()),
+        None => client.base_of(base.revision).await,
+    }
+}
--- a/crates/currantgate-cli/src/cmd/check.rs
+++ b/crates/currantgate-cli/src/cmd/check.rs
@@ -2,22 +2,18 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use currantgate_config::Site;
 
+use super::operator;
 use crate::error::CommandError;
 
 /// Returns the `check` subcommand.
 pub(crate) fn make_subcommand() -> Command {
     Command::new("check")
         .about("Checks a site file without applying it")
-        .arg(
-            Arg::new("file")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("The site file"),
-        )
+        .arg(operator::make_file_arg())
+        .arg(operator::make_json_arg())
 }
 
 /// Runs the `check` subcommand.
@@ -26,6 +22,14 @@
         .get_one::<PathBuf>("file")
         .expect("clap requires the file");
     let site = Site::load(file)?;
+    if matches.get_flag("json") {
+        let answer = serde_json::json!({
+            "services": site.services.len(),
+            "domains": site.domains.len(),
+        });
+        println!("{answer}");
+        return Ok(());
+    }
     println!(
         "{}: {} services in {} failure domains",
         file.display(),
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/control.rs
@@ -0,0 +1,76 @@
+//! `currantgate control`: keeps or spreads the accepted site file.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use currantgate::{Control, ControlError, ControlStart, FanOut};
+use currantgate_config::ControlSettings;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::CommandError;
+
+/// Returns the `control` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("control")
+        .about("Keeps the accepted site file with the other control VMs, or fans it out")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The control VM's settings file"),
+        )
+        .arg(
+            Arg::new("init")
+                .long("init")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("join")
+                .help("First start as one of the first voters of a new site"),
+        )
+        .arg(
+            Arg::new("join")
+                .long("join")
+                .action(ArgAction::SetTrue)
+                .help("First start as a new voter, which `replace` then lets in"),
+        )
+}
+
+/// Runs the `control` subcommand until SIGTERM or SIGINT, or until the disk
+/// fails.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let file = matches
+        .get_one::<PathBuf>("config")
+        .expect("clap requires the settings file");
+    let settings = ControlSettings::load(file)?;
+    let start = match (matches.get_flag("init"), matches.get_flag("join")) {
+        (true, _) => ControlStart::Init,
+        (_, true) => ControlStart::Join,
+        _ => ControlStart::Resume,
+    };
+    let listener = TcpListener::bind(settings.listen).map_err(|source| ControlError::Listen {
+        address: settings.listen,
+        source,
+    })?;
+    actix_rt::System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let stop = async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        if !settings.fan_out_of.is_empty() {
+            let _fan_out = FanOut::start(&settings, listener)?;
+            stop.await;
+            return Ok(());
+        }
+        let control = Control::start(&settings, start, listener)?;
+        tokio::select! {
+            () = stop => Ok(()),
+            () = control.failed() => Err(CommandError::DiskFailed),
+        }
+    })
+}
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/diff.rs
@@ -0,0 +1,66 @@
+//! `currantgate diff`: what a file would change.
+
+use std::path::PathBuf;
+
+use clap::{ArgMatches, Command};
+use currantgate_config::{ConfigError, Site};
+use currantgate_control::{Base, Freshness};
+
+use super::operator;
+use super::show::{base, text};
+use crate::error::CommandError;
+use crate::line_diff::{self, Line};
+
+/// Returns the `diff` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    operator::with_options(
+        Command::new("diff")
+            .about("Prints the lines that a site file would change in the accepted one")
+            .arg(operator::make_file_arg()),
+    )
+}
+
+/// Runs the `diff` subcommand.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let file = matches
+        .get_one::<PathBuf>("file")
+        .expect("clap requires the file");
+    let name = file.display().to_string();
+    let new = std::fs::read_to_string(file).map_err(|source| ConfigError::Read {
+        file: name.as_str().into(),
+        source,
+    })?;
+    Site::parse(&new, &name)?;
+    let client = operator::client(matches)?;
+    let shown = operator::run(client.show(operator::deadline(matches)))?;
+    let Base { revision, digest } = base(&shown);
+    let lines = line_diff::diff(text(&shown), &new);
+    if matches.get_flag("json") {
+        let changed: Vec<_> = lines.iter().filter(|line| line.is_change()).collect();
+        let answer = serde_json::json!({
+            "revision": revision,
+            "digest": digest.to_string(),
+            "freshness": shown.read.freshness,
+            "changed": changed.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        });
+        println!("{answer}");
+    } else {
+        println!(
+            "--- revision {revision}@{digest} ({})",
+            shown.read.freshness
+        );
+        println!("+++ {name}");
+        lines
+            .iter()
+            .filter(|line| line.is_change())
+            .for_each(print_line);
+    }
+    match shown.read.freshness {
+        Freshness::Present => Ok(()),
+        Freshness::Stale => Err(CommandError::NotPresent),
+    }
+}
+
+fn print_line(line: &Line<'_>) {
+    println!("{line}");
+}
--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -1,5 +1,12 @@
 //! One module a subcommand.
 
+pub(crate) mod apply;
 pub(crate) mod check;
+pub(crate) mod control;
 pub(crate) mod demo;
+pub(crate) mod diff;
 pub(crate) mod entry;
+mod operator;
+pub(crate) mod replace;
+pub(crate) mod show;
+pub(crate) mod status;
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/show.rs
@@ -0,0 +1,59 @@
+//! `currantgate show`: prints the accepted site file as it was applied.
+
+use std::io::Write as _;
+
+use clap::{ArgMatches, Command};
+use currantgate::Shown;
+use currantgate_control::{Base, Change, Freshness};
+
+use super::operator;
+use crate::error::CommandError;
+
+/// Returns the `show` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    operator::with_options(
+        Command::new("show")
+            .about("Prints the accepted site file, byte for byte as it was applied"),
+    )
+}
+
+/// Runs the `show` subcommand. The file goes to stdout, and which revision it
+/// is to stderr.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let client = operator::client(matches)?;
+    let until = operator::deadline(matches);
+    let shown = operator::run(client.show(until))?;
+    let Base { revision, digest } = base(&shown);
+    let freshness = shown.read.freshness;
+    if matches.get_flag("json") {
+        let answer = serde_json::json!({
+            "revision": revision,
+            "digest": digest.to_string(),
+            "freshness": freshness,
+            "server": shown.server,
+            "text": text(&shown),
+        });
+        println!("{answer}");
+    } else {
+        std::io::stdout().write_all(text(&shown).as_bytes())?;
+        eprintln!(
+            "revision {revision}@{digest} is the {freshness} one at {}",
+            shown.server
+        );
+    }
+    match freshness {
+        Freshness::Present => Ok(()),
+        Freshness::Stale => Err(CommandError::NotPresent),
+    }
+}
+
+/// Returns the text that was found; nothing before the first revision.
+pub(crate) fn text(shown: &Shown) -> &str {
+    shown.read.change.as_ref().map_or("", |change| &change.text)
+}
+
+/// Returns the revision that was found.
+pub(crate) fn base(shown: &Shown) -> Base {
+    let change = shown.read.change.as_deref();
+    change.map_or_else(Base::empty, Change::as_base)
+}
--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -0,0 +1,107 @@
+//! `currantgate status`: what each control VM knows.
+
+use std::net::SocketAddr;
+
+use clap::{ArgMatches, Command};
+use currantgate::{ClientError, NodeStatus};
+use currantgate_control::{Freshness, Reach};
+use serde_json::{Value, json};
+
+use super::operator;
+use crate::error::CommandError;
+
+/// Hexadecimal digits of a digest in the table.
+const DIGEST_DIGITS: usize = 12;
+
+/// Returns the `status` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    operator::with_options(
+        Command::new("status").about("Prints what each control VM knows, and which VMs lag"),
+    )
+}
+
+/// Runs the `status` subcommand.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let client = operator::client(matches)?;
+    let found = operator::run(client.status());
+    if matches.get_flag("json") {
+        let answers: Vec<_> = found.iter().map(to_json).collect();
+        println!("{}", Value::from(answers));
+    } else {
+        print_table(&found);
+    }
+    let is_present = found.iter().any(|(_, status)| {
+        let consensus = status.as_ref().ok().and_then(|s| s.consensus.as_ref());
+        consensus.is_some_and(|c| c.freshness == Freshness::Present)
+    });
+    if is_present {
+        Ok(())
+    } else {
+        Err(CommandError::NotPresent)
+    }
+}
+
+fn to_json((server, status): &(SocketAddr, Result<NodeStatus, ClientError>)) -> Value {
+    match status {
+        Err(e) => json!({ "server": server, "error": e.to_string() }),
+        Ok(status) => json!({
+            "server": server,
+            "revision": status.accepted.revision,
+            "digest": status.accepted.digest.to_string(),
+            "consensus": status.consensus.as_ref().map(|c| json!({
+                "id": c.id,
+                "role": c.role,
+                "term": c.term,
+                "leader": c.leader,
+                "freshness": c.freshness,
+                "commit": c.commit,
+                "last_index": c.last_index,
+                "voters": c.members.ids().collect::<Vec<_>>(),
+                "matched": c.matched,
+            })),
+            "reach": reach_to_json(&status.reach),
+            "subscribers": status.subscribers.iter().map(|(name, reach)| {
+                json!({ "name": name, "reach": reach_to_json(reach) })
+            }).collect::<Vec<_>>(),
+        }),
+    }
+}
+
+fn reach_to_json(reach: &Reach) -> Value {
+    json!({ "nodes": reach.nodes, "lowest": reach.lowest, "laggard": reach.laggard })
+}
+
+fn print_table(found: &[(SocketAddr, Result<NodeStatus, ClientError>)]) {
+    println!(
+        "{:<21} {:>4} {:<9} {:>5} {:<8} {:>8} {:<12} {:>6} {:>6} laggard",
+        "server", "id", "role", "term", "state", "revision", "digest", "nodes", "lowest"
+    );
+    for (server, status) in found {
+        match status {
+            Ok(status) => print_row(*server, status),
+            Err(e) => println!("{e}"),
+        }
+    }
+}
+
+fn print_row(server: SocketAddr, status: &NodeStatus) {
+    let digest = status.accepted.digest.to_string();
+    let (id, role, term, state) = match &status.consensus {
+        Some(c) => (
+            c.id.to_string(),
+            c.role.to_string(),
+            c.term.to_string(),
+            c.freshness.to_string(),
+        ),
+        None => ("-".into(), "fan-out".into(), "-".into(), "stale".into()),
+    };
+    println!(
+        "{:<21} {id:>4} {role:<9} {term:>5} {state:<8} {:>8} {:<12} {:>6} {:>6} {}",
+        server.to_string(),
+        status.accepted.revision,
+        &digest[..DIGEST_DIGITS],
+        status.reach.nodes,
+        status.reach.lowest,
+        status.reach.laggard
+    );
+}
--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::process::ExitCode;
 
-use currantgate::EntryError;
+use currantgate::{ClientError, ControlError, EntryError};
 use currantgate_config::ConfigError;
 use currantgate_standin::StandinError;
 use displaydoc::Display;
@@ -11,6 +11,15 @@
 /// Exit code for a file that is wrong.
 const EXIT_CONFIG: u8 = 2;
 
+/// Exit code for a change that another one came before.
+const EXIT_CONFLICT: u8 = 3;
+
+/// Exit code for a change whose outcome is unknown.
+const EXIT_UNKNOWN: u8 = 4;
+
+/// Exit code when no control VM can tell what is present.
+const EXIT_NOT_PRESENT: u8 = 5;
+
 /// Exit code for a command that could not do its work.
 const EXIT_FAILED: u8 = 1;
 
@@ -23,6 +32,14 @@
     Entry(EntryError),
     /// {0}
     Standin(StandinError),
+    /// {0}
+    Control(ControlError),
+    /// {0}
+    Client(ClientError),
+    /// no control VM that answers holds the lease: a newer revision may have been accepted
+    NotPresent,
+    /// the disk failed; restart once it is sound, or replace this control VM
+    DiskFailed,
     /// the system refused: {0}
     Io(io::Error),
 }
@@ -30,10 +47,33 @@
 impl CommandError {
     /// Returns the exit code that the guide lists for the error.
     pub(crate) fn exit_code(&self) -> ExitCode {
-        match self {
-            Self::Config(_) | Self::Entry(EntryError::Config(_)) => ExitCode::from(EXIT_CONFIG),
-            Self::Entry(_) | Self::Standin(_) | Self::Io(_) => ExitCode::from(EXIT_FAILED),
-        }
+        ExitCode::from(match self {
+            Self::Config(_)
+            | Self::Entry(EntryError::Config(_))
+            | Self::Control(ControlError::Config(_) | ControlError::NoVoter(_))
+            | Self::Client(ClientError::WrongFile(_)) => EXIT_CONFIG,
+            Self::Client(ClientError::Conflict(_)) => EXIT_CONFLICT,
+            Self::Client(ClientError::OutcomeUnknown) => EXIT_UNKNOWN,
+            Self::Client(ClientError::NoQuorum(_)) | Self::NotPresent => EXIT_NOT_PRESENT,
+            Self::Entry(_)
+            | Self::Standin(_)
+            | Self::Control(_)
+            | Self::Client(_)
+            | Self::DiskFailed
+            | Self::Io(_) => EXIT_FAILED,
+        })
+    }
+}
+
+impl From<ControlError> for CommandError {
+    fn from(source: ControlError) -> Self {
+        Self::Control(source)
+    }
+}
+
+impl From<ClientError> for CommandError {
+    fn from(source: ClientError) -> Self {
+        Self::Client(source)
     }
 }
 
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -8,6 +8,7 @@
 
 mod cmd;
 mod error;
+mod line_diff;
 mod log_setup;
 mod trace;
 
@@ -29,6 +30,12 @@
         Some(("entry", sub)) => cmd::entry::execute(sub),
         Some(("demo", sub)) => cmd::demo::execute(sub),
         Some(("check", sub)) => cmd::check::execute(sub),
+        Some(("control", sub)) => cmd::control::execute(sub),
+        Some(("diff", sub)) => cmd::diff::execute(sub),
+        Some(("apply", sub)) => cmd::apply::execute(sub),
+        Some(("show", sub)) => cmd::show::execute(sub),
+        Some(("status", sub)) => cmd::status::execute(sub),
+        Some(("replace", sub)) => cmd::replace::execute(sub),
         _ => unreachable!("clap accepts no other subcommand"),
     }
 }
@@ -44,4 +51,10 @@
         .subcommand(cmd::entry::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
+        .subcommand(cmd::control::make_subcommand())
+        .subcommand(cmd::diff::make_subcommand())
+        .subcommand(cmd::apply::make_subcommand())
+        .subcommand(cmd::show::make_subcommand())
+        .subcommand(cmd::status::make_subcommand())
+        .subcommand(cmd::replace::make_subcommand())
 }
--- /dev/null
+++ b/crates/currantgate-cli/tests/control.rs
@@ -0,0 +1,235 @@
+//! Three control VMs as real processes on loopback.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+/// How long the site may take for anything that it does by itself.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+const SITE: &str = "# applied by the test\ndomains = [\"riga-1\", \"riga-2\"]\n\n\
+    [[service]]\nname = \"booking\"\naddress = \"127.20.0.1:443\"\n";
+
+struct Voter {
+    settings: PathBuf,
+    process: Child,
+}
+
+impl Voter {
+    fn start(settings: PathBuf, how: Option<&str>) -> Self {
+        let process = Command::new(env!("CARGO_BIN_EXE_currantgate"))
+            .args(["control", "--config"])
+            .arg(&settings)
+            .args(how)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { settings, process }
+    }
+
+    fn kill(&mut self) {
+        self.process.kill().unwrap();
+        self.process.wait().unwrap();
+    }
+
+    fn restart(&mut self) {
+        *self = Self::start(self.settings.clone(), None);
+    }
+}
+
+impl Drop for Voter {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+struct Site {
+    folder: tempfile::TempDir,
+    addresses: Vec<SocketAddr>,
+    voters: Vec<Voter>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn write_settings(folder: &Path, id: usize, listen: SocketAddr, voters: &[SocketAddr]) -> PathBuf {
+    let mut text = format!(
+        "id = {id}\ndomain = \"riga-{id}\"\ndata = \"data-{id}\"\nlisten = \"{listen}\"\n\
+         key = \"{}\"\n",
+        "5a".repeat(32)
+    );
+    for (i, address) in voters.iter().enumerate() {
+        text += &format!("[[voter]]\nid = {}\naddress = \"{address}\"\n", i + 1);
+    }
+    let path = folder.join(format!("control-{id}.toml"));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+impl Site {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let addresses: Vec<_> = (0..3).map(|_| free_address()).collect();
+        let start = |(i, address): (usize, &SocketAddr)| {
+            let settings = write_settings(folder.path(), i + 1, *address, &addresses);
+            Voter::start(settings, Some("--init"))
+        };
+        let voters = addresses.iter().enumerate().map(start).collect();
+        let site = Self {
+            folder,
+            addresses,
+            voters,
+        };
+        site.write_servers();
+        site
+    }
+
+    fn write_servers(&self) {
+        let servers: Vec<_> = self.addresses.iter().map(|a| format!("\"{a}\"")).collect();
+        let key = "5a".repeat(32);
+        let text = format!("servers = [{}]\nkey = \"{key}\"\n", servers.join(", "));
+        fs::write(self.path("servers.toml"), text).unwrap();
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_currantgate"))
+            .args(args)
+            .arg("--control")
+            .arg(self.path("servers.toml"))
+            .output()
+            .unwrap()
+    }
+
+    fn apply(&self, text: &str, base: &str) -> Output {
+        let file = self.path("site.toml");
+        fs::write(&file, text).unwrap();
+        let file = file.display().to_string();
+        self.run(&["apply", &file, "--base", base, "--timeout", "30"])
+    }
+
+    fn status(&self) -> Vec<Value> {
+        let output = self.run(&["status", "--json"]);
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    /// Polls the status until it is as wanted.
+    fn wait_for(&self, what: &str, is_so: impl Fn(&[Value]) -> bool) -> Vec<Value> {
+        let deadline = Instant::now() + DEADLINE;
+        loop {
+            let status = self.status();
+            if is_so(&status) {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "not in time: {what}: {status:?}");
+        }
+    }
+
+    fn leader(&self) -> usize {
+        let present = |v: &Value| v["consensus"]["freshness"] == "present";
+        let status = self.wait_for("a leader", |status| status.iter().any(present));
+        status.iter().position(present).unwrap()
+    }
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn all_at(status: &[Value], revision: u64) -> bool {
+    status.iter().all(|v| v["revision"] == revision)
+}
+
+#[test]
+fn an_accepted_file_survives_the_death_of_its_leader() {
+    let mut site = Site::start();
+    let applied = site.apply(SITE, "0");
+    assert_eq!(code(&applied), 0, "{applied:?}");
+
+    let leader = site.leader();
+    site.voters[leader].kill();
+    let second = SITE.replace(":443", ":8443");
+    let applied = site.apply(&second, "1");
+    assert_eq!(code(&applied), 0, "{applied:?}");
+    let shown = site.run(&["show"]);
+    assert_eq!(
+        (code(&shown), shown.stdout),
+        (0, second.clone().into_bytes())
+    );
+
+    site.voters[leader].restart();
+    site.wait_for("all at revision 2", |status| all_at(status, 2));
+
+    let resent = site.apply(&second, "1");
+    assert_eq!(code(&resent), 0, "{resent:?}");
+    let conflict = site.apply(SITE, "1");
+    assert_eq!(code(&conflict), 3, "{conflict:?}");
+    let wrong = site.apply("domains = 7", "2");
+    assert_eq!(code(&wrong), 2, "{wrong:?}");
+
+    let file = site.path("site.toml");
+    fs::write(&file, SITE).unwrap();
+    let diff = site.run(&["diff", &file.display().to_string(), "--json"]);
+    let diff: Value = serde_json::from_slice(&diff.stdout).unwrap();
+    let changed = [
+        "-address = \"127.20.0.1:8443\"",
+        "+address = \"127.20.0.1:443\"",
+    ];
+    assert_eq!(diff["changed"], Value::from(changed.to_vec()));
+
+    for voter in &mut site.voters[1..] {
+        voter.kill();
+    }
+    // The survivor may lead and say so truthfully until its lease ends.
+    let present = |v: &Value| v["consensus"]["freshness"] == "present";
+    site.wait_for("no one knows the present", |status| {
+        !status.iter().any(present)
+    });
+    let refused = site.run(&["show", "--timeout", "1"]);
+    assert_eq!((code(&refused), refused.stdout), (5, second.into_bytes()));
+}
+
+#[test]
+fn a_lost_voter_is_replaced_and_the_next_one_may_be_lost() {
+    let mut site = Site::start();
+    assert_eq!(code(&site.apply(SITE, "0")), 0);
+    let lost = (site.leader() + 1) % 3;
+    site.voters[lost].kill();
+
+    let address = free_address();
+    let settings = write_settings(site.folder.path(), 4, address, &[]);
+    site.voters.push(Voter::start(settings, Some("--join")));
+    let (lost_id, address_text) = ((lost + 1).to_string(), address.to_string());
+    let replaced = site.run(&[
+        "replace",
+        "--lost",
+        &lost_id,
+        "--new",
+        "4",
+        "--address",
+        &address_text,
+        "--timeout",
+        "30",
+    ]);
+    assert_eq!(code(&replaced), 0, "{replaced:?}");
+
+    site.addresses[lost] = address;
+    site.write_servers();
+    let leader = site.leader();
+    let dies = (0..3).find(|i| *i != leader && *i != lost).unwrap();
+    site.voters[dies].kill();
+    let second = SITE.replace(":443", ":8443");
+    let applied = site.apply(&second, "1");
+    assert_eq!(code(&applied), 0, "{applied:?}");
+}
--- a/crates/currantgate-control/src/replica/lease.rs
+++ b/crates/currantgate-control/src/replica/lease.rs
@@ -4,7 +4,7 @@
 
 use super::Replica;
 use super::role::Role;
-use crate::{Freshness, LEASE_TIMEOUT, Read};
+use crate::{Base, Freshness, LEASE_TIMEOUT, Read, Revision};
 
 impl Replica {
     /// Returns the instant at which the leader's lease ends; nothing when
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Returns revision and digest of a revision of the known history; a
+    /// revision never gets another digest, so the answer is never stale.
+    pub fn base_of(&self, revision: Revision) -> Option<Base> {
+        self.state.base_of(revision)
+    }
+
     /// Reads the accepted site file.
     pub fn read(&self, now: Instant) -> Read {
         Read {
--- a/crates/currantgate-control/src/site_state.rs
+++ b/crates/currantgate-control/src/site_state.rs
@@ -38,6 +38,18 @@
             .map_or_else(Base::empty, |change| change.as_base())
     }
 
+    /// Returns revision and digest of a revision of the known history.
+    pub fn base_of(&self, revision: Revision) -> Option<Base> {
+        if revision == 0 {
+            return Some(Base::empty());
+        }
+        let past = self.history.iter().find(|past| past.revision == revision)?;
+        Some(Base {
+            revision,
+            digest: past.digest,
+        })
+    }
+
     /// Returns the change that `request` makes, or why it makes none.
     ///
     /// # Errors
--- a/crates/currantgate/src/control/call.rs
+++ b/crates/currantgate/src/control/call.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Base, Message, Reach, Read, ReplaceAnswer, ReplaceRequest, Status,
-    VoterId,
+    ApplyAnswer, ApplyRequest, Base, Message, Reach, Read, ReplaceAnswer, ReplaceRequest, Revision,
+    Status, VoterId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,8 @@
 pub(super) enum Call {
     Apply(ApplyRequest),
     Read,
+    /// Asks for the digest of a revision.
+    Base(Revision),
     Status,
     Replace(ReplaceRequest),
 }
@@ -45,6 +47,8 @@
     /// The site file is wrong; nothing was applied.
     WrongFile(Box<str>),
     Read(Read),
+    /// The revision, if it is in the known history.
+    Base(Option<Base>),
     Status(Box<NodeStatus>),
     Replace(ReplaceAnswer),
     /// This VM does not vote and takes no such request.
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -5,7 +5,7 @@
 
 use currantgate_config::ControlServers;
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Client, Freshness, Read, RefuseReason, ReplaceAnswer,
+    ApplyAnswer, ApplyRequest, Base, Client, Freshness, Read, RefuseReason, ReplaceAnswer,
     ReplaceRequest, Revision, Secret, TransportError,
 };
 
@@ -162,6 +162,24 @@
         }
     }
 
+    /// Returns revision and digest of a revision, for [`ApplyRequest::base`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no control VM knows the revision: it is no
+    /// longer in the known history, or does not exist.
+    pub async fn base_of(&self, revision: Revision) -> Result<Base, ClientError> {
+        let mut error = ClientError::UnknownRevision(revision);
+        for server in &self.servers {
+            match self.ask(*server, &Call::Base(revision)).await {
+                Ok(Reply::Base(Some(base))) => return Ok(base),
+                Ok(_) => {}
+                Err(e) => error = e,
+            }
+        }
+        Err(error)
+    }
+
     /// Asks each control VM for its status.
     pub async fn status(&self) -> Vec<(SocketAddr, Result<NodeStatus, ClientError>)> {
         let mut found = Vec::new();
@@ -218,7 +236,7 @@
             Tried::Unknown
         }
         Reply::NoVoter => Tried::Next("it does not vote".into()),
-        Reply::Read(_) | Reply::Status(_) => {
+        Reply::Read(_) | Reply::Base(_) | Reply::Status(_) => {
             Tried::Next("its answer is to another question".into())
         }
     }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -7,7 +7,8 @@
 
 use currantgate_config::{ControlSettings, Prefix, Site};
 use currantgate_control::{
-    ApplyRequest, Output, ReplaceRequest, Replica, RequestId, Secret, StorageError, VoterId,
+    ApplyRequest, Output, ReplaceRequest, Replica, RequestId, Revision, Secret, StorageError,
+    VoterId,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
@@ -114,6 +115,10 @@
         Reply::Read(self.replica.read(Instant::now()))
     }
 
+    pub(super) fn base_of(&self, revision: Revision) -> Reply {
+        Reply::Base(self.replica.base_of(revision))
+    }
+
     pub(super) fn status(&self) -> Reply {
         let consensus = self.replica.status(Instant::now());
         let publishing = self.publishing.borrow();
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use currantgate_config::ConfigError;
-use currantgate_control::{Base, RefuseReason, StorageError, TransportError};
+use currantgate_control::{Base, Revision, StorageError, TransportError};
 use displaydoc::Display;
 
 /// Why a control daemon can't run.
@@ -66,6 +66,8 @@
     OutcomeUnknown,
     /// no control VM holds the lease of a quorum; nothing was changed: {0}
     NoQuorum(Box<str>),
+    /// no control VM that answers knows revision {0}
+    UnknownRevision(Revision),
     /// the file is larger than the control VMs take
     TooLarge,
     /// the voters are other ones: the lost one does not vote, leads, or the new id is in use
@@ -87,12 +89,3 @@
         }
     }
 }
-
-impl From<RefuseReason> for ClientError {
-    fn from(reason: RefuseReason) -> Self {
-        match reason {
-            RefuseReason::TooLarge => Self::TooLarge,
-            other => Self::NoQuorum(other.to_string().into()),
-        }
-    }
-}
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -120,7 +120,7 @@
                 reach: self.publishing.borrow().reach(),
                 subscribers: self.publishing.borrow().subscribers(),
             })),
-            Call::Apply(_) | Call::Replace(_) => Reply::NoVoter,
+            Call::Apply(_) | Call::Base(_) | Call::Replace(_) => Reply::NoVoter,
         }
     }
 }
