--- a/crates/currantgate-control/src/message.rs
+++ b/crates/currantgate-control/src/message.rs
@@ -6,6 +6,9 @@
 
 use crate::{Entry, Index, Term};
 
+/// Above any term or index that can come about, and far from overflow.
+const NUMBER_LIMIT: u64 = 1 << 62;
+
 /// A message from one control VM to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -115,23 +118,57 @@
     /// Tells whether the parts of the message fit together; a message that
     /// does not is ignored.
     pub fn is_well_formed(&self) -> bool {
+        let numbers = match self {
+            Self::PreVote {
+                term,
+                last_index,
+                last_term,
+            }
+            | Self::Vote {
+                term,
+                last_index,
+                last_term,
+            } => [*term, *last_index, *last_term, 0],
+            Self::PreVoteReply { term, .. } | Self::VoteReply { term, .. } => [*term, 0, 0, 0],
+            Self::AppendReply { term, outcome, .. } => {
+                let (a, b) = outcome.numbers();
+                [*term, a, b, 0]
+            }
+            Self::Append {
+                term,
+                prev_index,
+                prev_term,
+                commit,
+                ..
+            } => [*term, *prev_index, *prev_term, *commit],
+            Self::Snapshot {
+                term,
+                last_index,
+                offset,
+                total,
+                ..
+            } => [*term, *last_index, *offset, *total],
+        };
+        numbers.into_iter().all(|n| n < NUMBER_LIMIT) && self.parts_fit()
+    }
+
+    fn parts_fit(&self) -> bool {
         match self {
             Self::Append {
                 term,
                 prev_index,
                 entries,
                 ..
-            } => entries.iter().zip(1..).all(|(entry, i)| {
-                Some(entry.index) == prev_index.checked_add(i) && entry.term <= *term
-            }),
+            } => entries
+                .iter()
+                .zip(prev_index + 1..)
+                .all(|(entry, index)| entry.index == index && entry.term <= *term),
             Self::Snapshot {
                 offset,
                 total,
                 data,
                 ..
-            } => offset
-                .checked_add(data.len() as u64)
-                .is_some_and(|end| end <= *total),
+            } => offset + data.len() as u64 <= *total,
             _ => true,
         }
     }
@@ -149,3 +186,14 @@
         }
     }
 }
+
+impl AppendOutcome {
+    fn numbers(&self) -> (u64, u64) {
+        match *self {
+            Self::Matched(index) => (index, 0),
+            Self::Mismatch { prev_index, hint } => (prev_index, hint),
+            Self::Chunk { last_index, offset } => (last_index, offset),
+            Self::StaleTerm => (0, 0),
+        }
+    }
+}
--- a/crates/currantgate-control/src/replica/follower.rs
+++ b/crates/currantgate-control/src/replica/follower.rs
@@ -9,6 +9,9 @@
     AppendOutcome, Entry, HardState, Index, Message, PROMISE_TIMEOUT, Snapshot, Term, VoterId,
 };
 
+/// The largest snapshot in bytes; its site file is far smaller.
+const MAX_SNAPSHOT_BYTES: u64 = 64 << 20;
+
 /// A snapshot that is being received.
 #[derive(Debug)]
 pub(super) struct Incoming {
@@ -122,6 +125,10 @@
         digest: [u8; 32],
         data: &[u8],
     ) -> Option<AppendOutcome> {
+        if total > MAX_SNAPSHOT_BYTES {
+            log::warn!("a snapshot of {total} bytes is larger than the limit");
+            return None;
+        }
         if last_index <= self.commit {
             self.incoming = None;
             return Some(AppendOutcome::Matched(self.commit));
@@ -154,7 +161,9 @@
             log::warn!("a snapshot arrived damaged and is asked for again");
             return false;
         }
-        let Ok(snapshot) = codec::decode::<Snapshot>(&incoming.bytes) else {
+        let decoded = codec::decode::<Snapshot>(&incoming.bytes);
+        let fits = |s: &Snapshot| s.last_index == incoming.last_index;
+        let Some(snapshot) = decoded.ok().filter(fits) else {
             log::warn!("a snapshot can't be decoded and is asked for again");
             return false;
         };
--- a/crates/currantgate-control/src/replica/leader.rs
+++ b/crates/currantgate-control/src/replica/leader.rs
@@ -171,6 +171,11 @@
         if term != self.hard.term || outcome == AppendOutcome::StaleTerm {
             return;
         }
+        // No honest follower answers what was not sent yet.
+        let impossible = matches!(outcome, AppendOutcome::Matched(index) if index > last_index);
+        if impossible || sent > now.duration_since(started) {
+            return;
+        }
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
--- /dev/null
+++ b/crates/currantgate-control/tests/voting.rs
@@ -0,0 +1,111 @@
+//! Votes and commitment, one replica at a time.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::net::{Net, address};
+use currantgate_control::{
+    AppendOutcome, Command, Entry, HardState, Members, Message, Output, Recovered, Replica,
+    ReplicaSettings, Snapshot,
+};
+
+fn drain(replica: &mut Replica, now: Instant) {
+    while let Some(output) = replica.poll_output() {
+        if let Output::Persist { id, .. } = output {
+            replica.persisted(now, id);
+        }
+    }
+}
+
+#[test]
+fn one_vote_is_given_a_term_also_after_a_restart() {
+    let mut net = Net::new(3, 6);
+    net.crash(2);
+    net.crash(3);
+    net.run(Duration::from_millis(1_050));
+    let vote = Message::Vote {
+        term: 9,
+        last_index: 1,
+        last_term: 0,
+    };
+    net.inject(2, 1, vote.clone());
+    assert_eq!(net.votes, 1);
+    net.inject(3, 1, vote.clone());
+    assert_eq!(net.votes, 1, "a second candidate of the term gets none");
+    net.crash(1);
+    net.restart(1);
+    net.run(Duration::from_millis(1_050));
+    net.inject(3, 1, vote.clone());
+    assert_eq!(net.votes, 1, "nor after a restart");
+    net.inject(2, 1, vote);
+    assert_eq!(net.votes, 2, "the first one is told again");
+}
+
+/// An entry of an earlier term on a majority may still be replaced: it is
+/// only committed beneath an entry of the leader's own term.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let members = Members::new((1..=5).map(|id| (id, address(id))));
+    let recovered = Recovered {
+        hard: HardState {
+            term: 2,
+            vote: None,
+            joined: true,
+        },
+        snapshot: Snapshot::initial(members),
+        entries: vec![Entry {
+            term: 2,
+            index: 2,
+            command: Command::Noop,
+        }],
+    };
+    let settings = ReplicaSettings {
+        id: 1,
+        ..ReplicaSettings::default()
+    };
+    let start = Instant::now();
+    let mut replica = Replica::new(settings, recovered, start);
+    let now = start + Duration::from_secs(3);
+    replica.tick(now);
+    for from in [2, 3] {
+        replica.receive(
+            now,
+            from,
+            Message::PreVoteReply {
+                term: 3,
+                granted: true,
+            },
+        );
+    }
+    for from in [2, 3] {
+        replica.receive(
+            now,
+            from,
+            Message::VoteReply {
+                term: 3,
+                granted: true,
+            },
+        );
+    }
+    drain(&mut replica, now);
+    let mut acknowledge = |index| {
+        for from in [2, 3] {
+            let sent = now - start;
+            let outcome = AppendOutcome::Matched(index);
+            replica.receive(
+                now,
+                from,
+                Message::AppendReply {
+                    term: 3,
+                    sent,
+                    outcome,
+                },
+            );
+        }
+        drain(&mut replica, now);
+        replica.status(now).commit
+    };
+    assert_eq!(acknowledge(2), 1);
+    assert_eq!(acknowledge(3), 3);
+}
--- a/crates/currantgate/src/control/subscription.rs
+++ b/crates/currantgate/src/control/subscription.rs
@@ -69,6 +69,15 @@
     }
 }
 
+impl Subscription {
+    /// Stops, and lets go of the folder before it returns.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        // The task ends by being aborted, which is no news.
+        let _ = (&mut self.task).await;
+    }
+}
+
 impl Drop for Subscription {
     fn drop(&mut self) {
         self.task.abort();
--- /dev/null
+++ b/crates/currantgate/tests/control.rs
@@ -0,0 +1,135 @@
+//! Control daemons in one process, on loopback: what reaches subscribers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use currantgate::{
+    Accepted, ClientError, Control, ControlClient, ControlStart, FanOut, Subscription,
+    SubscriptionSettings,
+};
+use currantgate_config::{ControlKey, ControlServers, ControlSettings};
+use currantgate_control::{ApplyRequest, Base};
+
+/// How long anything may take that the daemons do by themselves.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+const SITE: &str = "domains = [\"riga-1\"]\n";
+
+fn key(digits: &str) -> ControlKey {
+    ControlKey::try_from(Box::from(digits.repeat(32))).unwrap()
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn settings(data: &Path, listen: SocketAddr, more: &str) -> ControlSettings {
+    let text = format!(
+        "id = 1\ndomain = \"riga-1\"\ndata = \"{}\"\nlisten = \"{listen}\"\n\
+         allow = [\"127.0.0.1\"]\nkey = \"{}\"\n{more}",
+        data.display(),
+        "7e".repeat(32)
+    );
+    ControlSettings::parse(&text, "control.toml").unwrap()
+}
+
+fn start_voter(data: &Path) -> Control {
+    let listener = listener();
+    let address = listener.local_addr().unwrap();
+    let voters = format!("[[voter]]\nid = 1\naddress = \"{address}\"\n");
+    let settings = settings(data, address, &voters);
+    Control::start(&settings, ControlStart::InitOrResume, listener).unwrap()
+}
+
+fn servers(address: SocketAddr) -> ControlServers {
+    ControlServers {
+        servers: vec![address],
+        key: key("7e"),
+    }
+}
+
+async fn apply(address: SocketAddr, base: Base, text: &str) -> Base {
+    let request = ApplyRequest {
+        base,
+        text: text.into(),
+    };
+    let digest = request.digest();
+    let client = ControlClient::new(&servers(address));
+    let revision = client
+        .apply(request, Instant::now() + DEADLINE)
+        .await
+        .unwrap();
+    Base { revision, digest }
+}
+
+async fn adopted(subscription: &Subscription, base: Base) -> Arc<Accepted> {
+    let mut accepted = subscription.accepted();
+    let wanted = |a: &Option<Arc<Accepted>>| {
+        a.as_ref()
+            .is_some_and(|a| (a.revision, a.digest) == (base.revision, base.digest))
+    };
+    let found = tokio::time::timeout(DEADLINE, accepted.wait_for(wanted)).await;
+    found.expect("in time").unwrap().clone().unwrap()
+}
+
+#[actix_rt::test]
+async fn a_subscriber_behind_a_fan_out_vm_adopts_and_keeps_revisions() {
+    let folder = tempfile::tempdir().unwrap();
+    let voter = start_voter(&folder.path().join("voter"));
+    let fan_out_listener = listener();
+    let address = fan_out_listener.local_addr().unwrap();
+    let follows = format!("fan_out_of = [\"{}\"]\n", voter.address());
+    let fan_out_settings = settings(&folder.path().join("fan-out"), address, &follows);
+    let fan_out = FanOut::start(&fan_out_settings, fan_out_listener).unwrap();
+    let subscription_settings = SubscriptionSettings {
+        name: "entry-1".into(),
+        control: servers(fan_out.address()),
+        data: Some(folder.path().join("entry")),
+    };
+    let subscription = Subscription::start(&subscription_settings).unwrap();
+
+    let first = apply(voter.address(), Base::empty(), SITE).await;
+    adopted(&subscription, first).await;
+    let text = format!("{SITE}[[service]]\nname = \"booking\"\naddress = \"127.0.0.9:443\"\n");
+    let second = apply(voter.address(), first, &text).await;
+    let accepted = adopted(&subscription, second).await;
+    assert_eq!(
+        (&*accepted.text, &*accepted.site.services[0].name),
+        (&*text, "booking")
+    );
+
+    drop((voter, fan_out));
+    subscription.stop().await;
+    let cut_off = Subscription::start(&subscription_settings).unwrap();
+    adopted(&cut_off, second).await;
+}
+
+#[actix_rt::test]
+async fn whoever_lacks_the_key_or_the_address_gets_no_answer() {
+    let folder = tempfile::tempdir().unwrap();
+    let voter = start_voter(folder.path());
+    apply(voter.address(), Base::empty(), SITE).await;
+    let wrong = ControlServers {
+        key: key("00"),
+        ..servers(voter.address())
+    };
+    let until = Instant::now();
+    let refused = ControlClient::new(&wrong).show(until).await;
+    assert!(
+        matches!(refused, Err(ClientError::Transport { .. })),
+        "{refused:?}"
+    );
+
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stranger: SocketAddr = "127.0.0.77:0".parse().unwrap();
+    drop(other);
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(stranger).unwrap();
+    let mut stream = socket.connect(voter.address()).await.unwrap();
+    let mut buf = [0; 1];
+    let read = tokio::io::AsyncReadExt::read(&mut stream, &mut buf);
+    let ended = tokio::time::timeout(DEADLINE, read).await.expect("in time");
+    assert!(matches!(ended, Ok(0) | Err(_)), "{ended:?}");
+}
