--- a/crates/currantgate-cli/src/cmd/control.rs
+++ b/crates/currantgate-cli/src/cmd/control.rs
@@ -6,8 +6,8 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use currantgate::{Control, ControlError, ControlStart, FanOut};
 use currantgate_config::ControlSettings;
-use tokio::signal::unix::{SignalKind, signal};
 
+use super::stop_signal;
 use crate::error::CommandError;
 
 /// Returns the `control` subcommand.
@@ -54,22 +54,14 @@
         source,
     })?;
     actix_rt::System::new().block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let stop = async {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
-        };
         if !settings.fan_out_of.is_empty() {
             let _fan_out = FanOut::start(&settings, listener)?;
-            stop.await;
+            stop_signal::wait().await?;
             return Ok(());
         }
         let control = Control::start(&settings, start, listener)?;
         tokio::select! {
-            () = stop => Ok(()),
+            stopped = stop_signal::wait() => Ok(stopped?),
             () = control.failed() => Err(CommandError::DiskFailed),
         }
     })
--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -9,4 +9,6 @@
 mod operator;
 pub(crate) mod replace;
 pub(crate) mod show;
+pub(crate) mod standin;
 pub(crate) mod status;
+mod stop_signal;
--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -50,6 +50,7 @@
         ExitCode::from(match self {
             Self::Config(_)
             | Self::Entry(EntryError::Config(_))
+            | Self::Standin(StandinError::Config(_))
             | Self::Control(ControlError::Config(_) | ControlError::NoVoter(_))
             | Self::Client(ClientError::WrongFile(_)) => EXIT_CONFIG,
             Self::Client(ClientError::Conflict(_)) => EXIT_CONFLICT,
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -29,6 +29,7 @@
     match matches.subcommand() {
         Some(("entry", sub)) => cmd::entry::execute(sub),
         Some(("demo", sub)) => cmd::demo::execute(sub),
+        Some(("standin", sub)) => cmd::standin::execute(sub),
         Some(("check", sub)) => cmd::check::execute(sub),
         Some(("control", sub)) => cmd::control::execute(sub),
         Some(("diff", sub)) => cmd::diff::execute(sub),
@@ -50,6 +51,7 @@
         .arg(trace::make_arg())
         .subcommand(cmd::entry::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
+        .subcommand(cmd::standin::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
         .subcommand(cmd::control::make_subcommand())
         .subcommand(cmd::diff::make_subcommand())
--- a/crates/currantgate-control/tests/consensus.rs
+++ b/crates/currantgate-control/tests/consensus.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::net::Net;
 use currantgate_control::{ApplyAnswer, Base, Digest, RefuseReason};
 
@@ -82,3 +84,20 @@
         net.leader().is_some_and(|l| l != old)
     });
 }
+
+/// A voter that lost its disk has forgotten its votes and what it acknowledged.
+#[test]
+fn an_id_that_comes_back_with_a_fresh_disk_does_not_vote() {
+    let mut net = Net::new(3, 8);
+    let leader = lead(&mut net);
+    let lost = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    net.lose(lost);
+    net.join(lost);
+    net.run(Duration::from_secs(5));
+    net.crash(leader);
+    net.run(Duration::from_secs(10));
+    assert_eq!(net.leader(), None);
+    net.restart(leader);
+    net.run_until("the two others lead", |net| net.leader().is_some());
+    assert_ne!(net.leader(), Some(lost));
+}
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -4,21 +4,22 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use currantgate_config::{EntryId, EntrySettings, Site};
+use currantgate_config::{EntryId, EntrySettings, Incarnation, Site};
 use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
-use currantgate_membership::{
-    AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
-};
+use currantgate_membership::{AnnounceError, Budget, EntryStage, Members, MembersSettings};
 use currantgate_packet::{
-    FlowHasher, Packet, PacketError, PacketKind, build_refusal, parse_answer, parse_request,
+    FlowHasher, Packet, PacketError, PacketKind, Refusal, build_refusal, parse_answer,
+    parse_request,
 };
 use indexmap::IndexMap;
+use tokio::sync::oneshot;
 
+use super::announce::{AnnounceAction, AnnounceRequest};
 use super::label;
 use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::{EntryError, TRACE_TARGET};
+use crate::TRACE_TARGET;
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
 const HEADER_BYTES: usize = 28;
@@ -41,6 +42,7 @@
     id: EntryId,
     hasher: FlowHasher,
     router: Router,
+    router_settings: RouterSettings,
     members: Members,
     budget: Budget,
     metrics: EntryMetrics,
@@ -55,30 +57,41 @@
         settings: &EntrySettings,
         site: &Site,
         metrics: EntryMetrics,
+        incarnation: Incarnation,
         now: Instant,
-    ) -> Result<Self, EntryError> {
-        let router = Router::new(RouterSettings {
+    ) -> Self {
+        let mut domains: IndexMap<_, _> = settings
+            .peers
+            .iter()
+            .map(|p| (p.id, p.domain.clone()))
+            .collect();
+        domains.insert(settings.id, settings.domain.clone());
+        let router_settings = RouterSettings {
             id: settings.id,
+            domains,
             services: site.services.clone(),
             hash_key: settings.flow.hash_key.value(),
             buckets: settings.flow.buckets,
             max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
-        });
+        };
         let members = Members::new(
             MembersSettings {
                 id: settings.id,
+                incarnation,
                 domain: settings.domain.clone(),
                 peers: settings.peers.clone(),
                 services: site.services.clone(),
                 seed: u64::from(settings.id),
+                ..MembersSettings::default()
             },
             now,
         );
-        Ok(Self {
+        Self {
             id: settings.id,
             hasher: FlowHasher::new(settings.flow.hash_key.value()),
-            router,
+            router: Router::new(router_settings.clone(), now),
+            router_settings,
             members,
             budget: Budget::new(&settings.budget, now),
             metrics,
@@ -86,7 +99,7 @@
             fabric: settings.fabric,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
-        })
+        }
     }
 
     /// Takes an IP packet from the fabric.
@@ -152,7 +165,10 @@
                 self.members.receive(now, from, message.clone());
                 None
             }
-            PeerMessage::Flow(message) => match *message {},
+            PeerMessage::Flow(message) => {
+                self.router.receive(now, from, message);
+                None
+            }
             PeerMessage::Packet { forward, bytes } => {
                 let packet =
                     self.parsed(now, &format_args!("entry {from}"), parse_request(bytes))?;
@@ -162,21 +178,75 @@
         }
     }
 
-    /// Takes an announcement of an upstream.
-    pub(crate) fn announce(
+    /// Takes what an upstream asks for and answers it.
+    pub(crate) fn take_announce_request(&mut self, now: Instant, request: AnnounceRequest) {
+        let AnnounceRequest {
+            service,
+            name,
+            action,
+        } = request;
+        match action {
+            AnnounceAction::Announce {
+                announcement,
+                reply,
+            } => {
+                let result = self.members.announce(now, &service, &name, announcement);
+                self.answer(
+                    now,
+                    &format!("announcement of {service}/{name}"),
+                    result,
+                    reply,
+                );
+            }
+            AnnounceAction::Withdraw { incarnation, reply } => {
+                let result = self.members.withdraw(now, &service, &name, incarnation);
+                self.answer(
+                    now,
+                    &format!("withdrawal of {service}/{name}"),
+                    result,
+                    reply,
+                );
+            }
+        }
+    }
+
+    fn answer<T>(
         &mut self,
         now: Instant,
-        service: &str,
-        name: &str,
-        announcement: Announcement,
-    ) -> Result<Lease, AnnounceError> {
-        self.members.announce(now, service, name, announcement)
+        what: &str,
+        result: Result<T, AnnounceError>,
+        reply: oneshot::Sender<Result<T, AnnounceError>>,
+    ) {
+        if let Err(e) = &result {
+            self.log_limited(now, format_args!("rejected the {what}: {e}"));
+        }
+        // The upstream may have hung up meanwhile; it will ask again.
+        let _ = reply.send(result);
+    }
+
+    /// Tells the other entries that this one is about to stop.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        self.members.leave(now);
+    }
+
+    /// Tells whether the entry decides about flows.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.members.stage() == EntryStage::Serving
     }
 
     /// Does what is due at `now`.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.members.tick(now);
         self.router.tick(now);
+        let joining = self.members.stage() == EntryStage::Joining;
+        if joining && self.members.is_synced(now) && self.router.is_synced() {
+            log::info!("entry {} knows what the others know and serves", self.id);
+            self.members.set_stage(now, EntryStage::Serving);
+        }
+        self.metrics.open_flows.set(self.router.open_flows() as i64);
+        self.metrics
+            .moving_buckets
+            .set(self.router.moving_buckets() as i64);
     }
 
     /// Returns the instant at which [`Core::tick`] is next wanted.
@@ -187,26 +257,48 @@
             .map_or(members, |router| router.min(members))
     }
 
-    /// Returns the next control message to send.
+    /// Returns the next datagram that no packet asked for.
     pub(crate) fn poll_output(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        self.poll_members(now).or_else(|| self.poll_router(now))
+    }
+
+    fn poll_members(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        use currantgate_membership::Output;
         while let Some(output) = self.members.poll_output(now, &mut self.budget) {
-            use currantgate_membership::Output;
             match output {
                 Output::Send { to, message } => {
                     return self.control_datagram(to, &PeerMessage::Members(message));
                 }
+                Output::Resync => {
+                    log::warn!("entry {} stood still; it joins anew", self.id);
+                    self.router = Router::new(self.router_settings.clone(), now);
+                    self.router.set_upstreams(now, self.members.upstreams());
+                }
                 Output::UpstreamsChanged => {
                     self.router.set_upstreams(now, self.members.upstreams());
                 }
                 Output::EntriesChanged => {
                     let entries = self.members.entries();
+                    self.metrics.live_entries.set(entries.len() as i64);
                     self.router.set_entries(now, &entries);
                 }
             }
         }
-        let currantgate_flow::Output::Send { to, message } =
-            self.router.poll_output(now, &mut self.budget)?;
-        self.control_datagram(to, &PeerMessage::Flow(message))
+        None
+    }
+
+    fn poll_router(&mut self, now: Instant) -> Option<Datagram<'static>> {
+        use currantgate_flow::Output;
+        match self.router.poll_output(now, &mut self.budget)? {
+            Output::Send { to, message } => self.control_datagram(to, &PeerMessage::Flow(message)),
+            Output::Refuse { packet, refusal } => self.refusal(&packet, refusal),
+        }
+    }
+
+    fn refusal(&mut self, packet: &Packet, refusal: Refusal) -> Option<Datagram<'static>> {
+        self.metrics.count_refusal(&refusal);
+        let bytes = build_refusal(packet, refusal).ok()?;
+        Some(Datagram::RefusalToFabric(self.fabric, bytes))
     }
 
     fn control_datagram(
@@ -274,11 +366,13 @@
     /// Counts a drop under `label` and logs it as often as the limit allows.
     fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
         self.metrics.count_drop(label);
+        self.log_limited(now, format_args!("dropped {what}"));
+    }
+
+    fn log_limited(&mut self, now: Instant, what: impl Display) {
         match self.log_limit.allow(now) {
-            Some(0) => log::warn!("dropped {what}"),
-            Some(suppressed) => {
-                log::warn!("dropped {what} ({suppressed} more drops were not logged)");
-            }
+            Some(0) => log::warn!("{what}"),
+            Some(suppressed) => log::warn!("{what} ({suppressed} more lines were held back)"),
             None => {}
         }
     }
@@ -301,11 +395,7 @@
                 let bytes = buf.to_vec();
                 self.peer_datagram(to, &PeerMessage::Packet { forward, bytes })
             }
-            Verdict::Refuse(refusal) => {
-                self.metrics.count_refusal(&refusal);
-                let bytes = build_refusal(packet, refusal).ok()?;
-                Some(Datagram::RefusalToFabric(self.fabric, bytes))
-            }
+            Verdict::Refuse(refusal) => self.refusal(packet, refusal),
             Verdict::Drop(reason) => {
                 let what = format_args!("a packet of flow {}: {reason}", packet.key);
                 self.count_drop(now, &reason.to_string(), what);
