Add a first dispatcher of requests: admission, choice, retries on proof, circuits

The state machine admits requests by slots and deadline, chooses the better of two upstreams by its own observations, sends a request again only on proof that it did not run or when it is declared repeatable, and settles each request with one output.

--- /dev/null
+++ b/crates/currantgate-request/src/dispatcher/attempts.rs
@@ -0,0 +1,181 @@
+//! The life of attempts.
+
+use std::time::Instant;
+
+use currantgate_config::UpstreamId;
+
+use super::Dispatcher;
+use crate::attempt::{Attempt, AttemptStage, Failure};
+use crate::latency::Latency;
+use crate::link::Link;
+use crate::request::RequestStage;
+use crate::{AnswerKind, AttemptId, NotRunReason, Output, Refusal, RequestId, UnknownReason};
+
+/// Samples over which a service's mean times are taken.
+const MEAN_WINDOW: f64 = 64.0;
+
+impl Dispatcher {
+    /// Gives `request` a slot of the upstream and sends it if it can be.
+    pub(super) fn start(&mut self, now: Instant, request: RequestId, upstream: UpstreamId) {
+        self.last_attempt += 1;
+        let id = self.last_attempt;
+        let connection = self.open_link(now, upstream);
+        let attempt = Attempt {
+            request,
+            upstream,
+            connection,
+            stage: AttemptStage::Waiting,
+        };
+        self.attempts.insert(id, attempt);
+        self.requests[&request].stage = RequestStage::Running(id);
+        let chosen = &mut self.upstreams[&upstream];
+        chosen.circuit.start();
+        chosen.attempts.insert(id);
+        if matches!(chosen.link, Link::Open(_)) {
+            self.send(now, id);
+        }
+    }
+
+    /// Sends an attempt whose connection is open.
+    pub(super) fn send(&mut self, now: Instant, id: AttemptId) {
+        let attempt = &mut self.attempts[&id];
+        attempt.stage = AttemptStage::Sent(now);
+        let attempt = *attempt;
+        let request = &mut self.requests[&attempt.request];
+        request.sent += 1;
+        if request.sent == 1 {
+            self.services[&request.service].retries.earn(&self.settings);
+        }
+        let upstream = &mut self.upstreams[&attempt.upstream];
+        if let (Link::Open(connection), 1) = (&mut upstream.link, upstream.attempts.len()) {
+            connection.wake(now, &self.settings);
+        }
+        self.outputs.push_back(Output::Send {
+            request: attempt.request,
+            attempt: id,
+            upstream: attempt.upstream,
+            connection: attempt.connection,
+            deadline: request.deadline,
+        });
+    }
+
+    pub(super) fn response_head(&mut self, now: Instant, id: AttemptId, kind: AnswerKind) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let AttemptStage::Sent(sent) = attempt.stage else {
+            return;
+        };
+        attempt.stage = AttemptStage::Answering(sent);
+        let attempt = *attempt;
+        let request = &self.requests[&attempt.request];
+        self.deadlines.remove(&(request.deadline, attempt.request));
+        let service = &mut self.services[&request.service];
+        let took = now.saturating_duration_since(sent);
+        let upstream = &mut self.upstreams[&attempt.upstream];
+        match kind {
+            AnswerKind::Served => {
+                service.answer_time.observe_mean(now, took, MEAN_WINDOW);
+                upstream.latency.observe_peak(now, took);
+                upstream.limit.grow(&self.settings);
+                if upstream.circuit.succeed() {
+                    upstream.limit.restart();
+                }
+            }
+            AnswerKind::Failed => {
+                upstream.circuit.fail(now, &self.settings);
+                upstream.limit.pause(now, &self.settings);
+            }
+        }
+        self.note_answer(now, &attempt);
+        self.outputs.push_back(Output::Answer {
+            request: attempt.request,
+            attempt: id,
+        });
+    }
+
+    pub(super) fn response_end(&mut self, now: Instant, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        let AttemptStage::Answering(sent) = attempt.stage else {
+            return;
+        };
+        self.note_answer(now, &attempt);
+        let service = self.requests[&attempt.request].service;
+        let slot_time: &mut Latency = &mut self.services[&service].slot_time;
+        slot_time.observe_mean(now, now.saturating_duration_since(sent), MEAN_WINDOW);
+        self.release(id);
+        self.settle(
+            attempt.request,
+            Output::Done {
+                request: attempt.request,
+            },
+        );
+        self.pump(now, service);
+    }
+
+    /// Takes the failure of an attempt that the upstream is to blame for.
+    pub(super) fn attempt_failed(&mut self, now: Instant, id: AttemptId, failure: Failure) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        let service = self.requests[&attempt.request].service;
+        let upstream = &mut self.upstreams[&attempt.upstream];
+        upstream.circuit.fail(now, &self.settings);
+        match failure {
+            Failure::NotProcessed => {
+                let running = upstream.attempts.len();
+                upstream.limit.refused(now, running, &self.settings);
+            }
+            Failure::Reset | Failure::ConnectionLost => {
+                upstream.limit.pause(now, &self.settings);
+            }
+        }
+        self.end_failed(now, id, failure);
+        self.pump(now, service);
+    }
+
+    /// Frees a failed attempt's slot and settles its request or queues it again.
+    pub(super) fn end_failed(&mut self, now: Instant, id: AttemptId, failure: Failure) {
+        let Some(attempt) = self.release(id) else {
+            return;
+        };
+        let request = attempt.request;
+        match attempt.stage {
+            AttemptStage::Waiting => self.enqueue(now, request),
+            AttemptStage::Sent(_) => self.retry(now, request, failure),
+            AttemptStage::Answering(_) => self.settle(request, Output::Truncated { request }),
+        }
+    }
+
+    /// Queues a request again after an attempt that was sent, if its promise
+    /// and the budget allow, and else tells its caller at once.
+    fn retry(&mut self, now: Instant, id: RequestId, failure: Failure) {
+        let request = &mut self.requests[&id];
+        request.may_have_run |= failure != Failure::NotProcessed;
+        let allowed = request.may_run_again()
+            && request.has_body
+            && request.sent < self.settings.max_attempts
+            && self.services[&request.service].retries.spend();
+        if allowed {
+            self.enqueue(now, id);
+        } else if request.may_have_run {
+            let reason = match failure {
+                Failure::ConnectionLost => UnknownReason::ConnectionLost,
+                Failure::NotProcessed | Failure::Reset => UnknownReason::Reset,
+            };
+            self.reject(now, id, Refusal::OutcomeUnknown(reason));
+        } else {
+            self.give_up(now, id, NotRunReason::Refused);
+        }
+    }
+
+    /// Takes an attempt out of all tables, which frees its slot.
+    pub(super) fn release(&mut self, id: AttemptId) -> Option<Attempt> {
+        let attempt = self.attempts.swap_remove(&id)?;
+        self.upstreams[&attempt.upstream].attempts.swap_remove(&id);
+        self.close_if_unused(attempt.upstream, attempt.connection);
+        Some(attempt)
+    }
+}
--- /dev/null
+++ b/crates/currantgate-request/src/dispatcher/mod.rs
@@ -0,0 +1,137 @@
+//! The dispatcher state machine.
+
+mod admit;
+mod attempts;
+mod connections;
+mod settle;
+mod upstreams;
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Instant;
+
+use currantgate_config::{ServiceId, UpstreamId};
+use indexmap::IndexMap;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::attempt::{Attempt, Failure};
+use crate::request::Request;
+use crate::service::Service;
+use crate::upstream::Upstream;
+use crate::{AttemptId, ConnectionId, Input, Output, RequestId, Settings};
+
+/// Decides where, when and how often each request is tried.
+///
+/// Feed it every [`Input`] as it happens, call [`Dispatcher::tick`] at
+/// [`Dispatcher::next_deadline`], and carry out what
+/// [`Dispatcher::poll_output`] gives after each of both.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: Settings,
+    rng: ChaCha8Rng,
+    requests: IndexMap<RequestId, Request>,
+    attempts: IndexMap<AttemptId, Attempt>,
+    connections: IndexMap<ConnectionId, UpstreamId>,
+    upstreams: IndexMap<UpstreamId, Upstream>,
+    services: IndexMap<ServiceId, Service>,
+    /// Requests whose answer has not begun.
+    deadlines: BTreeSet<(Instant, RequestId)>,
+    outputs: VecDeque<Output>,
+    last_attempt: AttemptId,
+    last_connection: ConnectionId,
+    draining: bool,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher that knows no upstreams.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            requests: IndexMap::new(),
+            attempts: IndexMap::new(),
+            connections: IndexMap::new(),
+            upstreams: IndexMap::new(),
+            services: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            outputs: VecDeque::new(),
+            last_attempt: 0,
+            last_connection: 0,
+            draining: false,
+        }
+    }
+
+    /// Takes one input that happened at `now`.
+    pub fn handle(&mut self, now: Instant, input: Input) {
+        match input {
+            Input::Arrived {
+                request,
+                service,
+                deadline,
+                repeatability,
+            } => self.arrive(now, request, service, deadline, repeatability),
+            Input::BodyGone { request } => self.forget_body(request),
+            Input::Cancelled { request } => self.cancel(now, request),
+            Input::Upstreams { service, upstreams } => {
+                self.set_upstreams(now, service, &upstreams);
+            }
+            Input::Connected { connection } => self.connected(now, connection),
+            Input::ConnectFailed { connection } => self.connect_failed(now, connection),
+            Input::ResponseHead { attempt, kind } => self.response_head(now, attempt, kind),
+            Input::ResponseEnd { attempt } => self.response_end(now, attempt),
+            Input::NotProcessed { attempt } => {
+                self.attempt_failed(now, attempt, Failure::NotProcessed);
+            }
+            Input::Reset { attempt } => self.attempt_failed(now, attempt, Failure::Reset),
+            Input::GoAway { connection } => self.leave_connection(connection),
+            Input::ConnectionLost { connection } => self.connection_lost(now, connection),
+            Input::Pong { connection } => self.pong(now, connection),
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire(now);
+        self.check_links(now);
+        let services: Vec<_> = self.services.keys().copied().collect();
+        for service in services {
+            self.pump(now, service);
+        }
+    }
+
+    /// Returns the instant at which [`Dispatcher::tick`] is next wanted.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        let expiry = self.deadlines.first().map(|(deadline, _)| *deadline);
+        let links = self.upstreams.values().filter_map(Upstream::link_deadline);
+        let wakes = self
+            .services
+            .values()
+            .filter(|service| service.queue.len() > 0)
+            .flat_map(|service| &service.upstreams)
+            .filter_map(|id| self.upstreams[id].wakes_at());
+        expiry.into_iter().chain(links).chain(wakes).min()
+    }
+
+    /// Returns the next thing to do.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// Returns the number of requests that are not yet settled.
+    pub fn unsettled(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the number of requests that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.services.values().map(|s| s.queue.len()).sum()
+    }
+
+    /// Returns the number of slots of `upstream` that are held.
+    pub fn running(&self, upstream: UpstreamId) -> usize {
+        self.upstreams
+            .get(&upstream)
+            .map_or(0, |upstream| upstream.attempts.len())
+    }
+}
