--- a/crates/currantgate-request/src/dispatcher/mod.rs
+++ b/crates/currantgate-request/src/dispatcher/mod.rs
@@ -62,7 +62,11 @@
     }
 
     /// Takes one input that happened at `now`.
+    ///
+    /// What has expired by then is ended first, so a late timer sends nothing
+    /// that is of no more use.
     pub fn handle(&mut self, now: Instant, input: Input) {
+        self.expire(now);
         match input {
             Input::Arrived {
                 request,
