--- a/crates/currantgate-request/src/dispatcher/admit.rs
+++ b/crates/currantgate-request/src/dispatcher/admit.rs
@@ -9,6 +9,10 @@
 use crate::request::{Request, RequestStage};
 use crate::{NotRunReason, Repeatability, RequestId};
 
+/// How many times longer than the fastest free upstream one may take to answer
+/// before it gets work only when no faster one is free.
+const SLOW_FACTOR: f64 = 3.0;
+
 impl Dispatcher {
     pub(super) fn arrive(
         &mut self,
@@ -130,6 +134,15 @@
         }
     }
 
+    /// Keeps those upstreams that answer about as fast as the fastest of them.
+    fn without_slow(&self, now: Instant, free: Vec<UpstreamId>) -> Vec<UpstreamId> {
+        let latency = |id: &UpstreamId| self.upstreams[id].expected_latency(now);
+        let fastest = free.iter().map(latency).fold(f64::MAX, f64::min);
+        free.into_iter()
+            .filter(|id| latency(id) <= fastest * SLOW_FACTOR)
+            .collect()
+    }
+
     /// Chooses the better of two upstreams drawn at random from those with a
     /// free slot, by what was observed here.
     fn choose(&mut self, now: Instant, service: ServiceId) -> Option<UpstreamId> {
@@ -140,6 +153,7 @@
             .copied()
             .filter(|id| self.upstreams[id].admits(now))
             .collect();
+        let free = self.without_slow(now, free);
         if free.len() < 2 {
             return free.first().copied();
         }
--- a/crates/currantgate-request/src/dispatcher/settle.rs
+++ b/crates/currantgate-request/src/dispatcher/settle.rs
@@ -45,9 +45,22 @@
         self.reject(now, id, refusal);
     }
 
-    pub(super) fn forget_body(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.has_body = false;
+    /// Notes that a request can't be sent again, and ends it if it waits for that.
+    pub(super) fn forget_body(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.has_body = false;
+        let (stage, sent) = (request.stage, request.sent);
+        match stage {
+            _ if sent == 0 => {}
+            RequestStage::Queued => self.give_up(now, id, NotRunReason::Refused),
+            RequestStage::Running(attempt) => {
+                if self.attempts[&attempt].stage == AttemptStage::Waiting {
+                    self.abandon(attempt);
+                    self.give_up(now, id, NotRunReason::Refused);
+                }
+            }
         }
     }
 
--- a/crates/currantgate-request/src/upstream.rs
+++ b/crates/currantgate-request/src/upstream.rs
@@ -60,7 +60,12 @@
     /// comparison with other upstreams.
     pub(crate) fn cost(&self, now: Instant) -> f64 {
         let share = (self.attempts.len() + 1) as f64 / self.limit.get() as f64;
-        share * self.latency.at(now).max(UNKNOWN_LATENCY_SECONDS)
+        share * self.expected_latency(now)
+    }
+
+    /// Returns the seconds that an answer is expected to take.
+    pub(crate) fn expected_latency(&self, now: Instant) -> f64 {
+        self.latency.at(now).max(UNKNOWN_LATENCY_SECONDS)
     }
 
     /// Returns when it may get work again, if only a pause keeps it from that.
--- a/crates/currantgate-request/tests/world/mod.rs
+++ b/crates/currantgate-request/tests/world/mod.rs
@@ -57,6 +57,7 @@
 struct Request {
     repeatable: bool,
     after_drain: bool,
+    body_gone: bool,
     settled: bool,
     answered_by: Option<AttemptId>,
 }
@@ -170,9 +171,11 @@
                 });
                 Input::ResponseEnd { attempt }
             }
-            Step::BodyGone(i) => Input::BodyGone {
-                request: self.pick_request(i)?,
-            },
+            Step::BodyGone(i) => {
+                let request = self.pick_request(i)?;
+                self.requests[&request].body_gone = true;
+                Input::BodyGone { request }
+            }
             Step::Cancel(i) => {
                 let request = self.pick_request(i)?;
                 self.settle(request);
@@ -214,6 +217,7 @@
         let record = Request {
             repeatable,
             after_drain: self.draining,
+            body_gone: false,
             settled: false,
             answered_by: None,
         };
@@ -301,6 +305,8 @@
         };
         let record = &self.requests[&request];
         assert!(!record.settled, "a settled request was sent");
+        let first = self.attempts.values().all(|a| a.request != request);
+        assert!(first || !record.body_gone, "sent again without its body");
         assert!(!record.after_drain, "new work after the drain");
         assert!(deadline > self.now, "expired work was sent");
         assert!(self.view.contains(&upstream), "work for a leaving upstream");
@@ -342,6 +348,9 @@
             let held = self.dispatcher.running(upstream);
             assert!(held <= SLOTS as usize, "more work than slots");
             assert!(open <= held, "a running attempt holds no slot");
+            let unsent = held - open;
+            let leaving = !self.view.contains(&upstream);
+            assert!(!leaving || unsent == 0, "unsent work at a leaving upstream");
         }
     }
 
