--- a/crates/currantgate-config/src/lib.rs
+++ b/crates/currantgate-config/src/lib.rs
@@ -35,6 +35,8 @@
 mod leave;
 mod limits;
 mod protocol;
+mod relay;
+mod requests;
 mod service;
 mod site;
 
@@ -48,5 +50,7 @@
 pub use leave::Leave;
 pub use limits::Limits;
 pub use protocol::Protocol;
+pub use relay::{Dispatch, RelayListen, RelaySettings, Serve};
+pub use requests::{Repeatable, RequestProtocol, Requests};
 pub use service::Service;
 pub use site::Site;
--- a/crates/currantgate-config/src/service.rs
+++ b/crates/currantgate-config/src/service.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::check::{check_name, check_positive};
-use crate::{ConfigError, Domain, Join, Leave, Limits, Protocol, ServiceId, service_id};
+use crate::{ConfigError, Domain, Join, Leave, Limits, Protocol, Requests, ServiceId, service_id};
 
 /// One service that callers reach at an address of its own.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,9 @@
     /// How much one entry VM accepts.
     #[serde(default)]
     pub limits: Limits,
+    /// How relays treat its requests.
+    #[serde(default)]
+    pub requests: Requests,
 }
 
 impl Service {
@@ -53,6 +56,7 @@
         }
         check_positive(key("join.lease_ms"), self.join.lease_ms)?;
         check_positive(key("limits.max_flows"), self.limits.max_flows as u64)?;
-        check_positive(key("limits.idle_seconds"), self.limits.idle_seconds)
+        check_positive(key("limits.idle_seconds"), self.limits.idle_seconds)?;
+        self.requests.check(&key("requests"))
     }
 }
--- a/crates/currantgate-config/tests/reference.rs
+++ b/crates/currantgate-config/tests/reference.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use currantgate_config::{EntrySettings, Site};
+use currantgate_config::{EntrySettings, RelaySettings, Site};
 use serde::Serialize;
 
 const REFERENCE: &str = include_str!("../../../guide/src/reference/configuration.md");
@@ -65,3 +65,11 @@
     let settings = EntrySettings::parse(text, "entry.toml").unwrap();
     compare("Entry settings", &settings);
 }
+
+#[test]
+fn the_relay_settings_are_documented() {
+    let text = "domain = \"a\"\nsite = \"site.toml\"\n\
+                [[serve]]\nservice = \"booking\"\naddress = \"127.0.0.1:2\"\n";
+    let settings = RelaySettings::parse(text, "relay.toml").unwrap();
+    compare("Relay settings", &settings);
+}
--- a/crates/currantgate-membership/tests/common/mod.rs
+++ b/crates/currantgate-membership/tests/common/mod.rs
@@ -36,6 +36,7 @@
         join: Default::default(),
         leave: Default::default(),
         limits: Default::default(),
+        requests: Default::default(),
     }
 }
 
