--- a/crates/currantgate-config/src/lib.rs
+++ b/crates/currantgate-config/src/lib.rs
@@ -38,6 +38,8 @@
 mod limits;
 mod prefix;
 mod protocol;
+mod relay;
+mod requests;
 mod service;
 mod site;
 
@@ -54,5 +56,7 @@
 pub use limits::Limits;
 pub use prefix::Prefix;
 pub use protocol::Protocol;
+pub use relay::{Dispatch, RelayListen, RelaySettings, Serve};
+pub use requests::{Repeatable, RequestProtocol, Requests};
 pub use service::Service;
 pub use site::Site;
