Tell callers of packets that don't fit, and split the entry's core

Change: such a packet is answered with ICMP 'fragmentation needed' or 'packet too big' and the inner MTU; refusals quote the packet they are about, so that UDP has one too. Control output and reports have files of their own.

--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -7,22 +7,18 @@
 use currantgate_config::{EntryId, EntrySettings, Incarnation, Site};
 use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
 use currantgate_membership::{AnnounceError, Budget, EntryStage, Members, MembersSettings};
-use currantgate_packet::{
-    FlowHasher, Packet, PacketError, PacketKind, Refusal, build_refusal, parse_answer,
-    parse_request,
-};
+use currantgate_packet::{Packet, PacketError, build_too_big, parse_answer, parse_request, refuse};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
 use super::announce::{AnnounceAction, AnnounceRequest};
 use super::label;
-use super::log_limit::LogLimit;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::TRACE_TARGET;
+use super::reports::Reports;
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
-const HEADER_BYTES: usize = 28;
+pub(crate) const HEADER_BYTES: usize = 28;
 
 /// One datagram that the daemon is to send.
 #[derive(Debug)]
@@ -39,17 +35,16 @@
 
 /// One entry's state machines and counters.
 pub(crate) struct Core {
-    id: EntryId,
-    hasher: FlowHasher,
-    router: Router,
-    router_settings: RouterSettings,
-    members: Members,
-    budget: Budget,
-    metrics: EntryMetrics,
-    log_limit: LogLimit,
-    fabric: SocketAddr,
-    peers: IndexMap<EntryId, SocketAddr>,
-    peer_ids: IndexMap<SocketAddr, EntryId>,
+    pub(super) id: EntryId,
+    pub(super) router: Router,
+    pub(super) router_settings: RouterSettings,
+    pub(super) members: Members,
+    pub(super) budget: Budget,
+    pub(super) reports: Reports,
+    pub(super) fabric: SocketAddr,
+    pub(super) inner_mtu: u16,
+    pub(super) peers: IndexMap<EntryId, SocketAddr>,
+    pub(super) peer_ids: IndexMap<SocketAddr, EntryId>,
 }
 
 impl Core {
@@ -89,14 +84,13 @@
         );
         Self {
             id: settings.id,
-            hasher: FlowHasher::new(settings.flow.hash_key.value()),
             router: Router::new(router_settings.clone(), now),
             router_settings,
             members,
             budget: Budget::new(&settings.budget, now),
-            metrics,
-            log_limit: LogLimit::default(),
+            reports: Reports::new(settings, metrics),
             fabric: settings.fabric,
+            inner_mtu: settings.flow.inner_mtu,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
         }
@@ -105,10 +99,24 @@
     /// Takes an IP packet from the fabric.
     pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
         let packet = self.parsed(now, "the fabric", parse_request(buf))?;
+        if packet.len > usize::from(self.inner_mtu) {
+            return self.too_big(now, &packet, buf);
+        }
         let verdict = self.router.route(now, &packet);
         self.carry_out(now, verdict, &packet, buf)
     }
 
+    /// Tells a caller that its packet doesn't fit the encapsulation.
+    fn too_big<'a>(&mut self, now: Instant, packet: &Packet, buf: &[u8]) -> Option<Datagram<'a>> {
+        let what = format_args!(
+            "a packet of {} bytes of flow {}: more than {} don't fit",
+            packet.len, packet.key, self.inner_mtu
+        );
+        self.reports.drop(now, "too_big", what);
+        let answer = build_too_big(buf, self.inner_mtu).ok()?;
+        Some(Datagram::RefusalToFabric(self.fabric, answer))
+    }
+
     /// Takes an IP packet from an upstream.
     pub(crate) fn take_answer<'a>(
         &mut self,
@@ -119,12 +127,12 @@
         let packet = self.parsed(now, &from, parse_answer(buf))?;
         match self.router.answer(now, from, &packet) {
             AnswerVerdict::Pass => {
-                self.metrics.answered.inc();
+                self.reports.metrics.answered.inc();
                 Some(Datagram::ToFabric(self.fabric, buf))
             }
             AnswerVerdict::Drop(reason) => {
                 let what = format_args!("an answer from {from} in flow {}: {reason}", packet.key);
-                self.count_drop(now, &reason.to_string(), what);
+                self.reports.drop(now, &reason.to_string(), what);
                 None
             }
         }
@@ -139,14 +147,14 @@
     ) -> Option<(EntryId, PeerMessage)> {
         let Some(id) = self.peer_ids.get(&from).copied() else {
             let what = format_args!("a message from {from}, which is no peer");
-            self.count_drop(now, "unknown_peer", what);
+            self.reports.drop(now, "unknown_peer", what);
             return None;
         };
         match PeerMessage::decode(buf) {
             Ok(message) => Some((id, message)),
             Err(e) => {
                 let what = format_args!("a message from entry {id} at {from}: {e}");
-                self.count_drop(now, "bad_peer_message", what);
+                self.reports.drop(now, "bad_peer_message", what);
                 None
             }
         }
@@ -218,7 +226,8 @@
         reply: oneshot::Sender<Result<T, AnnounceError>>,
     ) {
         if let Err(e) = &result {
-            self.log_limited(now, format_args!("rejected the {what}: {e}"));
+            self.reports
+                .warn(now, format_args!("rejected the {what}: {e}"));
         }
         // The upstream may have hung up meanwhile; it will ask again.
         let _ = reply.send(result);
@@ -243,8 +252,12 @@
             log::info!("entry {} knows what the others know and serves", self.id);
             self.members.set_stage(now, EntryStage::Serving);
         }
-        self.metrics.open_flows.set(self.router.open_flows() as i64);
-        self.metrics
+        self.reports
+            .metrics
+            .open_flows
+            .set(self.router.open_flows() as i64);
+        self.reports
+            .metrics
             .moving_buckets
             .set(self.router.moving_buckets() as i64);
     }
@@ -257,76 +270,6 @@
             .map_or(members, |router| router.min(members))
     }
 
-    /// Returns the next datagram that no packet asked for.
-    pub(crate) fn poll_output(&mut self, now: Instant) -> Option<Datagram<'static>> {
-        self.poll_members(now).or_else(|| self.poll_router(now))
-    }
-
-    fn poll_members(&mut self, now: Instant) -> Option<Datagram<'static>> {
-        use currantgate_membership::Output;
-        while let Some(output) = self.members.poll_output(now, &mut self.budget) {
-            match output {
-                Output::Send { to, message } => {
-                    return self.control_datagram(to, &PeerMessage::Members(message));
-                }
-                Output::Resync => {
-                    log::warn!("entry {} stood still; it joins anew", self.id);
-                    self.router = Router::new(self.router_settings.clone(), now);
-                    self.router.set_upstreams(now, self.members.upstreams());
-                }
-                Output::UpstreamsChanged => {
-                    self.router.set_upstreams(now, self.members.upstreams());
-                }
-                Output::EntriesChanged => {
-                    let entries = self.members.entries();
-                    self.metrics.live_entries.set(entries.len() as i64);
-                    self.router.set_entries(now, &entries);
-                }
-            }
-        }
-        None
-    }
-
-    fn poll_router(&mut self, now: Instant) -> Option<Datagram<'static>> {
-        use currantgate_flow::Output;
-        match self.router.poll_output(now, &mut self.budget)? {
-            Output::Send { to, message } => self.control_datagram(to, &PeerMessage::Flow(message)),
-            Output::Refuse { packet, refusal } => self.refusal(&packet, refusal),
-        }
-    }
-
-    fn refusal(&mut self, packet: &Packet, refusal: Refusal) -> Option<Datagram<'static>> {
-        self.metrics.count_refusal(&refusal);
-        let bytes = build_refusal(packet, refusal).ok()?;
-        Some(Datagram::RefusalToFabric(self.fabric, bytes))
-    }
-
-    fn control_datagram(
-        &mut self,
-        to: EntryId,
-        message: &PeerMessage,
-    ) -> Option<Datagram<'static>> {
-        let datagram = self.peer_datagram(to, message)?;
-        if let Datagram::ToPeer(_, bytes) = &datagram {
-            self.budget.spend(bytes.len() + HEADER_BYTES);
-            self.metrics
-                .control_bytes
-                .inc_by((bytes.len() + HEADER_BYTES) as u64);
-        }
-        Some(datagram)
-    }
-
-    fn peer_datagram(&self, to: EntryId, message: &PeerMessage) -> Option<Datagram<'static>> {
-        let address = *self.peers.get(&to)?;
-        match message.encode() {
-            Ok(bytes) => Some(Datagram::ToPeer(address, bytes)),
-            Err(e) => {
-                log::error!("a message to entry {to} can't be encoded: {e}");
-                None
-            }
-        }
-    }
-
     fn parsed(
         &mut self,
         now: Instant,
@@ -336,7 +279,7 @@
         match parsed {
             Ok(packet) => Some(packet),
             Err(e) => {
-                self.count_drop(
+                self.reports.drop(
                     now,
                     label::packet_error(e),
                     format_args!("a packet from {from}: {e}"),
@@ -346,37 +289,6 @@
         }
     }
 
-    /// Writes a span for the first packet of a flow and for each refusal.
-    fn trace(&self, verdict: &Verdict, packet: &Packet) {
-        let rare = packet.kind == PacketKind::Open || matches!(verdict, Verdict::Refuse(_));
-        if rare && tracing::enabled!(target: TRACE_TARGET, tracing::Level::DEBUG) {
-            let flow = format!("{:016x}", self.hasher.hash(&packet.key));
-            tracing::debug_span!(
-                target: TRACE_TARGET,
-                "entry",
-                entry = self.id,
-                flow,
-                key = %packet.key,
-                verdict = ?verdict,
-            )
-            .in_scope(|| {});
-        }
-    }
-
-    /// Counts a drop under `label` and logs it as often as the limit allows.
-    fn count_drop(&mut self, now: Instant, label: &str, what: impl Display) {
-        self.metrics.count_drop(label);
-        self.log_limited(now, format_args!("dropped {what}"));
-    }
-
-    fn log_limited(&mut self, now: Instant, what: impl Display) {
-        match self.log_limit.allow(now) {
-            Some(0) => log::warn!("{what}"),
-            Some(suppressed) => log::warn!("{what} ({suppressed} more lines were held back)"),
-            None => {}
-        }
-    }
-
     fn carry_out<'a>(
         &mut self,
         now: Instant,
@@ -384,21 +296,25 @@
         packet: &Packet,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
-        self.trace(&verdict, packet);
+        self.reports.trace(&verdict, packet);
         match verdict {
             Verdict::Deliver { address, .. } => {
-                self.metrics.delivered.inc();
+                self.reports.metrics.delivered.inc();
                 Some(Datagram::ToUpstream(address, buf))
             }
             Verdict::Forward { to, forward } => {
-                self.metrics.forwarded.inc();
+                self.reports.metrics.forwarded.inc();
                 let bytes = buf.to_vec();
                 self.peer_datagram(to, &PeerMessage::Packet { forward, bytes })
             }
-            Verdict::Refuse(refusal) => self.refusal(packet, refusal),
+            Verdict::Refuse(refusal) => {
+                self.reports.metrics.count_refusal(&refusal);
+                let answer = refuse(packet, buf, refusal).ok()?;
+                Some(Datagram::RefusalToFabric(self.fabric, answer))
+            }
             Verdict::Drop(reason) => {
                 let what = format_args!("a packet of flow {}: {reason}", packet.key);
-                self.count_drop(now, &reason.to_string(), what);
+                self.reports.drop(now, &reason.to_string(), what);
                 None
             }
         }
--- a/crates/currantgate/src/entry/mod.rs
+++ b/crates/currantgate/src/entry/mod.rs
@@ -7,7 +7,9 @@
 mod label;
 mod log_limit;
 mod metrics;
+mod outputs;
 mod peer_message;
+mod reports;
 mod sockets;
 
 pub use daemon::Entry;
--- a/crates/currantgate/tests/bad_input.rs
+++ b/crates/currantgate/tests/bad_input.rs
@@ -96,3 +96,23 @@
     let body = format!(r#"{{"incarnation":1,"address":"{}"}}"#, "1".repeat(100_000));
     assert_eq!(fixture.announce("booking/b-1", body).await, 413);
 }
+
+#[actix_rt::test]
+async fn a_packet_too_big_for_the_encapsulation_is_told_the_mtu() {
+    let fixture = Fixture::start();
+    let builder = etherparse::PacketBuilder::ipv4([127, 30, 0, 1], [127, 20, 0, 1], 64)
+        .tcp(40_000, 443, 1, 65_000)
+        .ack(1);
+    let mut packet = Vec::new();
+    builder.write(&mut packet, &[0; 1_400]).unwrap();
+    let to = fixture.entry.addresses().fabric;
+    fixture.outside.send_to(&packet, to).unwrap();
+    let answer = fixture.receive().await;
+    let sliced = etherparse::SlicedPacket::from_ip(&answer).unwrap();
+    let Some(etherparse::TransportSlice::Icmpv4(icmp)) = sliced.transport else {
+        panic!("the answer is not ICMP");
+    };
+    // Fragmentation needed, with the next hop's MTU.
+    assert_eq!((icmp.type_u8(), icmp.code_u8()), (3, 4));
+    assert_eq!(icmp.bytes5to8()[2..], 1_400_u16.to_be_bytes());
+}
