Let entries take accepted revisions from control and keep them

Cause: an entry read its site file once, so an accepted change was not in force until a restart, and a restart went back to the file.

Change: an entry whose settings name control servers follows them, puts each revision in force as a whole (services that stay keep their buckets and flows) and starts with the newest revision that its data folder holds.

The new test applies two revisions to a real voter, sees the second in force at the entry, stops the voter, restarts the entry and finds it still in force; it failed before, as the entry knew nothing of control.

--- a/crates/currantgate-cli/src/cmd/demo.rs
+++ b/crates/currantgate-cli/src/cmd/demo.rs
@@ -120,6 +120,8 @@
                 id: own.id,
                 domain: own.domain,
                 site: "demo".into(),
+                control: None,
+                data: None,
                 listen,
                 fabric: fabric.entry_side(),
                 peers: others(&peers, own.id),
--- a/crates/currantgate-config/src/control.rs
+++ b/crates/currantgate-config/src/control.rs
@@ -124,6 +124,17 @@
     }
 }
 
+impl ControlServers {
+    /// Checks the table called `key` of a larger file.
+    pub(crate) fn check_under(&self, key: &str) -> Result<(), ConfigError> {
+        if self.servers.is_empty() {
+            let key = format!("{key}.servers");
+            return Err(ConfigError::value(key, "must list at least one"));
+        }
+        Ok(())
+    }
+}
+
 impl Checked for ControlServers {
     fn check(&self) -> Result<(), ConfigError> {
         if self.servers.is_empty() {
--- a/crates/currantgate-config/src/entry.rs
+++ b/crates/currantgate-config/src/entry.rs
@@ -7,7 +7,7 @@
 
 use crate::check::{check_name, check_positive};
 use crate::file::{self, Checked};
-use crate::{ConfigError, Domain, EntryId, HashKey};
+use crate::{ConfigError, ControlServers, Domain, EntryId, HashKey};
 
 /// The most buckets that a service can have.
 const MAX_BUCKETS: u32 = 65_536;
@@ -29,6 +29,14 @@
     pub listen: Listen,
     /// Where encapsulated answers go: the fabric's side towards callers.
     pub fabric: SocketAddr,
+    /// Where accepted revisions of the site file come from; without it the
+    /// entry keeps to the site file above.
+    #[serde(default)]
+    pub control: Option<ControlServers>,
+    /// The folder that the newest revision is kept in, if the VM has a disk;
+    /// relative to the settings file.
+    #[serde(default)]
+    pub data: Option<PathBuf>,
     /// The other entries.
     #[serde(default, rename = "peer")]
     pub peers: Vec<Peer>,
@@ -140,6 +148,7 @@
         let mut settings: Self = file::load(path)?;
         if let Some(folder) = path.parent() {
             settings.site = folder.join(&settings.site);
+            settings.data = settings.data.map(|data| folder.join(data));
         }
         Ok(settings)
     }
@@ -181,6 +190,9 @@
 impl Checked for EntrySettings {
     fn check(&self) -> Result<(), ConfigError> {
         check_name("domain", &self.domain)?;
+        if let Some(control) = &self.control {
+            control.check_under("control")?;
+        }
         self.listen.check()?;
         self.budget.check()?;
         self.flow.check()?;
--- a/crates/currantgate-config/tests/reference.rs
+++ b/crates/currantgate-config/tests/reference.rs
@@ -60,7 +60,7 @@
 
 #[test]
 fn the_entry_settings_are_documented() {
-    let text = "id = 1\ndomain = \"a\"\nsite = \"site.toml\"\nfabric = \"127.0.0.1:1\"\nlisten = {}\n\
+    let text = "id = 1\ndomain = \"a\"\nsite = \"site.toml\"\nfabric = \"127.0.0.1:1\"\ndata = \"data\"\nlisten = {}\ncontrol = { servers = [\"127.0.0.1:3\"] }\n\
                 [[peer]]\nid = 2\ndomain = \"a\"\naddress = \"127.0.0.1:2\"\n";
     let settings = EntrySettings::parse(text, "entry.toml").unwrap();
     compare("Entry settings", &settings);
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -27,6 +27,7 @@
 mod route;
 mod router;
 mod send;
+mod services;
 mod settings;
 mod sync;
 mod table;
--- a/crates/currantgate-membership/src/lib.rs
+++ b/crates/currantgate-membership/src/lib.rs
@@ -23,6 +23,7 @@
 mod presence;
 mod record;
 mod sending;
+mod services;
 mod settings;
 mod state;
 mod table;
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -233,6 +233,14 @@
         let _ = reply.send(result);
     }
 
+    /// Puts a new revision of the site file in force, as a whole.
+    pub(crate) fn set_site(&mut self, now: Instant, site: &Site) {
+        self.members.set_services(site.services.clone());
+        self.router_settings.services.clone_from(&site.services);
+        self.router.set_services(now, site.services.clone());
+        self.router.set_upstreams(now, self.members.upstreams());
+    }
+
     /// Tells the other entries that this one is about to stop.
     pub(crate) fn leave(&mut self, now: Instant) {
         self.members.leave(now);
--- a/crates/currantgate/src/entry/daemon.rs
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -16,7 +16,8 @@
 use super::announce::{self, AnnounceRequest};
 use super::core::{Core, Datagram};
 use super::metrics::EntryMetrics;
-use crate::{EntryError, EntrySockets};
+use super::revisions;
+use crate::{EntryError, EntrySockets, Subscription};
 
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -33,16 +34,17 @@
     addresses: Listen,
     metrics: EntryMetrics,
     shared: Rc<Shared>,
+    subscription: Option<Subscription>,
     tasks: Vec<JoinHandle<()>>,
     servers: Vec<ServerHandle>,
 }
 
-struct Shared {
-    core: RefCell<Core>,
+pub(super) struct Shared {
+    pub(super) core: RefCell<Core>,
     fabric: UdpSocket,
     tunnel: UdpSocket,
     peer: UdpSocket,
-    metrics: EntryMetrics,
+    pub(super) metrics: EntryMetrics,
 }
 
 impl Entry {
@@ -63,9 +65,11 @@
         let mut registry = Registry::default();
         metrics.register(&mut registry);
 
+        let subscription = revisions::subscribe(settings)?;
+        let accepted = subscription.as_ref().map(Subscription::accepted);
         let core = Core::new(
             settings,
-            site,
+            &revisions::site_at_start(accepted.as_ref(), site),
             metrics.clone(),
             incarnation(),
             Instant::now(),
@@ -85,13 +89,17 @@
             peer: udp(sockets.peer, addresses.peer)?,
             metrics: metrics.clone(),
         });
-        let tasks = vec![
+        let mut tasks = vec![
             actix_rt::spawn(receive_from_fabric(Rc::clone(&shared))),
             actix_rt::spawn(receive_from_tunnel(Rc::clone(&shared))),
             actix_rt::spawn(receive_from_peers(Rc::clone(&shared))),
             actix_rt::spawn(take_announcements(Rc::clone(&shared), rx)),
             actix_rt::spawn(keep_time(Rc::clone(&shared))),
         ];
+        if let Some(accepted) = accepted {
+            let follow = revisions::follow(Rc::clone(&shared), accepted);
+            tasks.push(actix_rt::spawn(follow));
+        }
         log::info!(
             "entry {} in {} takes packets on {}",
             settings.id,
@@ -103,6 +111,7 @@
             addresses,
             metrics,
             shared,
+            subscription,
             tasks,
             servers,
         })
@@ -141,6 +150,9 @@
             server.stop(true).await;
         }
         self.kill();
+        if let Some(subscription) = self.subscription.take() {
+            subscription.stop().await;
+        }
         log::info!("entry {} stopped", self.id);
     }
 
@@ -189,7 +201,7 @@
         }
     }
 
-    fn flush(&self, now: Instant) {
+    pub(super) fn flush(&self, now: Instant) {
         loop {
             let output = self.core.borrow_mut().poll_output(now);
             let Some(datagram) = output else { break };
--- a/crates/currantgate/src/entry/error.rs
+++ b/crates/currantgate/src/entry/error.rs
@@ -6,6 +6,8 @@
 use currantgate_config::ConfigError;
 use displaydoc::Display;
 
+use crate::ControlError;
+
 /// Why an entry can't run.
 #[derive(Debug, Display)]
 pub enum EntryError {
@@ -27,6 +29,8 @@
     },
     /// {0}
     Config(ConfigError),
+    /// {0}
+    Control(ControlError),
 }
 
 impl std::error::Error for EntryError {
@@ -34,6 +38,7 @@
         match self {
             Self::Bind { source, .. } | Self::Serve { source, .. } => Some(source),
             Self::Config(source) => Some(source),
+            Self::Control(source) => Some(source),
         }
     }
 }
@@ -43,3 +48,9 @@
         Self::Config(source)
     }
 }
+
+impl From<ControlError> for EntryError {
+    fn from(source: ControlError) -> Self {
+        Self::Control(source)
+    }
+}
--- a/crates/currantgate/src/entry/metrics.rs
+++ b/crates/currantgate/src/entry/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) moving_buckets: Gauge,
     /// Entries that count as alive, this one included.
     pub(crate) live_entries: Gauge,
+    /// The accepted revision in force; zero while there is none.
+    pub(crate) revision: Gauge,
     /// Bytes of control messages sent, UDP and IP headers included.
     pub(crate) control_bytes: Counter,
 }
@@ -76,6 +78,11 @@
             "Entries that count as alive, this one included",
             self.live_entries.clone(),
         );
+        registry.register(
+            "revision",
+            "The accepted revision in force; zero while there is none",
+            self.revision.clone(),
+        );
         registry.register_with_unit(
             "control_sent",
             "Control messages sent, UDP and IP headers included",
--- a/crates/currantgate/src/entry/mod.rs
+++ b/crates/currantgate/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod outputs;
 mod peer_message;
 mod reports;
+mod revisions;
 mod sockets;
 
 pub use daemon::Entry;
--- a/crates/currantgate/tests/support/mod.rs
+++ b/crates/currantgate/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! An entry on loopback and what a test needs to talk to it.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
@@ -31,6 +33,11 @@
 impl Fixture {
     /// Starts the entry on ports that the system chooses.
     pub(crate) fn start() -> Self {
+        Self::start_with(|_| {})
+    }
+
+    /// Starts the entry with settings that `change` has changed.
+    pub(crate) fn start_with(change: impl FnOnce(&mut EntrySettings)) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listen = Listen {
             fabric: any,
@@ -42,16 +49,19 @@
         let sockets = EntrySockets::bind(&listen).unwrap();
         let outside = UdpSocket::bind(any).unwrap();
         outside.set_nonblocking(true).unwrap();
-        let settings = EntrySettings {
+        let mut settings = EntrySettings {
             id: 1,
             domain: "riga-1".into(),
             site: "site.toml".into(),
+            control: None,
+            data: None,
             listen: sockets.addresses().unwrap(),
             fabric: outside.local_addr().unwrap(),
             peers: Vec::new(),
             budget: Default::default(),
             flow: Default::default(),
         };
+        change(&mut settings);
         let site = Site::parse(SITE, "site.toml").unwrap();
         let entry = Entry::start(&settings, &site, sockets).unwrap();
         Self { entry, outside }
