--- a/crates/currantgate-membership/src/exchange.rs
+++ b/crates/currantgate-membership/src/exchange.rs
@@ -117,6 +117,7 @@
             return;
         };
         let deadline = now + self.lease_time(&held.record);
+        self.liveness.forget_digest(held.record.owner);
         self.table.update(key, |held| {
             held.adopt_at = Some(now + ADOPT_DELAY);
             held.lease.deadline = deadline;
@@ -225,10 +226,10 @@
             held.record.owner = self.settings.id;
             held.hash = held.record.hash();
             held.lease.deadline = now + TOMBSTONE_TIME;
-            self.table.put(now, key, held);
+            self.store(now, key, held);
             return Taken::Older;
         }
-        self.table.put(now, key, held);
+        self.store(now, key, held);
         self.changes.upstreams |= is_shown;
         Taken::Held
     }
@@ -247,7 +248,7 @@
             held.load = old.load;
         }
         let knows_better = held.is_announced(now) && status != Status::Gone;
-        self.table.put(now, key, held);
+        self.store(now, key, held);
         self.changes.upstreams |= is_shown;
         if knows_better && (status == Status::Expired || is_ours) {
             self.claim_as(now, key, old.record.upstream.clone(), Status::Leased);
--- a/crates/currantgate-membership/src/leases.rs
+++ b/crates/currantgate-membership/src/leases.rs
@@ -126,7 +126,7 @@
         if status == Status::Gone {
             held.lease.deadline = now + TOMBSTONE_TIME;
         }
-        self.table.put(now, key, held);
+        self.store(now, key, held);
         self.changes.upstreams |= is_shown;
         self.spread(now, key);
     }
--- a/crates/currantgate-membership/src/liveness.rs
+++ b/crates/currantgate-membership/src/liveness.rs
@@ -103,6 +103,14 @@
         self.entries.get(&id)?.digest
     }
 
+    /// Forgets the digest of an entry whose set, as it is known here, changes:
+    /// the next heartbeat tells whether the two agree.
+    pub(crate) fn forget_digest(&mut self, id: EntryId) {
+        if let Some(known) = self.entries.get_mut(&id) {
+            known.digest = None;
+        }
+    }
+
     /// Returns the live other entries.
     pub(crate) fn views(&self, now: Instant) -> impl Iterator<Item = EntryView> {
         let alive = self.entries.values().filter(move |k| k.is_alive(now));
--- a/crates/currantgate-membership/src/members.rs
+++ b/crates/currantgate-membership/src/members.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use crate::held::Held;
 use crate::liveness::{Beat, ENTRY_TIMEOUT, Liveness};
 use crate::message::Heard;
 use crate::outbox::{Outbox, Pending};
@@ -17,8 +18,8 @@
 /// How often heartbeats are sent and leases are looked through.
 pub(crate) const ROUND: Duration = Duration::from_millis(250);
 
-/// How many other entries get a heartbeat in each round.
-const FANOUT: usize = 2;
+/// How many other entries get a heartbeat in each round, at the least.
+const MIN_FANOUT: usize = 2;
 
 /// The least time that an entry listens before it counts as synced.
 const LISTEN_TIME: Duration = Duration::from_secs(1);
@@ -67,7 +68,7 @@
     /// Returns a machine that knows no one but itself.
     pub fn new(settings: MembersSettings, now: Instant) -> Self {
         let peers = &settings.peers;
-        let rounds = u32::try_from(peers.len().div_ceil(FANOUT)).unwrap_or(u32::MAX);
+        let rounds = u32::try_from(peers.len().div_ceil(fanout(peers.len()))).unwrap_or(u32::MAX);
         let mut members = Self {
             stage: EntryStage::Joining,
             table: Table::new(settings.max_upstreams),
@@ -228,6 +229,15 @@
         id == self.settings.id || self.liveness.is_alive(now, id)
     }
 
+    /// Stores a record, which changes the sets of its old and new owner.
+    pub(crate) fn store(&mut self, now: Instant, key: UpstreamKey, held: Held) {
+        if let Some(old) = self.table.get(key) {
+            self.liveness.forget_digest(old.record.owner);
+        }
+        self.liveness.forget_digest(held.record.owner);
+        self.table.put(now, key, held);
+    }
+
     /// Queues a record for all live entries.
     pub(crate) fn spread(&mut self, now: Instant, key: UpstreamKey) {
         for (id, pending) in &mut self.outbox {
@@ -315,7 +325,7 @@
     /// Picks who gets this round's heartbeats: all others in turn, dead ones
     /// too, since they may have come back, in an order that changes.
     fn queue_heartbeats(&mut self) {
-        for _ in 0..FANOUT.min(self.cycle.len()) {
+        for _ in 0..fanout(self.cycle.len()).min(self.cycle.len()) {
             if self.cycle_at >= self.cycle.len() {
                 self.cycle.shuffle(&mut self.rng);
                 self.cycle_at = 0;
@@ -333,3 +343,12 @@
         self.rng.random_range(0..bound)
     }
 }
+
+/// Returns how many of the other entries get a heartbeat in each round.
+///
+/// A sign of life reaches all within a number of rounds that grows with the
+/// logarithm of the others; it has to stay well within the timeout.
+fn fanout(others: usize) -> usize {
+    let bits = usize::BITS - others.leading_zeros();
+    MIN_FANOUT.max(bits as usize / 2)
+}
--- a/crates/currantgate-membership/src/upkeep.rs
+++ b/crates/currantgate-membership/src/upkeep.rs
@@ -241,7 +241,7 @@
         held.record.status = Status::Expired;
         held.recent_until = self.recent_until(now, &held.record);
         held.hash = held.record.hash();
-        self.table.put(now, key, held);
+        self.store(now, key, held);
         self.changes.upstreams = true;
     }
 
--- a/crates/currantgate-membership/tests/common/mod.rs
+++ b/crates/currantgate-membership/tests/common/mod.rs
@@ -24,6 +24,9 @@
 /// The usual step of virtual time.
 pub const STEP: Duration = Duration::from_millis(5);
 
+/// The incarnation of the first entry: a wall clock in milliseconds.
+const FIRST_START: u64 = 1_790_000_000_000;
+
 /// One way between two entries.
 const DELAY: Duration = Duration::from_micros(1_500);
 
@@ -124,7 +127,7 @@
             budget: currantgate_config::Budget::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             in_flight: Vec::new(),
-            starts: 0,
+            starts: FIRST_START,
         };
         for id in 0..count {
             cluster.start(id);
@@ -166,7 +169,7 @@
             peers: peers.collect(),
             services: self.services.clone(),
             max_upstreams: self.max_upstreams,
-            seed: u64::from(id) + self.starts * 1_000,
+            seed: u64::from(id) + (self.starts - FIRST_START) * 1_000,
             ..MembersSettings::default()
         };
         let entry = Entry {
