--- a/crates/currantgate-cli/src/cmd/apply.rs
+++ b/crates/currantgate-cli/src/cmd/apply.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command};
-use currantgate::{ClientError, ControlClient};
+use currantgate::{Applied, ClientError, ControlClient};
 use currantgate_config::{ConfigError, Site};
 use currantgate_control::{ApplyRequest, Base, Digest};
 
@@ -63,18 +63,28 @@
     let client = operator::client(matches)?;
     let until = operator::deadline(matches);
     let digest = Digest::of(&text);
-    let revision = operator::run(async {
+    let applied = operator::run(async {
         let base = resolve(&client, base).await?;
         let text = text.into();
         client.apply(ApplyRequest { base, text }, until).await
     })?;
-    if matches.get_flag("json") {
-        let answer = serde_json::json!({ "revision": revision, "digest": digest.to_string() });
+    print(applied, digest, matches.get_flag("json"));
+    Ok(())
+}
+
+fn print(Applied { revision, already }: Applied, digest: Digest, json: bool) {
+    if json {
+        let answer = serde_json::json!({
+            "revision": revision,
+            "digest": digest.to_string(),
+            "already": already,
+        });
         println!("{answer}");
+    } else if already {
+        println!("revision {revision}@{digest} was accepted already");
     } else {
         println!("revision {revision}@{digest} is accepted");
     }
-    Ok(())
 }
 
 /// Asks for the digest of the base unless the operator gave it.
--- a/crates/currantgate-control/src/change.rs
+++ b/crates/currantgate-control/src/change.rs
@@ -9,7 +9,7 @@
 
 /// The revision that a change was read at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
-#[display("revision {revision} ({digest})")]
+#[display("{revision}@{digest}")]
 pub struct Base {
     /// The revision.
     pub revision: Revision,
--- a/crates/currantgate-control/tests/distribution.rs
+++ b/crates/currantgate-control/tests/distribution.rs
@@ -133,6 +133,19 @@
     assert_eq!(subscriber.adopted(), None);
 }
 
+#[test]
+fn a_whole_file_that_comes_late_is_not_adopted() {
+    let now = Instant::now();
+    let mut subscriber = subscriber(now);
+    let old = change(None, "old");
+    let new = change(Some(&old), "new");
+    for change in [Arc::clone(&new), old] {
+        let update = Update::Full(change);
+        subscriber.receive(now, PublisherMessage::Update(Arc::new(update)));
+    }
+    assert_eq!(subscriber.have(), new.as_base());
+}
+
 #[test]
 fn silence_moves_a_subscriber_to_the_other_publisher_within_four_seconds() {
     let start = Instant::now();
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -37,10 +37,19 @@
     pub server: SocketAddr,
 }
 
+/// A change that is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// The revision that the change is.
+    pub revision: Revision,
+    /// Whether it was accepted by an earlier request and not applied again.
+    pub already: bool,
+}
+
 /// What became of a try at one control VM.
 enum Tried {
     /// The outcome is known.
-    Done(Result<Revision, ClientError>),
+    Done(Result<Applied, ClientError>),
     /// Nothing happened there; another one may do it.
     Next(Box<str>),
     /// It may have happened.
@@ -67,7 +76,7 @@
         &self,
         request: ApplyRequest,
         until: Instant,
-    ) -> Result<Revision, ClientError> {
+    ) -> Result<Applied, ClientError> {
         let call = Call::Apply(request);
         self.change(&call, until).await
     }
@@ -87,7 +96,7 @@
         self.change(&call, until).await.map(|_| ())
     }
 
-    async fn change(&self, call: &Call, until: Instant) -> Result<Revision, ClientError> {
+    async fn change(&self, call: &Call, until: Instant) -> Result<Applied, ClientError> {
         let mut unknown = false;
         let mut why: Box<str> = "no control VM was asked".into();
         loop {
@@ -218,14 +227,22 @@
 
 fn judge(reply: Reply) -> Tried {
     match reply {
-        Reply::Apply(ApplyAnswer::Accepted(revision) | ApplyAnswer::AlreadyAccepted(revision)) => {
-            Tried::Done(Ok(revision))
-        }
+        Reply::Apply(ApplyAnswer::Accepted(revision)) => Tried::Done(Ok(Applied {
+            revision,
+            already: false,
+        })),
+        Reply::Apply(ApplyAnswer::AlreadyAccepted(revision)) => Tried::Done(Ok(Applied {
+            revision,
+            already: true,
+        })),
         Reply::Apply(ApplyAnswer::Conflict(winner)) => {
             Tried::Done(Err(ClientError::Conflict(winner)))
         }
         Reply::WrongFile(problem) => Tried::Done(Err(ClientError::WrongFile(problem))),
-        Reply::Replace(ReplaceAnswer::Done) => Tried::Done(Ok(0)),
+        Reply::Replace(ReplaceAnswer::Done) => Tried::Done(Ok(Applied {
+            revision: 0,
+            already: false,
+        })),
         Reply::Replace(ReplaceAnswer::WrongMembers) => Tried::Done(Err(ClientError::WrongMembers)),
         Reply::Apply(ApplyAnswer::Refused(RefuseReason::TooLarge)) => {
             Tried::Done(Err(ClientError::TooLarge))
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -165,7 +165,7 @@
                     self.answer(request, Reply::Replace(answer));
                 }
                 Output::Committed(change) => {
-                    log::info!("{} is accepted", change.as_base());
+                    log::info!("revision {} is accepted", change.as_base());
                     self.publishing.borrow_mut().publish(now, change);
                 }
             }
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -58,7 +58,7 @@
 /// Why a request of an operator failed.
 #[derive(Debug, Display)]
 pub enum ClientError {
-    /// {0} was accepted upon the same base or a later one; nothing was applied: show it, merge and apply again
+    /// revision {0} was accepted upon the same base or a later one; nothing was applied: show it, merge and apply again
     Conflict(Base),
     /// the file is wrong, and nothing was applied: {0}
     WrongFile(Box<str>),
--- a/crates/currantgate/src/control/mod.rs
+++ b/crates/currantgate/src/control/mod.rs
@@ -17,7 +17,7 @@
 
 pub use accepted::Accepted;
 pub use call::NodeStatus;
-pub use client::{ControlClient, Shown};
+pub use client::{Applied, ControlClient, Shown};
 pub use daemon::{Control, ControlStart};
 pub use error::{ClientError, ControlError};
 pub use fan_out::FanOut;
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -28,8 +28,8 @@
 mod trace;
 
 pub use control::{
-    Accepted, ClientError, Control, ControlClient, ControlError, ControlStart, FanOut, NodeStatus,
-    Shown, Subscription, SubscriptionSettings,
+    Accepted, Applied, ClientError, Control, ControlClient, ControlError, ControlStart, FanOut,
+    NodeStatus, Shown, Subscription, SubscriptionSettings,
 };
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use trace::TRACE_TARGET;
--- a/crates/currantgate/tests/control.rs
+++ b/crates/currantgate/tests/control.rs
@@ -57,11 +57,14 @@
     };
     let digest = request.digest();
     let client = ControlClient::new(&servers(address));
-    let revision = client
+    let applied = client
         .apply(request, Instant::now() + DEADLINE)
         .await
         .unwrap();
-    Base { revision, digest }
+    Base {
+        revision: applied.revision,
+        digest,
+    }
 }
 
 async fn adopted(subscription: &Subscription, base: Base) -> Arc<Accepted> {
