--- a/crates/currantgate-control/tests/common/checks.rs
+++ b/crates/currantgate-control/tests/common/checks.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Base, Change, Entry, Freshness, Index, Read, Revision,
+    ApplyAnswer, ApplyRequest, Base, Change, Command, Entry, Freshness, Index, Message, Read,
+    Revision,
 };
 
 /// Everything that was ever committed or answered.
@@ -25,6 +26,19 @@
         assert_eq!(known, entry, "two values at index {}", entry.index);
     }
 
+    /// Voters change one at a time: the next change waits for commitment.
+    pub fn sent(&self, message: &Message) {
+        if let Message::Append {
+            entries, commit, ..
+        } = message
+        {
+            let changes = entries.iter().filter(|entry| {
+                entry.index > *commit && matches!(entry.command, Command::Members(_))
+            });
+            assert!(changes.count() <= 1, "two changes of voters at once");
+        }
+    }
+
     /// One value per revision, each upon the one before.
     pub fn committed_change(&mut self, change: &Change) {
         let known = self
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -366,6 +366,7 @@
     fn send(&mut self, from: VoterId, to: VoterId, message: &Message) {
         let granted = matches!(message, Message::VoteReply { granted: true, .. });
         self.votes += usize::from(granted);
+        self.checks.sent(message);
         if self.cuts.contains(&(from, to)) || !self.nodes.contains_key(&to) {
             return;
         }
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -143,15 +143,16 @@
     if start == ControlStart::Init && !members.contains(settings.id) {
         return Err(ControlError::NoVoter(settings.id));
     }
-    Ok(match start {
-        ControlStart::Resume => Journal::open(folder)?,
-        ControlStart::Init => Journal::init(folder, members)?,
-        ControlStart::Join => Journal::join(folder)?,
+    let opened = match start {
+        ControlStart::Resume => Journal::open(folder),
+        ControlStart::Init => Journal::init(folder, members),
+        ControlStart::Join => Journal::join(folder),
         ControlStart::InitOrResume => match Journal::open(folder) {
-            Err(StorageError::Missing { .. }) => Journal::init(open_folder(settings)?, members)?,
-            opened => opened?,
+            Err(StorageError::Missing { .. }) => Journal::init(open_folder(settings)?, members),
+            opened => opened,
         },
-    })
+    };
+    opened.map_err(ControlError::storage(&settings.data))
 }
 
 /// Returns a seed that differs between VMs and between starts, so that
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use currantgate_config::ConfigError;
 use currantgate_control::{Base, Revision, StorageError, TransportError};
@@ -12,8 +13,13 @@
 pub enum ControlError {
     /// {0}
     Config(ConfigError),
-    /// the data folder can't be used: {0}
-    Storage(StorageError),
+    /// the data folder {folder} can't be used: {source}
+    Storage {
+        /// The folder.
+        folder: Box<str>,
+        /// What is wrong with it.
+        source: StorageError,
+    },
     /// the data folder {folder} can't be used: {source}
     Folder {
         /// The folder.
@@ -36,7 +42,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Config(source) => Some(source),
-            Self::Storage(source) => Some(source),
+            Self::Storage { source, .. } => Some(source),
             Self::Folder { source, .. } | Self::Listen { source, .. } => Some(source),
             Self::NoVoter(_) => None,
         }
@@ -49,9 +55,13 @@
     }
 }
 
-impl From<StorageError> for ControlError {
-    fn from(source: StorageError) -> Self {
-        Self::Storage(source)
+impl ControlError {
+    /// Says which folder an error of the disk is about.
+    pub(super) fn storage(folder: &Path) -> impl Fn(StorageError) -> Self {
+        move |source| Self::Storage {
+            folder: folder.display().to_string().into(),
+            source,
+        }
     }
 }
 
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -43,7 +43,10 @@
     pub fn start(settings: &ControlSettings, listener: TcpListener) -> Result<Self, ControlError> {
         let (address, listener) = use_listener(settings.listen, listener)?;
         let mut file = AdoptedFile::new(open_folder(settings)?);
-        let adopted = file.load()?.map(Arc::new);
+        let adopted = file
+            .load()
+            .map_err(ControlError::storage(&settings.data))?
+            .map(Arc::new);
         let now = Instant::now();
         let shared = Shared {
             publishing: Rc::new(RefCell::new(Publishing::new(now))),
--- a/crates/currantgate/src/control/subscription.rs
+++ b/crates/currantgate/src/control/subscription.rs
@@ -41,9 +41,9 @@
     ///
     /// Returns an error when the folder can't be used or is damaged.
     pub fn start(settings: &SubscriptionSettings) -> Result<Self, ControlError> {
-        let mut file = settings.data.as_deref().map(open_file).transpose()?;
-        let adopted = file.as_mut().map(AdoptedFile::load).transpose()?.flatten();
-        let adopted = adopted.map(Arc::new);
+        let opened = settings.data.as_deref().map(open_file).transpose()?;
+        let (file, adopted) = opened.unzip();
+        let adopted = adopted.flatten().map(Arc::new);
         let (tx, accepted) = watch::channel(None);
         if let Some(change) = &adopted {
             put_in_force(&tx, change);
@@ -84,12 +84,15 @@
     }
 }
 
-fn open_file(folder: &Path) -> Result<AdoptedFile<Folder>, ControlError> {
+/// Opens the folder of a VM that has one, and reads what it holds.
+fn open_file(folder: &Path) -> Result<(AdoptedFile<Folder>, Option<Change>), ControlError> {
     let disk = Folder::open(folder).map_err(|source| ControlError::Folder {
         folder: folder.display().to_string().into(),
         source,
     })?;
-    Ok(AdoptedFile::new(disk))
+    let mut file = AdoptedFile::new(disk);
+    let adopted = file.load().map_err(ControlError::storage(folder))?;
+    Ok((file, adopted))
 }
 
 fn put_in_force(tx: &watch::Sender<Option<Arc<Accepted>>>, change: &Change) {
