Add the relay daemon, and the commands relay and run

A relay takes HTTP/2 with prior knowledge on both sides, or plain TCP, and carries out what one dispatcher decides. Bodies pass with flow control end to end; a truncated answer is passed on as a reset; a refusal is told by status and the header currantgate-outcome, with retry-after where nothing ran. The relay takes announcements by the same HTTP interface as entries.

--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/relay.rs
@@ -0,0 +1,56 @@
+//! `currantgate relay`: takes requests from callers.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use currantgate::{Relay, RelaySockets};
+use currantgate_config::{RelaySettings, Site};
+
+use super::stop_signal;
+use crate::error::CommandError;
+
+/// Returns the `relay` subcommand.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("relay")
+        .about("Takes requests from callers and hands each to an upstream")
+        .long_about(
+            "Takes requests over HTTP/2 with prior knowledge, or plain TCP connections, and \
+             hands each to an upstream that has announced itself. SIGTERM lets running \
+             requests end; a second one cuts them.",
+        )
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The relay's settings file"),
+        )
+}
+
+/// Runs the `relay` subcommand until SIGTERM or SIGINT.
+pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    let file = matches
+        .get_one::<PathBuf>("config")
+        .expect("clap requires the settings file");
+    let settings = RelaySettings::load(file)?;
+    let site = Site::load(&settings.site)?;
+    serve(&settings, &site)
+}
+
+/// Runs a relay until a signal, and then until its requests have ended.
+pub(crate) fn serve(settings: &RelaySettings, site: &Site) -> Result<(), CommandError> {
+    let sockets = RelaySockets::bind(settings, site)?;
+    actix_rt::System::new().block_on(async {
+        let relay = Relay::start(settings, site, sockets)?;
+        stop_signal::wait().await?;
+        let again = async {
+            if let Err(e) = stop_signal::wait().await {
+                log::warn!("a second signal can't be waited for: {e}");
+                std::future::pending::<()>().await;
+            }
+        };
+        relay.stop(again).await;
+        Ok(())
+    })
+}
--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::process::ExitCode;
 
-use currantgate::EntryError;
+use currantgate::{EntryError, RelayError};
 use currantgate_config::ConfigError;
 use currantgate_standin::StandinError;
 use displaydoc::Display;
@@ -22,6 +22,8 @@
     /// {0}
     Entry(EntryError),
     /// {0}
+    Relay(RelayError),
+    /// {0}
     Standin(StandinError),
     /// the system refused: {0}
     Io(io::Error),
@@ -33,8 +35,11 @@
         match self {
             Self::Config(_)
             | Self::Entry(EntryError::Config(_))
+            | Self::Relay(RelayError::Config(_) | RelayError::UnknownService(_))
             | Self::Standin(StandinError::Config(_)) => ExitCode::from(EXIT_CONFIG),
-            Self::Entry(_) | Self::Standin(_) | Self::Io(_) => ExitCode::from(EXIT_FAILED),
+            Self::Entry(_) | Self::Relay(_) | Self::Standin(_) | Self::Io(_) => {
+                ExitCode::from(EXIT_FAILED)
+            }
         }
     }
 }
@@ -51,6 +56,12 @@
     }
 }
 
+impl From<RelayError> for CommandError {
+    fn from(source: RelayError) -> Self {
+        Self::Relay(source)
+    }
+}
+
 impl From<StandinError> for CommandError {
     fn from(source: StandinError) -> Self {
         Self::Standin(source)
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -27,6 +27,8 @@
 fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some(("entry", sub)) => cmd::entry::execute(sub),
+        Some(("relay", sub)) => cmd::relay::execute(sub),
+        Some(("run", sub)) => cmd::run::execute(sub),
         Some(("demo", sub)) => cmd::demo::execute(sub),
         Some(("standin", sub)) => cmd::standin::execute(sub),
         Some(("check", sub)) => cmd::check::execute(sub),
@@ -43,6 +45,8 @@
         .arg(log_setup::make_arg())
         .arg(trace::make_arg())
         .subcommand(cmd::entry::make_subcommand())
+        .subcommand(cmd::relay::make_subcommand())
+        .subcommand(cmd::run::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
         .subcommand(cmd::standin::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
--- a/crates/currantgate/src/entry/mod.rs
+++ b/crates/currantgate/src/entry/mod.rs
@@ -1,6 +1,6 @@
 //! The entry daemon: packets from the fabric to upstreams and back.
 
-mod announce;
+pub(crate) mod announce;
 mod core;
 mod daemon;
 mod error;
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -4,7 +4,8 @@
 //! The decisions are deterministic state machines in crates of their own:
 //! [`currantgate_flow::Router`] decides where packets go and
 //! [`currantgate_membership::Members`] decides who is alive. This crate puts
-//! sockets and timers around them. [`Entry`] is the daemon that takes packets
+//! sockets and timers around them. [`Relay`] does the same around
+//! [`currantgate_request::Dispatcher`], which decides about requests. [`Entry`] is the daemon that takes packets
 //! from the fabric:
 //!
 //! ```no_run
@@ -24,7 +25,9 @@
 //! ```
 
 mod entry;
+mod relay;
 mod trace;
 
 pub use entry::{Entry, EntryError, EntrySockets};
+pub use relay::{Relay, RelayError, RelaySockets};
 pub use trace::TRACE_TARGET;
--- /dev/null
+++ b/crates/currantgate/src/relay/caller.rs
@@ -0,0 +1,105 @@
+//! Connections of callers.
+
+use std::rc::Rc;
+
+use currantgate_config::{RequestProtocol, Service};
+use h2::server;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::shared::Shared;
+use super::upstream::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
+use super::{exchange, tcp};
+
+/// Requests that one connection may have open at once.
+const MAX_STREAMS: u32 = 256;
+
+/// Bytes of a request's headers that are read.
+const MAX_HEADER_BYTES: u32 = 64 * 1_024;
+
+/// Counts an open connection for as long as it lives.
+struct Open(Rc<Shared>);
+
+impl Open {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.open.set(shared.open.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.ended.notify_waiters();
+    }
+}
+
+/// Takes callers of one service until the relay is to stop.
+pub(crate) async fn accept(shared: Rc<Shared>, service: Rc<Service>, listener: TcpListener) {
+    let mut stopping = shared.stopping.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve(Rc::clone(&shared), Rc::clone(&service), stream));
+            }
+            Err(e) => {
+                log::warn!("{}: a caller could not be accepted: {e}", service.name);
+                // The system is short of something; trying on at once won't help.
+                actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Rc<Shared>, service: Rc<Service>, stream: TcpStream) {
+    let _open = Open::new(&shared);
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("{}: a caller's socket: {e}", service.name);
+    }
+    match service.requests.protocol {
+        RequestProtocol::Tcp => tcp::relay(&shared, &service, stream).await,
+        RequestProtocol::Http2 => {
+            let stopping = shared.stopping.subscribe();
+            if let Err(e) = serve_http2(&shared, &service, stream, stopping).await {
+                log::debug!("{}: a caller's connection ended: {e}", service.name);
+            }
+        }
+    }
+}
+
+async fn serve_http2(
+    shared: &Rc<Shared>,
+    service: &Rc<Service>,
+    stream: TcpStream,
+    mut stopping: watch::Receiver<bool>,
+) -> Result<(), h2::Error> {
+    let mut connection = server::Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .handshake(stream)
+        .await?;
+    if *stopping.borrow_and_update() {
+        connection.graceful_shutdown();
+    }
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            Ok(()) = stopping.changed() => {
+                connection.graceful_shutdown();
+                continue;
+            }
+        };
+        let Some(accepted) = accepted else {
+            return Ok(());
+        };
+        let (request, respond) = accepted?;
+        let (shared, service) = (Rc::clone(shared), Rc::clone(service));
+        actix_rt::spawn(exchange::run(shared, service, request, respond));
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/relay/error.rs
@@ -0,0 +1,52 @@
+//! Why a relay can't run.
+
+use std::io;
+use std::net::SocketAddr;
+
+use currantgate_config::ConfigError;
+use displaydoc::Display;
+
+use crate::EntryError;
+
+/// Why a relay can't run.
+#[derive(Debug, Display)]
+pub enum RelayError {
+    /// can't listen on {address} for {purpose}: {source}
+    Bind {
+        /// The address that was asked for.
+        address: SocketAddr,
+        /// What it is for: a service's name or the key under `listen`.
+        purpose: Box<str>,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// key `serve.service`: no service is called `{0}`
+    UnknownService(Box<str>),
+    /// {0}
+    Http(EntryError),
+    /// {0}
+    Config(ConfigError),
+}
+
+impl std::error::Error for RelayError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Bind { source, .. } => Some(source),
+            Self::Http(source) => Some(source),
+            Self::Config(source) => Some(source),
+            Self::UnknownService(_) => None,
+        }
+    }
+}
+
+impl From<EntryError> for RelayError {
+    fn from(source: EntryError) -> Self {
+        Self::Http(source)
+    }
+}
+
+impl From<ConfigError> for RelayError {
+    fn from(source: ConfigError) -> Self {
+        Self::Config(source)
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/relay/metrics.rs
@@ -0,0 +1,51 @@
+//! What a relay counts.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Labels that tell how a request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    /// How it ended, in lower case with underscores.
+    outcome: &'static str,
+}
+
+/// What a relay counts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RelayMetrics {
+    requests: Family<Outcome, Counter>,
+    /// Attempts that were sent to upstreams.
+    pub(crate) attempts: Counter,
+    /// Requests that are not yet settled.
+    pub(crate) open: Gauge,
+}
+
+impl RelayMetrics {
+    /// Registers all metrics under the `currantgate_relay` prefix.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("currantgate_relay");
+        registry.register(
+            "requests",
+            "Requests that were settled, by outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts that were sent to upstreams",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "requests_open",
+            "Requests that are not yet settled",
+            self.open.clone(),
+        );
+    }
+
+    /// Counts one settled request.
+    pub(crate) fn count(&self, outcome: &'static str) {
+        self.requests.get_or_create(&Outcome { outcome }).inc();
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/relay/mod.rs
@@ -0,0 +1,24 @@
+//! The relay daemon: requests from callers to upstreams and back.
+//!
+//! One [`currantgate_request::Dispatcher`] makes all decisions; the modules
+//! here only carry them out. See `docs/design/requests.md`.
+
+mod answer;
+mod body;
+mod caller;
+mod core;
+mod daemon;
+mod error;
+mod exchange;
+mod headers;
+mod metrics;
+mod refusal;
+mod shared;
+mod sockets;
+mod tcp;
+mod trace_context;
+mod upstream;
+
+pub use daemon::Relay;
+pub use error::RelayError;
+pub use sockets::RelaySockets;
--- /dev/null
+++ b/crates/currantgate/tests/relay_support/mod.rs
@@ -0,0 +1,171 @@
+//! A relay on loopback, a caller and stand-in upstreams.
+
+pub(crate) mod stand_in;
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use currantgate::{Relay, RelaySockets};
+use currantgate_config::{Dispatch, RelayListen, RelaySettings, Serve, Site};
+use h2::client::SendRequest;
+use h2::{RecvStream, client};
+use http::{HeaderMap, Request, Response, StatusCode};
+use stand_in::StandIn;
+use tokio::net::TcpStream;
+
+/// The site that tests run.
+const SITE: &str = r#"
+domains = ["riga-1"]
+
+[[service]]
+name = "booking"
+address = "127.20.0.1:443"
+requests.repeatable = [{ methods = ["GET"], path_prefix = "/free" }]
+
+[[service]]
+name = "raw"
+address = "127.20.0.2:443"
+requests.protocol = "tcp"
+"#;
+
+/// One relay and the addresses it took.
+pub(crate) struct Fixture {
+    pub(crate) relay: Relay,
+    pub(crate) booking: SocketAddr,
+    pub(crate) raw: SocketAddr,
+    announce: SocketAddr,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |v| v.to_str().unwrap())
+    }
+}
+
+impl Fixture {
+    /// Starts the relay on ports that the system chooses.
+    pub(crate) fn start() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let serve = |service: &str| Serve {
+            service: service.into(),
+            address: any,
+        };
+        let settings = RelaySettings {
+            domain: "riga-1".into(),
+            site: "site.toml".into(),
+            listen: RelayListen {
+                announce: any,
+                metrics: any,
+            },
+            serves: vec![serve("booking"), serve("raw")],
+            dispatch: Dispatch {
+                ping_after_ms: 200,
+                ping_timeout_ms: 200,
+                ..Dispatch::default()
+            },
+        };
+        let site = Site::parse(SITE, "site.toml").unwrap();
+        let sockets = RelaySockets::bind(&settings, &site).unwrap();
+        let booking = sockets.service("booking").unwrap();
+        let raw = sockets.service("raw").unwrap();
+        let announce = sockets.addresses().unwrap().announce;
+        let relay = Relay::start(&settings, &site, sockets).unwrap();
+        Self {
+            relay,
+            booking,
+            raw,
+            announce,
+        }
+    }
+
+    /// Starts the relay with one upstream.
+    pub(crate) async fn with_one() -> (Self, StandIn) {
+        let fixture = Self::start();
+        let upstream = StandIn::start("a").await;
+        fixture.announce("booking", "a", upstream.address).await;
+        (fixture, upstream)
+    }
+
+    /// Announces an upstream with three slots.
+    pub(crate) async fn announce(&self, service: &str, name: &str, address: SocketAddr) {
+        let url = format!("http://{}/v1/upstreams/{service}/{name}", self.announce);
+        let body = serde_json::json!({
+            "incarnation": 1,
+            "address": address,
+            "domain": "riga-1",
+            "slots": 3,
+        });
+        let answer = awc::Client::new().put(url).send_json(&body).await.unwrap();
+        assert!(answer.status().is_success(), "{}", answer.status());
+    }
+
+    /// Opens a connection as an ordinary client does.
+    pub(crate) async fn connect(&self) -> SendRequest<Bytes> {
+        let stream = TcpStream::connect(self.booking).await.unwrap();
+        let (sender, connection) = client::handshake(stream).await.unwrap();
+        actix_rt::spawn(async {
+            let _ = connection.await;
+        });
+        sender
+    }
+
+    /// Sends one request on a new connection and takes its whole answer.
+    pub(crate) async fn ask(&self, method: &str, path: &str, body: &str) -> Answer {
+        let sender = self.connect().await;
+        ask(sender, method, path, body).await
+    }
+}
+
+/// Sends one request and takes its whole answer.
+pub(crate) async fn ask(
+    sender: SendRequest<Bytes>,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Answer {
+    let response = begin(sender, method, path, body).await;
+    let (parts, rx) = response.into_parts();
+    Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: read(rx).await.unwrap(),
+    }
+}
+
+/// Sends one request and takes the head of its answer.
+pub(crate) async fn begin(
+    sender: SendRequest<Bytes>,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Response<RecvStream> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://booking.test{path}"))
+        .header("currantgate-deadline-ms", "9000")
+        .body(())
+        .unwrap();
+    let mut sender = sender.ready().await.unwrap();
+    let (response, mut tx) = sender.send_request(request, false).unwrap();
+    tx.send_data(Bytes::from(body.to_string()), true).unwrap();
+    response.await.unwrap()
+}
+
+/// Reads a body to its end.
+pub(crate) async fn read(mut rx: RecvStream) -> Result<Bytes, h2::Error> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = rx.data().await {
+        let chunk = chunk?;
+        rx.flow_control().release_capacity(chunk.len())?;
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/currantgate/tests/relay_support/stand_in.rs
@@ -0,0 +1,147 @@
+//! An upstream that does what the path of each request says.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use h2::server::{self, SendResponse};
+use h2::{Reason, RecvStream};
+use http::{Request, Response};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::read;
+
+/// Bytes of the answer to `/large`.
+pub(crate) const LARGE_BYTES: usize = 4 << 20;
+
+/// What an upstream saw and did.
+#[derive(Default)]
+pub(crate) struct State {
+    name: &'static str,
+    /// Paths of the requests that ran.
+    pub(crate) runs: RefCell<Vec<String>>,
+    /// Bytes of large answers that were handed to the connection.
+    pub(crate) sent: Cell<usize>,
+    /// Refuse every stream before it runs.
+    pub(crate) refusing: Cell<bool>,
+    /// Read and write nothing more on the next connection after a request.
+    pub(crate) goes_silent: Cell<bool>,
+    /// Woken when a request starts to hang.
+    pub(crate) hanging: Notify,
+    /// Lets hanging requests go on.
+    pub(crate) release: Notify,
+}
+
+/// An upstream on loopback.
+pub(crate) struct StandIn {
+    pub(crate) address: SocketAddr,
+    pub(crate) state: Rc<State>,
+    connections: Rc<RefCell<Vec<JoinHandle<()>>>>,
+}
+
+impl StandIn {
+    pub(crate) async fn start(name: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Rc::new(State {
+            name,
+            ..State::default()
+        });
+        let connections = Rc::new(RefCell::new(Vec::new()));
+        let (shared, tasks) = (Rc::clone(&state), Rc::clone(&connections));
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let task = actix_rt::spawn(serve(Rc::clone(&shared), stream));
+                tasks.borrow_mut().push(task);
+            }
+        });
+        Self {
+            address,
+            state,
+            connections,
+        }
+    }
+
+    /// Cuts all connections, as if the process had died.
+    pub(crate) fn kill(&self) {
+        for task in self.connections.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
+}
+
+async fn serve(state: Rc<State>, stream: TcpStream) {
+    let mut connection = server::handshake(stream).await.unwrap();
+    while let Some(Ok((request, mut respond))) = connection.accept().await {
+        if state.goes_silent.replace(false) {
+            std::future::pending::<()>().await;
+        }
+        if state.refusing.get() {
+            respond.send_reset(Reason::REFUSED_STREAM);
+            continue;
+        }
+        actix_rt::spawn(answer(Rc::clone(&state), request, respond));
+    }
+}
+
+async fn answer(state: Rc<State>, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+    let path = request.uri().path().to_string();
+    state.runs.borrow_mut().push(path.clone());
+    let seen = |name| request.headers().get(name).cloned();
+    let mut head = Response::new(());
+    for name in ["traceparent", "currantgate-deadline-ms"] {
+        if let Some(value) = seen(name) {
+            head.headers_mut().insert(name, value);
+        }
+    }
+    match path.as_str() {
+        "/reset" => respond.send_reset(Reason::INTERNAL_ERROR),
+        "/large" => {
+            let _ = send_large(&state, head, respond).await;
+        }
+        "/truncated" => {
+            let mut tx = respond.send_response(head, false).unwrap();
+            tx.send_data(Bytes::from_static(b"the first part"), false)
+                .unwrap();
+            // Lets the part be written before the reset overtakes it.
+            actix_rt::task::yield_now().await;
+            tx.send_reset(Reason::INTERNAL_ERROR);
+        }
+        "/hang" => {
+            state.hanging.notify_one();
+            state.release.notified().await;
+            finish(&state, head, &mut respond, b"");
+        }
+        _ => {
+            let body = read(request.into_body()).await.unwrap();
+            finish(&state, head, &mut respond, &body);
+        }
+    }
+}
+
+fn finish(state: &State, head: Response<()>, respond: &mut SendResponse<Bytes>, body: &[u8]) {
+    if let Ok(mut tx) = respond.send_response(head, false) {
+        let text = format!("{}:{}", state.name, String::from_utf8_lossy(body));
+        let _ = tx.send_data(text.into(), true);
+    }
+}
+
+async fn send_large(
+    state: &State,
+    head: Response<()>,
+    mut respond: SendResponse<Bytes>,
+) -> Option<()> {
+    let mut tx = respond.send_response(head, false).ok()?;
+    while state.sent.get() < LARGE_BYTES {
+        tx.reserve_capacity(16_384);
+        let capacity = poll_fn(|cx| tx.poll_capacity(cx)).await?.ok()?;
+        let len = capacity.min(LARGE_BYTES - state.sent.get());
+        tx.send_data(vec![7; len].into(), false).ok()?;
+        state.sent.set(state.sent.get() + len);
+    }
+    tx.send_data(Bytes::new(), true).ok()
+}
