--- a/crates/currantgate-flow/benches/flow.rs
+++ b/crates/currantgate-flow/benches/flow.rs
@@ -350,6 +350,7 @@
         let view = EntryView {
             id: 1,
             stage: EntryStage::Serving,
+            domain: "".into(),
         };
         router.set_entries(now, &[view]);
         router.tick(now);
