Test what an entry believes of others' records, one fault each

Cause: with a guarding line removed at a time, the tests did not notice that an ended upstream was believed alive again, that an address was shown twice, that the budget was ignored, that messages grew, that records went unchecked, that an entry that was cut off was believed over a live owner, that renewals were not passed on or that a late heartbeat was taken.

Change: one short test for each.

--- /dev/null
+++ b/crates/currantgate-membership/tests/gossip.rs
@@ -0,0 +1,145 @@
+//! What one entry believes of what others tell it.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cluster, HEADER_BYTES, announcement};
+use currantgate_config::{EntryId, service_id};
+use currantgate_membership::{EntryStage, Message, Presence, Record, Status, Upstream};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn record(name: &str, host: u16, sequence: u64, owner: EntryId, status: Status) -> Record {
+    let given = announcement(1, host, 0);
+    Record {
+        upstream: Upstream {
+            name: name.into(),
+            incarnation: given.incarnation,
+            service: service_id("booking"),
+            address: given.address,
+            domain: given.domain,
+            slots: given.slots,
+            state: given.state,
+        },
+        sequence,
+        owner,
+        status,
+        warm_ms: 0,
+    }
+}
+
+/// Lets entry 0 take a record as entry `from` would send it.
+fn tell(cluster: &mut Cluster, from: EntryId, record: Record) {
+    let now = cluster.now;
+    let message = Message::Records(vec![record]);
+    cluster.members(0).receive(now, from, message);
+}
+
+fn beat(sequence: u64, stage: EntryStage) -> Message {
+    Message::Heartbeat {
+        incarnation: u64::MAX,
+        sequence,
+        stage,
+        digest: 0,
+        heard: Vec::new(),
+        late: Vec::new(),
+    }
+}
+
+#[test]
+fn an_ended_incarnation_never_returns_whatever_its_sequence() {
+    let mut cluster = Cluster::serving(4, 4, 1);
+    tell(&mut cluster, 1, record("up-1", 1, 2, 1, Status::Gone));
+    tell(&mut cluster, 2, record("up-1", 1, 9, 2, Status::Leased));
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Gone));
+}
+
+#[test]
+fn an_ended_incarnation_never_returns_after_it_was_forgotten() {
+    let mut cluster = Cluster::serving(4, 4, 2);
+    tell(&mut cluster, 1, record("up-1", 1, 2, 1, Status::Gone));
+    cluster.run(SECOND * 90);
+    assert_eq!(cluster.presence(0, "up-1"), None);
+    tell(&mut cluster, 2, record("up-1", 1, 9, 2, Status::Leased));
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Gone));
+}
+
+#[test]
+fn two_upstreams_at_one_address_are_never_shown_together() {
+    let mut cluster = Cluster::serving(4, 4, 3);
+    tell(&mut cluster, 1, record("up-1", 1, 1, 1, Status::Leased));
+    tell(&mut cluster, 2, record("up-2", 1, 1, 2, Status::Leased));
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Leased));
+    assert_eq!(cluster.presence(0, "up-2"), None);
+    tell(&mut cluster, 1, record("up-1", 1, 2, 1, Status::Gone));
+    assert_eq!(cluster.presence(0, "up-2"), Some(Presence::Leased));
+}
+
+#[test]
+fn a_live_owner_is_believed_over_an_entry_that_misses_its_upstream() {
+    let mut cluster = Cluster::serving(4, 4, 4);
+    tell(&mut cluster, 1, record("up-1", 1, 1, 1, Status::Leased));
+    tell(&mut cluster, 2, record("up-1", 1, 2, 2, Status::Expired));
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Leased));
+    tell(&mut cluster, 1, record("up-1", 1, 3, 1, Status::Expired));
+    assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Expired));
+}
+
+#[test]
+fn a_late_heartbeat_takes_no_entry_back_to_an_earlier_stage() {
+    let mut cluster = Cluster::serving(2, 2, 5);
+    let now = cluster.now;
+    let members = cluster.members(0);
+    members.receive(now, 1, beat(5, EntryStage::Leaving));
+    members.receive(now, 1, beat(4, EntryStage::Serving));
+    assert_eq!(members.entries()[1].stage, EntryStage::Leaving);
+}
+
+#[test]
+fn an_owner_learns_of_renewals_that_another_entry_took() {
+    let mut cluster = Cluster::serving(8, 4, 6);
+    let given = announcement(1, 1, 0);
+    cluster
+        .announce(0, "booking", "up-1", given.clone())
+        .unwrap();
+    for tenth in 0..200 {
+        if tenth % 10 == 0 {
+            let given = given.clone();
+            cluster.announce(4, "booking", "up-1", given).unwrap();
+        }
+        for _ in 0..20 {
+            cluster.run(common::STEP);
+            assert_eq!(cluster.presence(0, "up-1"), Some(Presence::Leased));
+        }
+    }
+}
+
+#[test]
+fn a_large_set_reaches_a_new_entry_in_small_messages() {
+    let mut cluster = Cluster::serving(2, 1, 7);
+    for host in 0..300 {
+        let name = format!("{}-{host}", "u".repeat(50));
+        let given = announcement(1, host, 0);
+        cluster.announce(0, "booking", &name, given).unwrap();
+    }
+    cluster.start(1);
+    cluster.run(SECOND * 5);
+    assert!(cluster.largest <= 1_200, "{} bytes", cluster.largest);
+    assert!(cluster.largest > 900, "{} bytes", cluster.largest);
+}
+
+#[test]
+fn a_budget_is_overdrawn_by_one_message_at_most() {
+    let mut cluster = Cluster::new(8, 4, 8);
+    cluster.budget.bytes_per_second = 300;
+    cluster.budget.burst_bytes = 600;
+    (0..8).for_each(|id| cluster.start(id));
+    for second in 1..=60 {
+        cluster.run(SECOND);
+        let one_message = (cluster.largest + HEADER_BYTES) as u64;
+        for entry in cluster.entries.values() {
+            assert!(entry.sent <= 600 + 300 * second + one_message);
+        }
+    }
+}
--- a/crates/currantgate-membership/tests/hostile.rs
+++ b/crates/currantgate-membership/tests/hostile.rs
@@ -98,7 +98,11 @@
 }
 
 fn is_bounded(members: &Members) -> bool {
-    members.upstreams().count() <= 2 * MAX_UPSTREAMS && members.entries().len() <= 4
+    let is_good =
+        |u: &Upstream| (1..=64).contains(&u.name.len()) && (1..=65_536).contains(&u.slots);
+    members.upstreams().all(|(u, _)| is_good(u))
+        && members.upstreams().count() <= 2 * MAX_UPSTREAMS
+        && members.entries().len() <= 4
 }
 
 fn decode(buf: &[u8]) -> Option<Message> {
