Print bench figures to the millisecond and test renewals that another entry took

The test of renewals passed without them: both entries had started the record at once, and the distrust of a lone silent upstream hid the rest.

--- a/crates/currantgate-membership/benches/membership.rs
+++ b/crates/currantgate-membership/benches/membership.rs
@@ -54,7 +54,7 @@
     println!("{:<58} | {:>10} | {:>8}", "figure", "measured", "target");
     for row in rows {
         let target = row.target.map_or("-".into(), |t| format!("<= {t}"));
-        println!("{:<58} | {:>10.1} | {target:>8}", row.figure, row.measured);
+        println!("{:<58} | {:>10.3} | {target:>8}", row.figure, row.measured);
     }
     let is_broken = |row: &&Row| row.target.is_some_and(|target| row.measured > target);
     let broken: Vec<_> = rows.iter().filter(is_broken).map(|r| &r.figure).collect();
--- a/crates/currantgate-membership/tests/gossip.rs
+++ b/crates/currantgate-membership/tests/gossip.rs
@@ -103,8 +103,14 @@
     cluster
         .announce(0, "booking", "up-1", given.clone())
         .unwrap();
+    cluster.run(SECOND);
     for tenth in 0..200 {
         if tenth % 10 == 0 {
+            // Beside others that renew at the owner, silence would be believed.
+            for host in 2..=4 {
+                let (name, other) = (format!("up-{host}"), announcement(1, host, 0));
+                cluster.announce(0, "booking", &name, other).unwrap();
+            }
             let given = given.clone();
             cluster.announce(4, "booking", "up-1", given).unwrap();
         }
