Send heartbeats before records, and leave many records to paced answers

Cause: at 2,000 new upstreams and 4,096 B/s per entry, records that were sent again before their acknowledgement could come filled the budget, heartbeats waited behind them, live entries looked dead, and their upstreams were adopted again and again: after 400 s no entry knew more than 861 of 2,000 upstreams.

Change: heartbeats go first, with at most 4 records before one; short messages second; at most 16 records wait for an entry's acknowledgement, and from the fifth try on the time between two tries doubles. The rest is left to digests, whose answers have a pace of 2,048 B/s and go on where they stopped.

Conclusion: overload now delays records and no longer liveness. The new test fails with the sources before.

--- a/crates/currantgate-membership/benches/membership.rs
+++ b/crates/currantgate-membership/benches/membership.rs
@@ -256,6 +256,11 @@
 }
 
 fn slopes(rows: &mut Vec<Row>) {
+    for upstreams in [200, 2_000] {
+        let mut fleet = Fleet::new(8, upstreams, 4_096, 4);
+        let figure = format!("8 entries x {upstreams} upstreams: all known at 4,096 B/s, s");
+        rows.push(row(figure, fleet.settle(), None));
+    }
     for (entries, upstreams) in [(8, 20), (16, 20), (32, 20), (64, 20), (8, 200), (8, 2_000)] {
         let size = format!("{entries} entries x {upstreams} upstreams");
         let mut fleet = Fleet::new(entries, upstreams, UNLIMITED, 3);
--- a/crates/currantgate-membership/src/exchange.rs
+++ b/crates/currantgate-membership/src/exchange.rs
@@ -55,7 +55,7 @@
         };
         for (bucket, (ours, theirs)) in ours.iter().zip(digests).enumerate() {
             if ours != theirs {
-                pending.slices.insert(bucket as u8, 0);
+                pending.slices.entry(bucket as u8).or_insert(0);
             }
         }
     }
--- a/crates/currantgate-membership/src/outbox.rs
+++ b/crates/currantgate-membership/src/outbox.rs
@@ -11,9 +11,16 @@
 pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How often a record is sent before it is left to the digests.
-pub(crate) const MAX_TRIES: u32 = 12;
+pub(crate) const MAX_TRIES: u32 = 8;
 
-/// The most items of one kind that wait for one entry.
+/// Tries after which the time between two of them doubles.
+const FAST_TRIES: u32 = 4;
+
+/// The most records that wait for one entry's acknowledgement; more than that
+/// are left to the digests, since their answers have a pace.
+const MAX_DELTAS: usize = 16;
+
+/// The most items of any other kind that wait for one entry.
 const MAX_WAITING: usize = 64;
 
 /// The longest wait between two pulls is this power of two of the shortest.
@@ -26,6 +33,15 @@
     pub(crate) tries: u32,
 }
 
+impl Delta {
+    /// Notes that the record is sent, and when it is to be sent again.
+    pub(crate) fn count_try(&mut self, now: Instant) {
+        self.tries += 1;
+        let doublings = self.tries.saturating_sub(FAST_TRIES).min(MAX_TRIES);
+        self.next_try = now + RETRY_INTERVAL * (1 << doublings);
+    }
+}
+
 /// What is still to be told to one other entry.
 ///
 /// Messages are built when they are sent, so that they carry the present
@@ -66,7 +82,7 @@
 
     /// Queues a record; beyond the bound it is left to the digests.
     pub(crate) fn add_delta(&mut self, now: Instant, key: UpstreamKey) {
-        if self.deltas.len() < MAX_WAITING || self.deltas.contains_key(&key) {
+        if self.deltas.len() < MAX_DELTAS || self.deltas.contains_key(&key) {
             let delta = Delta {
                 next_try: now,
                 tries: 0,
--- a/crates/currantgate-membership/src/sending.rs
+++ b/crates/currantgate-membership/src/sending.rs
@@ -5,7 +5,7 @@
 use currantgate_config::EntryId;
 
 use crate::exchange::fold;
-use crate::outbox::{MAX_TRIES, Pending, RETRY_INTERVAL};
+use crate::outbox::{MAX_TRIES, Pending};
 use crate::record::UpstreamKey;
 use crate::table::bucket_of;
 use crate::{Members, Message, Record, Status};
@@ -13,6 +13,9 @@
 /// The most encoded bytes of records in one message.
 const MAX_RECORDS_BYTES: usize = 1_100;
 
+/// The most waiting records that go before a heartbeat.
+const MAX_BEFORE_HEARTBEAT: usize = 4;
+
 /// Bytes a second for slices, so that a large set leaves room for other messages.
 const SLICE_BYTES_PER_SECOND: u32 = 2_048;
 
@@ -27,37 +30,60 @@
             return None;
         }
         let start = self.random_below(count);
-        for i in 0..count {
-            let at = (start + i) % count;
-            if let Some(message) = self.urgent_message(now, at) {
-                return Some(message);
-            }
+        let order = move || (0..count).map(move |i| (start + i) % count);
+        let heartbeat = order().find_map(|at| self.heartbeat_message(now, at));
+        if heartbeat.is_some() {
+            return heartbeat;
         }
-        if now < self.next_slice {
-            return None;
+        let short = order().find_map(|at| self.short_message(at));
+        if short.is_some() {
+            return short;
         }
-        (0..count).find_map(|i| self.next_slice_message(now, (start + i) % count))
+        let records = order().find_map(|at| self.records_message(now, at));
+        if records.is_some() || now < self.next_slice {
+            return records;
+        }
+        order().find_map(|at| self.next_slice_message(now, at))
     }
 
-    fn urgent_message(&mut self, now: Instant, at: usize) -> Option<(EntryId, Message)> {
-        let id = *self.outbox.get_index(at)?.0;
-        if let Some(records) = self.due_records(now, at) {
-            return Some((id, Message::Records(records)));
+    /// Returns a heartbeat that is due, or the few records that go before it so
+    /// that its digest holds at the receiver.
+    ///
+    /// Many records don't: without heartbeats this entry would look dead.
+    fn heartbeat_message(&mut self, now: Instant, at: usize) -> Option<(EntryId, Message)> {
+        let (id, pending) = self.outbox.get_index(at)?;
+        if !pending.heartbeat {
+            return None;
+        }
+        let id = *id;
+        if pending.deltas.len() <= MAX_BEFORE_HEARTBEAT
+            && let Some(message) = self.records_message(now, at)
+        {
+            return Some(message);
         }
         let (_, pending) = self.outbox.get_index_mut(at)?;
+        pending.heartbeat = false;
+        Some((id, self.heartbeat(now, id)))
+    }
+
+    fn short_message(&mut self, at: usize) -> Option<(EntryId, Message)> {
+        let (id, pending) = self.outbox.get_index_mut(at)?;
         if let Some(message) = take_list(pending) {
-            return Some((id, message));
-        }
-        if std::mem::take(&mut pending.heartbeat) {
-            return Some((id, self.heartbeat(now, id)));
+            return Some((*id, message));
         }
         if std::mem::take(&mut pending.pull) {
-            let digests = fold(&self.table.digests(id));
-            return Some((id, Message::Pull { digests }));
+            let digests = fold(&self.table.digests(*id));
+            return Some((*id, Message::Pull { digests }));
         }
         None
     }
 
+    fn records_message(&mut self, now: Instant, at: usize) -> Option<(EntryId, Message)> {
+        let id = *self.outbox.get_index(at)?.0;
+        let records = self.due_records(now, at)?;
+        Some((id, Message::Records(records)))
+    }
+
     /// Returns the records that one entry has not acknowledged and is due for.
     fn due_records(&mut self, now: Instant, at: usize) -> Option<Vec<Record>> {
         let (_, pending) = self.outbox.get_index_mut(at)?;
@@ -76,8 +102,7 @@
             if bytes > MAX_RECORDS_BYTES && !records.is_empty() {
                 break;
             }
-            delta.tries += 1;
-            delta.next_try = now + RETRY_INTERVAL;
+            delta.count_try(now);
             records.push(record);
         }
         pending.deltas.retain(|_, delta| delta.tries < MAX_TRIES);
--- a/crates/currantgate-membership/tests/entries.rs
+++ b/crates/currantgate-membership/tests/entries.rs
@@ -122,3 +122,21 @@
         assert!((0..8).all(|at| cluster.live_ids(at).len() == 8));
     }
 }
+
+#[test]
+fn more_records_than_the_budget_carries_make_no_live_entry_look_dead() {
+    let mut cluster = Cluster::serving(8, 4, 11);
+    let renew = |cluster: &mut Cluster| {
+        for host in 0..600 {
+            let given = common::announcement(1, host, usize::from(host) % 4);
+            let name = format!("up-{host}");
+            cluster.announce(host % 8, "booking", &name, given).unwrap();
+        }
+    };
+    for _ in 0..20 {
+        renew(&mut cluster);
+        cluster.run(SECOND);
+        assert!((0..8).all(|at| cluster.live_ids(at).len() == 8));
+    }
+    assert!((0..8).all(|at| cluster.view(at).len() == 600));
+}
