--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -3,26 +3,46 @@
 use std::io;
 use std::process::ExitCode;
 
-use currantgate::EntryError;
+use currantgate::{ClientError, ControlError, EntryError, RelayError};
 use currantgate_config::ConfigError;
 use currantgate_standin::StandinError;
+use derive_more::From;
 use displaydoc::Display;
 
 /// Exit code for a file that is wrong.
 const EXIT_CONFIG: u8 = 2;
 
+/// Exit code for a change that another one came before.
+const EXIT_CONFLICT: u8 = 3;
+
+/// Exit code for a change whose outcome is unknown.
+const EXIT_UNKNOWN: u8 = 4;
+
+/// Exit code when no control VM can tell what is present.
+const EXIT_NOT_PRESENT: u8 = 5;
+
 /// Exit code for a command that could not do its work.
 const EXIT_FAILED: u8 = 1;
 
 /// Why a command failed.
-#[derive(Debug, Display)]
+#[derive(Debug, Display, From)]
 pub(crate) enum CommandError {
     /// {0}
     Config(ConfigError),
     /// {0}
     Entry(EntryError),
     /// {0}
+    Relay(RelayError),
+    /// {0}
     Standin(StandinError),
+    /// {0}
+    Control(ControlError),
+    /// {0}
+    Client(ClientError),
+    /// no control VM that answers holds the lease: a newer revision may have been accepted
+    NotPresent,
+    /// the disk failed; restart once it is sound, or replace this control VM
+    DiskFailed,
     /// the system refused: {0}
     Io(io::Error),
 }
@@ -30,33 +50,23 @@
 impl CommandError {
     /// Returns the exit code that the guide lists for the error.
     pub(crate) fn exit_code(&self) -> ExitCode {
-        match self {
-            Self::Config(_) | Self::Entry(EntryError::Config(_)) => ExitCode::from(EXIT_CONFIG),
-            Self::Entry(_) | Self::Standin(_) | Self::Io(_) => ExitCode::from(EXIT_FAILED),
-        }
-    }
-}
-
-impl From<ConfigError> for CommandError {
-    fn from(source: ConfigError) -> Self {
-        Self::Config(source)
-    }
-}
-
-impl From<EntryError> for CommandError {
-    fn from(source: EntryError) -> Self {
-        Self::Entry(source)
-    }
-}
-
-impl From<StandinError> for CommandError {
-    fn from(source: StandinError) -> Self {
-        Self::Standin(source)
-    }
-}
-
-impl From<io::Error> for CommandError {
-    fn from(source: io::Error) -> Self {
-        Self::Io(source)
+        ExitCode::from(match self {
+            Self::Config(_)
+            | Self::Entry(EntryError::Config(_))
+            | Self::Relay(RelayError::Config(_) | RelayError::UnknownService(_))
+            | Self::Standin(StandinError::Config(_))
+            | Self::Control(ControlError::Config(_) | ControlError::NoVoter(_))
+            | Self::Client(ClientError::WrongFile(_)) => EXIT_CONFIG,
+            Self::Client(ClientError::Conflict(_)) => EXIT_CONFLICT,
+            Self::Client(ClientError::OutcomeUnknown) => EXIT_UNKNOWN,
+            Self::Client(ClientError::NoQuorum(_)) | Self::NotPresent => EXIT_NOT_PRESENT,
+            Self::Entry(_)
+            | Self::Relay(_)
+            | Self::Standin(_)
+            | Self::Control(_)
+            | Self::Client(_)
+            | Self::DiskFailed
+            | Self::Io(_) => EXIT_FAILED,
+        })
     }
 }
--- /dev/null
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -0,0 +1,291 @@
+//! Random schedules of faults and operators; the checks in `common` hold at
+//! every step, and at the end the site comes back to one accepted state.
+
+mod common;
+
+use std::time::Duration;
+
+use common::net::Net;
+use currantgate_control::{ApplyAnswer, Base, Digest, ReplaceAnswer, VoterId};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What happens between two spells of the operators' usual work.
+#[derive(Clone, Debug)]
+enum Action {
+    Nothing,
+    CutOneWay {
+        from: usize,
+        to: usize,
+    },
+    CutFromLeader(usize),
+    Isolate(usize),
+    IsolateLeader,
+    Heal,
+    Crash(usize),
+    CrashLeader,
+    CrashAtOperation {
+        vm: usize,
+        after: usize,
+    },
+    RestartAll,
+    /// All VMs crash, and all but a minority start again.
+    PowerLoss {
+        down: usize,
+    },
+    Faults {
+        loss: u32,
+        slow_writes: u32,
+        delay_ms: u64,
+    },
+    LoseDisk(usize),
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    let vm = 0..5_usize;
+    prop_oneof![
+        4 => Just(Action::Nothing),
+        2 => (vm.clone(), vm.clone()).prop_map(|(from, to)| Action::CutOneWay { from, to }),
+        2 => vm.clone().prop_map(Action::CutFromLeader),
+        1 => vm.clone().prop_map(Action::Isolate),
+        3 => Just(Action::IsolateLeader),
+        6 => Just(Action::Heal),
+        1 => vm.clone().prop_map(Action::Crash),
+        2 => Just(Action::CrashLeader),
+        2 => (vm.clone(), 0..6_usize).prop_map(|(vm, after)| Action::CrashAtOperation { vm, after }),
+        5 => Just(Action::RestartAll),
+        4 => vm.clone().prop_map(|down| Action::PowerLoss { down }),
+        4 => (0..20_u32, 0..98_u32, 10..400_u64).prop_map(|(loss, slow_writes, delay_ms)| {
+            Action::Faults { loss, slow_writes, delay_ms }
+        }),
+        1 => vm.prop_map(Action::LoseDisk),
+    ]
+}
+
+/// The voter that is to be replaced, and by which.
+struct Repair {
+    lost: VoterId,
+    fresh: VoterId,
+}
+
+struct Run {
+    net: Net,
+    rng: ChaCha8Rng,
+    repair: Option<Repair>,
+    next_id: VoterId,
+}
+
+impl Run {
+    fn new(voters: u16, seed: u64) -> Self {
+        Self {
+            net: Net::new(voters, seed),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            repair: None,
+            next_id: voters + 1,
+        }
+    }
+
+    fn vm(&self, n: usize) -> VoterId {
+        let ids = self.net.ids();
+        ids[n % ids.len()]
+    }
+
+    fn act(&mut self, action: &Action) {
+        match *action {
+            Action::Nothing => {}
+            Action::CutOneWay { from, to } => self.net.cut(self.vm(from), self.vm(to)),
+            Action::CutFromLeader(to) => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.cut(leader, self.vm(to));
+                }
+            }
+            Action::Isolate(vm) => self.net.isolate(self.vm(vm)),
+            Action::IsolateLeader => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.isolate(leader);
+                }
+            }
+            Action::Heal => self.net.heal(),
+            Action::Crash(vm) => self.net.crash(self.vm(vm)),
+            Action::CrashLeader => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.crash(leader);
+                }
+            }
+            Action::CrashAtOperation { vm, after } => {
+                let disk = self.net.disk(self.vm(vm));
+                disk.crash_at(disk.operations() + after);
+            }
+            Action::RestartAll => self.restart_all(),
+            Action::PowerLoss { down } => self.power_loss(down),
+            Action::Faults {
+                loss,
+                slow_writes,
+                delay_ms,
+            } => {
+                self.net.loss = loss;
+                self.net.slow_writes = slow_writes;
+                self.net.delay_ms = delay_ms;
+            }
+            Action::LoseDisk(vm) => self.lose_disk(self.vm(vm)),
+        }
+        self.go_on_with_repair();
+    }
+
+    /// Lets operators apply, race and resend for some time.
+    fn work(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.net.step();
+            if self.rng.random_range(0..8) == 0 {
+                self.operate();
+            }
+        }
+    }
+
+    fn operate(&mut self) {
+        let to = self.target();
+        let newest = self.net.checks.newest();
+        match self.rng.random_range(0..10) {
+            0 => {
+                let n = self.rng.random_range(0..=self.net.checks.accepted.len());
+                if let Some((request, _)) = self.net.checks.accepted.get(n).cloned() {
+                    self.net.apply(to, request.base, &request.text);
+                }
+            }
+            1 => {
+                let base = self.net.accepted(to).unwrap_or_else(Base::empty);
+                self.apply(to, base);
+            }
+            2 => {
+                self.apply(to, newest);
+                let other = self.target();
+                self.apply(other, newest);
+            }
+            _ => self.apply(to, newest),
+        }
+    }
+
+    fn apply(&mut self, to: VoterId, base: Base) {
+        let text = format!("{}.{}", base.revision, self.rng.random_range(0..9));
+        self.net.apply(to, base, &text);
+    }
+
+    /// Mostly the leader, so that many changes are accepted.
+    fn target(&mut self) -> VoterId {
+        let any = self.rng.random_range(0..5);
+        let leader = self.net.leader().filter(|_| any < 4);
+        leader.unwrap_or_else(|| self.vm(any))
+    }
+
+    fn restart_all(&mut self) {
+        for id in self.net.ids() {
+            self.net.restart(id);
+        }
+    }
+
+    fn power_loss(&mut self, down: usize) {
+        let ids = self.net.ids();
+        for id in &ids {
+            self.net.crash(*id);
+        }
+        let minority = (ids.len() - 1) / 2;
+        for n in minority..ids.len() {
+            self.net.restart(ids[(down + n) % ids.len()]);
+        }
+    }
+
+    /// One disk at a time: the next may be lost as soon as the repair is done.
+    fn lose_disk(&mut self, lost: VoterId) {
+        if self.repair.is_some() {
+            return;
+        }
+        let fresh = self.next_id;
+        self.next_id += 1;
+        self.net.lose(lost);
+        self.net.join(fresh);
+        self.repair = Some(Repair { lost, fresh });
+    }
+
+    /// Asks again until the repair is done, as an operator whose answer is lost.
+    fn go_on_with_repair(&mut self) {
+        let (Some(repair), Some(leader)) = (&self.repair, self.net.leader()) else {
+            return;
+        };
+        let id = self.net.replace(leader, repair.lost, repair.fresh);
+        if self.net.replaced.get(&id) == Some(&ReplaceAnswer::Done) {
+            self.repair = None;
+        }
+    }
+
+    /// Ends all faults; the site must come back by itself.
+    fn settle(&mut self) {
+        self.net.heal();
+        self.net.loss = 0;
+        self.net.slow_writes = 0;
+        for id in self.net.ids() {
+            self.net.disk(id).crash_no_more();
+        }
+        self.restart_all();
+        self.net.delay_ms = 10;
+        for _ in 0..60 {
+            self.net.run(Duration::from_millis(500));
+            self.restart_all();
+            self.go_on_with_repair();
+            if self.repair.is_none() && self.net.all_at(self.net.checks.newest()) {
+                break;
+            }
+        }
+        self.net.run(Duration::from_secs(5));
+        assert!(self.repair.is_none(), "the repair ends");
+        let leader = self.net.leader().expect("a leader is found");
+        let base = self.net.checks.newest();
+        let id = self.net.apply(leader, base, "end");
+        self.net.run(Duration::from_secs(1));
+        assert_eq!(
+            self.net.answers.get(&id),
+            Some(&ApplyAnswer::Accepted(base.revision + 1))
+        );
+        let end = Base {
+            revision: base.revision + 1,
+            digest: Digest::of("end"),
+        };
+        assert!(self.net.all_at(end), "all voters have the last change");
+        for (request, revision) in self.net.checks.accepted.clone() {
+            let id = self.net.apply(leader, request.base, &request.text);
+            let answer = &self.net.answers[&id];
+            assert_eq!(*answer, ApplyAnswer::AlreadyAccepted(revision));
+        }
+    }
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(128))]
+
+    #[test]
+    fn accepted_revisions_survive_any_schedule(
+        voters in prop_oneof![Just(3_u16), Just(5)],
+        seed in any::<u64>(),
+        actions in prop::collection::vec((any_action(), 5..150_u64), 20..60),
+    ) {
+        let mut run = Run::new(voters, seed);
+        run.work(250);
+        for (action, steps) in &actions {
+            run.act(action);
+            run.work(*steps);
+        }
+        run.settle();
+    }
+}
--- /dev/null
+++ b/crates/currantgate-flow/src/send.rs
@@ -0,0 +1,261 @@
+//! Builds the messages that are due, the urgent ones first.
+
+use std::time::Instant;
+
+use currantgate_config::EntryId;
+use currantgate_membership::Budget;
+
+use crate::batch::Batch;
+use crate::follower::PAGE_BYTES;
+use crate::pin;
+use crate::router::{Place, Router};
+use crate::sync::PULL_RETRY;
+use crate::transfer::{Progress, Stage, Transfer};
+use crate::{Output, Step, Version};
+
+/// How soon a step must go: new flows wait for the first kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Urgency {
+    Marks,
+    Pins,
+}
+
+impl Router {
+    /// Returns the next thing to do, or nothing while the budget is closed.
+    pub fn poll_output(&mut self, now: Instant, budget: &mut Budget) -> Option<Output> {
+        if let Some(refusal) = self.poll_refusal(now) {
+            return Some(refusal);
+        }
+        if !self.has_due(now) || !budget.is_open(now) {
+            return None;
+        }
+        let due = self.poll_replies();
+        let due = due.or_else(|| self.poll_transfers(now, Urgency::Marks));
+        let due = due.or_else(|| self.outputs.pop_front());
+        let due = due.or_else(|| self.poll_pulls(now));
+        let due = due.or_else(|| self.poll_reopens(now));
+        // An entry that joins waits for states, a move for pins: in turns.
+        self.states_first = !self.states_first;
+        let due = due.or_else(|| self.states_first.then(|| self.poll_states()).flatten());
+        let due = due.or_else(|| self.poll_transfers(now, Urgency::Pins));
+        let due = due.or_else(|| self.poll_states());
+        let due = due.or_else(|| self.poll_copies(now));
+        if due.is_none() {
+            self.send_at = self.next_send();
+        }
+        due
+    }
+
+    fn has_due(&self, now: Instant) -> bool {
+        let queued =
+            !self.replies.is_empty() || !self.outputs.is_empty() || !self.requests.is_empty();
+        queued || now >= self.send_at
+    }
+
+    /// Returns the instant at which the next step is due.
+    fn next_send(&self) -> Instant {
+        let steps = self.transfers.values().flat_map(|t| {
+            let total = t.list.len() as u32;
+            let stage = t.stage;
+            let waits = move |p: &&Progress| match stage {
+                Stage::Marking => !p.marked,
+                Stage::Filling => !p.is_filled(total),
+                Stage::Committing => !p.committed,
+            };
+            t.peers.values().filter(waits).map(|p| p.send_at)
+        });
+        let pulls = self.pulls.values().map(|p| p.send_at);
+        let reopens = self.reopens.values().copied();
+        let copies = self.copies.values().map(|c| c.send_at);
+        let due = steps.chain(pulls).chain(reopens).chain(copies).min();
+        due.unwrap_or_else(|| self.idle_until())
+    }
+
+    fn poll_replies(&mut self) -> Option<Output> {
+        let (to, t) = *self.replies.keys().next()?;
+        let mut batch = Batch::new(to, self.tables[t].id);
+        let queue = self.replies.get_mut(&(to, t))?;
+        while let Some((bucket, version, step)) = queue.front() {
+            if !batch.add(*bucket, *version, step) {
+                break;
+            }
+            queue.pop_front();
+        }
+        if queue.is_empty() {
+            self.replies.swap_remove(&(to, t));
+        }
+        batch.finish()
+    }
+
+    /// Returns one message with all that is due to one entry.
+    fn poll_transfers(&mut self, now: Instant, urgency: Urgency) -> Option<Output> {
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
+        for ((t, index), transfer) in &mut self.transfers {
+            let table = &self.tables[*t];
+            let bucket = &table.buckets[usize::from(*index)];
+            let due: Vec<_> = due_peers(transfer, bucket.backup, now, urgency).collect();
+            for peer in due {
+                if batch
+                    .as_ref()
+                    .is_some_and(|(to, of, _)| (*to, *of) != (peer, *t))
+                {
+                    continue;
+                }
+                let (.., batch) =
+                    batch.get_or_insert_with(|| (peer, *t, Batch::new(peer, table.id)));
+                let Some(step) = next_step(transfer, peer, batch.room_for_flows()) else {
+                    continue;
+                };
+                if batch.add(*index, bucket.version, &step) {
+                    transfer.peers[&peer].sent(now);
+                }
+            }
+        }
+        batch?.2.finish()
+    }
+
+    fn poll_pulls(&mut self, now: Instant) -> Option<Output> {
+        let first = self.pulls.iter().find(|(_, pull)| pull.send_at <= now);
+        let (to, t) = first.map(|((t, _), pull)| (pull.donor, *t))?;
+        let mut batch = Batch::new(to, self.tables[t].id);
+        for ((of, index), pull) in &mut self.pulls {
+            if pull.send_at > now || (pull.donor, *of) != (to, t) {
+                continue;
+            }
+            let step = Step::Pull {
+                after: pull.after(),
+            };
+            if batch.add(*index, Version::default(), &step) {
+                pull.send_at = now + PULL_RETRY;
+            }
+        }
+        batch.finish()
+    }
+
+    fn poll_reopens(&mut self, now: Instant) -> Option<Output> {
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
+        for ((t, index), send_at) in &mut self.reopens {
+            let table = &self.tables[*t];
+            let bucket = &table.buckets[usize::from(*index)];
+            let keeper = bucket.keeper.filter(|k| *k != self.settings.id);
+            let Some(keeper) = keeper.filter(|_| *send_at <= now) else {
+                continue;
+            };
+            let (to, of, batch) =
+                batch.get_or_insert_with(|| (keeper, *t, Batch::new(keeper, table.id)));
+            let is_same = (*to, *of) == (keeper, *t);
+            if is_same && batch.add(*index, Version::default(), &Step::Reopen) {
+                *send_at = now + PULL_RETRY;
+            }
+        }
+        batch?.2.finish()
+    }
+
+    /// Returns one message with states that another entry has asked for.
+    fn poll_states(&mut self) -> Option<Output> {
+        let ((to, (t, _)), _) = self.requests.first()?;
+        let (to, t) = (*to, *t);
+        let wanted: Vec<(Place, Option<u64>)> = self
+            .requests
+            .iter()
+            .filter(|((peer, place), _)| *peer == to && place.0 == t)
+            .map(|((_, place), after)| (*place, *after))
+            .collect();
+        let mut batch = Batch::new(to, self.tables[t].id);
+        for (place, after) in wanted {
+            let (version, step) = self.state_step(place, after, batch.room_for_flows());
+            if !batch.add(place.1, version, &step) {
+                break;
+            }
+            self.requests.shift_remove(&(to, place));
+        }
+        batch.finish()
+    }
+
+    fn state_step(&self, place: Place, after: Option<u64>, room: usize) -> (Version, Step) {
+        let bucket = &self.tables[place.0].buckets[usize::from(place.1)];
+        let mut pins = bucket.exceptions();
+        pins.retain(|(hash, _)| after.is_none_or(|after| *hash > after));
+        let count = pin::fitting(&pins, room.min(PAGE_BYTES));
+        let step = Step::State {
+            phase: bucket.phase,
+            after,
+            more: count < pins.len(),
+            flows: pin::group(&pins[..count]),
+        };
+        (bucket.version, step)
+    }
+
+    fn poll_copies(&mut self, now: Instant) -> Option<Output> {
+        let mut batch: Option<(EntryId, usize, Batch)> = None;
+        let due = self.copies.iter().filter(|(_, state)| state.send_at <= now);
+        let due: Vec<_> = due.map(|(key, _)| *key).collect();
+        for (place, to) in due {
+            if batch
+                .as_ref()
+                .is_some_and(|(of, t, _)| (*of, *t) != (to, place.0))
+            {
+                continue;
+            }
+            let id = self.tables[place.0].id;
+            let (.., batch) = batch.get_or_insert_with(|| (to, place.0, Batch::new(to, id)));
+            let room = batch.room_for_flows().min(PAGE_BYTES);
+            if let Some((version, step)) = self.copy_step(now, (place, to), room) {
+                batch.add(place.1, version, &step);
+            }
+        }
+        batch?.2.finish()
+    }
+}
+
+/// Returns the entries that are due to be told a step of a move.
+fn due_peers(
+    transfer: &Transfer,
+    backup: Option<EntryId>,
+    now: Instant,
+    urgency: Urgency,
+) -> impl Iterator<Item = EntryId> {
+    let total = transfer.list.len() as u32;
+    let is_due = move |peer: EntryId, progress: &Progress| match (transfer.stage, urgency) {
+        (Stage::Committing, Urgency::Marks) => !progress.committed,
+        (Stage::Marking | Stage::Filling, Urgency::Marks) => !progress.marked,
+        (Stage::Filling, Urgency::Pins) => {
+            let may_fill = progress.marked && transfer.may_fill(peer, backup);
+            may_fill && !progress.is_filled(total)
+        }
+        (Stage::Marking | Stage::Committing, Urgency::Pins) => false,
+    };
+    transfer
+        .peers
+        .iter()
+        .filter(move |(peer, progress)| progress.send_at <= now && is_due(**peer, progress))
+        .map(|(peer, _)| *peer)
+}
+
+/// Returns the step that `peer` is to be told next, with flows that take at
+/// most `room` bytes.
+fn next_step(transfer: &Transfer, peer: EntryId, room: usize) -> Option<Step> {
+    let progress = &transfer.peers[&peer];
+    if transfer.stage == Stage::Committing {
+        return Some(Step::Commit { owner: transfer.to });
+    }
+    if !progress.marked {
+        return Some(Step::Prepare {
+            from: transfer.from,
+            to: transfer.to,
+            base: transfer.base,
+            full: transfer.is_full(),
+        });
+    }
+    let rest = &transfer.list[progress.have as usize..];
+    let count = pin::fitting(rest, room.min(PAGE_BYTES));
+    if count == 0 && !rest.is_empty() {
+        return None;
+    }
+    Some(Step::Pins {
+        offset: progress.have,
+        total: transfer.list.len() as u32,
+        extras_have: progress.extras_have,
+        flows: pin::group(&rest[..count]),
+    })
+}
--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -1,22 +1,24 @@
 //! One entry's state machines, wired to each other without any I/O.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use currantgate_config::{EntryId, EntrySettings, Site};
+use currantgate_config::{EntryId, EntrySettings, Incarnation, Site};
 use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
-use currantgate_membership::{
-    AnnounceError, Announcement, Budget, Lease, Members, MembersSettings,
-};
-use currantgate_packet::{Packet, build_refusal, parse_answer, parse_request};
+use currantgate_membership::{AnnounceError, Budget, EntryStage, Members, MembersSettings};
+use currantgate_packet::{Packet, PacketError, build_too_big, parse_answer, parse_request, refuse};
 use indexmap::IndexMap;
+use tokio::sync::oneshot;
 
+use super::announce::{AnnounceAction, AnnounceRequest};
+use super::label;
 use super::metrics::EntryMetrics;
 use super::peer_message::PeerMessage;
-use crate::EntryError;
+use super::reports::Reports;
 
 /// Bytes of the IPv4 and UDP headers around each datagram.
-const HEADER_BYTES: usize = 28;
+pub(crate) const HEADER_BYTES: usize = 28;
 
 /// One datagram that the daemon is to send.
 #[derive(Debug)]
@@ -33,13 +35,16 @@
 
 /// One entry's state machines and counters.
 pub(crate) struct Core {
-    router: Router,
-    members: Members,
-    budget: Budget,
-    metrics: EntryMetrics,
-    fabric: SocketAddr,
-    peers: IndexMap<EntryId, SocketAddr>,
-    peer_ids: IndexMap<SocketAddr, EntryId>,
+    pub(super) id: EntryId,
+    pub(super) router: Router,
+    pub(super) router_settings: RouterSettings,
+    pub(super) members: Members,
+    pub(super) budget: Budget,
+    pub(super) reports: Reports,
+    pub(super) fabric: SocketAddr,
+    pub(super) inner_mtu: u16,
+    pub(super) peers: IndexMap<EntryId, SocketAddr>,
+    pub(super) peer_ids: IndexMap<SocketAddr, EntryId>,
 }
 
 impl Core {
@@ -47,19 +52,28 @@
         settings: &EntrySettings,
         site: &Site,
         metrics: EntryMetrics,
+        incarnation: Incarnation,
         now: Instant,
-    ) -> Result<Self, EntryError> {
-        let router = Router::new(RouterSettings {
+    ) -> Self {
+        let mut domains: IndexMap<_, _> = settings
+            .peers
+            .iter()
+            .map(|p| (p.id, p.domain.clone()))
+            .collect();
+        domains.insert(settings.id, settings.domain.clone());
+        let router_settings = RouterSettings {
             id: settings.id,
+            domains,
             services: site.services.clone(),
-            hash_key: settings.flow.key()?,
+            hash_key: settings.flow.hash_key.value(),
             buckets: settings.flow.buckets,
             max_flows: settings.flow.max_flows,
             seed: u64::from(settings.id),
-        });
+        };
         let members = Members::new(
             MembersSettings {
                 id: settings.id,
+                incarnation,
                 domain: settings.domain.clone(),
                 peers: settings.peers.clone(),
                 services: site.services.clone(),
@@ -68,22 +82,39 @@
             },
             now,
         );
-        Ok(Self {
-            router,
+        Self {
+            id: settings.id,
+            router: Router::new(router_settings.clone(), now),
+            router_settings,
             members,
             budget: Budget::new(&settings.budget, now),
-            metrics,
+            reports: Reports::new(settings, metrics),
             fabric: settings.fabric,
+            inner_mtu: settings.flow.inner_mtu,
             peers: settings.peers.iter().map(|p| (p.id, p.address)).collect(),
             peer_ids: settings.peers.iter().map(|p| (p.address, p.id)).collect(),
-        })
+        }
     }
 
     /// Takes an IP packet from the fabric.
     pub(crate) fn take_request<'a>(&mut self, now: Instant, buf: &'a [u8]) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_request(buf))?;
+        let packet = self.parsed(now, "the fabric", parse_request(buf))?;
+        if packet.len > usize::from(self.inner_mtu) {
+            return self.too_big(now, &packet, buf);
+        }
         let verdict = self.router.route(now, &packet);
-        self.carry_out(verdict, &packet, buf)
+        self.carry_out(now, verdict, &packet, buf)
+    }
+
+    /// Tells a caller that its packet doesn't fit the encapsulation.
+    fn too_big<'a>(&mut self, now: Instant, packet: &Packet, buf: &[u8]) -> Option<Datagram<'a>> {
+        let what = format_args!(
+            "a packet of {} bytes of flow {}: more than {} don't fit",
+            packet.len, packet.key, self.inner_mtu
+        );
+        self.reports.drop(now, "too_big", what);
+        let answer = build_too_big(buf, self.inner_mtu).ok()?;
+        Some(Datagram::RefusalToFabric(self.fabric, answer))
     }
 
     /// Takes an IP packet from an upstream.
@@ -93,14 +124,15 @@
         from: SocketAddr,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
-        let packet = self.parsed(parse_answer(buf))?;
+        let packet = self.parsed(now, &from, parse_answer(buf))?;
         match self.router.answer(now, from, &packet) {
             AnswerVerdict::Pass => {
-                self.metrics.answered.inc();
+                self.reports.metrics.answered.inc();
                 Some(Datagram::ToFabric(self.fabric, buf))
             }
             AnswerVerdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("an answer from {from} in flow {}: {reason}", packet.key);
+                self.reports.drop(now, &reason.to_string(), what);
                 None
             }
         }
@@ -108,19 +140,21 @@
 
     /// Reads a datagram from the address of another entry.
     pub(crate) fn decode_peer(
-        &self,
+        &mut self,
+        now: Instant,
         from: SocketAddr,
         buf: &[u8],
     ) -> Option<(EntryId, PeerMessage)> {
-        let Some(id) = self.peer_ids.get(&from) else {
-            self.metrics.count_drop(&"unknown_peer");
+        let Some(id) = self.peer_ids.get(&from).copied() else {
+            let what = format_args!("a message from {from}, which is no peer");
+            self.reports.drop(now, "unknown_peer", what);
             return None;
         };
         match PeerMessage::decode(buf) {
-            Ok(message) => Some((*id, message)),
+            Ok(message) => Some((id, message)),
             Err(e) => {
-                log::debug!("entry {id} at {from} sent a message that can't be read: {e}");
-                self.metrics.count_drop(&"bad_peer_message");
+                let what = format_args!("a message from entry {id} at {from}: {e}");
+                self.reports.drop(now, "bad_peer_message", what);
                 None
             }
         }
@@ -139,30 +173,101 @@
                 self.members.receive(now, from, message.clone());
                 None
             }
-            PeerMessage::Flow(message) => match *message {},
+            PeerMessage::Flow(message) => {
+                self.router.receive(now, from, message);
+                None
+            }
             PeerMessage::Packet { forward, bytes } => {
-                let packet = self.parsed(parse_request(bytes))?;
+                let packet =
+                    self.parsed(now, &format_args!("entry {from}"), parse_request(bytes))?;
                 let verdict = self.router.route_forwarded(now, from, forward, &packet);
-                self.carry_out(verdict, &packet, bytes)
+                self.carry_out(now, verdict, &packet, bytes)
+            }
+        }
+    }
+
+    /// Takes what an upstream asks for and answers it.
+    pub(crate) fn take_announce_request(&mut self, now: Instant, request: AnnounceRequest) {
+        let AnnounceRequest {
+            service,
+            name,
+            action,
+        } = request;
+        match action {
+            AnnounceAction::Announce {
+                announcement,
+                reply,
+            } => {
+                let result = self.members.announce(now, &service, &name, announcement);
+                self.answer(
+                    now,
+                    &format!("announcement of {service}/{name}"),
+                    result,
+                    reply,
+                );
+            }
+            AnnounceAction::Withdraw { incarnation, reply } => {
+                let result = self.members.withdraw(now, &service, &name, incarnation);
+                self.answer(
+                    now,
+                    &format!("withdrawal of {service}/{name}"),
+                    result,
+                    reply,
+                );
             }
         }
     }
 
-    /// Takes an announcement of an upstream.
-    pub(crate) fn announce(
+    fn answer<T>(
         &mut self,
         now: Instant,
-        service: &str,
-        name: &str,
-        announcement: Announcement,
-    ) -> Result<Lease, AnnounceError> {
-        self.members.announce(now, service, name, announcement)
+        what: &str,
+        result: Result<T, AnnounceError>,
+        reply: oneshot::Sender<Result<T, AnnounceError>>,
+    ) {
+        if let Err(e) = &result {
+            self.reports
+                .warn(now, format_args!("rejected the {what}: {e}"));
+        }
+        // The upstream may have hung up meanwhile; it will ask again.
+        let _ = reply.send(result);
+    }
+
+    /// Puts a new revision of the site file in force, as a whole.
+    pub(crate) fn set_site(&mut self, now: Instant, site: &Site) {
+        self.members.set_services(site.services.clone());
+        self.router_settings.services.clone_from(&site.services);
+        self.router.set_services(now, site.services.clone());
+        self.router.set_upstreams(now, self.members.upstreams());
+    }
+
+    /// Tells the other entries that this one is about to stop.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        self.members.leave(now);
+    }
+
+    /// Tells whether the entry decides about flows.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.members.stage() == EntryStage::Serving
     }
 
     /// Does what is due at `now`.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.members.tick(now);
         self.router.tick(now);
+        let joining = self.members.stage() == EntryStage::Joining;
+        if joining && self.members.is_synced(now) && self.router.is_synced() {
+            log::info!("entry {} knows what the others know and serves", self.id);
+            self.members.set_stage(now, EntryStage::Serving);
+        }
+        self.reports
+            .metrics
+            .open_flows
+            .set(self.router.open_flows() as i64);
+        self.reports
+            .metrics
+            .moving_buckets
+            .set(self.router.moving_buckets() as i64);
     }
 
     /// Returns the instant at which [`Core::tick`] is next wanted.
@@ -173,60 +278,20 @@
             .map_or(members, |router| router.min(members))
     }
 
-    /// Returns the next control message to send.
-    pub(crate) fn poll_output(&mut self, now: Instant) -> Option<Datagram<'static>> {
-        while let Some(output) = self.members.poll_output(now, &mut self.budget) {
-            use currantgate_membership::Output;
-            match output {
-                Output::Send { to, message } => {
-                    return self.control_datagram(to, &PeerMessage::Members(message));
-                }
-                Output::Resync => {}
-                Output::UpstreamsChanged => {
-                    self.router.set_upstreams(now, self.members.upstreams());
-                }
-                Output::EntriesChanged => {
-                    let entries = self.members.entries();
-                    self.router.set_entries(now, &entries);
-                }
-            }
-        }
-        let currantgate_flow::Output::Send { to, message } =
-            self.router.poll_output(now, &mut self.budget)?;
-        self.control_datagram(to, &PeerMessage::Flow(message))
-    }
-
-    fn control_datagram(
+    fn parsed(
         &mut self,
-        to: EntryId,
-        message: &PeerMessage,
-    ) -> Option<Datagram<'static>> {
-        let datagram = self.peer_datagram(to, message)?;
-        if let Datagram::ToPeer(_, bytes) = &datagram {
-            self.budget.spend(bytes.len() + HEADER_BYTES);
-            self.metrics
-                .control_bytes
-                .inc_by((bytes.len() + HEADER_BYTES) as u64);
-        }
-        Some(datagram)
-    }
-
-    fn peer_datagram(&self, to: EntryId, message: &PeerMessage) -> Option<Datagram<'static>> {
-        let address = *self.peers.get(&to)?;
-        match message.encode() {
-            Ok(bytes) => Some(Datagram::ToPeer(address, bytes)),
-            Err(e) => {
-                log::error!("a message to entry {to} can't be encoded: {e}");
-                None
-            }
-        }
-    }
-
-    fn parsed(&self, parsed: Result<Packet, currantgate_packet::PacketError>) -> Option<Packet> {
+        now: Instant,
+        from: &(impl Display + ?Sized),
+        parsed: Result<Packet, PacketError>,
+    ) -> Option<Packet> {
         match parsed {
             Ok(packet) => Some(packet),
             Err(e) => {
-                self.metrics.count_drop(&format!("{e:?}").to_lowercase());
+                self.reports.drop(
+                    now,
+                    label::packet_error(e),
+                    format_args!("a packet from {from}: {e}"),
+                );
                 None
             }
         }
@@ -234,27 +299,30 @@
 
     fn carry_out<'a>(
         &mut self,
+        now: Instant,
         verdict: Verdict,
         packet: &Packet,
         buf: &'a [u8],
     ) -> Option<Datagram<'a>> {
+        self.reports.trace(&verdict, packet);
         match verdict {
             Verdict::Deliver { address, .. } => {
-                self.metrics.delivered.inc();
+                self.reports.metrics.delivered.inc();
                 Some(Datagram::ToUpstream(address, buf))
             }
             Verdict::Forward { to, forward } => {
-                self.metrics.forwarded.inc();
+                self.reports.metrics.forwarded.inc();
                 let bytes = buf.to_vec();
                 self.peer_datagram(to, &PeerMessage::Packet { forward, bytes })
             }
             Verdict::Refuse(refusal) => {
-                self.metrics.count_refusal(&refusal);
-                let bytes = build_refusal(packet, refusal).ok()?;
-                Some(Datagram::RefusalToFabric(self.fabric, bytes))
+                self.reports.metrics.count_refusal(&refusal);
+                let answer = refuse(packet, buf, refusal).ok()?;
+                Some(Datagram::RefusalToFabric(self.fabric, answer))
             }
             Verdict::Drop(reason) => {
-                self.metrics.count_drop(&reason);
+                let what = format_args!("a packet of flow {}: {reason}", packet.key);
+                self.reports.drop(now, &reason.to_string(), what);
                 None
             }
         }
