Forget the upstreams of a service that a new revision leaves out

Cause: they stayed in the table as expired, while entries that started later could not take them in, so that digests differed for good and each new entry waited 10 s for its sync.

Change: set_services forgets them; a test brings the service out and back.

--- a/crates/currantgate-membership/src/services.rs
+++ b/crates/currantgate-membership/src/services.rs
@@ -2,14 +2,24 @@
 
 use currantgate_config::Service;
 
+use crate::held::Held;
 use crate::members::Members;
 
 impl Members {
     /// Takes the services of a new revision of the site file, as a whole.
     ///
-    /// Upstreams of a service that is left out can't renew their leases any
-    /// more, so they run out by themselves.
+    /// Upstreams of a service that is left out are forgotten; they may announce
+    /// themselves again once a later revision has the service.
     pub fn set_services(&mut self, services: Vec<Service>) {
         self.settings.services = services;
+        let settings = &self.settings;
+        let is_removed = |h: &Held| settings.service(h.record.upstream.service).is_none();
+        for key in self.table.keys_where(is_removed) {
+            if let Some(held) = self.table.get(key) {
+                self.liveness.forget_digest(held.record.owner);
+            }
+            self.table.remove(key);
+            self.changes.upstreams = true;
+        }
     }
 }
--- a/crates/currantgate-membership/tests/leases.rs
+++ b/crates/currantgate-membership/tests/leases.rs
@@ -263,3 +263,21 @@
     assert_eq!(cluster.members(0).load_hint(id), Some(250));
     assert_eq!(cluster.members(1).load_hint(id), None);
 }
+
+#[test]
+fn upstreams_of_a_removed_service_are_forgotten_and_may_come_back() {
+    let mut cluster = with_upstream();
+    let services = cluster.services.clone();
+    for id in 0..8 {
+        cluster.members(id).set_services(services[1..].to_vec());
+    }
+    cluster.run(SECOND);
+    assert_eq!(cluster.presences("up-1"), vec![None; 8]);
+    for id in 0..8 {
+        cluster.members(id).set_services(services.clone());
+    }
+    let again = announcement(5, 1, 0);
+    cluster.announce(0, "booking", "up-1", again).unwrap();
+    cluster.run(SECOND);
+    assert_eq!(cluster.presences("up-1"), vec![Some(Presence::Leased); 8]);
+}
