--- /dev/null
+++ b/crates/currantgate-cli/src/cmd/demo/report.rs
@@ -0,0 +1,137 @@
+//! What the demonstration prints.
+
+use std::fmt;
+use std::time::Duration;
+
+use currantgate_config::EntryId;
+use currantgate_standin::{Caller, CallerReport, Tally};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// What became of the demonstration's flows.
+#[derive(Debug, Serialize)]
+pub(crate) struct Report {
+    #[serde(flatten)]
+    callers: CallerReport,
+    upstreams: Vec<UpstreamRow>,
+    services: Vec<ServiceRow>,
+    entries: Vec<EntryRow>,
+}
+
+/// One upstream.
+#[derive(Debug, Serialize)]
+pub(crate) struct UpstreamRow {
+    /// The upstream's own name.
+    pub(crate) name: Box<str>,
+    /// The service it serves.
+    pub(crate) service: Box<str>,
+    /// Flows that it accepted in all.
+    pub(crate) accepted: u64,
+    /// Flows that were open when the last one was opened.
+    pub(crate) open: usize,
+    /// It was drained on the way, so it does not count for the balance.
+    pub(crate) drained: bool,
+}
+
+/// How even the upstreams of one service are.
+#[derive(Debug, Serialize)]
+struct ServiceRow {
+    name: Box<str>,
+    mean_open: f64,
+    max_open: usize,
+    max_by_mean: f64,
+}
+
+/// One entry.
+#[derive(Debug, Serialize)]
+struct EntryRow {
+    id: EntryId,
+    control_bytes_per_second: f64,
+}
+
+impl Report {
+    /// Puts together what callers, upstreams and entries counted.
+    pub(crate) fn new(
+        callers: &[Caller],
+        misrouted: u64,
+        upstreams: Vec<UpstreamRow>,
+        control_bytes: &[(EntryId, u64)],
+        time: Duration,
+    ) -> Self {
+        let entries = control_bytes.iter().map(|(id, bytes)| EntryRow {
+            id: *id,
+            control_bytes_per_second: (*bytes as f64 / time.as_secs_f64()).round(),
+        });
+        Self {
+            callers: total(callers, misrouted),
+            services: balance(&upstreams),
+            upstreams,
+            entries: entries.collect(),
+        }
+    }
+}
+
+fn total(callers: &[Caller], misrouted: u64) -> CallerReport {
+    let mut tally = Tally {
+        misrouted,
+        ..Tally::default()
+    };
+    let mut first_answers: Option<Histogram<u64>> = None;
+    for caller in callers {
+        tally += caller.tally();
+        let histogram = caller.first_answers();
+        match &mut first_answers {
+            None => first_answers = Some(histogram),
+            Some(sum) => sum.add(histogram).expect("all have the same bounds"),
+        }
+    }
+    let first_answers = first_answers.expect("there are callers");
+    CallerReport::new(tally, &first_answers)
+}
+
+fn balance(upstreams: &[UpstreamRow]) -> Vec<ServiceRow> {
+    let mut names: Vec<&str> = upstreams.iter().map(|row| &*row.service).collect();
+    names.sort_unstable();
+    names.dedup();
+    let row = |name: &str| {
+        let here = |row: &&UpstreamRow| &*row.service == name && !row.drained;
+        let open: Vec<usize> = upstreams.iter().filter(here).map(|row| row.open).collect();
+        let mean = open.iter().sum::<usize>() as f64 / open.len() as f64;
+        let max = open.iter().copied().max().unwrap_or(0);
+        ServiceRow {
+            name: name.into(),
+            mean_open: mean,
+            max_open: max,
+            max_by_mean: max as f64 / mean,
+        }
+    };
+    names.into_iter().map(row).collect()
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.callers)?;
+        writeln!(f, "upstream           accepted      open")?;
+        for row in &self.upstreams {
+            let note = if row.drained { "  drained" } else { "" };
+            writeln!(
+                f,
+                "{:<16} {:>10} {:>9}{note}",
+                row.name, row.accepted, row.open
+            )?;
+        }
+        writeln!(f, "\nservice           mean open  max open  max/mean")?;
+        for row in &self.services {
+            writeln!(
+                f,
+                "{:<16} {:>10.1} {:>9} {:>9.2}",
+                row.name, row.mean_open, row.max_open, row.max_by_mean
+            )?;
+        }
+        writeln!(f, "\nentry   control bytes/s")?;
+        for row in &self.entries {
+            writeln!(f, "{:>5} {:>17.0}", row.id, row.control_bytes_per_second)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/currantgate-cli/tests/processes/children.rs
+++ b/crates/currantgate-cli/tests/processes/children.rs
@@ -1,8 +1,9 @@
 //! Child processes that end with the test.
 
+use std::fs::File;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -10,44 +11,54 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A `currantgate` process, which is killed when this is dropped.
-pub(crate) struct Child(std::process::Child);
+///
+/// What it logs goes to a file beside its settings, since a pipe that no one
+/// reads would fill up and stop it.
+pub(crate) struct Child {
+    process: std::process::Child,
+    log: PathBuf,
+}
 
 impl Child {
     /// Starts `currantgate` with these arguments and `--config file`.
     pub(crate) fn start(args: &[&str], file: &Path) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_currantgate"))
+        let log = file.with_extension("log");
+        let stderr = File::create(&log).expect("the folder can be written");
+        let process = Command::new(env!("CARGO_BIN_EXE_currantgate"))
             .args(["--log", "warn"])
             .args(args)
             .arg("--config")
             .arg(file)
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
+            .stderr(stderr)
             .spawn()
             .expect("the binary starts");
-        Self(child)
+        Self { process, log }
     }
 
     /// Kills the process without warning.
     pub(crate) fn kill(&mut self) {
-        self.0.kill().expect("the process is still there");
-        self.0.wait().expect("a killed process ends");
+        self.process.kill().expect("the process is still there");
+        self.process.wait().expect("a killed process ends");
     }
 
-    /// Returns what the process, which has ended, wrote to standard error.
-    pub(crate) fn errors(&mut self) -> String {
-        let mut text = String::new();
-        if let Some(stderr) = &mut self.0.stderr {
-            stderr.read_to_string(&mut text).expect("it is text");
-        }
-        text
+    /// Returns what the process has logged.
+    pub(crate) fn errors(&self) -> String {
+        std::fs::read_to_string(&self.log).expect("the log can be read")
+    }
+
+    /// Panics with the log if the process has ended.
+    pub(crate) fn assert_running(&mut self) {
+        let ended = self.process.try_wait().expect("the process is a child");
+        assert!(ended.is_none(), "{}: {}", self.log.display(), self.errors());
     }
 }
 
 impl Drop for Child {
     fn drop(&mut self) {
         // It may have ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
@@ -55,10 +66,10 @@
 pub(crate) fn wait_until(child: &mut Child, deadline: Instant) -> (Option<i32>, String) {
     let left = deadline.saturating_duration_since(Instant::now());
     let status = poll(left, "a process ends", || {
-        child.0.try_wait().expect("the process is a child")
+        child.process.try_wait().expect("the process is a child")
     });
     let mut output = String::new();
-    if let Some(stdout) = &mut child.0.stdout {
+    if let Some(stdout) = &mut child.process.stdout {
         stdout.read_to_string(&mut output).expect("it is text");
     }
     (status.code(), output)
--- a/crates/currantgate-cli/tests/processes/main.rs
+++ b/crates/currantgate-cli/tests/processes/main.rs
@@ -30,6 +30,7 @@
         .collect();
     let probe = files.write_probe("caller.toml", "flows = 300", "flows = 40");
     poll(SETTLE, "a caller's flows all finish", || {
+        entries.iter_mut().for_each(Child::assert_running);
         let tally = call(&probe);
         (count(&tally, "finished") == 40).then_some(())
     });
