--- a/crates/currantgate-cli/src/cmd/demo/entries.rs
+++ b/crates/currantgate-cli/src/cmd/demo/entries.rs
@@ -70,6 +70,8 @@
             peers: peers.filter(|peer| peer.id != id).collect(),
             budget: Default::default(),
             flow: Default::default(),
+            control: None,
+            data: None,
         };
         let sockets = EntrySockets::bind(&settings.listen)?;
         let entry = Entry::start(&settings, &self.site, sockets)?;
--- /dev/null
+++ b/crates/currantgate-control/tests/consensus.rs
@@ -0,0 +1,104 @@
+//! The consensus on a quiet network: elections, replication and answers.
+
+mod common;
+
+use std::time::Duration;
+
+use common::net::Net;
+use currantgate_control::{ApplyAnswer, Base, Digest, RefuseReason};
+
+fn lead(net: &mut Net) -> u16 {
+    net.run_until("a leader", |net| net.leader().is_some());
+    net.leader().unwrap()
+}
+
+fn accept(net: &mut Net, base: Base, text: &str) -> Base {
+    let leader = lead(net);
+    let id = net.apply(leader, base, text);
+    net.run_until("an answer", |net| net.answers.contains_key(&id));
+    let revision = base.revision + 1;
+    assert_eq!(net.answers[&id], ApplyAnswer::Accepted(revision));
+    Base {
+        revision,
+        digest: Digest::of(text),
+    }
+}
+
+#[rstest::rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[case::five(5)]
+fn an_accepted_change_reaches_every_voter(#[case] voters: u16) {
+    let mut net = Net::new(voters, 1);
+    let base = accept(&mut net, Base::empty(), "a");
+    net.run_until("all voters have it", |net| net.all_at(base));
+}
+
+#[test]
+fn races_and_resends_get_truthful_answers() {
+    let mut net = Net::new(3, 2);
+    let first = accept(&mut net, Base::empty(), "a");
+    let leader = lead(&mut net);
+    let ids = ["b", "c", "b"].map(|text| net.apply(leader, first, text));
+    net.run_until("three answers", |net| {
+        ids.iter().all(|id| net.answers.contains_key(id))
+    });
+    let second = Base {
+        revision: 2,
+        digest: Digest::of("b"),
+    };
+    assert_eq!(net.answers[&ids[0]], ApplyAnswer::Accepted(2));
+    assert_eq!(net.answers[&ids[1]], ApplyAnswer::Conflict(second));
+    assert_eq!(net.answers[&ids[2]], ApplyAnswer::AlreadyAccepted(2));
+    accept(&mut net, second, "d");
+    let resent = net.apply(leader, Base::empty(), "a");
+    assert_eq!(net.answers[&resent], ApplyAnswer::AlreadyAccepted(1));
+}
+
+#[test]
+fn a_leader_cut_off_refuses_and_its_last_change_is_settled_as_unknown() {
+    let mut net = Net::new(3, 3);
+    let base = accept(&mut net, Base::empty(), "a");
+    let old = lead(&mut net);
+    net.isolate(old);
+    let lost = net.apply(old, base, "b");
+    net.run_until("a new leader", |net| net.leader().is_some_and(|l| l != old));
+    let newer = accept(&mut net, base, "c");
+    net.run_until("an answer", |net| net.answers.contains_key(&lost));
+    assert_eq!(net.answers[&lost], ApplyAnswer::Unknown);
+    let refused = net.apply(old, base, "d");
+    let reason = RefuseReason::NotLeader { leader: None };
+    assert_eq!(net.answers[&refused], ApplyAnswer::Refused(reason));
+    net.heal();
+    net.run_until("all voters have it", |net| net.all_at(newer));
+}
+
+#[test]
+fn a_leader_that_hears_no_one_gives_up() {
+    let mut net = Net::new(3, 4);
+    let old = lead(&mut net);
+    for other in net.ids() {
+        net.cut(other, old);
+    }
+    net.run_until("another leader", |net| {
+        net.leader().is_some_and(|l| l != old)
+    });
+}
+
+/// A voter that lost its disk has forgotten its votes and what it acknowledged.
+#[test]
+fn an_id_that_comes_back_with_a_fresh_disk_does_not_vote() {
+    let mut net = Net::new(3, 8);
+    let leader = lead(&mut net);
+    let lost = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    net.lose(lost);
+    net.join(lost);
+    net.run(Duration::from_secs(5));
+    net.crash(leader);
+    net.votes = 0;
+    net.run(Duration::from_secs(10));
+    assert_eq!((net.leader(), net.votes), (None, 0));
+    net.restart(leader);
+    net.run_until("the two others lead", |net| net.leader().is_some());
+    assert_ne!(net.leader(), Some(lost));
+}
--- a/crates/currantgate-flow/src/bucket.rs
+++ b/crates/currantgate-flow/src/bucket.rs
@@ -2,12 +2,13 @@
 
 use std::time::Instant;
 
-use currantgate_config::EntryId;
+use currantgate_config::{EntryId, UpstreamId};
 use currantgate_packet::FlowHash;
 use indexmap::IndexSet;
 
 use crate::flow_map::FlowMap;
 use crate::pin::Pin;
+use crate::record::Record;
 use crate::{Phase, Version};
 
 /// One bucket of a service's table, with the flows that fall into it.
@@ -33,6 +34,10 @@
 /// How much of the mover's list an entry has.
 #[derive(Debug, Default)]
 pub(crate) struct Fill {
+    /// Whether the list has all flows of other upstreams than the next owner.
+    pub(crate) full: bool,
+    /// This entry lacks what earlier moves told.
+    pub(crate) lacks_base: bool,
     /// The flows of the mover's list.
     pub(crate) listed: IndexSet<FlowHash>,
     /// Flows that were not in the list once all of it had come.
@@ -72,6 +77,31 @@
         pins
     }
 
+    /// Notes that every entry knows all flows that the owner doesn't have.
+    pub(crate) fn mark_pinned(&mut self) {
+        for record in self.flows.values_mut() {
+            let owned = self.phase
+                == Phase::Stable {
+                    owner: record.upstream,
+                };
+            record.stage.pinned = !owned;
+        }
+    }
+
+    /// Returns the flows that entries may not know alike, in ascending order:
+    /// those of the owner so far, and those that no move has told yet.
+    pub(crate) fn unpinned(&self, from: UpstreamId) -> Vec<Pin> {
+        let untold = self.flows.iter().filter(|(_, r)| is_untold(r, from));
+        let mut pins: Vec<_> = untold.map(|(hash, r)| (*hash, r.upstream)).collect();
+        pins.sort_unstable();
+        pins
+    }
+
+    /// Returns how many flows a move from `from` would have to tell.
+    pub(crate) fn count_unpinned(&self, from: UpstreamId) -> usize {
+        self.flows.values().filter(|r| is_untold(r, from)).count()
+    }
+
     /// Takes a new state.
     pub(crate) fn adopt(&mut self, version: Version, phase: Phase) {
         self.version = version;
@@ -82,9 +112,20 @@
         };
     }
 
+    /// Tells whether this entry, `me`, must remember a flow for as long as it
+    /// is open: it decides for the bucket, or the table alone would not tell.
+    pub(crate) fn must_remember(&self, me: EntryId, upstream: UpstreamId) -> bool {
+        let is_holder = self.keeper == Some(me) || self.backup == Some(me);
+        is_holder || self.phase != Phase::Stable { owner: upstream }
+    }
+
     /// Returns what orders the bucket's states: of two entries that have the
     /// same version, the one that has ended the move is ahead.
     pub(crate) fn rank(&self) -> (Version, bool) {
         (self.version, self.phase.is_stable())
     }
 }
+
+fn is_untold(record: &Record, from: UpstreamId) -> bool {
+    !record.stage.pinned || record.upstream == from
+}
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -7,7 +7,9 @@
 //! `docs/design/flow-routing.md`.
 
 mod balance;
+mod batch;
 mod bucket;
+mod copy;
 mod drop_reason;
 mod flow_map;
 mod follower;
@@ -25,6 +27,7 @@
 mod route;
 mod router;
 mod send;
+mod services;
 mod settings;
 mod sync;
 mod table;
