--- a/crates/currantgate-cli/src/cmd/demo/scenes.rs
+++ b/crates/currantgate-cli/src/cmd/demo/scenes.rs
@@ -16,8 +16,9 @@
 /// How long a new entry runs before the one that it replaces leaves.
 const OVERLAP: Duration = Duration::from_secs(1);
 
-/// The longest that flows may take to end once no new ones are opened.
-const FINISH: Duration = Duration::from_secs(8);
+/// The longest that flows may take to end once no new ones are opened; by then
+/// each has ended or was given up.
+const FINISH: Duration = Duration::from_secs(25);
 
 /// How often flows are looked at while they end.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -57,17 +58,18 @@
 
     /// Plays all scenes, a quarter of the time each, and tells what happened.
     pub(crate) async fn play(mut self) -> Result<Report, CommandError> {
-        let quarter = self.duration / 4;
         let handle = self.fabric.handle();
         let callers = site::start_callers(&self.site, &handle, self.duration).await?;
+        let start = Instant::now();
+        let quarter = self.duration / 4;
         log::info!("steady flows");
-        actix_rt::time::sleep(quarter).await;
+        sleep_until(start + quarter).await;
         self.replace_upstream().await?;
-        actix_rt::time::sleep(quarter).await;
+        sleep_until(start + quarter * 2).await;
         self.replace_entry().await?;
-        actix_rt::time::sleep(quarter.saturating_sub(OVERLAP)).await;
+        sleep_until(start + quarter * 3).await;
         self.kill_entry();
-        actix_rt::time::sleep(quarter).await;
+        sleep_until(start + self.duration).await;
         let open: Vec<usize> = self.upstreams.iter().map(Upstream::open_flows).collect();
         self.wait_for(&callers).await;
         Ok(self.report(&callers, &open))
@@ -124,3 +126,7 @@
         )
     }
 }
+
+async fn sleep_until(deadline: Instant) {
+    actix_rt::time::sleep_until(deadline.into()).await;
+}
