--- a/crates/currantgate/tests/revisions.rs
+++ b/crates/currantgate/tests/revisions.rs
@@ -48,7 +48,7 @@
     let deadline = Instant::now() + DEADLINE;
     let revision = ControlClient::new(servers).apply(request, deadline).await;
     Base {
-        revision: revision.unwrap(),
+        revision: revision.unwrap().revision,
         digest,
     }
 }
