--- a/crates/currantgate-control/src/storage/error.rs
+++ b/crates/currantgate-control/src/storage/error.rs
@@ -14,7 +14,7 @@
         /// What the system said.
         source: io::Error,
     },
-    /// {file}: damaged at byte {offset}, before records that are whole; restore the disk or replace this voter
+    /// {file}: damaged at byte {offset}, within what was synced: restore the disk or replace this voter
     Damaged {
         /// The file.
         file: Box<str>,
