Call an outcome unknown only once the change was sent

A control VM that takes connections but no longer answers made the outcome unknown although nothing had been sent to it. Now the stream has to be open first.

--- a/crates/currantgate-control/src/transport/client.rs
+++ b/crates/currantgate-control/src/transport/client.rs
@@ -6,8 +6,6 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::Request;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -75,28 +73,6 @@
         let reader = FrameReader::new(response.into_body(), self.secret);
         Ok((FrameWriter::new(stream, self.secret), reader))
     }
-
-    /// Sends one message on a stream of its own and returns the answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when there is no answer within `limit`; the message
-    /// may have had its effect all the same.
-    pub async fn call<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        message: &impl Serialize,
-        limit: Duration,
-    ) -> Result<T, TransportError> {
-        let exchange = async {
-            let (mut writer, mut reader) = self.open(path).await?;
-            writer.send(message).await?;
-            writer.finish()?;
-            reader.next().await?.ok_or(TransportError::Truncated)
-        };
-        let answered = timeout(limit, exchange).await;
-        answered.map_err(|_| TransportError::Timeout)?
-    }
 }
 
 impl Drop for Client {
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -1,12 +1,13 @@
 //! Requests of operators to the control VMs.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use currantgate_config::ControlServers;
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Base, Client, Freshness, Read, RefuseReason, ReplaceAnswer,
-    ReplaceRequest, Revision, Secret, TransportError,
+    ApplyAnswer, ApplyRequest, Base, Client, FrameReader, FrameWriter, Freshness, Read,
+    RefuseReason, ReplaceAnswer, ReplaceRequest, Revision, Secret, TransportError,
 };
 
 use super::ClientError;
@@ -119,11 +120,17 @@
     }
 
     async fn try_change(&self, server: SocketAddr, call: &Call) -> Tried {
-        let client = match Client::connect(server, self.secret).await {
-            Ok(client) => client,
+        // Before the stream is open nothing was sent, so nothing can happen.
+        let opening = async {
+            let client = Client::connect(server, self.secret).await?;
+            let stream = client.open(CALL_PATH).await?;
+            Ok::<_, TransportError>((client, stream))
+        };
+        let (_client, (writer, reader)) = match within(READ_TIMEOUT, opening).await {
+            Ok(opened) => opened,
             Err(e) => return Tried::Next(e.to_string().into()),
         };
-        match client.call(CALL_PATH, call, CALL_TIMEOUT).await {
+        match within(CALL_TIMEOUT, exchange(writer, reader, call)).await {
             Ok(reply) => judge(reply),
             Err(e) => {
                 log::warn!("{server}: {e}");
@@ -207,16 +214,36 @@
     }
 
     async fn ask(&self, server: SocketAddr, call: &Call) -> Result<Reply, ClientError> {
-        let exchange = async {
+        let asking = async {
             let client = Client::connect(server, self.secret).await?;
-            client.call(CALL_PATH, call, READ_TIMEOUT).await
+            let (writer, reader) = client.open(CALL_PATH).await?;
+            exchange(writer, reader, call).await
         };
-        exchange
+        within(READ_TIMEOUT, asking)
             .await
             .map_err(|source| ClientError::Transport { server, source })
     }
 }
 
+/// Sends one request and returns its answer.
+async fn exchange(
+    mut writer: FrameWriter,
+    mut reader: FrameReader,
+    call: &Call,
+) -> Result<Reply, TransportError> {
+    writer.send(call).await?;
+    writer.finish()?;
+    reader.next().await?.ok_or(TransportError::Truncated)
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, TransportError>>,
+) -> Result<T, TransportError> {
+    let done = tokio::time::timeout(limit, work).await;
+    done.map_err(|_| TransportError::Timeout)?
+}
+
 fn revision(shown: &Shown) -> Revision {
     shown
         .read
