--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -3,9 +3,10 @@
 use std::io;
 use std::process::ExitCode;
 
-use currantgate::{ClientError, ControlError, EntryError};
+use currantgate::{ClientError, ControlError, EntryError, RelayError};
 use currantgate_config::ConfigError;
 use currantgate_standin::StandinError;
+use derive_more::From;
 use displaydoc::Display;
 
 /// Exit code for a file that is wrong.
@@ -24,13 +25,15 @@
 const EXIT_FAILED: u8 = 1;
 
 /// Why a command failed.
-#[derive(Debug, Display)]
+#[derive(Debug, Display, From)]
 pub(crate) enum CommandError {
     /// {0}
     Config(ConfigError),
     /// {0}
     Entry(EntryError),
     /// {0}
+    Relay(RelayError),
+    /// {0}
     Standin(StandinError),
     /// {0}
     Control(ControlError),
@@ -50,6 +53,7 @@
         ExitCode::from(match self {
             Self::Config(_)
             | Self::Entry(EntryError::Config(_))
+            | Self::Relay(RelayError::Config(_) | RelayError::UnknownService(_))
             | Self::Standin(StandinError::Config(_))
             | Self::Control(ControlError::Config(_) | ControlError::NoVoter(_))
             | Self::Client(ClientError::WrongFile(_)) => EXIT_CONFIG,
@@ -57,6 +61,7 @@
             Self::Client(ClientError::OutcomeUnknown) => EXIT_UNKNOWN,
             Self::Client(ClientError::NoQuorum(_)) | Self::NotPresent => EXIT_NOT_PRESENT,
             Self::Entry(_)
+            | Self::Relay(_)
             | Self::Standin(_)
             | Self::Control(_)
             | Self::Client(_)
@@ -65,39 +70,3 @@
         })
     }
 }
-
-impl From<ControlError> for CommandError {
-    fn from(source: ControlError) -> Self {
-        Self::Control(source)
-    }
-}
-
-impl From<ClientError> for CommandError {
-    fn from(source: ClientError) -> Self {
-        Self::Client(source)
-    }
-}
-
-impl From<ConfigError> for CommandError {
-    fn from(source: ConfigError) -> Self {
-        Self::Config(source)
-    }
-}
-
-impl From<EntryError> for CommandError {
-    fn from(source: EntryError) -> Self {
-        Self::Entry(source)
-    }
-}
-
-impl From<StandinError> for CommandError {
-    fn from(source: StandinError) -> Self {
-        Self::Standin(source)
-    }
-}
-
-impl From<io::Error> for CommandError {
-    fn from(source: io::Error) -> Self {
-        Self::Io(source)
-    }
-}
--- a/crates/currantgate-flow/src/balance.rs
+++ b/crates/currantgate-flow/src/balance.rs
@@ -13,6 +13,13 @@
 /// Time between two looks at the shares.
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which the views of entries and upstreams must rest before buckets
+/// are given out that no flow waits for.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
+
+/// Moves in progress above which no bucket is moved that could stay.
+const MAX_BUSY: usize = 8;
+
 /// Buckets that one look may move from an upstream that could keep them.
 const MAX_VOLUNTARY: usize = 2;
 
@@ -40,7 +47,11 @@
         if shares.is_empty() {
             return;
         }
+        let is_quiet = now >= self.changed_at + QUIET_TIME;
         for place in self.homeless(now, t) {
+            if !is_quiet && self.bucket_mut(place).phase == Phase::Unowned {
+                continue;
+            }
             let Some(to) = neediest(&shares, place) else {
                 break;
             };
@@ -51,7 +62,9 @@
                 Phase::Moving { .. } => {}
             }
         }
-        self.even_out(now, t, &mut shares);
+        if is_quiet && self.transfers.len() < MAX_BUSY && self.pulls.is_empty() {
+            self.even_out(now, t, &mut shares);
+        }
     }
 
     /// Returns what each upstream has and should have.
@@ -133,14 +146,17 @@
         let over = |id: &UpstreamId| shares.get(id).map_or(0, |s| s.has - s.quota);
         let places = (0..self.tables[t].buckets.len()).map(|i| (t, i as BucketIndex));
         let movable = places.filter(|place| self.may_plan(*place));
-        let owned =
-            movable.filter_map(
-                |place| match self.tables[t].buckets[usize::from(place.1)].phase {
-                    Phase::Stable { owner } if over(&owner) > 0 => Some((place, owner)),
-                    _ => None,
-                },
-            );
-        let (place, from) = owned.max_by_key(|(_, owner)| over(owner))?;
+        let owned = movable.filter_map(|place| {
+            let bucket = &self.tables[t].buckets[usize::from(place.1)];
+            match bucket.phase {
+                Phase::Stable { owner } if over(&owner) > 0 => {
+                    Some((bucket.count_unpinned(owner), place, owner))
+                }
+                _ => None,
+            }
+        });
+        // The fewer flows the others must be told, the better.
+        let (_, place, from) = owned.min_by_key(|(flows, _, owner)| (*flows, -over(owner)))?;
         let to = neediest(shares, place)?;
         (over(&to) < 0).then_some((place, from, to))
     }
--- a/crates/currantgate/src/entry/mod.rs
+++ b/crates/currantgate/src/entry/mod.rs
@@ -1,13 +1,16 @@
 //! The entry daemon: packets from the fabric to upstreams and back.
 
-mod announce;
+pub(crate) mod announce;
 mod core;
 mod daemon;
 mod error;
 mod label;
 mod log_limit;
 mod metrics;
+mod outputs;
 mod peer_message;
+mod reports;
+mod revisions;
 mod sockets;
 
 pub use daemon::Entry;
