--- a/crates/currantgate/examples/http2_upstream.rs
+++ b/crates/currantgate/examples/http2_upstream.rs
@@ -23,6 +23,9 @@
 }
 
 async fn serve(stream: TcpStream, name: String) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
     let Ok(mut connection) = server::handshake(stream).await else {
         return;
     };
--- a/crates/currantgate/src/relay/exchange.rs
+++ b/crates/currantgate/src/relay/exchange.rs
@@ -86,7 +86,7 @@
         Box::new(move || shared.feed(Input::BodyGone { request: id }))
     };
     let body = Body::new(rx, shared.dispatch.replay_bytes, on_gone);
-    let span = tracing::info_span!(
+    let span = tracing::debug_span!(
         target: TRACE_TARGET,
         "relay",
         service = %service.name,
@@ -164,8 +164,10 @@
     async fn attempt(&mut self, send: Send) -> Result<Answer, Option<Order>> {
         let (attempt, connection) = (send.attempt, send.connection);
         self.body.rewind();
+        let span = tracing::debug_span!(target: TRACE_TARGET, "attempt", attempt, connection);
+        let trying = try_once(&self.head, &mut self.body, send).instrument(span);
         let tried = tokio::select! {
-            tried = try_once(&self.head, &mut self.body, send) => tried,
+            tried = trying => tried,
             order = self.orders.recv() => return Err(order),
         };
         match tried {
