Hold nothing against upstreams whose connections end in plan

A stream above GOAWAY's last one, or one that could not be opened for it, is proof that the request did not run; it no longer counts as a failure of the upstream, which would halve its slots for closing a connection. Requests that can't be sent on at all (CONNECT, no authority) are told 400 instead of taking a connection down with them. Callers get ten seconds to begin HTTP/2, and the connection windows let 256 stalled streams wait without holding up others.

--- a/crates/currantgate-request/src/dispatcher/attempts.rs
+++ b/crates/currantgate-request/src/dispatcher/attempts.rs
@@ -121,7 +121,18 @@
             return;
         };
         let service = self.requests[&attempt.request].service;
+        self.blame(now, &attempt, failure);
+        self.end_failed(now, id, failure);
+        self.pump(now, service);
+    }
+
+    /// Holds a failure against the upstream, unless its connection ended in plan.
+    fn blame(&mut self, now: Instant, attempt: &Attempt, failure: Failure) {
         let upstream = &mut self.upstreams[&attempt.upstream];
+        let left = upstream.link.id() != Some(attempt.connection);
+        if failure == Failure::NotProcessed && left {
+            return;
+        }
         upstream.circuit.fail(now, &self.settings);
         match failure {
             Failure::NotProcessed => {
@@ -132,8 +143,6 @@
                 upstream.limit.pause(now, &self.settings);
             }
         }
-        self.end_failed(now, id, failure);
-        self.pump(now, service);
     }
 
     /// Frees a failed attempt's slot and settles its request or queues it again.
--- a/crates/currantgate/src/relay/caller.rs
+++ b/crates/currantgate/src/relay/caller.rs
@@ -1,6 +1,7 @@
 //! Connections of callers.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use currantgate_config::{RequestProtocol, Service};
 use h2::server;
@@ -14,6 +15,9 @@
 /// Requests that one connection may have open at once.
 const MAX_STREAMS: u32 = 256;
 
+/// How long a caller may take to begin to speak HTTP/2.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Bytes of a request's headers that are read.
 const MAX_HEADER_BYTES: u32 = 64 * 1_024;
 
@@ -49,7 +53,7 @@
             Err(e) => {
                 log::warn!("{}: a caller could not be accepted: {e}", service.name);
                 // The system is short of something; trying on at once won't help.
-                actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
             }
         }
     }
@@ -77,13 +81,16 @@
     stream: TcpStream,
     mut stopping: watch::Receiver<bool>,
 ) -> Result<(), h2::Error> {
-    let mut connection = server::Builder::new()
+    let handshake = server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEADER_BYTES)
-        .handshake(stream)
-        .await?;
+        .handshake(stream);
+    let Ok(handshake) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
+        return Ok(());
+    };
+    let mut connection = handshake?;
     if *stopping.borrow_and_update() {
         connection.graceful_shutdown();
     }
--- a/crates/currantgate/src/relay/exchange.rs
+++ b/crates/currantgate/src/relay/exchange.rs
@@ -10,7 +10,7 @@
 use h2::client::ResponseFuture;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tracing::Instrument as _;
 
@@ -63,6 +63,10 @@
     mut respond: SendResponse<Bytes>,
 ) {
     let now = Instant::now();
+    if !can_be_relayed(&request) {
+        refuse(&mut respond, StatusCode::BAD_REQUEST);
+        return;
+    }
     let Ok(deadline) = headers::read_deadline(request.headers(), now) else {
         refuse(&mut respond, StatusCode::BAD_REQUEST);
         return;
@@ -113,6 +117,13 @@
     shared.unregister(id);
 }
 
+/// Tells whether a request names all that an upstream must be told; a tunnel
+/// asked for with CONNECT does not.
+fn can_be_relayed(request: &Request<RecvStream>) -> bool {
+    let uri = request.uri();
+    request.method() != Method::CONNECT && uri.scheme().is_some() && uri.authority().is_some()
+}
+
 fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) {
     let mut response = Response::new(());
     *response.status_mut() = status;
--- a/crates/currantgate/src/relay/upstream.rs
+++ b/crates/currantgate/src/relay/upstream.rs
@@ -16,8 +16,9 @@
 /// Bytes of an answer that may wait in the relay for a slow caller.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 65_535;
 
-/// Bytes of all answers on one connection that may wait in the relay.
-pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 1 << 20;
+/// Bytes of all streams on one connection that may wait in the relay: enough
+/// for 256 streams that wait for slow readers not to hold up the others.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 256 * STREAM_WINDOW_BYTES;
 
 /// Opens a connection, keeps it going and tells the dispatcher what becomes
 /// of it. Requests on it learn of its end by their own streams, so that an
--- a/crates/currantgate/tests/relay.rs
+++ b/crates/currantgate/tests/relay.rs
@@ -2,6 +2,7 @@
 
 mod relay_support;
 
+use http::Request;
 use relay_support::stand_in::{LARGE_BYTES, StandIn};
 use relay_support::{Fixture, ask, begin, read};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -44,6 +45,25 @@
     assert_not_run(&fixture.ask("POST", "/book", "").await);
 }
 
+#[actix_rt::test]
+async fn requests_that_cannot_be_relayed_reach_no_upstream() {
+    let (fixture, upstream) = Fixture::with_one().await;
+    for (method, uri, deadline) in [
+        ("CONNECT", "booking.test:443", "9000"),
+        ("GET", "http://booking.test/free", "soon"),
+    ] {
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header("currantgate-deadline-ms", deadline);
+        let mut sender = fixture.connect().await.ready().await.unwrap();
+        let sent = sender.send_request(request.body(()).unwrap(), true);
+        let answer = sent.unwrap().0.await.unwrap();
+        assert_eq!(answer.status(), 400, "{method} {uri}");
+    }
+    assert!(upstream.state.runs.borrow().is_empty());
+}
+
 #[actix_rt::test]
 async fn a_slow_caller_bounds_what_is_held_of_a_large_answer() {
     let (fixture, upstream) = Fixture::with_one().await;
