Send again for free what met a connection that ended in plan

Cause: a request that met a connection just closed by GOAWAY spent a retry of the budget and one of its three attempts, although the upstream never saw it, so an upstream that closes connections often could cost its callers refusals. Change: such an attempt is excused when the connection did work (an answer came or other streams are open on it); a connection that is closed before any work still counts against the upstream, so connecting in circles opens the circuit.

The relay's tests now also see that callers get GOAWAY at a stop, that an answer doesn't run ahead of a slow caller, and that an upstream can't say 'not run'.

--- a/crates/currantgate-request/src/attempt.rs
+++ b/crates/currantgate-request/src/attempt.rs
@@ -31,8 +31,18 @@
 pub(crate) enum Failure {
     /// There is proof that it did not run.
     NotProcessed,
+    /// Its connection took no more streams after doing work: proof that it did
+    /// not run, and nothing against the upstream.
+    EndedInPlan,
     /// The upstream broke it off.
     Reset,
     /// Its connection was lost.
     ConnectionLost,
 }
+
+impl Failure {
+    /// Tells whether the failure proves that the attempt did not run.
+    pub(crate) fn is_proof(self) -> bool {
+        matches!(self, Self::NotProcessed | Self::EndedInPlan)
+    }
+}
--- a/crates/currantgate-request/src/dispatcher/attempts.rs
+++ b/crates/currantgate-request/src/dispatcher/attempts.rs
@@ -121,25 +121,37 @@
             return;
         };
         let service = self.requests[&attempt.request].service;
+        let failure = match failure {
+            Failure::NotProcessed if self.ended_in_plan(&attempt) => Failure::EndedInPlan,
+            _ => failure,
+        };
         self.blame(now, &attempt, failure);
         self.end_failed(now, id, failure);
         self.pump(now, service);
     }
 
-    /// Holds a failure against the upstream, unless its connection ended in plan.
+    /// Tells whether an attempt's connection takes no more streams although the
+    /// upstream works, as told by answers and streams that are still open on it.
+    fn ended_in_plan(&self, attempt: &Attempt) -> bool {
+        let current = self.upstreams[&attempt.upstream].link.id() == Some(attempt.connection);
+        let carrier = self.connections.get(&attempt.connection);
+        let answered = carrier.is_some_and(|carrier| carrier.answered);
+        let others = self.attempts_on(attempt.upstream, attempt.connection).len() > 1;
+        !current && (answered || others)
+    }
+
+    /// Holds a failure against the upstream.
     fn blame(&mut self, now: Instant, attempt: &Attempt, failure: Failure) {
         let upstream = &mut self.upstreams[&attempt.upstream];
-        let left = upstream.link.id() != Some(attempt.connection);
-        if failure == Failure::NotProcessed && left {
-            return;
-        }
-        upstream.circuit.fail(now, &self.settings);
         match failure {
+            Failure::EndedInPlan => {}
             Failure::NotProcessed => {
+                upstream.circuit.fail(now, &self.settings);
                 let running = upstream.attempts.len();
                 upstream.limit.refused(now, running, &self.settings);
             }
             Failure::Reset | Failure::ConnectionLost => {
+                upstream.circuit.fail(now, &self.settings);
                 upstream.limit.pause(now, &self.settings);
             }
         }
@@ -162,17 +174,19 @@
     /// and the budget allow, and else tells its caller at once.
     fn retry(&mut self, now: Instant, id: RequestId, failure: Failure) {
         let request = &mut self.requests[&id];
-        request.may_have_run |= failure != Failure::NotProcessed;
+        request.may_have_run |= !failure.is_proof();
+        let excused = failure == Failure::EndedInPlan;
+        request.excused += u32::from(excused);
         let allowed = request.may_run_again()
             && request.has_body
-            && request.sent < self.settings.max_attempts
-            && self.services[&request.service].retries.spend();
+            && request.sent - request.excused < self.settings.max_attempts
+            && (excused || self.services[&request.service].retries.spend());
         if allowed {
             self.enqueue(now, id);
         } else if request.may_have_run {
             let reason = match failure {
                 Failure::ConnectionLost => UnknownReason::ConnectionLost,
-                Failure::NotProcessed | Failure::Reset => UnknownReason::Reset,
+                _ => UnknownReason::Reset,
             };
             self.reject(now, id, Refusal::OutcomeUnknown(reason));
         } else {
--- a/crates/currantgate-request/src/dispatcher/connections.rs
+++ b/crates/currantgate-request/src/dispatcher/connections.rs
@@ -6,7 +6,7 @@
 
 use super::Dispatcher;
 use crate::attempt::{Attempt, Failure};
-use crate::link::{Connection, Link, Silence};
+use crate::link::{Carrier, Connection, Link, Silence};
 use crate::{AttemptId, ConnectionId, Output};
 
 impl Dispatcher {
@@ -19,7 +19,11 @@
         self.last_connection += 1;
         let connection = self.last_connection;
         upstream.link = Link::Opening(connection, now + self.settings.connect_timeout);
-        self.connections.insert(connection, id);
+        let carrier = Carrier {
+            upstream: id,
+            answered: false,
+        };
+        self.connections.insert(connection, carrier);
         self.outputs.push_back(Output::Open {
             connection,
             upstream: id,
@@ -51,7 +55,7 @@
     }
 
     pub(super) fn connection_lost(&mut self, now: Instant, id: ConnectionId) {
-        let Some(upstream) = self.connections.get(&id).copied() else {
+        let Some(upstream) = self.connections.get(&id).map(|c| c.upstream) else {
             return;
         };
         let known = &mut self.upstreams[&upstream];
@@ -116,6 +120,9 @@
 
     /// Notes on the attempt's connection that an answer came.
     pub(super) fn note_answer(&mut self, now: Instant, attempt: &Attempt) {
+        if let Some(carrier) = self.connections.get_mut(&attempt.connection) {
+            carrier.answered = true;
+        }
         let link = &mut self.upstreams[&attempt.upstream].link;
         if let Link::Open(connection) = link
             && connection.id == attempt.connection
@@ -174,7 +181,7 @@
 
     /// Returns the upstream whose current connection has this id.
     fn link_of(&self, id: ConnectionId) -> Option<UpstreamId> {
-        let upstream = self.connections.get(&id).copied()?;
+        let upstream = self.connections.get(&id)?.upstream;
         let current = self.upstreams[&upstream].link.id() == Some(id);
         current.then_some(upstream)
     }
--- a/crates/currantgate-request/src/dispatcher/mod.rs
+++ b/crates/currantgate-request/src/dispatcher/mod.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::attempt::{Attempt, Failure};
+use crate::link::Carrier;
 use crate::request::Request;
 use crate::service::Service;
 use crate::upstream::Upstream;
@@ -31,7 +32,7 @@
     rng: ChaCha8Rng,
     requests: IndexMap<RequestId, Request>,
     attempts: IndexMap<AttemptId, Attempt>,
-    connections: IndexMap<ConnectionId, UpstreamId>,
+    connections: IndexMap<ConnectionId, Carrier>,
     upstreams: IndexMap<UpstreamId, Upstream>,
     services: IndexMap<ServiceId, Service>,
     /// Requests whose answer has not begun.
--- a/crates/currantgate-request/src/link.rs
+++ b/crates/currantgate-request/src/link.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use currantgate_config::UpstreamId;
+
 use crate::{ConnectionId, Settings};
 
 /// The stage of the connection to one upstream.
@@ -31,6 +33,14 @@
     }
 }
 
+/// What is kept of a connection for as long as it carries attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Carrier {
+    pub(crate) upstream: UpstreamId,
+    /// Whether an answer has come on it.
+    pub(crate) answered: bool,
+}
+
 /// An open connection, watched for silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Connection {
--- a/crates/currantgate-request/src/request.rs
+++ b/crates/currantgate-request/src/request.rs
@@ -24,6 +24,8 @@
     pub(crate) stage: RequestStage,
     /// Attempts that were sent.
     pub(crate) sent: u32,
+    /// Those of them that ended with their connection in plan.
+    pub(crate) excused: u32,
     /// Whether an attempt failed without proof that it did not run.
     pub(crate) may_have_run: bool,
     /// Whether the body is still there to be sent again.
--- a/crates/currantgate/tests/relay.rs
+++ b/crates/currantgate/tests/relay.rs
@@ -2,7 +2,7 @@
 
 mod relay_support;
 
-use http::Request;
+use http::{Request, StatusCode};
 use relay_support::stand_in::{LARGE_BYTES, StandIn};
 use relay_support::{Fixture, ask, begin, read};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -37,6 +37,11 @@
     let left: u64 = answer.header("currantgate-deadline-ms").parse().unwrap();
     assert!(left <= 9_000);
     assert_eq!(answer.header("traceparent").len(), 55);
+    assert_eq!(
+        answer.header("currantgate-outcome"),
+        "",
+        "an upstream's claim"
+    );
 }
 
 #[actix_rt::test]
@@ -74,6 +79,10 @@
     while let Some(chunk) = rx.data().await {
         let chunk = chunk.unwrap();
         received += chunk.len();
+        // Gives what would not wait for this caller time to run ahead of it.
+        for _ in 0..50 {
+            actix_rt::task::yield_now().await;
+        }
         assert!(upstream.state.sent.get() - received <= MAX_IN_FLIGHT);
         rx.flow_control().release_capacity(chunk.len()).unwrap();
     }
@@ -110,6 +119,26 @@
     assert!(refusing.state.runs.borrow().is_empty());
 }
 
+#[actix_rt::test]
+async fn connections_that_end_in_plan_lose_and_double_nothing() {
+    let (fixture, upstream) = Fixture::with_one().await;
+    upstream.state.goes_away.set(true);
+    for round in 0..8 {
+        let ask = |i| {
+            let path = format!("/book/{round}/{i}");
+            let fixture = &fixture;
+            async move { fixture.ask("POST", &path, "").await.status }
+        };
+        let statuses = tokio::join!(ask(0), ask(1), ask(2));
+        assert_eq!(statuses, (StatusCode::OK, StatusCode::OK, StatusCode::OK));
+    }
+    let mut runs = upstream.state.runs.borrow().clone();
+    runs.sort();
+    runs.dedup();
+    assert_eq!(runs.len(), 24);
+    assert_eq!(upstream.state.runs.borrow().len(), 24);
+}
+
 #[actix_rt::test]
 async fn a_killed_upstream_leaves_the_outcome_unknown() {
     let (fixture, upstream) = Fixture::with_one().await;
@@ -139,6 +168,8 @@
 async fn a_planned_stop_cuts_nothing() {
     let (fixture, upstream) = Fixture::with_one().await;
     let sender = fixture.connect().await;
+    // Keeps the connection open until a GOAWAY ends it.
+    let _kept = sender.clone();
     let asked = actix_rt::spawn(async { ask(sender, "POST", "/hang", "").await });
     upstream.state.hanging.notified().await;
     let relay = fixture.relay;
--- a/crates/currantgate/tests/relay_support/stand_in.rs
+++ b/crates/currantgate/tests/relay_support/stand_in.rs
@@ -30,6 +30,8 @@
     pub(crate) refusing: Cell<bool>,
     /// Read and write nothing more on the next connection after a request.
     pub(crate) goes_silent: Cell<bool>,
+    /// End each connection in plan after its first request.
+    pub(crate) goes_away: Cell<bool>,
     /// Woken when a request starts to hang.
     pub(crate) hanging: Notify,
     /// Lets hanging requests go on.
@@ -80,6 +82,9 @@
         if state.goes_silent.replace(false) {
             std::future::pending::<()>().await;
         }
+        if state.goes_away.get() {
+            connection.graceful_shutdown();
+        }
         if state.refusing.get() {
             respond.send_reset(Reason::REFUSED_STREAM);
             continue;
@@ -98,6 +103,9 @@
             head.headers_mut().insert(name, value);
         }
     }
+    // What only a relay may say.
+    let outcome = "not-run".parse().unwrap();
+    head.headers_mut().insert("currantgate-outcome", outcome);
     match path.as_str() {
         "/reset" => respond.send_reset(Reason::INTERNAL_ERROR),
         "/large" => {
