--- a/crates/currantgate/tests/relay.rs
+++ b/crates/currantgate/tests/relay.rs
@@ -2,6 +2,7 @@
 
 mod relay_support;
 
+use http::Request;
 use relay_support::stand_in::{LARGE_BYTES, StandIn};
 use relay_support::{Fixture, ask, begin, read};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -36,6 +37,11 @@
     let left: u64 = answer.header("currantgate-deadline-ms").parse().unwrap();
     assert!(left <= 9_000);
     assert_eq!(answer.header("traceparent").len(), 55);
+    assert_eq!(
+        answer.header("currantgate-outcome"),
+        "",
+        "an upstream's claim"
+    );
 }
 
 #[actix_rt::test]
@@ -44,12 +50,36 @@
     assert_not_run(&fixture.ask("POST", "/book", "").await);
 }
 
+#[actix_rt::test]
+async fn requests_that_cannot_be_relayed_reach_no_upstream() {
+    let (fixture, upstream) = Fixture::with_one().await;
+    for (method, uri, deadline) in [
+        ("CONNECT", "booking.test:443", "9000"),
+        ("GET", "http://booking.test/free", "soon"),
+    ] {
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header("currantgate-deadline-ms", deadline);
+        let mut sender = fixture.connect().await.ready().await.unwrap();
+        let sent = sender.send_request(request.body(()).unwrap(), true);
+        let answer = sent.unwrap().0.await.unwrap();
+        assert_eq!(answer.status(), 400, "{method} {uri}");
+    }
+    assert!(upstream.state.runs.borrow().is_empty());
+}
+
 #[actix_rt::test]
 async fn a_slow_caller_bounds_what_is_held_of_a_large_answer() {
     let (fixture, upstream) = Fixture::with_one().await;
     let sender = fixture.connect().await;
     let response = begin(sender, "GET", "/large", "").await;
     let mut rx = response.into_body();
+    // Round trips of others give what doesn't wait for this caller time to run.
+    for _ in 0..50 {
+        assert_eq!(fixture.ask("GET", "/free", "").await.status, 200);
+    }
+    assert!(upstream.state.sent.get() <= MAX_IN_FLIGHT);
     let mut received = 0;
     while let Some(chunk) = rx.data().await {
         let chunk = chunk.unwrap();
@@ -90,6 +120,27 @@
     assert!(refusing.state.runs.borrow().is_empty());
 }
 
+#[actix_rt::test]
+async fn connections_that_end_in_plan_lose_and_double_nothing() {
+    let (fixture, upstream) = Fixture::with_one().await;
+    upstream.state.goes_away.set(true);
+    let sender = fixture.connect().await;
+    let slow = actix_rt::spawn(async { ask(sender, "POST", "/hang", "").await });
+    upstream.state.hanging.notified().await;
+    // The connection that carries the slow one takes no more streams.
+    for i in 0..8 {
+        let path = format!("/book/{i}");
+        assert_eq!(fixture.ask("POST", &path, "").await.status, 200);
+    }
+    upstream.state.release.notify_one();
+    assert_eq!(slow.await.unwrap().status, 200);
+    let mut runs = upstream.state.runs.borrow().clone();
+    runs.sort();
+    runs.dedup();
+    assert_eq!(runs.len(), 9);
+    assert_eq!(upstream.state.runs.borrow().len(), 9);
+}
+
 #[actix_rt::test]
 async fn a_killed_upstream_leaves_the_outcome_unknown() {
     let (fixture, upstream) = Fixture::with_one().await;
@@ -119,6 +170,8 @@
 async fn a_planned_stop_cuts_nothing() {
     let (fixture, upstream) = Fixture::with_one().await;
     let sender = fixture.connect().await;
+    // Keeps the connection open until a GOAWAY ends it.
+    let _kept = sender.clone();
     let asked = actix_rt::spawn(async { ask(sender, "POST", "/hang", "").await });
     upstream.state.hanging.notified().await;
     let relay = fixture.relay;
