--- a/crates/currantgate-flow/benches/throughput.rs
+++ b/crates/currantgate-flow/benches/throughput.rs
@@ -78,6 +78,7 @@
         &[EntryView {
             id: 1,
             stage: EntryStage::Serving,
+            domain: "".into(),
         }],
     );
     router.tick(now);
