--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -2,23 +2,21 @@
 
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{ArgMatches, Command};
+
+use crate::error::CommandError;
 
 mod cmd;
 mod error;
+mod line_diff;
 mod log_setup;
+mod trace;
 
 fn main() -> ExitCode {
     let matches = make_command().get_matches();
     log_setup::init(&matches);
 
-    let result = match matches.subcommand() {
-        Some(("entry", sub)) => cmd::entry::execute(sub),
-        Some(("demo", sub)) => cmd::demo::execute(sub),
-        Some(("check", sub)) => cmd::check::execute(sub),
-        _ => unreachable!("clap accepts no other subcommand"),
-    };
-    match result {
+    match trace::init(&matches).and_then(|()| execute(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("currantgate: {e}");
@@ -27,6 +25,24 @@
     }
 }
 
+fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
+    match matches.subcommand() {
+        Some(("entry", sub)) => cmd::entry::execute(sub),
+        Some(("relay", sub)) => cmd::relay::execute(sub),
+        Some(("run", sub)) => cmd::run::execute(sub),
+        Some(("demo", sub)) => cmd::demo::execute(sub),
+        Some(("standin", sub)) => cmd::standin::execute(sub),
+        Some(("check", sub)) => cmd::check::execute(sub),
+        Some(("control", sub)) => cmd::control::execute(sub),
+        Some(("diff", sub)) => cmd::diff::execute(sub),
+        Some(("apply", sub)) => cmd::apply::execute(sub),
+        Some(("show", sub)) => cmd::show::execute(sub),
+        Some(("status", sub)) => cmd::status::execute(sub),
+        Some(("replace", sub)) => cmd::replace::execute(sub),
+        _ => unreachable!("clap accepts no other subcommand"),
+    }
+}
+
 fn make_command() -> Command {
     Command::new("currantgate")
         .about("A layer-4 load balancer for a fleet of entry VMs")
@@ -34,7 +50,17 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(log_setup::make_arg())
+        .arg(trace::make_arg())
         .subcommand(cmd::entry::make_subcommand())
+        .subcommand(cmd::relay::make_subcommand())
+        .subcommand(cmd::run::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
+        .subcommand(cmd::standin::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
+        .subcommand(cmd::control::make_subcommand())
+        .subcommand(cmd::diff::make_subcommand())
+        .subcommand(cmd::apply::make_subcommand())
+        .subcommand(cmd::show::make_subcommand())
+        .subcommand(cmd::status::make_subcommand())
+        .subcommand(cmd::replace::make_subcommand())
 }
--- a/crates/currantgate-flow/tests/common/mod.rs
+++ b/crates/currantgate-flow/tests/common/mod.rs
@@ -229,6 +229,7 @@
             .map(|(id, stage)| EntryView {
                 id: *id,
                 stage: *stage,
+                domain: "".into(),
             })
             .collect()
     }
--- a/crates/currantgate-packet/src/lib.rs
+++ b/crates/currantgate-packet/src/lib.rs
@@ -6,18 +6,26 @@
 //! routing decision needs and nothing else, and builds the refusals that
 //! callers are sent. See `docs/design/encapsulation.md`.
 
+mod answer_error;
 mod error;
 mod flow_hash;
 mod flow_key;
+mod icmp;
+mod ip;
 mod kind;
 mod packet;
 mod parse;
 mod refuse;
+mod reset;
+mod unreachable;
 
+pub use answer_error::AnswerError;
 pub use error::PacketError;
 pub use flow_hash::{FlowHash, FlowHasher};
 pub use flow_key::FlowKey;
 pub use kind::PacketKind;
 pub use packet::Packet;
 pub use parse::{parse_answer, parse_request};
-pub use refuse::{Refusal, build_refusal};
+pub use refuse::{Refusal, build_refusal, refuse};
+pub use reset::{build_reset, build_upstream_reset};
+pub use unreachable::build_too_big;
--- a/crates/currantgate/src/entry/daemon.rs
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_rt::task::JoinHandle;
 use actix_web::dev::ServerHandle;
-use currantgate_config::{EntryId, EntrySettings, Listen, Site};
+use currantgate_config::{EntryId, EntrySettings, Incarnation, Listen, Site};
 use prometheus_client::registry::Registry;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,11 +16,15 @@
 use super::announce::{self, AnnounceRequest};
 use super::core::{Core, Datagram};
 use super::metrics::EntryMetrics;
-use crate::{EntryError, EntrySockets};
+use super::revisions;
+use crate::{EntryError, EntrySockets, Subscription};
 
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
+/// How long an entry goes on after it has said that it leaves.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
 /// A running entry.
 ///
 /// It takes packets on the thread that started it, and stops when it is
@@ -29,16 +33,18 @@
     id: EntryId,
     addresses: Listen,
     metrics: EntryMetrics,
+    shared: Rc<Shared>,
+    subscription: Option<Subscription>,
     tasks: Vec<JoinHandle<()>>,
     servers: Vec<ServerHandle>,
 }
 
-struct Shared {
-    core: RefCell<Core>,
+pub(super) struct Shared {
+    pub(super) core: RefCell<Core>,
     fabric: UdpSocket,
     tunnel: UdpSocket,
     peer: UdpSocket,
-    metrics: EntryMetrics,
+    pub(super) metrics: EntryMetrics,
 }
 
 impl Entry {
@@ -59,7 +65,15 @@
         let mut registry = Registry::default();
         metrics.register(&mut registry);
 
-        let core = Core::new(settings, site, metrics.clone(), Instant::now())?;
+        let subscription = revisions::subscribe(settings)?;
+        let accepted = subscription.as_ref().map(Subscription::accepted);
+        let core = Core::new(
+            settings,
+            &revisions::site_at_start(accepted.as_ref(), site),
+            metrics.clone(),
+            incarnation(),
+            Instant::now(),
+        );
         let (tx, rx) = mpsc::channel(announce::ANNOUNCE_QUEUE);
         let servers = vec![
             announce::serve_announcements(sockets.announce, tx)?,
@@ -75,13 +89,17 @@
             peer: udp(sockets.peer, addresses.peer)?,
             metrics: metrics.clone(),
         });
-        let tasks = vec![
+        let mut tasks = vec![
             actix_rt::spawn(receive_from_fabric(Rc::clone(&shared))),
             actix_rt::spawn(receive_from_tunnel(Rc::clone(&shared))),
             actix_rt::spawn(receive_from_peers(Rc::clone(&shared))),
             actix_rt::spawn(take_announcements(Rc::clone(&shared), rx)),
-            actix_rt::spawn(keep_time(shared)),
+            actix_rt::spawn(keep_time(Rc::clone(&shared))),
         ];
+        if let Some(accepted) = accepted {
+            let follow = revisions::follow(Rc::clone(&shared), accepted);
+            tasks.push(actix_rt::spawn(follow));
+        }
         log::info!(
             "entry {} in {} takes packets on {}",
             settings.id,
@@ -92,6 +110,8 @@
             id: settings.id,
             addresses,
             metrics,
+            shared,
+            subscription,
             tasks,
             servers,
         })
@@ -119,14 +139,27 @@
         }
     }
 
-    /// Stops in plan.
+    /// Stops in plan: the entry hands over what it decides about and goes on
+    /// passing packets meanwhile.
     pub async fn stop(mut self) {
+        let now = Instant::now();
+        self.shared.core.borrow_mut().leave(now);
+        self.shared.flush(now);
+        actix_rt::time::sleep(HAND_OVER).await;
         for server in std::mem::take(&mut self.servers) {
             server.stop(true).await;
         }
         self.kill();
+        if let Some(subscription) = self.subscription.take() {
+            subscription.stop().await;
+        }
         log::info!("entry {} stopped", self.id);
     }
+
+    /// Tells whether the entry decides about flows.
+    pub fn is_serving(&self) -> bool {
+        self.shared.core.borrow().is_serving()
+    }
 }
 
 impl Drop for Entry {
@@ -139,6 +172,12 @@
     }
 }
 
+/// Returns a number that grows with each start of the VM's entry.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn bind_error(address: SocketAddr, source: std::io::Error) -> EntryError {
     EntryError::Bind {
         address,
@@ -158,11 +197,11 @@
         };
         if let Err(e) = sent {
             log::debug!("a datagram could not be sent: {e}");
-            self.metrics.count_drop(&"send_failed");
+            self.metrics.count_drop("send_failed");
         }
     }
 
-    fn flush(&self, now: Instant) {
+    pub(super) fn flush(&self, now: Instant) {
         loop {
             let output = self.core.borrow_mut().poll_output(now);
             let Some(datagram) = output else { break };
@@ -209,11 +248,11 @@
         let Ok((len, from)) = shared.peer.recv_from(&mut buf).await else {
             continue;
         };
-        let decoded = shared.core.borrow().decode_peer(from, &buf[..len]);
+        let now = Instant::now();
+        let decoded = shared.core.borrow_mut().decode_peer(now, from, &buf[..len]);
         let Some((from, message)) = decoded else {
             continue;
         };
-        let now = Instant::now();
         let output = shared
             .core
             .borrow_mut()
@@ -228,21 +267,7 @@
 async fn take_announcements(shared: Rc<Shared>, mut rx: mpsc::Receiver<AnnounceRequest>) {
     while let Some(request) = rx.recv().await {
         let now = Instant::now();
-        let result = shared.core.borrow_mut().announce(
-            now,
-            &request.service,
-            &request.name,
-            request.announcement,
-        );
-        if let Err(e) = &result {
-            log::warn!(
-                "announcement of {}/{} rejected: {e}",
-                request.service,
-                request.name
-            );
-        }
-        // The upstream may have hung up meanwhile; it will announce again.
-        let _ = request.reply.send(result);
+        shared.core.borrow_mut().take_announce_request(now, request);
         shared.flush(now);
     }
 }
