Look upstreams up by id, and give heartbeats a file of their own

What a late heartbeat said of silent upstreams was taken although the heartbeat itself was not.

Change: the table keeps an index of ids; heartbeats are built and taken in heartbeats.rs.

--- a/crates/currantgate-membership/src/lib.rs
+++ b/crates/currantgate-membership/src/lib.rs
@@ -12,6 +12,7 @@
 mod entry_view;
 mod error;
 mod exchange;
+mod heartbeats;
 mod held;
 mod lease;
 mod leases;
--- a/crates/currantgate-membership/src/members.rs
+++ b/crates/currantgate-membership/src/members.rs
@@ -3,13 +3,12 @@
 use std::time::{Duration, Instant};
 
 use currantgate_config::{EntryId, UpstreamId};
-use rand::seq::SliceRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use crate::heartbeats::fanout;
 use crate::held::Held;
 use crate::liveness::{Beat, ENTRY_TIMEOUT, Liveness};
-use crate::message::Heard;
 use crate::outbox::{Outbox, Pending};
 use crate::record::UpstreamKey;
 use crate::table::Table;
@@ -18,9 +17,6 @@
 /// How often heartbeats are sent and leases are looked through.
 pub(crate) const ROUND: Duration = Duration::from_millis(250);
 
-/// How many other entries get a heartbeat in each round, at the least.
-const MIN_FANOUT: usize = 2;
-
 /// The least time that an entry listens before it counts as synced.
 const LISTEN_TIME: Duration = Duration::from_secs(1);
 
@@ -52,16 +48,16 @@
     /// When the next slice may be sent.
     pub(crate) next_slice: Instant,
     /// The other entries in the order in which heartbeats reach them.
-    cycle: Vec<EntryId>,
-    cycle_at: usize,
-    heartbeats: u64,
+    pub(crate) cycle: Vec<EntryId>,
+    pub(crate) cycle_at: usize,
+    pub(crate) heartbeats: u64,
     shown: Vec<EntryView>,
     next_round: Instant,
     /// Without a call until then, this entry has stood still.
     awake_until: Instant,
     listen_until: Instant,
     sync_until: Instant,
-    rng: ChaCha8Rng,
+    pub(crate) rng: ChaCha8Rng,
 }
 
 impl Members {
@@ -147,8 +143,7 @@
                     stage,
                     digest,
                 };
-                self.take_heartbeat(now, from, beat, &heard);
-                self.note_late(now, from, &late);
+                self.take_heartbeat(now, from, beat, &heard, &late);
             }
             Message::Records(records) => self.take_records(now, from, records),
             Message::Ack(hashes) => self.take_ack(from, &hashes),
@@ -206,17 +201,13 @@
     ///
     /// It counts from the upstream's first announcement to any entry.
     pub fn warm_until(&self, id: UpstreamId) -> Option<Instant> {
-        let mut all = self.table.iter();
-        let (_, held) = all.find(|(_, h)| h.record.upstream.id() == id)?;
-        Some(held.warm_until)
+        Some(self.table.find(id)?.warm_until)
     }
 
     /// Returns what an upstream's load endpoint said, if it announces itself
     /// here, in percent of its capacity.
     pub fn load_hint(&self, id: UpstreamId) -> Option<u32> {
-        let mut all = self.table.iter();
-        let (_, held) = all.find(|(_, h)| h.record.upstream.id() == id)?;
-        held.load
+        self.table.find(id)?.load
     }
 
     /// Returns the live entries in ascending order, this one included.
@@ -247,29 +238,6 @@
         }
     }
 
-    pub(crate) fn heartbeat(&mut self, now: Instant, to: EntryId) -> Message {
-        self.heartbeats += 1;
-        Message::Heartbeat {
-            incarnation: self.settings.incarnation,
-            sequence: self.heartbeats,
-            stage: self.stage,
-            digest: self.table.digest(self.settings.id),
-            heard: self.liveness.reports(now, to),
-            late: self.late_keys(now),
-        }
-    }
-
-    fn take_heartbeat(&mut self, now: Instant, from: EntryId, beat: Beat, heard: &[Heard]) {
-        if !self.liveness.take_beat(now, from, beat) {
-            return;
-        }
-        for report in heard {
-            self.liveness.take_report(now, *report);
-        }
-        self.refresh_entries(now);
-        self.compare_digest(now, from);
-    }
-
     fn next_change(&mut self) -> Option<Output> {
         if std::mem::take(&mut self.changes.resync) {
             return Some(Output::Resync);
@@ -300,7 +268,7 @@
         self.set_stage(now, EntryStage::Joining);
     }
 
-    fn refresh_entries(&mut self, now: Instant) {
+    pub(crate) fn refresh_entries(&mut self, now: Instant) {
         let mut views: Vec<_> = self.liveness.views(now).collect();
         views.push(EntryView {
             id: self.settings.id,
@@ -314,41 +282,8 @@
         }
     }
 
-    fn clear_dead(&mut self, now: Instant) {
-        for (id, pending) in &mut self.outbox {
-            if !self.liveness.is_alive(now, *id) {
-                pending.clear();
-            }
-        }
-    }
-
-    /// Picks who gets this round's heartbeats: all others in turn, dead ones
-    /// too, since they may have come back, in an order that changes.
-    fn queue_heartbeats(&mut self) {
-        for _ in 0..fanout(self.cycle.len()).min(self.cycle.len()) {
-            if self.cycle_at >= self.cycle.len() {
-                self.cycle.shuffle(&mut self.rng);
-                self.cycle_at = 0;
-            }
-            let id = self.cycle[self.cycle_at];
-            self.cycle_at += 1;
-            if let Some(pending) = self.outbox.get_mut(&id) {
-                pending.heartbeat = true;
-            }
-        }
-    }
-
     /// Returns a random number for spreading load over time.
     pub(crate) fn random_below(&mut self, bound: usize) -> usize {
         self.rng.random_range(0..bound)
     }
 }
-
-/// Returns how many of the other entries get a heartbeat in each round.
-///
-/// A sign of life reaches all within a number of rounds that grows with the
-/// logarithm of the others; it has to stay well within the timeout.
-fn fanout(others: usize) -> usize {
-    let bits = usize::BITS - others.leading_zeros();
-    MIN_FANOUT.max(bits as usize / 2)
-}
--- a/crates/currantgate-membership/src/table.rs
+++ b/crates/currantgate-membership/src/table.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Table {
     limit: usize,
     held: IndexMap<UpstreamKey, Held>,
+    /// The keys of the incarnations that are held.
+    keys: IndexMap<UpstreamId, UpstreamKey>,
     /// Who claims an address, in the order of arrival; ended upstreams don't.
     claims: IndexMap<SocketAddr, Vec<UpstreamKey>>,
     digests: IndexMap<EntryId, [u64; BUCKETS]>,
@@ -41,6 +43,7 @@
         Self {
             limit,
             held: IndexMap::new(),
+            keys: IndexMap::new(),
             claims: IndexMap::new(),
             digests: IndexMap::new(),
             replaced: IndexMap::new(),
@@ -52,6 +55,11 @@
         self.held.get(&key)
     }
 
+    /// Returns what is held of the given incarnation.
+    pub(crate) fn find(&self, id: UpstreamId) -> Option<&Held> {
+        self.held.get(self.keys.get(&id)?)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Held)> {
         self.held.iter().map(|(key, held)| (*key, held))
     }
@@ -134,9 +142,11 @@
         let upstream = &held.record.upstream;
         let (address, incarnation) = (upstream.address, upstream.incarnation);
         let is_claim = held.record.status != Status::Gone;
+        let id = upstream.id();
         self.count(key, &held);
         if let Some(old) = self.held.insert(key, held) {
             self.count(key, &old);
+            self.keys.swap_remove(&old.record.upstream.id());
             let old_address = old.record.upstream.address;
             if old_address != address || !is_claim {
                 self.release(old_address, key);
@@ -145,6 +155,7 @@
                 self.keep_replaced(now, old.record.upstream);
             }
         }
+        self.keys.insert(id, key);
         if is_claim {
             self.claim(address, key);
         }
@@ -170,6 +181,7 @@
             return;
         };
         self.count(key, &held);
+        self.keys.swap_remove(&held.record.upstream.id());
         self.release(held.record.upstream.address, key);
         let ended = u64::from(held.record.status == Status::Gone);
         let floor = held.record.upstream.incarnation.saturating_add(ended);
