Follow an entry through the death of the leader in the process test

The real-process test ran control VMs alone. An entry process now follows them, and status shows it at each accepted revision.

--- a/crates/currantgate-cli/tests/control.rs
+++ b/crates/currantgate-cli/tests/control.rs
@@ -1,4 +1,4 @@
-//! Three control VMs as real processes on loopback.
+//! Three control VMs and an entry as real processes on loopback.
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
@@ -14,6 +14,43 @@
 const SITE: &str = "# applied by the test\ndomains = [\"riga-1\", \"riga-2\"]\n\n\
     [[service]]\nname = \"booking\"\naddress = \"127.20.0.1:443\"\n";
 
+/// An entry that follows the control VMs.
+struct FollowingEntry(Child);
+
+impl FollowingEntry {
+    fn start(site: &Site) -> Self {
+        fs::write(site.path("before.toml"), SITE).unwrap();
+        let servers: Vec<_> = site.addresses.iter().map(|a| format!("\"{a}\"")).collect();
+        let any = "127.0.0.1:0";
+        let text = format!(
+            "id = 7\ndomain = \"riga-1\"\nsite = \"before.toml\"\nfabric = \"{}\"\n\
+             listen = {{ fabric = \"{any}\", tunnel = \"{any}\", peer = \"{any}\", \
+             announce = \"{any}\", metrics = \"{any}\" }}\n\
+             [control]\nservers = [{}]\nkey = \"{}\"\n",
+            free_address(),
+            servers.join(", "),
+            "5a".repeat(32)
+        );
+        let settings = site.path("entry.toml");
+        fs::write(&settings, text).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_currantgate"))
+            .args(["entry", "--config"])
+            .arg(&settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self(process)
+    }
+}
+
+impl Drop for FollowingEntry {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 struct Voter {
     settings: PathBuf,
     process: Child,
@@ -147,6 +184,14 @@
     output.status.code().unwrap()
 }
 
+/// Tells whether entry 7 says that it has `revision` in force.
+fn entry_at(status: &[Value], revision: u64) -> bool {
+    let subscribers = status.iter().flat_map(|v| v["subscribers"].as_array());
+    subscribers
+        .flatten()
+        .any(|s| s["name"] == "entry-7" && s["reach"]["lowest"] == revision)
+}
+
 fn all_at(status: &[Value], revision: u64) -> bool {
     status.iter().all(|v| v["revision"] == revision)
 }
@@ -157,6 +202,9 @@
     let applied = site.apply(SITE, "0");
     assert_eq!(code(&applied), 0, "{applied:?}");
 
+    let _entry = FollowingEntry::start(&site);
+    site.wait_for("the entry at revision 1", |status| entry_at(status, 1));
+
     let leader = site.leader();
     site.voters[leader].kill();
     let second = SITE.replace(":443", ":8443");
@@ -168,6 +216,7 @@
         (0, second.clone().into_bytes())
     );
 
+    site.wait_for("the entry at revision 2", |status| entry_at(status, 2));
     site.voters[leader].restart();
     site.wait_for("all at revision 2", |status| all_at(status, 2));
 
