Show metrics of control VMs and a span for each hop of a change

Cause: nothing but the log and status told how the control VMs fare. Change: with metrics set, a voter serves what the guide lists; apply, commit and adopt write one span each. Fan-out VMs serve no metrics yet.

--- a/crates/currantgate-config/src/control.rs
+++ b/crates/currantgate-config/src/control.rs
@@ -21,6 +21,9 @@
     pub data: PathBuf,
     /// TCP: other control VMs, entries, relays and operators.
     pub listen: SocketAddr,
+    /// TCP: metrics for the operators, if wanted.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The secret that all messages are authenticated with.
     #[serde(default)]
     pub key: ControlKey,
--- a/crates/currantgate-config/tests/control.rs
+++ b/crates/currantgate-config/tests/control.rs
@@ -8,7 +8,8 @@
 
 const PAGE: &str = include_str!("../../../guide/src/operators/control.md");
 
-const GOOD: &str = "id = 1\ndomain = \"riga-1\"\ndata = \"data\"\nlisten = \"127.0.0.1:7400\"\n";
+const GOOD: &str = "id = 1\ndomain = \"riga-1\"\ndata = \"data\"\nlisten = \"127.0.0.1:7400\"\n\
+    metrics = \"127.0.0.1:7401\"\n";
 
 #[test]
 fn the_page_for_operators_lists_just_the_keys_that_there_are() {
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -7,16 +7,19 @@
 
 use currantgate_config::{ControlSettings, Prefix, Site};
 use currantgate_control::{
-    ApplyRequest, Output, ReplaceRequest, Replica, RequestId, Revision, Secret, StorageError,
-    VoterId,
+    ApplyAnswer, ApplyRequest, Output, ReplaceRequest, Replica, RequestId, Revision, Secret,
+    StorageError, VoterId,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
+use tracing::debug_span;
 
 use super::call::{Envelope, NodeStatus, Reply};
+use super::metrics::ControlMetrics;
 use super::peer::Peer;
 use super::publishing::Publishing;
 use super::writer::Writes;
+use crate::TRACE_TARGET;
 
 /// One replica with its disk, its peers and the requests that wait.
 pub(super) struct Core {
@@ -30,6 +33,7 @@
     /// Where others said that they listen, for those who are no voters yet.
     heard_from: IndexMap<VoterId, SocketAddr>,
     waiting: IndexMap<RequestId, oneshot::Sender<Reply>>,
+    metrics: ControlMetrics,
     next_request: RequestId,
     pub(super) wake: Rc<Notify>,
 }
@@ -41,6 +45,7 @@
         replica: Replica,
         writes: Writes,
         publishing: Rc<RefCell<Publishing>>,
+        metrics: ControlMetrics,
     ) -> Self {
         Self {
             replica,
@@ -52,6 +57,7 @@
             peers: IndexMap::new(),
             heard_from: IndexMap::new(),
             waiting: IndexMap::new(),
+            metrics,
             next_request: 0,
             wake: Rc::new(Notify::new()),
         }
@@ -159,17 +165,26 @@
                 }
                 Output::Send { to, message } => self.send(to, message),
                 Output::Applied { request, answer } => {
+                    let outcome = outcome(&answer);
+                    self.metrics.count_change(outcome);
+                    let control = self.replica.id();
+                    debug_span!(target: TRACE_TARGET, "apply", control, outcome).in_scope(|| {});
                     self.answer(request, Reply::Apply(answer));
                 }
                 Output::Replaced { request, answer } => {
                     self.answer(request, Reply::Replace(answer));
                 }
                 Output::Committed(change) => {
-                    log::info!("revision {} is accepted", change.as_base());
+                    let revision = change.as_base();
+                    log::info!("revision {revision} is accepted");
+                    let control = self.replica.id();
+                    debug_span!(target: TRACE_TARGET, "commit", control, %revision).in_scope(|| {});
                     self.publishing.borrow_mut().publish(now, change);
                 }
             }
         }
+        let reach = self.publishing.borrow().reach();
+        self.metrics.show(&self.replica.status(now), &reach);
         self.wake.notify_one();
     }
 
@@ -201,3 +216,14 @@
         self.peers[&to].send(envelope);
     }
 }
+
+/// Names what became of a change, for the metrics.
+fn outcome(answer: &ApplyAnswer) -> &'static str {
+    match answer {
+        ApplyAnswer::Accepted(_) => "accepted",
+        ApplyAnswer::AlreadyAccepted(_) => "already_accepted",
+        ApplyAnswer::Conflict(_) => "conflict",
+        ApplyAnswer::Refused(_) => "refused",
+        ApplyAnswer::Unknown => "unknown",
+    }
+}
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -3,21 +3,26 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
+use actix_web::dev::ServerHandle;
 use currantgate_config::ControlSettings;
 use currantgate_control::{
     Folder, Journal, Members, Recovered, Replica, ReplicaSettings, Server, ServerSettings,
     StorageError,
 };
+use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
 use super::ControlError;
 use super::core::Core;
+use super::metrics::ControlMetrics;
 use super::publishing::{Publishing, keep_publishing};
 use super::serve::serve_stream;
 use super::writer::{self, Confirmations};
+use crate::entry::announce;
 
 /// How a control VM comes to its state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +42,7 @@
 pub struct Control {
     address: SocketAddr,
     _server: Server,
+    metrics_server: Option<ServerHandle>,
     tasks: Vec<JoinHandle<()>>,
     failed: watch::Receiver<bool>,
 }
@@ -68,7 +74,16 @@
         if let Some(change) = current {
             publishing.borrow_mut().publish(now, change);
         }
-        let core = Core::new(settings, address, replica, writes, Rc::clone(&publishing));
+        let metrics = ControlMetrics::default();
+        let metrics_server = serve_metrics(settings, &metrics)?;
+        let core = Core::new(
+            settings,
+            address,
+            replica,
+            writes,
+            Rc::clone(&publishing),
+            metrics,
+        );
         let core = Rc::new(RefCell::new(core));
         let (failed_tx, failed) = watch::channel(false);
         let server = serve(settings, listener, &core, &publishing);
@@ -84,6 +99,7 @@
         Ok(Self {
             address,
             _server: server,
+            metrics_server,
             tasks,
             failed,
         })
@@ -107,9 +123,29 @@
         for task in &self.tasks {
             task.abort();
         }
+        if let Some(server) = &self.metrics_server {
+            // The returned future only waits; the stop itself is asked for at once.
+            drop(server.stop(false));
+        }
     }
 }
 
+/// Serves the metrics, if the settings say where.
+fn serve_metrics(
+    settings: &ControlSettings,
+    metrics: &ControlMetrics,
+) -> Result<Option<ServerHandle>, ControlError> {
+    let Some(address) = settings.metrics else {
+        return Ok(None);
+    };
+    let mut registry = Registry::default();
+    metrics.register(&mut registry);
+    let error = |source| ControlError::Listen { address, source };
+    let listener = TcpListener::bind(address).map_err(error)?;
+    let server = announce::serve_metrics(listener, Arc::new(registry))?;
+    Ok(Some(server))
+}
+
 /// Puts a listener to use and returns its address.
 pub(super) fn use_listener(
     asked: SocketAddr,
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -8,6 +8,8 @@
 use currantgate_control::{Base, Revision, StorageError, TransportError};
 use displaydoc::Display;
 
+use crate::EntryError;
+
 /// Why a control daemon can't run.
 #[derive(Debug, Display)]
 pub enum ControlError {
@@ -34,6 +36,8 @@
         /// What the system said.
         source: io::Error,
     },
+    /// can't serve the metrics: {0}
+    Metrics(Box<EntryError>),
     /// control VM {0} is not among the voters of its settings
     NoVoter(u16),
 }
@@ -44,6 +48,7 @@
             Self::Config(source) => Some(source),
             Self::Storage { source, .. } => Some(source),
             Self::Folder { source, .. } | Self::Listen { source, .. } => Some(source),
+            Self::Metrics(source) => Some(source),
             Self::NoVoter(_) => None,
         }
     }
@@ -55,6 +60,12 @@
     }
 }
 
+impl From<EntryError> for ControlError {
+    fn from(source: EntryError) -> Self {
+        Self::Metrics(Box::new(source))
+    }
+}
+
 impl ControlError {
     /// Says which folder an error of the disk is about.
     pub(super) fn storage(folder: &Path) -> impl Fn(StorageError) -> Self {
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -61,6 +61,7 @@
             seed: rand_seed(settings.id),
         };
         let follow = Follow {
+            name: subscriber_settings.name.clone(),
             subscriber: Subscriber::new(subscriber_settings, adopted, now),
             file: Some(file),
             secret: *settings.key.bytes(),
--- a/crates/currantgate/src/control/follow.rs
+++ b/crates/currantgate/src/control/follow.rs
@@ -10,8 +10,10 @@
     SubscriberMessage, SubscriberOutput, TransportError,
 };
 use tokio::sync::mpsc;
+use tracing::debug_span;
 
 use super::call::SUBSCRIBE_PATH;
+use crate::TRACE_TARGET;
 
 /// Messages of one connection that may wait.
 const QUEUE: usize = 16;
@@ -32,6 +34,7 @@
 
 /// One subscriber with its connection and its disk.
 pub(super) struct Follow {
+    pub(super) name: Box<str>,
     pub(super) subscriber: Subscriber,
     pub(super) file: Option<AdoptedFile<Folder>>,
     pub(super) secret: Secret,
@@ -61,6 +64,9 @@
                     SubscriberOutput::Send(message) => send(connection.as_ref(), message),
                     SubscriberOutput::Adopt(change) => {
                         self.save(&change);
+                        let revision = change.as_base();
+                        let name = &*self.name;
+                        debug_span!(target: TRACE_TARGET, "adopt", name, %revision).in_scope(|| {});
                         adopt(change);
                     }
                 }
--- /dev/null
+++ b/crates/currantgate/src/control/metrics.rs
@@ -0,0 +1,82 @@
+//! What a control VM counts and shows.
+
+use currantgate_control::{Freshness, Reach, RoleName, Status};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Label that tells what became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct Outcome {
+    pub(super) outcome: &'static str,
+}
+
+/// What a control VM counts and shows.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ControlMetrics {
+    revision: Gauge,
+    term: Gauge,
+    leads: Gauge,
+    has_lease: Gauge,
+    uncommitted: Gauge,
+    nodes: Gauge,
+    lowest: Gauge,
+    changes: Family<Outcome, Counter>,
+}
+
+impl ControlMetrics {
+    /// Registers all metrics under the `currantgate_control` prefix.
+    pub(super) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("currantgate_control");
+        let gauges = [
+            ("revision", "Revision known as accepted", &self.revision),
+            ("term", "Term of the consensus", &self.term),
+            ("leads", "1 on the leader", &self.leads),
+            ("lease", "1 while the lease is held", &self.has_lease),
+            (
+                "uncommitted_entries",
+                "Entries of the log that are not known as committed",
+                &self.uncommitted,
+            ),
+            (
+                "served_nodes",
+                "VMs that take revisions from here, also through fan-out VMs",
+                &self.nodes,
+            ),
+            (
+                "served_lowest_revision",
+                "Oldest revision in force on any of them",
+                &self.lowest,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register(
+            "changes",
+            "Changes that operators asked for",
+            self.changes.clone(),
+        );
+    }
+
+    /// Shows the present state.
+    pub(super) fn show(&self, status: &Status, reach: &Reach) {
+        let number = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        self.revision.set(number(status.accepted.revision));
+        self.term.set(number(status.term));
+        self.leads.set(i64::from(status.role == RoleName::Leader));
+        let has_lease = status.freshness == Freshness::Present;
+        self.has_lease.set(i64::from(has_lease));
+        self.uncommitted
+            .set(number(status.last_index.saturating_sub(status.commit)));
+        self.nodes.set(i64::from(reach.nodes));
+        self.lowest.set(number(reach.lowest));
+    }
+
+    /// Counts a change by what became of it.
+    pub(super) fn count_change(&self, outcome: &'static str) {
+        self.changes.get_or_create(&Outcome { outcome }).inc();
+    }
+}
--- a/crates/currantgate/src/control/mod.rs
+++ b/crates/currantgate/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod fan_out;
 mod follow;
+mod metrics;
 mod peer;
 mod publishing;
 mod serve;
--- a/crates/currantgate/src/control/subscription.rs
+++ b/crates/currantgate/src/control/subscription.rs
@@ -54,6 +54,7 @@
             seed: rand_seed(0),
         };
         let follow = Follow {
+            name: settings.name.clone(),
             subscriber: Subscriber::new(subscriber_settings, adopted, Instant::now()),
             file,
             secret: *settings.control.key.bytes(),
