Let the stand-in fabric lose, delay and duplicate packets and cut a domain

A share of packets of both directions is lost, duplicated or delayed by the fabric's settings or while it runs. A cut failure domain gets and gives no packet, and its entries fail their checks, so the spray leaves them out later, as a fabric would notice it.

--- a/crates/currantgate-standin/src/fabric.rs
+++ b/crates/currantgate-standin/src/fabric.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use currantgate_config::Domain;
 use etherparse::Ipv4HeaderSlice;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpStream, UdpSocket};
 
 use crate::spray::Spray;
-use crate::{FabricSettings, SprayTarget, StandinError};
+use crate::{FabricSettings, Faults, SprayTarget, StandinError};
 
 /// The largest datagram that UDP can carry.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -41,6 +42,7 @@
     caller_side: SocketAddr,
     entry_side: SocketAddr,
     spray: Rc<RefCell<Spray>>,
+    faults: Rc<RefCell<Faults>>,
 }
 
 impl FabricHandle {
@@ -58,12 +60,31 @@
     pub fn set_entries(&self, entries: Vec<SprayTarget>) {
         self.spray.borrow_mut().set_targets(entries);
     }
+
+    /// Cuts a failure domain off, in place of the one that was cut off
+    /// before: packets to and from its entries are lost.
+    pub fn set_cut(&self, domain: Option<Domain>) {
+        self.spray.borrow_mut().set_cut(domain);
+    }
+
+    /// Sets what the fabric does to packets of both directions.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.borrow_mut() = faults;
+    }
+}
+
+/// Where a packet leaves the fabric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Callers,
+    Entries,
 }
 
 struct Shared {
     caller_side: UdpSocket,
     entry_side: UdpSocket,
     spray: Rc<RefCell<Spray>>,
+    faults: Rc<RefCell<Faults>>,
     callers: RefCell<HashMap<Ipv4Addr, SocketAddr>>,
     rng: RefCell<ChaCha8Rng>,
 }
@@ -82,12 +103,14 @@
             caller_side: caller_side.local_addr().map_err(error)?,
             entry_side: entry_side.local_addr().map_err(error)?,
             spray: Rc::default(),
+            faults: Rc::new(RefCell::new(settings.faults)),
         };
         handle.set_entries(settings.entries);
         let shared = Rc::new(Shared {
             caller_side,
             entry_side,
             spray: Rc::clone(&handle.spray),
+            faults: Rc::clone(&handle.faults),
             callers: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(settings.seed)),
         });
@@ -127,8 +150,7 @@
             .borrow_mut()
             .insert(header.source_addr(), from);
         if let Some(entry) = shared.choose_entry() {
-            // A full socket loses the packet, as a full link would.
-            let _ = shared.entry_side.try_send_to(&buf[..len], entry);
+            shared.carry(Side::Entries, &buf[..len], entry);
         }
     }
 }
@@ -136,19 +158,22 @@
 async fn return_answers(shared: Rc<Shared>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((len, _)) = shared.entry_side.recv_from(&mut buf).await else {
+        let Ok((len, entry)) = shared.entry_side.recv_from(&mut buf).await else {
             continue;
         };
         let Ok(header) = Ipv4HeaderSlice::from_slice(&buf[..len]) else {
             continue;
         };
+        if shared.spray.borrow().is_cut(entry) {
+            continue;
+        }
         let caller = shared
             .callers
             .borrow()
             .get(&header.destination_addr())
             .copied();
         if let Some(caller) = caller {
-            let _ = shared.caller_side.try_send_to(&buf[..len], caller);
+            shared.carry(Side::Callers, &buf[..len], caller);
         }
     }
 }
@@ -177,6 +202,34 @@
             return None;
         }
         let i = self.rng.borrow_mut().random_range(0..live.len());
-        Some(live[i])
+        Some(live[i]).filter(|entry| !spray.is_cut(*entry))
+    }
+
+    /// Sends a packet, or does to it what the faults ask for.
+    fn carry(self: &Rc<Self>, side: Side, packet: &[u8], to: SocketAddr) {
+        let fate = self.faults.borrow().draw(&mut *self.rng.borrow_mut());
+        for _ in 0..fate.copies {
+            match fate.delay {
+                None => self.send(side, packet, to),
+                Some(delay) => self.send_later(delay, side, packet.to_vec(), to),
+            }
+        }
+    }
+
+    fn send_later(self: &Rc<Self>, delay: Duration, side: Side, packet: Vec<u8>, to: SocketAddr) {
+        let shared = Rc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(delay).await;
+            shared.send(side, &packet, to);
+        });
+    }
+
+    fn send(&self, side: Side, packet: &[u8], to: SocketAddr) {
+        let socket = match side {
+            Side::Callers => &self.caller_side,
+            Side::Entries => &self.entry_side,
+        };
+        // A full socket loses the packet, as a full link would.
+        let _ = socket.try_send_to(packet, to);
     }
 }
--- a/crates/currantgate-standin/src/fabric_settings.rs
+++ b/crates/currantgate-standin/src/fabric_settings.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::Faults;
 use crate::spray_target::SprayTarget;
 use currantgate_config::{Checked, ConfigError};
 
@@ -18,6 +19,8 @@
     /// The entries that packets are sprayed over.
     #[serde(rename = "entry")]
     pub entries: Vec<SprayTarget>,
+    /// What it does to packets of both directions.
+    pub faults: Faults,
     /// Seeds all random choices.
     pub seed: u64,
 }
@@ -29,6 +32,7 @@
             callers: any,
             answers: any,
             entries: Vec::new(),
+            faults: Faults::default(),
             seed: 0,
         }
     }
@@ -45,6 +49,6 @@
                 ));
             }
         }
-        Ok(())
+        self.faults.check()
     }
 }
--- a/crates/currantgate-standin/src/spray.rs
+++ b/crates/currantgate-standin/src/spray.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use currantgate_config::Domain;
+
 use crate::SprayTarget;
 
 /// The entries that the fabric knows and those that it sprays over.
@@ -11,6 +13,7 @@
     targets: Vec<SprayTarget>,
     healthy: HashMap<SocketAddr, bool>,
     live: Vec<SocketAddr>,
+    cut: Option<Domain>,
 }
 
 impl Spray {
@@ -22,11 +25,25 @@
 
     /// Notes whether the entry with this check address accepts connections.
     pub(crate) fn set_healthy(&mut self, check: SocketAddr, healthy: bool) {
+        let target = self.targets.iter().find(|t| t.check == Some(check));
+        let healthy = healthy && target.is_some_and(|t| !self.is_cut(t.address));
         if self.healthy.insert(check, healthy) != Some(healthy) {
             self.choose_live();
         }
     }
 
+    /// Cuts a failure domain off, in place of the one that was.
+    pub(crate) fn set_cut(&mut self, domain: Option<Domain>) {
+        self.cut = domain;
+    }
+
+    /// Tells whether the entry at `address` is cut off.
+    pub(crate) fn is_cut(&self, address: SocketAddr) -> bool {
+        let cut = |target: &SprayTarget| Some(&target.domain) == self.cut.as_ref();
+        let found = self.targets.iter().find(|t| t.address == address);
+        found.is_some_and(cut)
+    }
+
     /// Returns the addresses to check.
     pub(crate) fn checks(&self) -> Vec<SocketAddr> {
         self.targets.iter().filter_map(|t| t.check).collect()
--- a/crates/currantgate-standin/tests/settings.rs
+++ b/crates/currantgate-standin/tests/settings.rs
@@ -52,6 +52,15 @@
     assert!(e.to_string().contains(problem), "{e}");
 }
 
+#[rstest]
+#[case("lose = 1.5", "`faults.lose`: must be from 0 to 1")]
+#[case("delay = -0.1", "`faults.delay`: must be from 0 to 1")]
+#[case("drop = 0.1", "unknown field `drop`")]
+fn a_fabric_refuses(#[case] line: &str, #[case] problem: &str) {
+    let e = FabricSettings::parse(&format!("[faults]\n{line}"), "fabric.toml").unwrap_err();
+    assert!(e.to_string().contains(problem), "{e}");
+}
+
 #[test]
 fn a_fabric_refuses_an_entry_that_is_listed_twice() {
     let entry = "[[entry]]\naddress = \"127.0.1.1:5555\"\ndomain = \"riga-1\"\n";
