Refuse UDP flows also when their packet's bytes are gone

An entry that held a packet back refused a UDP flow without any answer, because the ICMP error must quote a packet. It now quotes headers made from the flow's key, which is what a caller's kernel looks at.

--- a/crates/currantgate-packet/src/refuse.rs
+++ b/crates/currantgate-packet/src/refuse.rs
@@ -2,9 +2,9 @@
 
 use currantgate_config::Protocol;
 
-use crate::reset::answer_with_reset;
+use crate::reset::{answer_with_reset, ip_header};
 use crate::unreachable::answer_with_unreachable;
-use crate::{AnswerError, Packet, PacketKind};
+use crate::{AnswerError, FlowKey, Packet, PacketKind};
 
 /// What a caller is told about a flow that can't be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,16 +33,32 @@
     }
 }
 
-/// Builds the reset that refuses a TCP packet; use [`refuse`], which refuses
-/// UDP packets too.
+/// Builds the IP packet that tells the caller about `refusal` when the bytes of
+/// `packet` are no longer at hand.
+///
+/// It differs from what [`refuse`] builds in that an ICMP error quotes headers
+/// made anew from the flow's key, which is all that a caller's kernel looks at.
 ///
 /// # Errors
 ///
-/// Returns an error for a packet that [`refuse`] does not answer, or of UDP.
-pub fn build_refusal(packet: &Packet, _refusal: Refusal) -> Result<Vec<u8>, AnswerError> {
-    match (packet.kind, packet.key.protocol) {
-        (PacketKind::IcmpError, _) => Err(AnswerError::NeverAnswered),
-        (_, Protocol::Tcp) => answer_with_reset(packet),
-        (_, Protocol::Udp) => Err(AnswerError::Build),
+/// Returns [`AnswerError::NeverAnswered`] for a reset or an ICMP error, so
+/// that no two hosts answer each other for ever.
+pub fn build_refusal(packet: &Packet, refusal: Refusal) -> Result<Vec<u8>, AnswerError> {
+    match packet.key.protocol {
+        Protocol::Tcp => refuse(packet, &[], refusal),
+        Protocol::Udp => refuse(packet, &udp_headers(&packet.key)?, refusal),
     }
 }
+
+/// Returns an empty UDP packet from the caller.
+fn udp_headers(key: &FlowKey) -> Result<Vec<u8>, AnswerError> {
+    let FlowKey {
+        caller, service, ..
+    } = key;
+    let builder = ip_header(caller.ip(), service.ip())?.udp(caller.port(), service.port());
+    let mut buf = Vec::with_capacity(builder.size(0));
+    builder
+        .write(&mut buf, &[])
+        .map_err(|_| AnswerError::Build)?;
+    Ok(buf)
+}
--- a/crates/currantgate-packet/tests/packets/answers.rs
+++ b/crates/currantgate-packet/tests/packets/answers.rs
@@ -2,8 +2,8 @@
 
 use currantgate_config::Protocol;
 use currantgate_packet::{
-    AnswerError, PacketKind, Refusal, build_reset, build_too_big, build_upstream_reset,
-    parse_answer, parse_request, refuse,
+    AnswerError, PacketKind, Refusal, build_refusal, build_reset, build_too_big,
+    build_upstream_reset, parse_answer, parse_request, refuse,
 };
 use etherparse::{Icmpv4Type, Icmpv6Type, SlicedPacket, TcpHeader, TransportSlice, icmpv4, icmpv6};
 use rstest::rstest;
@@ -72,6 +72,21 @@
     }
 }
 
+#[rstest]
+fn a_packet_without_its_bytes_is_refused_too(
+    #[values(V4, V6)] addresses: [&str; 2],
+    #[values(Protocol::Tcp, Protocol::Udp)] protocol: Protocol,
+    #[values(Refusal::NotRun, Refusal::Gone)] refusal: Refusal,
+) {
+    let key = key(protocol, addresses);
+    let buf = packet(&key, true, &[]);
+    let packet = parse_request(&buf).unwrap();
+    let refused = build_refusal(&packet, refusal).unwrap();
+    let read = parse_answer(&refused).unwrap();
+    let with_bytes = parse_answer(&refuse(&packet, &buf, refusal).unwrap()).unwrap();
+    assert_eq!((read.key, read), (key, with_bytes));
+}
+
 #[test]
 fn resets_and_icmp_errors_are_never_answered() {
     let tcp_key = key(Protocol::Tcp, V4);
