Close callers' connections without resetting them

A socket closed with unread bytes resets the connection, and the other end then loses the last answers and the GOAWAY that it has not read; a caller that sends one more request during a planned stop could meet that.

--- a/crates/currantgate/src/relay/caller.rs
+++ b/crates/currantgate/src/relay/caller.rs
@@ -8,6 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::linger::Linger;
 use super::shared::Shared;
 use super::upstream::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
 use super::{exchange, tcp};
@@ -67,9 +68,14 @@
     match service.requests.protocol {
         RequestProtocol::Tcp => tcp::relay(&shared, &service, stream).await,
         RequestProtocol::Http2 => {
+            let Ok((stream, linger)) = Linger::new(stream) else {
+                log::warn!("{}: a caller's socket has no second handle", service.name);
+                return;
+            };
             let stopping = shared.stopping.subscribe();
-            if let Err(e) = serve_http2(&shared, &service, stream, stopping).await {
-                log::debug!("{}: a caller's connection ended: {e}", service.name);
+            match serve_http2(&shared, &service, stream, stopping).await {
+                Ok(()) => linger.finish().await,
+                Err(e) => log::debug!("{}: a caller's connection ended: {e}", service.name),
             }
         }
     }
--- a/crates/currantgate/src/relay/mod.rs
+++ b/crates/currantgate/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 mod exchange;
 mod headers;
+mod linger;
 mod metrics;
 mod refusal;
 mod shared;
--- a/crates/currantgate/tests/relay_support/stand_in.rs
+++ b/crates/currantgate/tests/relay_support/stand_in.rs
@@ -77,6 +77,7 @@
 }
 
 async fn serve(state: Rc<State>, stream: TcpStream) {
+    let (stream, mut linger) = duplicate(stream);
     let mut connection = server::handshake(stream).await.unwrap();
     while let Some(Ok((request, mut respond))) = connection.accept().await {
         if state.goes_silent.replace(false) {
@@ -91,6 +92,17 @@
         }
         actix_rt::spawn(answer(Rc::clone(&state), request, respond));
     }
+    // Closing with unread bytes would be a reset, not an end in plan.
+    drop(connection);
+    let _ = tokio::io::copy(&mut linger, &mut tokio::io::sink()).await;
+}
+
+/// Returns two handles on one connection.
+fn duplicate(stream: TcpStream) -> (TcpStream, TcpStream) {
+    let stream = stream.into_std().unwrap();
+    let second = stream.try_clone().unwrap();
+    let async_stream = |stream| TcpStream::from_std(stream).unwrap();
+    (async_stream(stream), async_stream(second))
 }
 
 async fn answer(state: Rc<State>, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
