--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -1,9 +1,16 @@
 //! One module a subcommand.
 
+pub(crate) mod apply;
 pub(crate) mod check;
+pub(crate) mod control;
 pub(crate) mod demo;
+pub(crate) mod diff;
 pub(crate) mod entry;
+mod operator;
 pub(crate) mod relay;
+pub(crate) mod replace;
 pub(crate) mod run;
+pub(crate) mod show;
 pub(crate) mod standin;
+pub(crate) mod status;
 mod stop_signal;
--- a/crates/currantgate-flow/src/lib.rs
+++ b/crates/currantgate-flow/src/lib.rs
@@ -7,8 +7,11 @@
 //! `docs/design/flow-routing.md`.
 
 mod balance;
+mod batch;
 mod bucket;
+mod copy;
 mod drop_reason;
+mod filter;
 mod flow_map;
 mod follower;
 mod forward;
@@ -25,6 +28,7 @@
 mod route;
 mod router;
 mod send;
+mod services;
 mod settings;
 mod sync;
 mod table;
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -10,7 +10,8 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::bucket::Bucket;
-use crate::flow_map::UpstreamMap;
+use crate::copy::{self, Copies};
+use crate::flow_map::{ServiceMap, UpstreamMap};
 use crate::keepers;
 use crate::known::Known;
 use crate::refuse::GoneScan;
@@ -22,6 +23,9 @@
 /// Names a bucket: its service's place among the tables, and its index.
 pub(crate) type Place = (usize, BucketIndex);
 
+/// A step in answer to another entry's.
+pub(crate) type Reply = (BucketIndex, Version, Step);
+
 /// Time between two rounds of housekeeping.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -36,7 +40,9 @@
 pub struct Router {
     pub(crate) settings: RouterSettings,
     pub(crate) hasher: FlowHasher,
-    pub(crate) services: IndexMap<(Protocol, SocketAddr), usize>,
+    pub(crate) services: ServiceMap,
+    /// The service of the last packet, which the next one often shares.
+    recent_service: Option<((Protocol, SocketAddr), usize)>,
     pub(crate) tables: Vec<Table>,
     pub(crate) upstreams: UpstreamMap<Known>,
     pub(crate) addresses: IndexMap<SocketAddr, UpstreamId>,
@@ -49,11 +55,17 @@
     /// Buckets whose keeper is to collect what this entry knows, and when it
     /// is next asked.
     pub(crate) reopens: IndexMap<Place, Instant>,
-    pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<BucketItem>>,
+    pub(crate) replies: IndexMap<(EntryId, usize), VecDeque<Reply>>,
+    pub(crate) copies: Copies,
     /// States that other entries have asked for.
     pub(crate) requests: IndexMap<(EntryId, Place), Option<u64>>,
     pub(crate) outputs: VecDeque<Output>,
     pub(crate) sync: SyncState,
+    /// When the view of entries or upstreams last changed.
+    pub(crate) changed_at: Instant,
+    /// Packets that took the short way since one took the long way.
+    pub(crate) short_ways: u8,
+    pub(crate) states_first: bool,
     pub(crate) scan: GoneScan,
     pub(crate) send_at: Instant,
     pub(crate) plan_at: Instant,
@@ -73,6 +85,7 @@
         Self {
             hasher: FlowHasher::new(settings.hash_key),
             services: keys.zip(0..).collect(),
+            recent_service: None,
             tables,
             upstreams: UpstreamMap::default(),
             addresses: IndexMap::new(),
@@ -82,9 +95,13 @@
             pulls: IndexMap::new(),
             reopens: IndexMap::new(),
             replies: IndexMap::new(),
+            copies: Copies::new(),
             requests: IndexMap::new(),
             outputs: VecDeque::new(),
             sync: SyncState::new(now, settings.seed),
+            changed_at: now,
+            short_ways: 0,
+            states_first: false,
             scan: GoneScan::default(),
             send_at: now,
             plan_at: now,
@@ -114,6 +131,9 @@
             let known = Known::new(now, (upstream, presence), service, before.get(&id));
             self.upstreams.insert(id, known);
         }
+        if !before.keys().eq(self.upstreams.keys()) {
+            self.changed_at = now;
+        }
         self.note_gone(before.keys().copied());
         for t in 0..self.tables.len() {
             self.plan(now, t);
@@ -124,6 +144,9 @@
     pub fn set_entries(&mut self, now: Instant, entries: &[EntryView]) {
         let before = std::mem::take(&mut self.entries);
         self.entries = entries.iter().map(|e| (e.id, e.stage)).collect();
+        if before != self.entries {
+            self.changed_at = now;
+        }
         self.choose_keepers(now);
         self.meet_entries(now, &before);
         let places: Vec<_> = self.transfers.keys().copied().collect();
@@ -148,9 +171,7 @@
         match message {
             Message::Buckets { items, .. } => {
                 for item in items {
-                    if usize::from(item.bucket) < self.tables[t].buckets.len() {
-                        self.take_item(now, from, t, item);
-                    }
+                    self.take_item(now, from, t, item);
                 }
             }
             Message::Digest { chunks, .. } => self.take_digest(now, from, t, chunks),
@@ -164,11 +185,25 @@
     }
 
     fn take_item(&mut self, now: Instant, entry: EntryId, t: usize, item: &BucketItem) {
-        let place = (t, item.bucket);
+        let mut index: BucketIndex = 0;
+        for distance in &item.buckets {
+            index = index.wrapping_add(*distance);
+            if usize::from(index) < self.tables[t].buckets.len() {
+                self.take_step(now, entry, (t, index), item);
+            }
+        }
+    }
+
+    fn take_step(&mut self, now: Instant, entry: EntryId, place: Place, item: &BucketItem) {
         let version = item.version;
         let is_own = self.bucket_mut(place).version == version;
         match &item.step {
-            Step::Prepare { from, to } => self.take_prepare(entry, place, version, (*from, *to)),
+            Step::Prepare {
+                from,
+                to,
+                base,
+                full,
+            } => self.take_prepare(entry, place, version, (*from, *to), (*base, *full)),
             Step::Pins {
                 offset,
                 total,
@@ -179,8 +214,11 @@
                 self.take_pins(now, entry, place, version, counts, flows);
             }
             Step::Commit { owner } => self.take_commit(now, entry, place, version, *owner),
-            Step::Prepared { committed } if is_own => {
-                self.take_prepared(now, entry, place, *committed);
+            Step::Prepared {
+                committed,
+                lacks_base,
+            } if is_own => {
+                self.take_prepared(now, entry, place, (*committed, *lacks_base));
             }
             Step::Filled {
                 have,
@@ -193,6 +231,8 @@
             Step::Committed if is_own => self.take_committed(now, entry, place),
             Step::Prepared { .. } | Step::Filled { .. } | Step::Committed => {}
             Step::Refused => self.take_refused(now, entry, place, version),
+            Step::Copy { flows } => self.take_copy(now, entry, place, flows),
+            Step::Copied { up_to } => self.take_copied(now, entry, place, *up_to),
             Step::Reopen => self.take_reopen(now, place),
             Step::Pull { after } => self.take_pull(entry, place, *after),
             Step::State {
@@ -243,6 +283,12 @@
         buckets.map(|b| (b.version, b.phase)).collect()
     }
 
+    /// Tells whether nothing waits for this entry, so that it may stop once
+    /// the others have seen it leave.
+    pub fn may_leave(&self) -> bool {
+        self.transfers.is_empty() && self.reopens.is_empty() && self.copies.is_empty()
+    }
+
     /// Returns the number of buckets that this entry is moving.
     pub fn moving_buckets(&self) -> usize {
         self.transfers.len()
@@ -271,17 +317,26 @@
             serves.then_some(*id)
         };
         let candidates: Vec<_> = self.entries.iter().filter_map(serving).collect();
-        for table in &mut self.tables {
+        let mut copies = Vec::new();
+        for (t, table) in self.tables.iter_mut().enumerate() {
             for (index, bucket) in table.buckets.iter_mut().enumerate() {
                 let key = u64::from(table.id) << 32 | index as u64;
                 let (keeper, backup) = keepers::choose(key, &candidates, &self.settings.domains);
                 if keeper == Some(me) && bucket.keeper != Some(me) {
                     bucket.kept_since = (bucket.phase != Phase::Unowned).then_some(now);
                 }
+                let old = (bucket.keeper, bucket.backup);
+                let is_live = |id| self.entries.contains_key(&id);
+                let receivers = copy::receivers(me, old, (keeper, backup), is_live);
+                copies.extend(receivers.map(|to| ((t, index as BucketIndex), to)));
                 bucket.keeper = keeper;
                 bucket.backup = backup;
             }
         }
+        self.prune_copies();
+        for (place, to) in copies {
+            self.begin_copy(now, place, to);
+        }
     }
 
     fn update_peers(&mut self, now: Instant, place: Place) {
@@ -345,16 +400,23 @@
     fn sweep(&mut self, now: Instant) {
         for table in &mut self.tables {
             for index in (self.sweep_round..table.buckets.len()).step_by(SWEEP_ROUNDS) {
-                table.sweep(now, index);
+                table.sweep(now, index, self.settings.id);
             }
         }
         self.sweep_round = (self.sweep_round + 1) % SWEEP_ROUNDS;
     }
 
     /// Returns the place of the table that a packet's flow belongs to.
-    pub(crate) fn table_of(&self, packet: &Packet) -> Option<usize> {
+    pub(crate) fn table_of(&mut self, packet: &Packet) -> Option<usize> {
         let key = (packet.key.protocol, packet.key.service);
-        self.services.get(&key).copied()
+        if let Some((recent, t)) = self.recent_service
+            && recent == key
+        {
+            return Some(t);
+        }
+        let t = self.services.get(&key).copied()?;
+        self.recent_service = Some((key, t));
+        Some(t)
     }
 }
 
--- a/crates/currantgate-packet/src/error.rs
+++ b/crates/currantgate-packet/src/error.rs
@@ -5,7 +5,7 @@
 /// Why a packet can't be routed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum PacketError {
-    /// the IP header is malformed or truncated
+    /// the IP header is malformed or damaged, or gives another length than the packet has
     Ip,
     /// the transport header is malformed or truncated
     Transport,
@@ -13,7 +13,7 @@
     Protocol(u8),
     /// the packet is a fragment, which has no port to route by
     Fragment,
-    /// the ICMP message is not an error about a flow
+    /// the ICMP message is damaged or is not an error about a flow
     Icmp,
 }
 
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -24,10 +24,15 @@
 //! # }
 //! ```
 
+mod control;
 mod entry;
 mod relay;
 mod trace;
 
+pub use control::{
+    Accepted, Applied, ClientError, Control, ControlClient, ControlError, ControlStart, FanOut,
+    NodeStatus, Shown, Subscription, SubscriptionSettings,
+};
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use trace::TRACE_TARGET;
