--- a/crates/currantgate-config/src/requests.rs
+++ b/crates/currantgate-config/src/requests.rs
@@ -53,7 +53,13 @@
 impl Requests {
     /// Tells whether the site file declares that such a request may run more
     /// than once.
+    ///
+    /// A path that climbs with `..` is never taken as declared: the upstream
+    /// may take it for another one.
     pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        if path.to_ascii_lowercase().replace("%2e", ".").contains("..") {
+            return false;
+        }
         let declared = |r: &Repeatable| {
             r.methods.iter().any(|m| **m == *method) && path.starts_with(&*r.path_prefix)
         };
--- /dev/null
+++ b/crates/currantgate-config/tests/requests.rs
@@ -0,0 +1,72 @@
+//! What the site and relay files say of requests.
+
+use currantgate_config::{RelaySettings, Requests, Site};
+use rstest::rstest;
+
+fn requests(repeatable: &str) -> Result<Requests, String> {
+    let text = format!(
+        "domains = [\"a\"]\n[[service]]\nname = \"booking\"\naddress = \"127.0.0.1:1\"\n\
+         requests.repeatable = {repeatable}\n"
+    );
+    let site = Site::parse(&text, "site.toml").map_err(|e| e.to_string())?;
+    Ok(site.services[0].requests.clone())
+}
+
+#[rstest]
+#[case("[]", "GET", "/free", false)]
+#[case("[{ methods = [\"GET\"] }]", "GET", "/any", true)]
+#[case(
+    "[{ methods = [\"GET\"], path_prefix = \"/free\" }]",
+    "GET",
+    "/free/4",
+    true
+)]
+#[case(
+    "[{ methods = [\"GET\"], path_prefix = \"/free\" }]",
+    "POST",
+    "/free/4",
+    false
+)]
+#[case(
+    "[{ methods = [\"GET\"], path_prefix = \"/free\" }]",
+    "GET",
+    "/book",
+    false
+)]
+#[case(
+    "[{ methods = [\"GET\"], path_prefix = \"/free\" }]",
+    "GET",
+    "/free/../book",
+    false
+)]
+#[case(
+    "[{ methods = [\"GET\"], path_prefix = \"/free\" }]",
+    "GET",
+    "/free/.%2E/book",
+    false
+)]
+fn only_what_is_declared_may_be_repeated(
+    #[case] declared: &str,
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] expected: bool,
+) {
+    let requests = requests(declared).unwrap();
+    assert_eq!(requests.is_repeatable(method, path), expected);
+}
+
+#[test]
+fn a_wrong_method_names_its_key() {
+    let e = requests("[{ methods = [\"get\"] }]").unwrap_err();
+    assert!(
+        e.contains("service.booking.requests.repeatable.methods"),
+        "{e}"
+    );
+}
+
+#[test]
+fn a_wrong_share_of_retries_names_its_key() {
+    let text = "domain = \"a\"\nsite = \"s\"\ndispatch.retry_share = 1.5\n";
+    let e = RelaySettings::parse(text, "relay.toml").unwrap_err();
+    assert!(e.to_string().contains("dispatch.retry_share"), "{e}");
+}
