Let a relay follow accepted revisions of the site file

A relay took its site file at the start alone, so a changed set of services needed a restart. With `control` and `data` in its settings it now follows the control VMs as entries do, the newest revision on disk first.

Services that stay keep their listeners and connections, and new requests are under the new settings. One that is left out takes no more callers: its callers get GOAWAY, what runs ends, what still waits is rejected as not run, and connections are cut after dispatch.drain_ms. An address that can't be bound is logged and tried again, and stops nothing else.

--- a/crates/currantgate-cli/src/cmd/run.rs
+++ b/crates/currantgate-cli/src/cmd/run.rs
@@ -52,6 +52,8 @@
     let settings = RelaySettings {
         domain: site.domains.first().cloned().unwrap_or_default(),
         site: file.clone(),
+        control: None,
+        data: None,
         listen: RelayListen {
             announce: address("announce").unwrap_or(listen.announce),
             metrics: address("metrics").unwrap_or(listen.metrics),
--- a/crates/currantgate-config/src/relay.rs
+++ b/crates/currantgate-config/src/relay.rs
@@ -7,7 +7,7 @@
 
 use crate::check::{check_name, check_positive};
 use crate::file::{self, Checked};
-use crate::{ConfigError, Domain};
+use crate::{ConfigError, ControlServers, Domain};
 
 /// What one relay knows of itself when it starts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -17,6 +17,14 @@
     pub domain: Domain,
     /// The site file, relative to the settings file.
     pub site: PathBuf,
+    /// Where accepted revisions of the site file come from; without it the
+    /// relay keeps to the site file above.
+    #[serde(default)]
+    pub control: Option<ControlServers>,
+    /// The folder that the newest revision is kept in, if the VM has a disk;
+    /// relative to the settings file.
+    #[serde(default)]
+    pub data: Option<PathBuf>,
     /// Where the relay listens besides the addresses of its services.
     #[serde(default)]
     pub listen: RelayListen,
@@ -104,6 +112,7 @@
         let mut settings: Self = file::load(path)?;
         if let Some(folder) = path.parent() {
             settings.site = folder.join(&settings.site);
+            settings.data = settings.data.map(|data| folder.join(data));
         }
         Ok(settings)
     }
@@ -121,6 +130,9 @@
 impl Checked for RelaySettings {
     fn check(&self) -> Result<(), ConfigError> {
         check_name("domain", &self.domain)?;
+        if let Some(control) = &self.control {
+            control.check_under("control")?;
+        }
         for (i, serve) in self.serves.iter().enumerate() {
             if self.serves[..i].iter().any(|s| s.service == serve.service) {
                 return Err(ConfigError::value(
--- a/crates/currantgate-config/tests/reference.rs
+++ b/crates/currantgate-config/tests/reference.rs
@@ -68,7 +68,8 @@
 
 #[test]
 fn the_relay_settings_are_documented() {
-    let text = "domain = \"a\"\nsite = \"site.toml\"\n\
+    let text = "domain = \"a\"\nsite = \"site.toml\"\ndata = \"data\"\n\
+                control = { servers = [\"127.0.0.1:3\"] }\n\
                 [[serve]]\nservice = \"booking\"\naddress = \"127.0.0.1:2\"\n";
     let settings = RelaySettings::parse(text, "relay.toml").unwrap();
     compare("Relay settings", &settings);
--- a/crates/currantgate/benches/relay.rs
+++ b/crates/currantgate/benches/relay.rs
@@ -78,6 +78,8 @@
     let settings = RelaySettings {
         domain: "riga-1".into(),
         site: "site.toml".into(),
+        control: None,
+        data: None,
         listen: RelayListen {
             announce: any,
             metrics: any,
--- a/crates/currantgate/src/relay/caller.rs
+++ b/crates/currantgate/src/relay/caller.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use currantgate_config::{RequestProtocol, Service};
+use currantgate_config::RequestProtocol;
 use h2::server;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::linger::Linger;
+use super::served::Served;
 use super::shared::Shared;
 use super::upstream::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
 use super::{exchange, tcp};
@@ -39,20 +39,20 @@
     }
 }
 
-/// Takes callers of one service until the relay is to stop.
-pub(crate) async fn accept(shared: Rc<Shared>, service: Rc<Service>, listener: TcpListener) {
-    let mut stopping = shared.stopping.subscribe();
+/// Takes callers of one service until it is to stop.
+pub(crate) async fn accept(shared: Rc<Shared>, served: Rc<Served>, listener: TcpListener) {
+    let mut stopping = served.stopping();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.changed() => return,
+            _ = stopping.wait_for(|stopping| *stopping) => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve(Rc::clone(&shared), Rc::clone(&service), stream));
+                actix_rt::spawn(serve(Rc::clone(&shared), Rc::clone(&served), stream));
             }
             Err(e) => {
-                log::warn!("{}: a caller could not be accepted: {e}", service.name);
+                log::warn!("{}: a caller could not be accepted: {e}", served.name());
                 // The system is short of something; trying on at once won't help.
                 actix_rt::time::sleep(Duration::from_millis(100)).await;
             }
@@ -60,20 +60,31 @@
     }
 }
 
-async fn serve(shared: Rc<Shared>, service: Rc<Service>, stream: TcpStream) {
+/// Serves one connection to its end, or until the time to drain is over.
+async fn serve(shared: Rc<Shared>, served: Rc<Served>, stream: TcpStream) {
     let _open = Open::new(&shared);
+    let drain = Duration::from_millis(shared.dispatch.drain_ms);
+    tokio::select! {
+        () = speak(&shared, &served, stream) => {}
+        () = served.drained(drain) => {
+            log::warn!("{}: cut a connection: the time to drain is over", served.name());
+        }
+    }
+}
+
+async fn speak(shared: &Rc<Shared>, served: &Rc<Served>, stream: TcpStream) {
+    let service = served.service();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("{}: a caller's socket: {e}", service.name);
     }
     match service.requests.protocol {
-        RequestProtocol::Tcp => tcp::relay(&shared, &service, stream).await,
+        RequestProtocol::Tcp => tcp::relay(shared, &service, stream).await,
         RequestProtocol::Http2 => {
             let Ok((stream, linger)) = Linger::new(stream) else {
                 log::warn!("{}: a caller's socket has no second handle", service.name);
                 return;
             };
-            let stopping = shared.stopping.subscribe();
-            match serve_http2(&shared, &service, stream, stopping).await {
+            match serve_http2(shared, served, stream).await {
                 Ok(()) => linger.finish().await,
                 Err(e) => log::debug!("{}: a caller's connection ended: {e}", service.name),
             }
@@ -83,9 +94,8 @@
 
 async fn serve_http2(
     shared: &Rc<Shared>,
-    service: &Rc<Service>,
+    served: &Rc<Served>,
     stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
 ) -> Result<(), h2::Error> {
     let handshake = server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
@@ -97,6 +107,7 @@
         return Ok(());
     };
     let mut connection = handshake?;
+    let mut stopping = served.stopping();
     if *stopping.borrow_and_update() {
         connection.graceful_shutdown();
     }
@@ -112,7 +123,7 @@
             return Ok(());
         };
         let (request, respond) = accepted?;
-        let (shared, service) = (Rc::clone(shared), Rc::clone(service));
+        let (shared, service) = (Rc::clone(shared), served.service());
         actix_rt::spawn(exchange::run(shared, service, request, respond));
     }
 }
--- a/crates/currantgate/src/relay/core.rs
+++ b/crates/currantgate/src/relay/core.rs
@@ -28,11 +28,7 @@
         let members = MembersSettings {
             incarnation,
             domain: settings.domain.clone(),
-            services: site
-                .services
-                .iter()
-                .map(|s| with_domains(s, site))
-                .collect(),
+            services: members_services(site),
             ..MembersSettings::default()
         };
         let dispatch = &settings.dispatch;
@@ -53,6 +49,25 @@
         }
     }
 
+    /// Puts a new revision of the site file in force, as a whole.
+    ///
+    /// What a service that is left out has sent to upstreams goes on; what
+    /// still waits there is rejected as not run.
+    pub(crate) fn set_site(&mut self, now: Instant, site: &Site) {
+        self.members.set_services(members_services(site));
+        let services: Vec<_> = site.services.iter().map(Service::id).collect();
+        let before = std::mem::replace(&mut self.services, services);
+        for service in before {
+            if !self.services.contains(&service) {
+                let upstreams = Vec::new();
+                let input = Input::Upstreams { service, upstreams };
+                self.dispatcher.handle(now, input);
+            }
+        }
+        self.take_members_outputs(now);
+        self.take_upstreams(now);
+    }
+
     /// Hands an input to the dispatcher.
     pub(crate) fn handle(&mut self, now: Instant, input: Input) {
         self.dispatcher.handle(now, input);
@@ -156,6 +171,11 @@
     }
 }
 
+fn members_services(site: &Site) -> Vec<Service> {
+    let services = site.services.iter();
+    services.map(|s| with_domains(s, site)).collect()
+}
+
 /// Spells out that a service without domains is served by all of the site's.
 fn with_domains(service: &Service, site: &Site) -> Service {
     let mut service = service.clone();
--- a/crates/currantgate/src/relay/daemon.rs
+++ b/crates/currantgate/src/relay/daemon.rs
@@ -1,5 +1,6 @@
 //! Sockets and timers around one relay's state machines.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,15 +10,15 @@
 use currantgate_config::{RelaySettings, Site};
 use currantgate_request::Input;
 use prometheus_client::registry::Registry;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::caller;
 use super::core::Core;
 use super::metrics::RelayMetrics;
+use super::revisions;
+use super::services::Services;
 use super::shared::Shared;
 use crate::entry::announce::{self, AnnounceRequest};
-use crate::{RelayError, RelaySockets};
+use crate::{RelayError, RelaySockets, Subscription};
 
 /// A running relay.
 ///
@@ -25,6 +26,8 @@
 /// told to by [`Relay::stop`].
 pub struct Relay {
     shared: Rc<Shared>,
+    services: Rc<Services>,
+    subscription: Option<Subscription>,
     tasks: Vec<JoinHandle<()>>,
     servers: Vec<ServerHandle>,
 }
@@ -43,7 +46,10 @@
         let metrics = RelayMetrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
-        let core = Core::new(settings, site, Instant::now());
+        let subscription = revisions::subscribe(settings)?;
+        let accepted = subscription.as_ref().map(Subscription::accepted);
+        let site = revisions::site_at_start(accepted.as_ref(), site);
+        let core = Core::new(settings, &site, Instant::now());
         let shared = Rc::new(Shared::new(core, metrics, settings.dispatch.clone()));
 
         let (tx, rx) = mpsc::channel(announce::ANNOUNCE_QUEUE);
@@ -55,33 +61,28 @@
             actix_rt::spawn(Rc::clone(&shared).keep_time()),
             actix_rt::spawn(take_announcements(Rc::clone(&shared), rx)),
         ];
-        for service in &site.services {
-            let Some(listener) = sockets.services.get(&service.name) else {
-                continue;
-            };
-            let bind_error = |source| RelayError::Bind {
-                address: service.address,
-                purpose: service.name.clone(),
-                source,
-            };
-            let listener = listener.try_clone().map_err(bind_error)?;
-            let address = listener.local_addr().map_err(bind_error)?;
-            let listener = TcpListener::from_std(listener).map_err(bind_error)?;
-            let service = Rc::new(service.clone());
-            log::info!("{} is taken on {address}", service.name);
-            tasks.push(actix_rt::spawn(caller::accept(
-                Rc::clone(&shared),
-                service,
-                listener,
-            )));
+        let services = Services::new(Rc::clone(&shared), settings.serves.clone());
+        let services = Rc::new(services);
+        services.start(&site, sockets.services)?;
+        if let Some(accepted) = accepted {
+            let services = Rc::clone(&services);
+            tasks.push(actix_rt::spawn(revisions::follow(services, accepted)));
         }
         Ok(Self {
             shared,
+            services,
+            subscription,
             tasks,
             servers,
         })
     }
 
+    /// Returns the address that a service's requests are taken on, once it is
+    /// listened on.
+    pub fn service(&self, name: &str) -> Option<SocketAddr> {
+        self.services.address(name)
+    }
+
     /// Stops in plan: callers are told by GOAWAY, running requests end, and
     /// only then the relay does. It ends them itself, and logs how many, once
     /// `cut` is ready or the settings' time to drain is over.
@@ -90,7 +91,10 @@
     pub async fn stop(mut self, cut: impl Future<Output = ()>) -> usize {
         log::info!("stopping: running requests may end");
         self.shared.feed(Input::Drain);
-        self.shared.stopping.send_replace(true);
+        if let Some(subscription) = self.subscription.take() {
+            subscription.stop().await;
+        }
+        self.services.stop();
         let drain = Duration::from_millis(self.shared.dispatch.drain_ms);
         tokio::select! {
             () = self.all_ended() => {}
@@ -122,6 +126,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        self.services.abort();
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/currantgate/src/relay/error.rs
+++ b/crates/currantgate/src/relay/error.rs
@@ -6,7 +6,7 @@
 use currantgate_config::ConfigError;
 use displaydoc::Display;
 
-use crate::EntryError;
+use crate::{ControlError, EntryError};
 
 /// Why a relay can't run.
 #[derive(Debug, Display)]
@@ -26,6 +26,8 @@
     Http(EntryError),
     /// {0}
     Config(ConfigError),
+    /// {0}
+    Control(ControlError),
 }
 
 impl std::error::Error for RelayError {
@@ -34,6 +36,7 @@
             Self::Bind { source, .. } => Some(source),
             Self::Http(source) => Some(source),
             Self::Config(source) => Some(source),
+            Self::Control(source) => Some(source),
             Self::UnknownService(_) => None,
         }
     }
@@ -50,3 +53,9 @@
         Self::Config(source)
     }
 }
+
+impl From<ControlError> for RelayError {
+    fn from(source: ControlError) -> Self {
+        Self::Control(source)
+    }
+}
--- a/crates/currantgate/src/relay/metrics.rs
+++ b/crates/currantgate/src/relay/metrics.rs
@@ -21,6 +21,8 @@
     pub(crate) attempts: Counter,
     /// Requests that are not yet settled.
     pub(crate) open: Gauge,
+    /// The accepted revision in force, 0 while it is a site file.
+    pub(crate) revision: Gauge,
 }
 
 impl RelayMetrics {
@@ -42,6 +44,11 @@
             "Requests that are not yet settled",
             self.open.clone(),
         );
+        registry.register(
+            "revision",
+            "The accepted revision in force, 0 while it is a site file",
+            self.revision.clone(),
+        );
     }
 
     /// Counts one settled request.
--- a/crates/currantgate/src/relay/shared.rs
+++ b/crates/currantgate/src/relay/shared.rs
@@ -6,11 +6,11 @@
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use currantgate_config::Dispatch;
+use currantgate_config::{Dispatch, Site};
 use currantgate_request::{AttemptId, ConnectionId, Input, Output, Refusal, RequestId};
 use h2::client::SendRequest;
 use indexmap::IndexMap;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 
 use super::core::Core;
 use super::metrics::RelayMetrics;
@@ -59,8 +59,6 @@
     pub(crate) ended: Notify,
     /// Callers' connections and relayed TCP connections that are open.
     pub(crate) open: Cell<usize>,
-    /// Becomes true when the relay is to stop.
-    pub(crate) stopping: watch::Sender<bool>,
     pub(crate) metrics: RelayMetrics,
     pub(crate) trace: TraceContext,
     pub(crate) dispatch: Dispatch,
@@ -76,7 +74,6 @@
             timer: Notify::new(),
             ended: Notify::new(),
             open: Cell::new(0),
-            stopping: watch::Sender::new(false),
             metrics,
             trace: TraceContext::default(),
             dispatch,
@@ -112,6 +109,13 @@
         self.timer.notify_one();
     }
 
+    /// Tells the state machines of a new revision of the site file.
+    pub(crate) fn set_site(self: &Rc<Self>, site: &Site) {
+        self.core.borrow_mut().set_site(Instant::now(), site);
+        self.carry_out();
+        self.timer.notify_one();
+    }
+
     /// Runs the timers of the state machines.
     pub(crate) async fn keep_time(self: Rc<Self>) {
         loop {
--- a/crates/currantgate/src/relay/sockets.rs
+++ b/crates/currantgate/src/relay/sockets.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 
-use currantgate_config::{RelayListen, RelaySettings, Service, Site};
+use currantgate_config::{RelayListen, RelaySettings, Serve, Service, Site};
 use indexmap::IndexMap;
 
 use crate::RelayError;
@@ -18,25 +18,32 @@
 impl RelaySockets {
     /// Binds the sockets of all services of the site and those of `listen`.
     ///
+    /// With control VMs in the settings the services are left out: a revision
+    /// on disk may be newer than `site`, so the relay binds them as it goes.
+    ///
     /// # Errors
     ///
     /// Returns an error that names the address that can't be bound, or a
     /// service that the site doesn't have.
     pub fn bind(settings: &RelaySettings, site: &Site) -> Result<Self, RelayError> {
+        let own = Self {
+            services: IndexMap::new(),
+            announce: bind(settings.listen.announce, "announce")?,
+            metrics: bind(settings.listen.metrics, "metrics")?,
+        };
+        if settings.control.is_some() {
+            return Ok(own);
+        }
         let known = |name: &str| site.services.iter().any(|s| *s.name == *name);
         if let Some(unknown) = settings.serves.iter().find(|s| !known(&s.service)) {
             return Err(RelayError::UnknownService(unknown.service.clone()));
         }
         let mut services = IndexMap::new();
         for service in &site.services {
-            let listener = bind(address_of(settings, service), &service.name)?;
+            let listener = bind(address_of(&settings.serves, service), &service.name)?;
             services.insert(service.name.clone(), listener);
         }
-        Ok(Self {
-            services,
-            announce: bind(settings.listen.announce, "announce")?,
-            metrics: bind(settings.listen.metrics, "metrics")?,
-        })
+        Ok(Self { services, ..own })
     }
 
     /// Returns the address that a service's requests are taken on.
@@ -57,13 +64,15 @@
     }
 }
 
-fn address_of(settings: &RelaySettings, service: &Service) -> SocketAddr {
-    let mut serves = settings.serves.iter();
+/// Returns the address that the relay takes the service's requests on.
+pub(super) fn address_of(serves: &[Serve], service: &Service) -> SocketAddr {
+    let mut serves = serves.iter();
     let own = serves.find(|serve| serve.service == service.name);
     own.map_or(service.address, |serve| serve.address)
 }
 
-fn bind(address: SocketAddr, purpose: &str) -> Result<TcpListener, RelayError> {
+/// Binds a listener that the runtime can use.
+pub(super) fn bind(address: SocketAddr, purpose: &str) -> Result<TcpListener, RelayError> {
     let bind = || {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
--- /dev/null
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -0,0 +1,154 @@
+//! A relay takes each accepted revision whole, and keeps it over a restart.
+
+mod relay_support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use currantgate::{Control, ControlClient, ControlStart, Relay, RelaySockets};
+use currantgate_config::{ControlServers, ControlSettings, Serve, Site};
+use currantgate_control::{ApplyRequest, Base};
+use h2::client;
+use relay_support::stand_in::StandIn;
+use relay_support::{Fixture, SITE, ask, settings};
+use tokio::net::TcpStream;
+
+/// How long the voter may take to accept a revision.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Returns the site with one more service.
+fn site_with(service: &str, port: u16) -> String {
+    let address = SocketAddr::from(([127, 20, 0, 3], port));
+    format!("{SITE}\n[[service]]\nname = \"{service}\"\naddress = \"{address}\"\n")
+}
+
+fn start_voter(data: &Path) -> (Control, ControlServers) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = listener.local_addr().unwrap();
+    let text = format!(
+        "id = 1\ndomain = \"riga-1\"\ndata = \"{}\"\nlisten = \"{listen}\"\n\
+         allow = [\"127.0.0.1\"]\n[[voter]]\nid = 1\naddress = \"{listen}\"\n",
+        data.display()
+    );
+    let settings = ControlSettings::parse(&text, "control.toml").unwrap();
+    let control = Control::start(&settings, ControlStart::InitOrResume, listener).unwrap();
+    let servers = ControlServers {
+        servers: vec![listen],
+        ..ControlServers::default()
+    };
+    (control, servers)
+}
+
+async fn apply(servers: &ControlServers, base: Base, text: &str) -> Base {
+    let text = text.into();
+    let request = ApplyRequest { base, text };
+    let digest = request.digest();
+    let client = ControlClient::new(servers);
+    let applied = client.apply(request, Instant::now() + DEADLINE).await;
+    let revision = applied.unwrap().revision;
+    Base { revision, digest }
+}
+
+/// Starts a relay that follows `control`, on ports that the system chooses.
+async fn start_relay(control: &ControlServers, data: &Path, serves: &[&str]) -> Fixture {
+    let mut settings = settings();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    settings.serves.extend(serves.iter().map(|service| Serve {
+        service: (*service).into(),
+        address: any,
+    }));
+    settings.control = Some(control.clone());
+    settings.data = Some(data.into());
+    let site = Site::parse(SITE, "site.toml").unwrap();
+    let sockets = RelaySockets::bind(&settings, &site).unwrap();
+    let announce = sockets.addresses().unwrap().announce;
+    let relay = Relay::start(&settings, &site, sockets).unwrap();
+    Fixture {
+        booking: listening(&relay, "booking").await,
+        raw: listening(&relay, "raw").await,
+        relay,
+        announce,
+    }
+}
+
+/// Waits until a service is listened on.
+async fn listening(relay: &Relay, service: &str) -> SocketAddr {
+    loop {
+        if let Some(address) = relay.service(service) {
+            return address;
+        }
+        actix_rt::task::yield_now().await;
+    }
+}
+
+#[actix_rt::test]
+async fn services_come_and_go_with_revisions_and_running_requests_end_whole() {
+    let folder = tempfile::tempdir().unwrap();
+    let (control, servers) = start_voter(&folder.path().join("control"));
+    let data = folder.path().join("relay");
+    let fixture = start_relay(&servers, &data, &["museum", "calendar"]).await;
+    let base = apply(&servers, Base::empty(), &site_with("museum", 443)).await;
+    let museum = listening(&fixture.relay, "museum").await;
+    let [a, b, c] = [
+        StandIn::start("a").await,
+        StandIn::start("b").await,
+        StandIn::start("c").await,
+    ];
+    fixture.announce("booking", "a", a.address).await;
+    fixture.announce("museum", "b", b.address).await;
+    let stays = fixture.connect().await;
+    let stream = TcpStream::connect(museum).await.unwrap();
+    let (leaves, connection) = client::handshake(stream).await.unwrap();
+    let connection = actix_rt::spawn(connection);
+    let _kept = leaves.clone();
+    let running = actix_rt::spawn(async { ask(leaves, "POST", "/hang", "").await });
+    b.state.hanging.notified().await;
+
+    apply(&servers, base, &site_with("calendar", 444)).await;
+    let calendar = listening(&fixture.relay, "calendar").await;
+    assert_eq!(fixture.relay.service("museum"), None);
+    let refused = TcpStream::connect(museum).await.unwrap_err();
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    fixture.announce("calendar", "c", c.address).await;
+    let new = TcpStream::connect(calendar).await.unwrap();
+    let (new, new_connection) = client::handshake(new).await.unwrap();
+    actix_rt::spawn(new_connection);
+    assert_eq!(ask(new, "POST", "/add", "4").await.body, "c:4");
+
+    b.state.release.notify_one();
+    let answer = running.await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), &answer.body[..]),
+        (200, &b"b:"[..])
+    );
+    // A GOAWAY ends the connection, though the caller would keep it.
+    connection.await.unwrap().unwrap();
+    assert_eq!(ask(stays, "POST", "/book", "4").await.body, "a:4");
+    assert_eq!(fixture.relay.service("booking"), Some(fixture.booking));
+    fixture.relay.stop(std::future::ready(())).await;
+    drop(control);
+
+    let restarted = start_relay(&servers, &data, &["calendar"]).await;
+    listening(&restarted.relay, "calendar").await;
+}
+
+#[actix_rt::test]
+async fn an_address_that_is_taken_stops_nothing_else_and_is_tried_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, servers) = start_voter(&folder.path().join("control"));
+    let fixture = start_relay(&servers, &folder.path().join("relay"), &["last"]).await;
+    let taken = TcpListener::bind("127.20.0.3:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let site = site_with("museum", address.port());
+    let base = apply(&servers, Base::empty(), &site).await;
+    let last = site + "[[service]]\nname = \"last\"\naddress = \"127.20.0.4:443\"\n";
+    apply(&servers, base, &last).await;
+    listening(&fixture.relay, "last").await;
+    assert_eq!(fixture.relay.service("museum"), None);
+    let a = StandIn::start("a").await;
+    fixture.announce("booking", "a", a.address).await;
+    assert_eq!(fixture.ask("POST", "/book", "4").await.status, 200);
+    drop(taken);
+    assert_eq!(listening(&fixture.relay, "museum").await, address);
+}
--- a/crates/currantgate/tests/relay_support/mod.rs
+++ b/crates/currantgate/tests/relay_support/mod.rs
@@ -1,5 +1,7 @@
 //! A relay on loopback, a caller and stand-in upstreams.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 pub(crate) mod stand_in;
 
 use std::net::SocketAddr;
@@ -14,7 +16,7 @@
 use tokio::net::TcpStream;
 
 /// The site that tests run.
-const SITE: &str = r#"
+pub(crate) const SITE: &str = r#"
 domains = ["riga-1"]
 
 [[service]]
@@ -33,7 +35,7 @@
     pub(crate) relay: Relay,
     pub(crate) booking: SocketAddr,
     pub(crate) raw: SocketAddr,
-    announce: SocketAddr,
+    pub(crate) announce: SocketAddr,
 }
 
 /// A whole answer.
@@ -53,25 +55,7 @@
 impl Fixture {
     /// Starts the relay on ports that the system chooses.
     pub(crate) fn start() -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let serve = |service: &str| Serve {
-            service: service.into(),
-            address: any,
-        };
-        let settings = RelaySettings {
-            domain: "riga-1".into(),
-            site: "site.toml".into(),
-            listen: RelayListen {
-                announce: any,
-                metrics: any,
-            },
-            serves: vec![serve("booking"), serve("raw")],
-            dispatch: Dispatch {
-                ping_after_ms: 200,
-                ping_timeout_ms: 200,
-                ..Dispatch::default()
-            },
-        };
+        let settings = settings();
         let site = Site::parse(SITE, "site.toml").unwrap();
         let sockets = RelaySockets::bind(&settings, &site).unwrap();
         let booking = sockets.service("booking").unwrap();
@@ -124,6 +108,31 @@
     }
 }
 
+/// Returns settings with ports that the system chooses.
+pub(crate) fn settings() -> RelaySettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let serve = |service: &str| Serve {
+        service: service.into(),
+        address: any,
+    };
+    RelaySettings {
+        domain: "riga-1".into(),
+        site: "site.toml".into(),
+        control: None,
+        data: None,
+        listen: RelayListen {
+            announce: any,
+            metrics: any,
+        },
+        serves: vec![serve("booking"), serve("raw")],
+        dispatch: Dispatch {
+            ping_after_ms: 200,
+            ping_timeout_ms: 200,
+            ..Dispatch::default()
+        },
+    }
+}
+
 /// Sends one request and takes its whole answer.
 pub(crate) async fn ask(
     sender: SendRequest<Bytes>,
