Keep the accepted site file of a small site in the process that serves it

`currantgate run` took the site file at each start and kept nothing, so an edited file changed the site by a mere restart. A failed disk ends the control role alone; requests go on.

--- a/crates/currantgate-cli/src/cmd/relay.rs
+++ b/crates/currantgate-cli/src/cmd/relay.rs
@@ -41,16 +41,24 @@
 /// Runs a relay until a signal, and then until its requests have ended.
 pub(crate) fn serve(settings: &RelaySettings, site: &Site) -> Result<(), CommandError> {
     let sockets = RelaySockets::bind(settings, site)?;
-    actix_rt::System::new().block_on(async {
-        let relay = Relay::start(settings, site, sockets)?;
-        stop_signal::wait().await?;
-        let again = async {
-            if let Err(e) = stop_signal::wait().await {
-                log::warn!("a second signal can't be waited for: {e}");
-                std::future::pending::<()>().await;
-            }
-        };
-        relay.stop(again).await;
-        Ok(())
-    })
+    actix_rt::System::new().block_on(serve_until_stopped(settings, site, sockets))
+}
+
+/// Runs a relay on the current runtime until a signal, and then until its
+/// requests have ended.
+pub(crate) async fn serve_until_stopped(
+    settings: &RelaySettings,
+    site: &Site,
+    sockets: RelaySockets,
+) -> Result<(), CommandError> {
+    let relay = Relay::start(settings, site, sockets)?;
+    stop_signal::wait().await?;
+    let again = async {
+        if let Err(e) = stop_signal::wait().await {
+            log::warn!("a second signal can't be waited for: {e}");
+            std::future::pending::<()>().await;
+        }
+    };
+    relay.stop(again).await;
+    Ok(())
 }
--- a/crates/currantgate-cli/src/cmd/run.rs
+++ b/crates/currantgate-cli/src/cmd/run.rs
@@ -1,23 +1,44 @@
 //! `currantgate run`: a small site in one process.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use currantgate_config::{Dispatch, RelayListen, RelaySettings, Site};
+use currantgate::{Control, ControlClient, ControlError, ControlStart, RelaySockets};
+use currantgate_config::{
+    ConfigError, ControlKey, ControlServers, ControlSettings, ControlVoter, Dispatch, Prefix,
+    RelayListen, RelaySettings, Site,
+};
+use currantgate_control::{ApplyRequest, Base, Change, Freshness};
 
 use super::relay;
 use crate::error::CommandError;
 
+/// Where the control role listens unless told otherwise.
+const DEFAULT_CONTROL: &str = "127.0.0.1:5570";
+
+/// The id of the one voter.
+const VOTER: u16 = 1;
+
+/// The most connections to the control role at a time.
+const MAX_CONNECTIONS: u32 = 64;
+
+/// How long the control role may take to be ready for changes.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Returns the `run` subcommand.
 pub(crate) fn make_subcommand() -> Command {
     Command::new("run")
         .about("Serves a small site from one process")
         .long_about(
-            "Serves a small site from one process: a relay on each service's address, and \
-             announcements from upstreams. It takes the site file as it is at the start. \
-             There is no control role in it yet: a changed file needs a restart, and nothing \
-             is kept on disk.",
+            "Serves a small site from one process: a relay on each service's address, \
+             announcements from upstreams and, with --data, one control voter. The first \
+             start applies the site file as revision 1. From then on the accepted revision \
+             is in force, also after restarts: change it with `currantgate apply`, which \
+             `show` and `status` go with; the file given here no longer changes anything. \
+             Without --data there is no control role: the site file is taken as it is at \
+             the start, a changed file needs a restart, and nothing is kept on disk.",
         )
         .arg(
             Arg::new("site")
@@ -31,6 +52,18 @@
             "Where upstreams announce themselves",
         ))
         .arg(make_address("metrics", "Where operators read metrics"))
+        .arg(
+            Arg::new("data")
+                .long("data")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("The folder that accepted revisions are kept in"),
+        )
+        .arg(
+            make_address("control", "Where operators apply and show the site file")
+                .default_value(DEFAULT_CONTROL)
+                .requires("data"),
+        )
 }
 
 fn make_address(name: &'static str, help: &'static str) -> Arg {
@@ -46,20 +79,145 @@
     let file = matches
         .get_one::<PathBuf>("site")
         .expect("clap requires the site file");
-    let site = Site::load(file)?;
     let address = |name| matches.get_one::<SocketAddr>(name).copied();
-    let listen = RelayListen::default();
-    let settings = RelaySettings {
+    let defaults = RelayListen::default();
+    let listen = RelayListen {
+        announce: address("announce").unwrap_or(defaults.announce),
+        metrics: address("metrics").unwrap_or(defaults.metrics),
+    };
+    match matches.get_one::<PathBuf>("data") {
+        None => {
+            let site = Site::load(file)?;
+            relay::serve(&make_settings(file, listen, &site), &site)
+        }
+        Some(data) => {
+            let control = address("control").expect("the option has a default");
+            serve_with_control(file, data, control, listen)
+        }
+    }
+}
+
+fn make_settings(file: &Path, listen: RelayListen, site: &Site) -> RelaySettings {
+    RelaySettings {
         domain: site.domains.first().cloned().unwrap_or_default(),
-        site: file.clone(),
+        site: file.into(),
         control: None,
         data: None,
-        listen: RelayListen {
-            announce: address("announce").unwrap_or(listen.announce),
-            metrics: address("metrics").unwrap_or(listen.metrics),
-        },
+        listen,
         serves: Vec::new(),
         dispatch: Dispatch::default(),
+    }
+}
+
+/// Returns the settings of a lone voter, which takes operators of its own
+/// machine: there is no key.
+fn control_settings(data: &Path, listen: SocketAddr) -> ControlSettings {
+    let loopback = Box::<str>::from("127.0.0.0/8");
+    ControlSettings {
+        id: VOTER,
+        domain: "local".into(),
+        data: data.join("control"),
+        listen,
+        key: ControlKey::default(),
+        allow: vec![Prefix::try_from(loopback).expect("it is a range")],
+        max_connections: MAX_CONNECTIONS,
+        voters: vec![ControlVoter {
+            id: VOTER,
+            address: listen,
+        }],
+        fan_out_of: Vec::new(),
+    }
+}
+
+/// Runs a voter and a relay that follows it.
+fn serve_with_control(
+    file: &Path,
+    data: &Path,
+    address: SocketAddr,
+    listen: RelayListen,
+) -> Result<(), CommandError> {
+    let name = file.display().to_string();
+    let text = read(file, &name);
+    let bind_error = |source| ControlError::Listen { address, source };
+    let listener = TcpListener::bind(address).map_err(bind_error)?;
+    let address = listener.local_addr().map_err(bind_error)?;
+    actix_rt::System::new().block_on(async {
+        let settings = control_settings(data, address);
+        let control = Control::start(&settings, ControlStart::InitOrResume, listener)?;
+        let servers = ControlServers {
+            servers: vec![control.address()],
+            ..ControlServers::default()
+        };
+        let site = accepted_site(&servers, text, &name).await?;
+        let settings = RelaySettings {
+            control: Some(servers),
+            data: Some(data.join("relay")),
+            ..make_settings(file, listen, &site)
+        };
+        let sockets = RelaySockets::bind(&settings, &site)?;
+        let serving = relay::serve_until_stopped(&settings, &site, sockets);
+        tokio::pin!(serving);
+        tokio::select! {
+            served = &mut serving => return served,
+            () = control.failed() => {}
+        }
+        // Requests need no disk, so they go on with the revision in force.
+        log::error!("{}", CommandError::DiskFailed);
+        serving.await
+    })
+}
+
+fn read(file: &Path, name: &str) -> Result<String, ConfigError> {
+    std::fs::read_to_string(file).map_err(|source| ConfigError::Read {
+        file: name.into(),
+        source,
+    })
+}
+
+/// Returns the site that is in force: what was accepted last, else the file,
+/// which is then applied as the first revision.
+async fn accepted_site(
+    servers: &ControlServers,
+    text: Result<String, ConfigError>,
+    name: &str,
+) -> Result<Site, CommandError> {
+    let client = ControlClient::new(servers);
+    let until = Instant::now() + READY_TIMEOUT;
+    let shown = client.show(until).await?;
+    if let Some(change) = shown.read.change {
+        warn_if_different(&change, text, name, shown.server);
+        let name = format!("revision {}", change.revision);
+        return Ok(Site::parse(&change.text, &name)?);
+    }
+    if shown.read.freshness != Freshness::Present {
+        return Err(CommandError::NotPresent);
+    }
+    let text = text?;
+    let site = Site::parse(&text, name)?;
+    let request = ApplyRequest {
+        base: Base::empty(),
+        text: text.into(),
     };
-    relay::serve(&settings, &site)
+    let applied = client.apply(request, until).await?;
+    log::info!("{name} is accepted as revision {}", applied.revision);
+    Ok(site)
+}
+
+/// Tells the operator that the file is not what is in force.
+fn warn_if_different(
+    change: &Change,
+    text: Result<String, ConfigError>,
+    name: &str,
+    server: SocketAddr,
+) {
+    let revision = change.revision;
+    match text {
+        Ok(text) if *text == *change.text => {}
+        Ok(_) => log::warn!(
+            "{name} differs from revision {revision}, which stays in force: \
+             to put the file in force, run `currantgate apply {name} \
+             --base {revision} --servers {server}`"
+        ),
+        Err(e) => log::warn!("{e}; revision {revision} is in force"),
+    }
 }
