--- a/crates/currantgate-cli/src/cmd/run.rs
+++ b/crates/currantgate-cli/src/cmd/run.rs
@@ -118,6 +118,7 @@
         domain: "local".into(),
         data: data.join("control"),
         listen,
+        metrics: None,
         key: ControlKey::default(),
         allow: vec![Prefix::try_from(loopback).expect("it is a range")],
         max_connections: MAX_CONNECTIONS,
