--- a/crates/currantgate/tests/relay_revisions.rs
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -6,10 +6,13 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
 use currantgate::{Control, ControlClient, ControlStart, Relay, RelaySockets};
-use currantgate_config::{ControlServers, ControlSettings, Serve, Site};
+use currantgate_config::{ControlServers, ControlSettings, Dispatch, Serve, Site};
 use currantgate_control::{ApplyRequest, Base};
-use h2::client;
+use h2::client::{self, SendRequest};
+use http::Request;
 use relay_support::stand_in::StandIn;
 use relay_support::{Fixture, SITE, ask, settings};
 use tokio::net::TcpStream;
@@ -52,7 +55,17 @@
 
 /// Starts a relay that follows `control`, on ports that the system chooses.
 async fn start_relay(control: &ControlServers, data: &Path, serves: &[&str]) -> Fixture {
+    start_relay_with(control, data, serves, Dispatch::default()).await
+}
+
+async fn start_relay_with(
+    control: &ControlServers,
+    data: &Path,
+    serves: &[&str],
+    dispatch: Dispatch,
+) -> Fixture {
     let mut settings = settings();
+    settings.dispatch = dispatch;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     settings.serves.extend(serves.iter().map(|service| Serve {
         service: (*service).into(),
@@ -82,6 +95,13 @@
     }
 }
 
+/// Opens a connection; the task ends when the connection does.
+async fn connect(to: SocketAddr) -> (SendRequest<Bytes>, JoinHandle<Result<(), h2::Error>>) {
+    let stream = TcpStream::connect(to).await.unwrap();
+    let (sender, connection) = client::handshake(stream).await.unwrap();
+    (sender, actix_rt::spawn(connection))
+}
+
 #[actix_rt::test]
 async fn services_come_and_go_with_revisions_and_running_requests_end_whole() {
     let folder = tempfile::tempdir().unwrap();
@@ -98,9 +118,7 @@
     fixture.announce("booking", "a", a.address).await;
     fixture.announce("museum", "b", b.address).await;
     let stays = fixture.connect().await;
-    let stream = TcpStream::connect(museum).await.unwrap();
-    let (leaves, connection) = client::handshake(stream).await.unwrap();
-    let connection = actix_rt::spawn(connection);
+    let (leaves, connection) = connect(museum).await;
     let _kept = leaves.clone();
     let running = actix_rt::spawn(async { ask(leaves, "POST", "/hang", "").await });
     b.state.hanging.notified().await;
@@ -111,9 +129,7 @@
     let refused = TcpStream::connect(museum).await.unwrap_err();
     assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
     fixture.announce("calendar", "c", c.address).await;
-    let new = TcpStream::connect(calendar).await.unwrap();
-    let (new, new_connection) = client::handshake(new).await.unwrap();
-    actix_rt::spawn(new_connection);
+    let (new, _connection) = connect(calendar).await;
     assert_eq!(ask(new, "POST", "/add", "4").await.body, "c:4");
 
     b.state.release.notify_one();
@@ -143,7 +159,7 @@
     let site = site_with("museum", address.port());
     let base = apply(&servers, Base::empty(), &site).await;
     let last = site + "[[service]]\nname = \"last\"\naddress = \"127.20.0.4:443\"\n";
-    apply(&servers, base, &last).await;
+    let base = apply(&servers, base, &last).await;
     listening(&fixture.relay, "last").await;
     assert_eq!(fixture.relay.service("museum"), None);
     let a = StandIn::start("a").await;
@@ -151,4 +167,42 @@
     assert_eq!(fixture.ask("POST", "/book", "4").await.status, 200);
     drop(taken);
     assert_eq!(listening(&fixture.relay, "museum").await, address);
+
+    let b = StandIn::start("b").await;
+    fixture.announce("museum", "b", b.address).await;
+    let (open, _connection) = connect(address).await;
+    let free = TcpListener::bind("127.20.0.3:0").unwrap();
+    let next = free.local_addr().unwrap();
+    drop(free);
+    let moved = last.replace(&address.to_string(), &next.to_string());
+    apply(&servers, base, &moved).await;
+    while listening(&fixture.relay, "museum").await != next {
+        actix_rt::task::yield_now().await;
+    }
+    assert!(TcpStream::connect(address).await.is_err());
+    assert_eq!(ask(open, "POST", "/book", "4").await.body, "b:4");
+}
+
+#[actix_rt::test]
+async fn a_request_that_outlasts_the_time_to_drain_is_cut() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, servers) = start_voter(&folder.path().join("control"));
+    let dispatch = Dispatch {
+        drain_ms: 1,
+        ..Dispatch::default()
+    };
+    let data = folder.path().join("relay");
+    let fixture = start_relay_with(&servers, &data, &["museum"], dispatch).await;
+    let base = apply(&servers, Base::empty(), &site_with("museum", 443)).await;
+    let museum = listening(&fixture.relay, "museum").await;
+    let a = StandIn::start("a").await;
+    fixture.announce("museum", "a", a.address).await;
+    let (sender, _connection) = connect(museum).await;
+    let request = Request::post("http://museum.test/hang").body(()).unwrap();
+    let mut sender = sender.ready().await.unwrap();
+    let (answer, _tx) = sender.send_request(request, true).unwrap();
+    a.state.hanging.notified().await;
+    apply(&servers, base, SITE).await;
+    // It is never released.
+    answer.await.unwrap_err();
 }
