--- a/crates/currantgate/tests/relay_revisions.rs
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -206,3 +206,32 @@
     // It is never released.
     answer.await.unwrap_err();
 }
+
+#[actix_rt::test]
+async fn what_waits_at_a_service_that_goes_is_rejected_and_what_runs_ends() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, servers) = start_voter(&folder.path().join("control"));
+    let fixture = start_relay(&servers, &folder.path().join("relay"), &["museum"]).await;
+    let base = apply(&servers, Base::empty(), &site_with("museum", 443)).await;
+    let museum = listening(&fixture.relay, "museum").await;
+    let a = StandIn::start("a").await;
+    fixture.announce("museum", "a", a.address).await;
+    let (sender, _connection) = connect(museum).await;
+    let mut running = Vec::new();
+    // As many as the upstream has slots.
+    for _ in 0..3 {
+        let sender = sender.clone();
+        running.push(actix_rt::spawn(ask(sender, "POST", "/hang", "")));
+        a.state.hanging.notified().await;
+    }
+    let waiting = actix_rt::spawn(ask(sender, "POST", "/book", ""));
+    apply(&servers, base, SITE).await;
+    let rejected = waiting.await.unwrap();
+    assert_eq!(rejected.status, 503);
+    assert_eq!(rejected.header("currantgate-outcome"), "not-run");
+    for request in running {
+        a.state.release.notify_one();
+        assert_eq!(request.await.unwrap().status, 200);
+    }
+    assert_eq!(*a.state.runs.borrow(), ["/hang"; 3]);
+}
