--- a/crates/currantgate/tests/relay_revisions.rs
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -123,7 +123,11 @@
     let running = actix_rt::spawn(async { ask(leaves, "POST", "/hang", "").await });
     b.state.hanging.notified().await;
 
-    apply(&servers, base, &site_with("calendar", 444)).await;
+    let next = site_with("calendar", 444).replace(
+        "requests.repeatable",
+        "requests.timeout_ms = 9000\nrequests.repeatable",
+    );
+    apply(&servers, base, &next).await;
     let calendar = listening(&fixture.relay, "calendar").await;
     assert_eq!(fixture.relay.service("museum"), None);
     let refused = TcpStream::connect(museum).await.unwrap_err();
@@ -140,7 +144,14 @@
     );
     // A GOAWAY ends the connection, though the caller would keep it.
     connection.await.unwrap().unwrap();
-    assert_eq!(ask(stays, "POST", "/book", "4").await.body, "a:4");
+    // The old connection is open, and its new requests are under the new settings.
+    let request = Request::get("http://booking.test/free").body(()).unwrap();
+    let mut stays = stays.ready().await.unwrap();
+    let answer = stays.send_request(request, true).unwrap().0.await.unwrap();
+    let left = answer.headers()["currantgate-deadline-ms"]
+        .to_str()
+        .unwrap();
+    assert!(left.parse::<u64>().unwrap() <= 9_000, "{left}");
     assert_eq!(fixture.relay.service("booking"), Some(fixture.booking));
     fixture.relay.stop(std::future::ready(())).await;
     drop(control);
