--- a/crates/currantgate-cli/src/cmd/control.rs
+++ b/crates/currantgate-cli/src/cmd/control.rs
@@ -1,27 +1,19 @@
 //! `currantgate control`: keeps or spreads the accepted site file.
 
 use std::net::TcpListener;
-use std::path::PathBuf;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use currantgate::{Control, ControlError, ControlStart, FanOut};
 use currantgate_config::ControlSettings;
 
-use super::stop_signal;
+use super::{config_arg, stop_signal};
 use crate::error::CommandError;
 
 /// Returns the `control` subcommand.
 pub(crate) fn make_subcommand() -> Command {
     Command::new("control")
         .about("Keeps the accepted site file with the other control VMs, or fans it out")
-        .arg(
-            Arg::new("config")
-                .long("config")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("The control VM's settings file"),
-        )
+        .arg(config_arg::make_arg("The control VM's settings file"))
         .arg(
             Arg::new("init")
                 .long("init")
@@ -40,10 +32,7 @@
 /// Runs the `control` subcommand until SIGTERM or SIGINT, or until the disk
 /// fails.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
-    let file = matches
-        .get_one::<PathBuf>("config")
-        .expect("clap requires the settings file");
-    let settings = ControlSettings::load(file)?;
+    let settings = ControlSettings::load(config_arg::file(matches))?;
     let start = match (matches.get_flag("init"), matches.get_flag("join")) {
         (true, _) => ControlStart::Init,
         (_, true) => ControlStart::Join,
--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod apply;
 pub(crate) mod check;
+mod config_arg;
 pub(crate) mod control;
 pub(crate) mod demo;
 pub(crate) mod diff;
--- a/crates/currantgate-cli/src/cmd/relay.rs
+++ b/crates/currantgate-cli/src/cmd/relay.rs
@@ -1,12 +1,10 @@
 //! `currantgate relay`: takes requests from callers.
 
-use std::path::PathBuf;
-
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use currantgate::{Relay, RelaySockets};
 use currantgate_config::{RelaySettings, Site};
 
-use super::stop_signal;
+use super::{config_arg, stop_signal};
 use crate::error::CommandError;
 
 /// Returns the `relay` subcommand.
@@ -18,22 +16,12 @@
              hands each to an upstream that has announced itself. SIGTERM lets running \
              requests end; a second one cuts them.",
         )
-        .arg(
-            Arg::new("config")
-                .long("config")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("The relay's settings file"),
-        )
+        .arg(config_arg::make_arg("The relay's settings file"))
 }
 
 /// Runs the `relay` subcommand until SIGTERM or SIGINT.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
-    let file = matches
-        .get_one::<PathBuf>("config")
-        .expect("clap requires the settings file");
-    let settings = RelaySettings::load(file)?;
+    let settings = RelaySettings::load(config_arg::file(matches))?;
     let site = Site::load(&settings.site)?;
     serve(&settings, &site)
 }
--- a/crates/currantgate-cli/src/cmd/standin.rs
+++ b/crates/currantgate-cli/src/cmd/standin.rs
@@ -1,17 +1,19 @@
 //! `currantgate standin`: what surrounds the entries, as small stand-ins.
 
-use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use currantgate_standin::{
     Caller, CallerReport, CallerSettings, Fabric, FabricSettings, Settings, StandinError, Upstream,
     UpstreamSettings,
 };
 
-use super::stop_signal;
+use super::{config_arg, stop_signal};
 use crate::error::CommandError;
 
+/// What the settings file of a stand-in is.
+const CONFIG_HELP: &str = "The stand-in's settings file";
+
 /// How often a caller is asked whether it is done.
 const DONE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -24,17 +26,17 @@
         .subcommand(
             Command::new("fabric")
                 .about("Sprays callers' packets over entries at random")
-                .arg(make_config_arg()),
+                .arg(config_arg::make_arg(CONFIG_HELP)),
         )
         .subcommand(
             Command::new("upstream")
                 .about("Announces itself and answers flows")
-                .arg(make_config_arg()),
+                .arg(config_arg::make_arg(CONFIG_HELP)),
         )
         .subcommand(
             Command::new("caller")
                 .about("Opens flows and tells what became of them")
-                .arg(make_config_arg())
+                .arg(config_arg::make_arg(CONFIG_HELP))
                 .arg(
                     Arg::new("json")
                         .long("json")
@@ -44,15 +46,6 @@
         )
 }
 
-fn make_config_arg() -> Arg {
-    Arg::new("config")
-        .long("config")
-        .value_name("FILE")
-        .required(true)
-        .value_parser(value_parser!(PathBuf))
-        .help("The stand-in's settings file")
-}
-
 /// Runs the `standin` subcommand until SIGTERM or SIGINT; a caller also ends
 /// when all its flows have.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
@@ -66,10 +59,7 @@
 }
 
 fn load<T: Settings>(matches: &ArgMatches) -> Result<T, StandinError> {
-    let file = matches
-        .get_one::<PathBuf>("config")
-        .expect("clap requires the settings file");
-    T::load(file)
+    T::load(config_arg::file(matches))
 }
 
 async fn run_fabric(settings: FabricSettings) -> Result<(), CommandError> {
--- a/crates/currantgate/src/entry/daemon.rs
+++ b/crates/currantgate/src/entry/daemon.rs
@@ -17,6 +17,7 @@
 use super::core::{Core, Datagram};
 use super::metrics::EntryMetrics;
 use super::revisions;
+use crate::revisions::{site_at_start, subscribe};
 use crate::{EntryError, EntrySockets, Subscription};
 
 /// The largest datagram that UDP can carry.
@@ -65,11 +66,15 @@
         let mut registry = Registry::default();
         metrics.register(&mut registry);
 
-        let subscription = revisions::subscribe(settings)?;
+        let subscription = subscribe(
+            format!("entry-{}", settings.id),
+            settings.control.as_ref(),
+            settings.data.as_ref(),
+        )?;
         let accepted = subscription.as_ref().map(Subscription::accepted);
         let core = Core::new(
             settings,
-            &revisions::site_at_start(accepted.as_ref(), site),
+            &site_at_start(accepted.as_ref(), site),
             metrics.clone(),
             incarnation(),
             Instant::now(),
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -27,6 +27,7 @@
 mod control;
 mod entry;
 mod relay;
+mod revisions;
 mod trace;
 
 pub use control::{
--- a/crates/currantgate/src/relay/daemon.rs
+++ b/crates/currantgate/src/relay/daemon.rs
@@ -18,6 +18,7 @@
 use super::services::Services;
 use super::shared::Shared;
 use crate::entry::announce::{self, AnnounceRequest};
+use crate::revisions::{site_at_start, subscribe};
 use crate::{RelayError, RelaySockets, Subscription};
 
 /// A running relay.
@@ -46,9 +47,13 @@
         let metrics = RelayMetrics::default();
         let mut registry = Registry::default();
         metrics.register(&mut registry);
-        let subscription = revisions::subscribe(settings)?;
+        let subscription = subscribe(
+            format!("relay-{}", settings.listen.announce),
+            settings.control.as_ref(),
+            settings.data.as_ref(),
+        )?;
         let accepted = subscription.as_ref().map(Subscription::accepted);
-        let site = revisions::site_at_start(accepted.as_ref(), site);
+        let site = site_at_start(accepted.as_ref(), site);
         let core = Core::new(settings, &site, Instant::now());
         let shared = Rc::new(Shared::new(core, metrics, settings.dispatch.clone()));
 
--- a/crates/currantgate/tests/relay_revisions.rs
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -1,24 +1,22 @@
 //! A relay takes each accepted revision whole, and keeps it over a restart.
 
 mod relay_support;
+mod voter;
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use currantgate::{Control, ControlClient, ControlStart, Relay, RelaySockets};
-use currantgate_config::{ControlServers, ControlSettings, Dispatch, Serve, Site};
-use currantgate_control::{ApplyRequest, Base};
+use currantgate::{Relay, RelaySockets};
+use currantgate_config::{ControlServers, Dispatch, Serve, Site};
+use currantgate_control::Base;
 use h2::client::{self, SendRequest};
 use http::Request;
 use relay_support::stand_in::StandIn;
 use relay_support::{Fixture, SITE, ask, settings};
 use tokio::net::TcpStream;
-
-/// How long the voter may take to accept a revision.
-const DEADLINE: Duration = Duration::from_secs(20);
+use voter::{apply, start_voter};
 
 /// Returns the site with one more service.
 fn site_with(service: &str, port: u16) -> String {
@@ -26,33 +24,6 @@
     format!("{SITE}\n[[service]]\nname = \"{service}\"\naddress = \"{address}\"\n")
 }
 
-fn start_voter(data: &Path) -> (Control, ControlServers) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let listen = listener.local_addr().unwrap();
-    let text = format!(
-        "id = 1\ndomain = \"riga-1\"\ndata = \"{}\"\nlisten = \"{listen}\"\n\
-         allow = [\"127.0.0.1\"]\n[[voter]]\nid = 1\naddress = \"{listen}\"\n",
-        data.display()
-    );
-    let settings = ControlSettings::parse(&text, "control.toml").unwrap();
-    let control = Control::start(&settings, ControlStart::InitOrResume, listener).unwrap();
-    let servers = ControlServers {
-        servers: vec![listen],
-        ..ControlServers::default()
-    };
-    (control, servers)
-}
-
-async fn apply(servers: &ControlServers, base: Base, text: &str) -> Base {
-    let text = text.into();
-    let request = ApplyRequest { base, text };
-    let digest = request.digest();
-    let client = ControlClient::new(servers);
-    let applied = client.apply(request, Instant::now() + DEADLINE).await;
-    let revision = applied.unwrap().revision;
-    Base { revision, digest }
-}
-
 /// Starts a relay that follows `control`, on ports that the system chooses.
 async fn start_relay(control: &ControlServers, data: &Path, serves: &[&str]) -> Fixture {
     start_relay_with(control, data, serves, Dispatch::default()).await
