Relay no services that speak UDP

Cause: a relay listened on TCP for services with protocol = "udp", so a UDP and a TCP service at one address, which the site file allows, kept each other out.

Change: relays take the site's TCP services alone. The new test finds no listener for a UDP service; before, there was one.

--- a/crates/currantgate-config/src/site.rs
+++ b/crates/currantgate-config/src/site.rs
@@ -6,7 +6,7 @@
 
 use crate::check::check_name;
 use crate::file::{self, Checked};
-use crate::{ConfigError, Domain, Service};
+use crate::{ConfigError, Domain, Protocol, Service};
 
 /// Everything that operators say about a site, applied as a whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +39,12 @@
         file::parse(text, name)
     }
 
+    /// Returns the services that requests can be relayed for.
+    pub fn tcp_services(&self) -> impl Iterator<Item = &Service> {
+        let services = self.services.iter();
+        services.filter(|service| service.protocol == Protocol::Tcp)
+    }
+
     fn check_domains(&self, service: &Service) -> Result<(), ConfigError> {
         match service.domains.iter().find(|d| !self.domains.contains(d)) {
             None => Ok(()),
--- a/crates/currantgate/src/relay/services.rs
+++ b/crates/currantgate/src/relay/services.rs
@@ -60,7 +60,7 @@
         site: &Site,
         mut bound: IndexMap<Box<str>, std::net::TcpListener>,
     ) -> Result<(), RelayError> {
-        for service in &site.services {
+        for service in site.tcp_services() {
             let address = address_of(&self.serves, service);
             let listener = bound.swap_remove(&service.name).map(TcpListener::from_std);
             let listener = listener.transpose().map_err(|source| RelayError::Bind {
@@ -82,7 +82,7 @@
         let site = &accepted.site;
         self.leave_out(site).await;
         self.shared.set_site(site);
-        for service in &site.services {
+        for service in site.tcp_services() {
             self.keep_or_start(service);
         }
         let revision = i64::try_from(accepted.revision).unwrap_or(i64::MAX);
@@ -122,7 +122,7 @@
     fn release(&self, site: &Site) -> Vec<JoinHandle<()>> {
         let mut released = Vec::new();
         self.listening.borrow_mut().retain(|name, listening| {
-            let found = site.services.iter().find(|s| s.name == *name);
+            let found = site.tcp_services().find(|s| s.name == *name);
             let address = found.map(|service| address_of(&self.serves, service));
             if address == Some(listening.address) {
                 return true;
--- a/crates/currantgate/src/relay/sockets.rs
+++ b/crates/currantgate/src/relay/sockets.rs
@@ -24,7 +24,7 @@
     /// # Errors
     ///
     /// Returns an error that names the address that can't be bound, or a
-    /// service that the site doesn't have.
+    /// service that the site doesn't have or that is not TCP.
     pub fn bind(settings: &RelaySettings, site: &Site) -> Result<Self, RelayError> {
         let own = Self {
             services: IndexMap::new(),
@@ -34,12 +34,12 @@
         if settings.control.is_some() {
             return Ok(own);
         }
-        let known = |name: &str| site.services.iter().any(|s| *s.name == *name);
+        let known = |name: &str| site.tcp_services().any(|s| *s.name == *name);
         if let Some(unknown) = settings.serves.iter().find(|s| !known(&s.service)) {
             return Err(RelayError::UnknownService(unknown.service.clone()));
         }
         let mut services = IndexMap::new();
-        for service in &site.services {
+        for service in site.tcp_services() {
             let listener = bind(address_of(&settings.serves, service), &service.name)?;
             services.insert(service.name.clone(), listener);
         }
--- a/crates/currantgate/tests/relay_revisions.rs
+++ b/crates/currantgate/tests/relay_revisions.rs
@@ -217,3 +217,15 @@
     }
     assert_eq!(*a.state.runs.borrow(), ["/hang"; 3]);
 }
+
+#[actix_rt::test]
+async fn a_udp_service_has_no_listener_and_may_share_an_address() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, servers) = start_voter(&folder.path().join("control"));
+    let fixture = start_relay(&servers, &folder.path().join("relay"), &["last"]).await;
+    let udp = site_with("names", 53) + "protocol = \"udp\"\n";
+    let text = udp + "[[service]]\nname = \"last\"\naddress = \"127.20.0.3:53\"\n";
+    apply(&servers, Base::empty(), &text).await;
+    listening(&fixture.relay, "last").await;
+    assert_eq!(fixture.relay.service("names"), None);
+}
