--- a/crates/currantgate/src/entry/core.rs
+++ b/crates/currantgate/src/entry/core.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use currantgate_config::{EntryId, EntrySettings, Incarnation, Site};
-use currantgate_flow::{AnswerVerdict, Router, RouterSettings, Verdict};
+use currantgate_flow::{AnswerVerdict, DropReason, Router, RouterSettings, Verdict};
 use currantgate_membership::{AnnounceError, Budget, EntryStage, Members, MembersSettings};
 use currantgate_packet::{Packet, PacketError, build_too_big, parse_answer, parse_request, refuse};
 use indexmap::IndexMap;
@@ -321,10 +321,19 @@
                 Some(Datagram::RefusalToFabric(self.fabric, answer))
             }
             Verdict::Drop(reason) => {
-                let what = format_args!("a packet of flow {}: {reason}", packet.key);
-                self.reports.drop(now, &reason.to_string(), what);
+                self.drop_request(now, reason, packet);
                 None
             }
         }
     }
+
+    fn drop_request(&mut self, now: Instant, reason: DropReason, packet: &Packet) {
+        // The caller sends it again, and the bucket's move has ended by then.
+        if reason == DropReason::Deferred {
+            self.reports.metrics.count_drop(&reason.to_string());
+            return;
+        }
+        let what = format_args!("a packet of flow {}: {reason}", packet.key);
+        self.reports.drop(now, &reason.to_string(), what);
+    }
 }
