--- a/crates/currantgate/tests/support/mod.rs
+++ b/crates/currantgate/tests/support/mod.rs
@@ -67,12 +67,17 @@
         Self { entry, outside }
     }
 
-    /// Returns the value of the sample of `/metrics` that starts with `name`.
-    pub(crate) async fn sample(&self, name: &str) -> Option<f64> {
+    /// Returns what `/metrics` serves.
+    pub(crate) async fn metrics(&self) -> String {
         let url = format!("http://{}/metrics", self.entry.addresses().metrics);
         let mut answer = awc::Client::default().get(url).send().await.unwrap();
         let body = answer.body().await.unwrap();
-        let text = std::str::from_utf8(&body).unwrap();
+        String::from_utf8(body.to_vec()).unwrap()
+    }
+
+    /// Returns the value of the sample of `/metrics` that starts with `name`.
+    pub(crate) async fn sample(&self, name: &str) -> Option<f64> {
+        let text = self.metrics().await;
         let line = text.lines().find(|line| line.starts_with(name))?;
         line.rsplit(' ').next()?.parse().ok()
     }
