Resolve paths of settings files in one place, and warn of a missing hash key

An entry without flow.hash_key says at the start what that allows. Behaviour is otherwise as it was.

--- a/crates/currantgate-cli/src/cmd/entry.rs
+++ b/crates/currantgate-cli/src/cmd/entry.rs
@@ -2,7 +2,7 @@
 
 use clap::{ArgMatches, Command};
 use currantgate::{Entry, EntrySockets};
-use currantgate_config::{EntrySettings, Site};
+use currantgate_config::{EntrySettings, HashKey, Site};
 
 use super::{config_arg, stop_signal};
 use crate::error::CommandError;
@@ -17,6 +17,9 @@
 /// Runs the `entry` subcommand until SIGTERM or SIGINT.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let settings = EntrySettings::load(config_arg::file(matches))?;
+    if settings.flow.hash_key == HashKey::default() {
+        log::warn!("flow.hash_key is not set: callers can choose the bucket of a flow");
+    }
     let site = Site::load(&settings.site)?;
     let sockets = EntrySockets::bind(&settings.listen)?;
     actix_rt::System::new().block_on(async {
--- a/crates/currantgate-config/src/control.rs
+++ b/crates/currantgate-config/src/control.rs
@@ -73,11 +73,7 @@
     ///
     /// Returns an error that names the file, and the line or key at fault.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let mut settings: Self = file::load(path)?;
-        if let Some(folder) = path.parent() {
-            settings.data = folder.join(&settings.data);
-        }
-        Ok(settings)
+        file::load(path)
     }
 
     /// Reads and checks the text of a settings file; `name` appears in errors.
@@ -114,6 +110,10 @@
         }
         (0..self.voters.len()).try_for_each(|i| self.check_voter(i))
     }
+
+    fn resolve(&mut self, folder: &Path) {
+        self.data = folder.join(&self.data);
+    }
 }
 
 impl ControlServers {
--- a/crates/currantgate-config/src/entry.rs
+++ b/crates/currantgate-config/src/entry.rs
@@ -145,12 +145,7 @@
     ///
     /// Returns an error that names the file, and the line or key at fault.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let mut settings: Self = file::load(path)?;
-        if let Some(folder) = path.parent() {
-            settings.site = folder.join(&settings.site);
-            settings.data = settings.data.map(|data| folder.join(data));
-        }
-        Ok(settings)
+        file::load(path)
     }
 
     /// Reads and checks the text of a settings file; `name` appears in errors.
@@ -198,6 +193,11 @@
         self.flow.check()?;
         (0..self.peers.len()).try_for_each(|i| self.check_peer(i))
     }
+
+    fn resolve(&mut self, folder: &Path) {
+        self.site = folder.join(&self.site);
+        self.data = self.data.take().map(|data| folder.join(data));
+    }
 }
 
 impl Listen {
--- a/crates/currantgate-config/src/file.rs
+++ b/crates/currantgate-config/src/file.rs
@@ -14,6 +14,9 @@
     ///
     /// Returns the first key whose value is wrong.
     fn check(&self) -> Result<(), ConfigError>;
+
+    /// Takes relative paths to start at `folder`, where the file is.
+    fn resolve(&mut self, _folder: &Path) {}
 }
 
 /// Reads and checks the file at `path`.
@@ -27,7 +30,11 @@
         file: name.as_str().into(),
         source,
     })?;
-    parse(&text, &name)
+    let mut contents: T = parse(&text, &name)?;
+    if let Some(folder) = path.parent() {
+        contents.resolve(folder);
+    }
+    Ok(contents)
 }
 
 /// Reads and checks the text of a file called `name`.
