Print shell completions

'currantgate completions SHELL' prints the script that clap_complete makes of the command line; a test looks for a subcommand and an option in it.

--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod apply;
 pub(crate) mod check;
+pub(crate) mod completions;
 mod config_arg;
 pub(crate) mod control;
 pub(crate) mod demo;
--- a/crates/currantgate-cli/tests/command_line.rs
+++ b/crates/currantgate-cli/tests/command_line.rs
@@ -48,3 +48,12 @@
     let stderr = String::from_utf8(output.stderr).unwrap();
     assert!(stderr.contains("entry-9.toml"), "{stderr}");
 }
+
+#[test]
+fn completions_know_the_subcommands() {
+    let folder = tempfile::tempdir().unwrap();
+    let output = currantgate(folder.path(), &["completions", "bash"]);
+    assert!(output.status.success(), "{output:?}");
+    let script = String::from_utf8(output.stdout).unwrap();
+    assert!(script.contains("standin") && script.contains("--config"));
+}
