Plan each service in time, whatever is sent to another

Cause: plan() put off the timer of all services, and a first packet to a bucket without an owner plans its service. First packets to a service without upstreams so kept every other service from its timed planning, and cost a look at all its buckets each.

Change: the timer belongs to tick(), and a first packet plans only where an upstream takes flows.

The new test sends first packets to a service without upstreams while another one warms an upstream up: it had 0 of 32 buckets after 30 s before, and has its share now.

--- a/crates/currantgate-flow/src/balance.rs
+++ b/crates/currantgate-flow/src/balance.rs
@@ -11,7 +11,7 @@
 use crate::{BucketIndex, Phase};
 
 /// Time between two looks at the shares.
-const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which the views of entries and upstreams must rest before buckets
 /// are given out that no flow waits for.
@@ -41,7 +41,6 @@
 impl Router {
     /// Gives the buckets of one service that this entry keeps to upstreams.
     pub(crate) fn plan(&mut self, now: Instant, t: usize) {
-        self.plan_at = now + PLAN_INTERVAL;
         if !self.sync.is_done() {
             return;
         }
--- a/crates/currantgate-flow/src/first.rs
+++ b/crates/currantgate-flow/src/first.rs
@@ -26,7 +26,8 @@
         if let Some(record) = self.bucket_mut(place).flows.get(&hash).copied() {
             return self.repeated_first(now, place, hash, (record, packet));
         }
-        if self.bucket_mut(place).phase == Phase::Unowned {
+        let is_unowned = self.bucket_mut(place).phase == Phase::Unowned;
+        if is_unowned && self.any_takes_flows(now, place.0) {
             self.plan(now, place.0);
         }
         let limits = &self.tables[place.0].service.limits;
--- a/crates/currantgate-flow/src/router.rs
+++ b/crates/currantgate-flow/src/router.rs
@@ -9,6 +9,7 @@
 use currantgate_packet::{FlowHasher, Packet};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::balance::PLAN_INTERVAL;
 use crate::bucket::Bucket;
 use crate::copy::Copies;
 use crate::flow_map::{ServiceMap, UpstreamMap};
@@ -212,6 +213,7 @@
         self.check_sync(now);
         self.report_loads(now);
         if now >= self.plan_at {
+            self.plan_at = now + PLAN_INTERVAL;
             for t in 0..self.tables.len() {
                 self.plan(now, t);
             }
--- a/crates/currantgate-flow/tests/balance.rs
+++ b/crates/currantgate-flow/tests/balance.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use common::{Net, TWO_SERVICES};
-use currantgate_packet::FlowKey;
+use currantgate_flow::Phase;
+use currantgate_membership::UpstreamState;
+use currantgate_packet::{FlowKey, PacketKind};
 use indexmap::IndexMap;
 
 /// An upstream whose flows never end must get less of what is new, whatever
@@ -42,3 +44,29 @@
         counts[&slow]
     );
 }
+
+/// First packets to a service without upstreams must not hold up what is
+/// planned for another service.
+#[test]
+fn a_service_without_upstreams_does_not_hold_up_another() {
+    let mut net = Net::new(6, 4, 32, TWO_SERVICES);
+    net.add_upstream(0, 0, 1);
+    net.spread_upstreams();
+    net.run_s(4);
+    let late = net.add_upstream(0, 1, 1);
+    net.upstreams[&late].0.state = UpstreamState::Warming;
+    net.spread_upstreams();
+    for _ in 0..300 {
+        for n in 0..24 {
+            let key = net.key(1, n);
+            net.send(key, PacketKind::Open);
+        }
+        net.run(Duration::from_millis(100));
+    }
+    let states = net.nodes[&1].router.states();
+    let owned = states
+        .iter()
+        .filter(|(_, phase)| *phase == Phase::Stable { owner: late });
+    let owned = owned.count();
+    assert!(owned >= 10, "the late upstream has {owned} of 32 buckets");
+}
