--- a/crates/currantgate/tests/control.rs
+++ b/crates/currantgate/tests/control.rs
@@ -1,16 +1,18 @@
 //! Control daemons in one process, on loopback: what reaches subscribers.
 
+mod voter;
+
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use currantgate::{
-    Accepted, ClientError, Control, ControlClient, ControlStart, FanOut, Subscription,
-    SubscriptionSettings,
+    Accepted, ClientError, ControlClient, FanOut, Subscription, SubscriptionSettings,
 };
 use currantgate_config::{ControlKey, ControlServers, ControlSettings};
-use currantgate_control::{ApplyRequest, Base};
+use currantgate_control::Base;
+use voter::{apply, start_voter};
 
 /// How long anything may take that the daemons do by themselves.
 const DEADLINE: Duration = Duration::from_secs(20);
@@ -35,14 +37,6 @@
     ControlSettings::parse(&text, "control.toml").unwrap()
 }
 
-fn start_voter(data: &Path) -> Control {
-    let listener = listener();
-    let address = listener.local_addr().unwrap();
-    let voters = format!("[[voter]]\nid = 1\naddress = \"{address}\"\n");
-    let settings = settings(data, address, &voters);
-    Control::start(&settings, ControlStart::InitOrResume, listener).unwrap()
-}
-
 fn servers(address: SocketAddr) -> ControlServers {
     ControlServers {
         servers: vec![address],
@@ -50,23 +44,6 @@
     }
 }
 
-async fn apply(address: SocketAddr, base: Base, text: &str) -> Base {
-    let request = ApplyRequest {
-        base,
-        text: text.into(),
-    };
-    let digest = request.digest();
-    let client = ControlClient::new(&servers(address));
-    let applied = client
-        .apply(request, Instant::now() + DEADLINE)
-        .await
-        .unwrap();
-    Base {
-        revision: applied.revision,
-        digest,
-    }
-}
-
 async fn adopted(subscription: &Subscription, base: Base) -> Arc<Accepted> {
     let mut accepted = subscription.accepted();
     let wanted = |a: &Option<Arc<Accepted>>| {
@@ -80,7 +57,7 @@
 #[actix_rt::test]
 async fn a_subscriber_behind_a_fan_out_vm_adopts_and_keeps_revisions() {
     let folder = tempfile::tempdir().unwrap();
-    let voter = start_voter(&folder.path().join("voter"));
+    let (voter, voter_servers) = start_voter(&folder.path().join("voter"));
     let fan_out_listener = listener();
     let address = fan_out_listener.local_addr().unwrap();
     let follows = format!("fan_out_of = [\"{}\"]\n", voter.address());
@@ -93,10 +70,10 @@
     };
     let subscription = Subscription::start(&subscription_settings).unwrap();
 
-    let first = apply(voter.address(), Base::empty(), SITE).await;
+    let first = apply(&voter_servers, Base::empty(), SITE).await;
     adopted(&subscription, first).await;
     let text = format!("{SITE}[[service]]\nname = \"booking\"\naddress = \"127.0.0.9:443\"\n");
-    let second = apply(voter.address(), first, &text).await;
+    let second = apply(&voter_servers, first, &text).await;
     let accepted = adopted(&subscription, second).await;
     assert_eq!(
         (&*accepted.text, &*accepted.site.services[0].name),
@@ -112,11 +89,11 @@
 #[actix_rt::test]
 async fn whoever_lacks_the_key_or_the_address_gets_no_answer() {
     let folder = tempfile::tempdir().unwrap();
-    let voter = start_voter(folder.path());
-    apply(voter.address(), Base::empty(), SITE).await;
+    let (voter, voter_servers) = start_voter(folder.path());
+    apply(&voter_servers, Base::empty(), SITE).await;
     let wrong = ControlServers {
         key: key("00"),
-        ..servers(voter.address())
+        ..voter_servers
     };
     let until = Instant::now();
     let refused = ControlClient::new(&wrong).show(until).await;
