--- a/crates/currantgate-cli/src/cmd/replace.rs
+++ b/crates/currantgate-cli/src/cmd/replace.rs
@@ -34,13 +34,13 @@
         .long(name)
         .value_name("ID")
         .required(true)
-        .value_parser(value_parser!(u16))
+        .value_parser(value_parser!(u64))
         .help(help)
 }
 
 /// Runs the `replace` subcommand.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
-    let id = |name| *matches.get_one::<u16>(name).expect("clap requires the ids");
+    let id = |name| *matches.get_one::<u64>(name).expect("clap requires the ids");
     let request = ReplaceRequest {
         lost: id("lost"),
         fresh: id("new"),
--- a/crates/currantgate-cli/src/cmd/run.rs
+++ b/crates/currantgate-cli/src/cmd/run.rs
@@ -19,7 +19,7 @@
 const DEFAULT_CONTROL: &str = "127.0.0.1:5570";
 
 /// The id of the one voter.
-const VOTER: u16 = 1;
+const VOTER: u64 = 1;
 
 /// The most connections to the control role at a time.
 const MAX_CONNECTIONS: u32 = 64;
--- a/crates/currantgate-config/src/control.rs
+++ b/crates/currantgate-config/src/control.rs
@@ -14,7 +14,7 @@
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// The VM's id; it is never used again once the VM's disk is lost.
-    pub id: u16,
+    pub id: u64,
     /// The failure domain the VM stands in.
     pub domain: Domain,
     /// The data folder, relative to the settings file.
@@ -46,7 +46,7 @@
 #[serde(deny_unknown_fields)]
 pub struct ControlVoter {
     /// The voter's id.
-    pub id: u16,
+    pub id: u64,
     /// Where it listens.
     pub address: SocketAddr,
 }
--- a/crates/currantgate-config/src/prefix.rs
+++ b/crates/currantgate-config/src/prefix.rs
@@ -1,7 +1,7 @@
 //! Ranges of IP addresses.
 
 use std::fmt;
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,14 @@
 }
 
 impl Prefix {
+    /// Returns the range of all IPv4 addresses.
+    pub fn any_v4() -> Self {
+        Self {
+            address: Ipv4Addr::UNSPECIFIED.into(),
+            bits: 0,
+        }
+    }
+
     /// Tells whether `address` is in the range.
     pub fn contains(&self, address: IpAddr) -> bool {
         match (self.address, address) {
--- a/crates/currantgate-control/benches/control/fleet.rs
+++ b/crates/currantgate-control/benches/control/fleet.rs
@@ -251,7 +251,7 @@
                 replica.persisted(now, id);
             }
             Output::Send { to, message } => {
-                let to = usize::from(to) - 1;
+                let to = to as usize - 1;
                 self.count(id, to, &message);
                 self.schedule(LATENCY, to, Event::Voter(id as VoterId + 1, message));
             }
@@ -261,7 +261,7 @@
                 }
             }
             Output::Applied { .. } => self.answered = Some(self.now),
-            Output::Replaced { .. } => {}
+            Output::Replaced { .. } | Output::ReadDone { .. } => {}
         }
     }
 
--- a/crates/currantgate-control/src/apply.rs
+++ b/crates/currantgate-control/src/apply.rs
@@ -16,6 +16,25 @@
     pub text: Arc<str>,
 }
 
+/// Asks to put a file in force under a version that its author chose.
+///
+/// The highest version wins, whatever it was written upon: this is for sites
+/// whose operators number their files themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedRequest {
+    /// The version, which becomes the revision.
+    pub version: Revision,
+    /// The whole new site file.
+    pub text: Arc<str>,
+}
+
+impl VersionedRequest {
+    /// Returns the digest of the new text.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.text)
+    }
+}
+
 impl ApplyRequest {
     /// Returns the digest of the new text.
     pub fn digest(&self) -> Digest {
@@ -30,6 +49,8 @@
     Accepted(Revision),
     /// This very change was accepted earlier and was not applied again.
     AlreadyAccepted(Revision),
+    /// A higher version, given here, is in force, so this one changed nothing.
+    Superseded(Revision),
     /// Another change was accepted upon the same base; nothing was applied.
     Conflict(Base),
     /// Nothing was applied and nothing will be.
--- a/crates/currantgate-control/src/id.rs
+++ b/crates/currantgate-control/src/id.rs
@@ -1,7 +1,8 @@
 //! Ids and counters of the replicated log.
 
-/// Names one control VM; an id is never used again once its disk is lost.
-pub type VoterId = u16;
+/// Names one control VM: small where an operator chose it, random where a VM chose
+/// it for itself; an id is never used again once its disk is lost.
+pub type VoterId = u64;
 
 /// Counts elections; each term has at most one leader.
 pub type Term = u64;
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -28,8 +28,9 @@
 mod storage;
 mod timing;
 mod transport;
+mod voter_plan;
 
-pub use apply::{ApplyAnswer, ApplyRequest, RefuseReason};
+pub use apply::{ApplyAnswer, ApplyRequest, RefuseReason, VersionedRequest};
 pub use batch::{Batch, HardState, Recovered};
 pub use change::{Base, Change};
 pub use digest::Digest;
@@ -42,8 +43,8 @@
 pub use members::Members;
 pub use message::{AppendOutcome, Message};
 pub use output::Output;
-pub use read::{Freshness, Read};
-pub use replace::{ReplaceAnswer, ReplaceRequest};
+pub use read::{Freshness, Read, ReadAnswer};
+pub use replace::{ReplaceAnswer, ReplaceRequest, VoterChange};
 pub use replica::Replica;
 pub use settings::ReplicaSettings;
 pub use site_state::SiteState;
@@ -58,3 +59,4 @@
     Client, FrameReader, FrameWriter, Incoming, MAX_MESSAGE_BYTES, Secret, Server, ServerSettings,
     TransportError,
 };
+pub use voter_plan::{Peer, VoterPlan, VoterPlanSettings};
--- a/crates/currantgate-control/src/output.rs
+++ b/crates/currantgate-control/src/output.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::{ApplyAnswer, Batch, BatchId, Change, Message, ReplaceAnswer, RequestId, VoterId};
+use crate::{
+    ApplyAnswer, Batch, BatchId, Change, Message, ReadAnswer, ReplaceAnswer, RequestId, VoterId,
+};
 
 /// What a replica wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +37,13 @@
         /// The answer.
         answer: ReplaceAnswer,
     },
+    /// Answer a read that waited for a quorum.
+    ReadDone {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: ReadAnswer,
+    },
     /// A revision is committed: hand it on to entries and relays.
     Committed(Arc<Change>),
 }
--- a/crates/currantgate-control/src/read.rs
+++ b/crates/currantgate-control/src/read.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::Change;
+use crate::{Change, RefuseReason};
 
 /// Whether a read tells what is in force now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -19,6 +19,10 @@
     Stale,
 }
 
+/// The answer to a read that a quorum confirmed: the change in force, nothing
+/// before the first, or why this replica can't tell.
+pub type ReadAnswer = Result<Option<Arc<Change>>, RefuseReason>;
+
 /// The accepted site file as one replica knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Read {
--- a/crates/currantgate-control/src/replica/follower.rs
+++ b/crates/currantgate-control/src/replica/follower.rs
@@ -180,7 +180,8 @@
         true
     }
 
-    pub(super) fn leader_id(&self) -> Option<VoterId> {
+    /// Returns who leads, as far as this replica knows.
+    pub fn leader_id(&self) -> Option<VoterId> {
         match &self.role {
             Role::Follower { leader } => *leader,
             Role::Leader(_) => Some(self.id()),
--- a/crates/currantgate-control/src/replica/leader.rs
+++ b/crates/currantgate-control/src/replica/leader.rs
@@ -33,6 +33,7 @@
             waiting: VecDeque::new(),
             pending: None,
             replacement: None,
+            reads: Vec::new(),
         }));
         self.promised_until = now + PROMISE_TIMEOUT;
         self.append_as_leader(Command::Noop);
@@ -187,6 +188,7 @@
         }
         self.extend_quorum_deadline(now);
         self.advance_commit(now);
+        self.confirm_reads(now);
         self.advance_replacement(now);
         self.take_waiting(now);
     }
--- a/crates/currantgate-control/src/replica/lease.rs
+++ b/crates/currantgate-control/src/replica/lease.rs
@@ -13,6 +13,13 @@
     /// A quorum promised, after the newest message that it acknowledged was
     /// sent, to vote for no one else; see [`crate::PROMISE_TIMEOUT`].
     pub fn lease_deadline(&self, now: Instant) -> Option<Instant> {
+        self.quorum_acknowledged(now)
+            .map(|sent| sent + LEASE_TIMEOUT)
+    }
+
+    /// Returns when the newest message was sent that a quorum has answered;
+    /// nothing when the replica does not lead or a quorum never answered.
+    pub(super) fn quorum_acknowledged(&self, now: Instant) -> Option<Instant> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
@@ -23,7 +30,7 @@
             }
             leader.progress.get(&id).and_then(|p| p.acked_sent)
         });
-        sent.flatten().map(|sent| sent + LEASE_TIMEOUT)
+        sent.flatten()
     }
 
     /// Tells whether the replica holds the lease at `now`.
@@ -43,6 +50,16 @@
         }
     }
 
+    /// Tells whether the replica was in contact with a quorum a short time ago:
+    /// it leads with a lease, or heard from a leader.
+    pub fn is_in_quorum(&self, now: Instant) -> bool {
+        match &self.role {
+            Role::Leader(_) => self.has_lease(now),
+            Role::Follower { leader } => leader.is_some() && now < self.promised_until,
+            Role::PreCandidate { .. } | Role::Candidate { .. } => false,
+        }
+    }
+
     /// Returns revision and digest of a revision of the known history; a
     /// revision never gets another digest, so the answer is never stale.
     pub fn base_of(&self, revision: Revision) -> Option<Base> {
--- a/crates/currantgate-control/src/replica/operator.rs
+++ b/crates/currantgate-control/src/replica/operator.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use super::Replica;
-use super::role::{Leader, ReplaceStage, Replacement, Role};
+use super::role::{Leader, Proposal, ReplaceStage, Replacement, Role};
 use crate::{
-    ApplyAnswer, ApplyRequest, Command, Output, RefuseReason, ReplaceAnswer, ReplaceRequest,
-    RequestId, RoleName, Status, VoterId,
+    ApplyAnswer, ApplyRequest, Command, Members, Output, ReadAnswer, RefuseReason, ReplaceAnswer,
+    ReplaceRequest, RequestId, RoleName, Status, VersionedRequest, VoterChange, VoterId,
 };
 use std::sync::Arc;
 
@@ -16,6 +16,15 @@
 impl Replica {
     /// Takes a change of an operator; the answer is an output.
     pub fn apply(&mut self, now: Instant, id: RequestId, request: ApplyRequest) {
+        self.propose(now, id, Proposal::OnBase(request));
+    }
+
+    /// Takes a file that carries its own version; the answer is an output.
+    pub fn apply_version(&mut self, now: Instant, id: RequestId, request: VersionedRequest) {
+        self.propose(now, id, Proposal::Versioned(request));
+    }
+
+    fn propose(&mut self, now: Instant, id: RequestId, request: Proposal) {
         if let Err(reason) = self.check_writable(now, &request) {
             self.answer_apply(id, ApplyAnswer::Refused(reason));
             return;
@@ -26,7 +35,7 @@
         self.take_waiting(now);
     }
 
-    fn check_writable(&self, now: Instant, request: &ApplyRequest) -> Result<(), RefuseReason> {
+    fn check_writable(&self, now: Instant, request: &Proposal) -> Result<(), RefuseReason> {
         let Role::Leader(leader) = &self.role else {
             let leader = self.leader_id();
             return Err(RefuseReason::NotLeader { leader });
@@ -37,7 +46,7 @@
         if leader.waiting.len() >= MAX_WAITING {
             return Err(RefuseReason::Busy);
         }
-        if request.text.len() > self.settings.max_text_bytes {
+        if request.len_bytes() > self.settings.max_text_bytes {
             return Err(RefuseReason::TooLarge);
         }
         Ok(())
@@ -57,7 +66,7 @@
                 return;
             };
             let has_lease = self.has_lease(now);
-            match self.state.judge(&request) {
+            match request.judge(&self.state) {
                 // A leader that was replaced may not know the winner.
                 Err(ApplyAnswer::Conflict(_)) if !has_lease => {
                     self.answer_apply(id, ApplyAnswer::Refused(RefuseReason::NoLease));
@@ -79,12 +88,70 @@
         self.outputs.push_back(Output::Applied { request, answer });
     }
 
+    /// Reads what is in force without trust in clocks; the answer is an output.
+    ///
+    /// The leader first hears from a quorum that follows it still, so that a
+    /// VM that stood still without noticing never tells an older state.
+    pub fn read_confirmed(&mut self, now: Instant, id: RequestId) {
+        let known = self.leader_id();
+        let Role::Leader(leader) = &mut self.role else {
+            let reason = RefuseReason::NotLeader { leader: known };
+            return self.answer_read(id, Err(reason));
+        };
+        leader.reads.push((id, now));
+        self.send_to_all(now);
+        self.confirm_reads(now);
+    }
+
+    /// Answers the reads after which a quorum was heard from.
+    pub(super) fn confirm_reads(&mut self, now: Instant) {
+        let Some(acknowledged) = self.quorum_acknowledged(now) else {
+            return;
+        };
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if self.commit < leader.first_index {
+            return;
+        }
+        let confirmed = leader.reads.extract_if(.., |(_, at)| *at <= acknowledged);
+        let confirmed: Vec<_> = confirmed.map(|(id, _)| id).collect();
+        for id in confirmed {
+            let change = self.state.current().cloned();
+            self.answer_read(id, Ok(change));
+        }
+    }
+
+    fn answer_read(&mut self, request: RequestId, answer: ReadAnswer) {
+        self.outputs.push_back(Output::ReadDone { request, answer });
+    }
+
     /// Takes a replacement of a lost voter; the answer is an output.
     pub fn replace(&mut self, now: Instant, id: RequestId, request: ReplaceRequest) {
+        self.change_voters(now, id, request.into());
+    }
+
+    /// Gives up a change of voters whose new voter did not catch up; returns
+    /// whether there was one that could still be given up.
+    pub fn abandon_catch_up(&mut self) -> bool {
+        let Role::Leader(leader) = &mut self.role else {
+            return false;
+        };
+        let waits = |r: &mut Replacement| r.stage == ReplaceStage::CatchUp;
+        let Some(abandoned) = leader.replacement.take_if(waits) else {
+            return false;
+        };
+        self.track_followers();
+        self.answer_replace(abandoned.request_id, ReplaceAnswer::Unknown);
+        true
+    }
+
+    /// Takes a change of the voters; the answer is an output.
+    pub fn change_voters(&mut self, now: Instant, id: RequestId, request: VoterChange) {
         let leader = self.leader_id();
         let has_lease = self.has_lease(now);
         let members = self.log.members().1;
-        let done = members.contains(request.fresh) && !members.contains(request.lost);
+        let done = request.is_done(members);
         let Role::Leader(own) = &mut self.role else {
             let reason = RefuseReason::NotLeader { leader };
             return self.answer_replace(id, ReplaceAnswer::Refused(reason));
@@ -100,7 +167,8 @@
         if done {
             return self.answer_replace(id, ReplaceAnswer::Done);
         }
-        if !members.contains(request.lost) || request.lost == self.settings.id {
+        let removable = |id| members.contains(id) && id != self.settings.id;
+        if request.lost.is_some_and(|lost| !removable(lost)) {
             return self.answer_replace(id, ReplaceAnswer::WrongMembers);
         }
         own.replacement = Some(Replacement {
@@ -131,7 +199,7 @@
         if !settled || self.commit < leader.first_index {
             return;
         }
-        let ReplaceRequest {
+        let VoterChange {
             lost,
             fresh,
             address,
@@ -140,11 +208,12 @@
             .progress
             .get(&fresh)
             .is_some_and(|p| p.matched >= self.commit);
+        let without_lost = |members: &Members| lost.map(|lost| members.without(lost));
         let next = match replacement.stage {
-            ReplaceStage::CatchUp if members.contains(fresh) => Some(members.without(lost)),
+            ReplaceStage::CatchUp if members.contains(fresh) => without_lost(members),
             ReplaceStage::CatchUp if caught_up => Some(members.with(fresh, address)),
             ReplaceStage::CatchUp => return,
-            ReplaceStage::Adding(_) => Some(members.without(lost)),
+            ReplaceStage::Adding(_) => without_lost(members),
             ReplaceStage::Removing(_) => None,
         };
         let Some(next) = next else {
@@ -154,7 +223,7 @@
             }
             return self.answer_replace(id, ReplaceAnswer::Done);
         };
-        let removes = !next.contains(lost);
+        let removes = lost.is_some_and(|lost| !next.contains(lost));
         let index = self.append_as_leader(Command::Members(next));
         if let Role::Leader(leader) = &mut self.role
             && let Some(replacement) = &mut leader.replacement
@@ -175,6 +244,10 @@
         if let Some((_, id)) = before.pending {
             self.answer_apply(id, ApplyAnswer::Unknown);
         }
+        for (id, _) in before.reads {
+            let reason = RefuseReason::NotLeader { leader };
+            self.answer_read(id, Err(reason));
+        }
         for (id, _) in before.waiting {
             let reason = RefuseReason::NotLeader { leader };
             self.answer_apply(id, ApplyAnswer::Refused(reason));
@@ -184,6 +257,21 @@
         }
     }
 
+    /// Returns the control VM that is about to become a voter.
+    pub fn joining_voter(&self) -> Option<VoterId> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        leader.replacement.as_ref().map(|r| r.request.fresh)
+    }
+
+    /// Gives up the lead, for a planned stop.
+    pub fn resign(&mut self, now: Instant) {
+        if self.leads() {
+            self.follow(now, None);
+        }
+    }
+
     /// Returns where another control VM listens: a voter, or the one that is
     /// to become one.
     pub fn address_of(&self, id: VoterId) -> Option<std::net::SocketAddr> {
--- a/crates/currantgate-control/src/replica/role.rs
+++ b/crates/currantgate-control/src/replica/role.rs
@@ -6,7 +6,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::progress::Progress;
-use crate::{ApplyRequest, Index, ReplaceRequest, RequestId, VoterId};
+use crate::{
+    ApplyAnswer, ApplyRequest, Change, Index, RequestId, SiteState, VersionedRequest, VoterChange,
+    VoterId,
+};
 
 /// What a replica does at the moment.
 #[derive(Debug)]
@@ -31,16 +34,43 @@
     pub(super) next_heartbeat: Instant,
     /// When the leader gives up unless a quorum acknowledges.
     pub(super) quorum_deadline: Instant,
-    pub(super) waiting: VecDeque<(RequestId, ApplyRequest)>,
+    pub(super) waiting: VecDeque<(RequestId, Proposal)>,
     pub(super) pending: Option<(Index, RequestId)>,
     pub(super) replacement: Option<Replacement>,
+    /// Reads that wait until a quorum has answered something sent after them.
+    pub(super) reads: Vec<(RequestId, Instant)>,
+}
+
+/// A change that waits to be judged.
+#[derive(Debug)]
+pub(super) enum Proposal {
+    /// It names the revision that it was written upon.
+    OnBase(ApplyRequest),
+    /// It names its own version.
+    Versioned(VersionedRequest),
+}
+
+impl Proposal {
+    pub(super) fn len_bytes(&self) -> usize {
+        match self {
+            Self::OnBase(request) => request.text.len(),
+            Self::Versioned(request) => request.text.len(),
+        }
+    }
+
+    pub(super) fn judge(&self, state: &SiteState) -> Result<Change, ApplyAnswer> {
+        match self {
+            Self::OnBase(request) => state.judge(request),
+            Self::Versioned(request) => state.judge_version(request),
+        }
+    }
 }
 
 /// A replacement of a voter under way.
 #[derive(Debug)]
 pub(super) struct Replacement {
     pub(super) request_id: RequestId,
-    pub(super) request: ReplaceRequest,
+    pub(super) request: VoterChange,
     pub(super) stage: ReplaceStage,
 }
 
--- a/crates/currantgate-control/src/site_state.rs
+++ b/crates/currantgate-control/src/site_state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ApplyAnswer, ApplyRequest, Base, Change, Digest, Revision};
+use crate::{ApplyAnswer, ApplyRequest, Base, Change, Digest, Revision, VersionedRequest};
 
 /// How many accepted changes are remembered, to recognise resent ones.
 const HISTORY_CHANGES: usize = 1_024;
@@ -73,6 +73,34 @@
         })
     }
 
+    /// Returns the change that a file with its own version makes, or why it
+    /// makes none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for a version that is not above the one in force.
+    pub fn judge_version(&self, request: &VersionedRequest) -> Result<Change, ApplyAnswer> {
+        let digest = request.digest();
+        let base = self.base();
+        if request.version < base.revision {
+            return Err(ApplyAnswer::Superseded(base.revision));
+        }
+        if request.version == base.revision {
+            let same = digest == base.digest;
+            return Err(if same {
+                ApplyAnswer::AlreadyAccepted(base.revision)
+            } else {
+                ApplyAnswer::Conflict(base)
+            });
+        }
+        Ok(Change {
+            revision: request.version,
+            digest,
+            base,
+            text: Arc::clone(&request.text),
+        })
+    }
+
     /// Puts a committed change in force.
     pub(crate) fn accept(&mut self, change: Arc<Change>) {
         self.history.push_back(Past {
--- a/crates/currantgate-control/src/storage/journal.rs
+++ b/crates/currantgate-control/src/storage/journal.rs
@@ -13,8 +13,8 @@
 /// Writes batches, and reads them back after a restart.
 ///
 /// A batch with a snapshot begins a new file, which takes the old one's place
-/// in one step; other batches are appended. After an error the journal must
-/// not be used again: what the disk holds is then only known by reading it.
+/// in one step; other batches are appended. After an error what follows the
+/// last confirmed batch is unknown, and [`Journal::repair`] cuts it off.
 #[derive(Debug)]
 pub struct Journal<D> {
     disk: D,
@@ -50,6 +50,16 @@
         Ok((Self { disk, bytes }, recovered))
     }
 
+    /// Tells whether the disk holds a journal.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub fn exists(disk: &mut D) -> Result<bool, StorageError> {
+        let bytes = disk.read(JOURNAL).map_err(at(JOURNAL))?;
+        Ok(bytes.is_some())
+    }
+
     /// Begins the journal of one of the first voters of a new site.
     ///
     /// # Errors
@@ -98,7 +108,8 @@
     ///
     /// # Errors
     ///
-    /// Returns what the system said; the journal must not be used again.
+    /// Returns what the system said; before anything else is written the
+    /// journal must be repaired.
     pub fn write(&mut self, batch: &Batch) -> Result<(), StorageError> {
         let frame = frame::encode(&codec::encode(batch));
         if batch.snapshot.is_some() {
@@ -120,6 +131,18 @@
         Ok(())
     }
 
+    /// Brings the file back to what was last confirmed, after a write that the
+    /// disk refused; then the same batch can be written again.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said; this can be tried again.
+    pub fn repair(&mut self) -> Result<(), StorageError> {
+        let len = self.bytes;
+        self.disk.truncate(JOURNAL, len).map_err(at(JOURNAL))?;
+        self.disk.sync(JOURNAL).map_err(at(JOURNAL))
+    }
+
     /// Returns the length of the journal in bytes.
     pub fn len_bytes(&self) -> u64 {
         self.bytes
--- a/crates/currantgate-control/tests/common/checks.rs
+++ b/crates/currantgate-control/tests/common/checks.rs
@@ -87,6 +87,12 @@
                 let made = &self.revisions[revision];
                 assert_eq!((made.base, made.digest), (request.base, request.digest()));
             }
+            ApplyAnswer::Superseded(revision) => {
+                assert!(
+                    self.revisions.contains_key(revision),
+                    "{revision} was never made"
+                );
+            }
             ApplyAnswer::Conflict(winner) => {
                 if winner.revision > 0 {
                     assert_eq!(self.revisions[&winner.revision].as_base(), *winner);
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Base, Batch, BatchId, Journal, Members, Message, Output,
+    ApplyAnswer, ApplyRequest, Base, Batch, BatchId, Journal, Members, Message, Output, ReadAnswer,
     ReplaceAnswer, ReplaceRequest, Replica, ReplicaSettings, RequestId, VoterId,
 };
 use rand::{RngExt, SeedableRng};
@@ -18,7 +18,8 @@
 const SNAPSHOT_ENTRIES: usize = 8;
 
 pub fn address(id: VoterId) -> SocketAddr {
-    (Ipv4Addr::LOCALHOST, 9_000 + id).into()
+    let port = 9_000 + u16::try_from(id).expect("tests use small ids");
+    (Ipv4Addr::LOCALHOST, port).into()
 }
 
 struct Running {
@@ -61,6 +62,8 @@
     requests: HashMap<RequestId, ApplyRequest>,
     pub answers: HashMap<RequestId, ApplyAnswer>,
     pub replaced: HashMap<RequestId, ReplaceAnswer>,
+    /// Answers to confirmed reads.
+    pub reads: HashMap<RequestId, ReadAnswer>,
     next_request: RequestId,
     pub checks: Checks,
     /// Votes that were granted to others.
@@ -68,7 +71,7 @@
 }
 
 impl Net {
-    pub fn new(voters: u16, seed: u64) -> Self {
+    pub fn new(voters: VoterId, seed: u64) -> Self {
         let mut net = Self {
             base: Instant::now(),
             now: Duration::ZERO,
@@ -83,13 +86,14 @@
             requests: HashMap::new(),
             answers: HashMap::new(),
             replaced: HashMap::new(),
+            reads: HashMap::new(),
             next_request: 0,
             checks: Checks::default(),
             votes: 0,
         };
         let members = Members::new((1..=voters).map(|id| (id, address(id))));
         for id in 1..=voters {
-            let disk = FakeDisk::new(seed ^ u64::from(id));
+            let disk = FakeDisk::new(seed ^ id);
             Journal::init(disk.clone(), members.clone()).unwrap();
             net.add(id, disk);
         }
@@ -98,14 +102,14 @@
 
     /// Adds a VM with a fresh disk that joins the site.
     pub fn join(&mut self, id: VoterId) {
-        let disk = FakeDisk::new(u64::from(id));
+        let disk = FakeDisk::new(id);
         Journal::join(disk.clone()).unwrap();
         self.add(id, disk);
     }
 
     fn add(&mut self, id: VoterId, disk: FakeDisk) {
         // The fastest and the slowest clocks that the bound allows.
-        let clock_ppm = [10_000, -10_000, 0][usize::from(id) % 3];
+        let clock_ppm = [10_000, -10_000, 0][(id % 3) as usize];
         let node = Node {
             disk,
             running: None,
@@ -359,6 +363,9 @@
             Output::Replaced { request, answer } => {
                 self.replaced.insert(request, answer);
             }
+            Output::ReadDone { request, answer } => {
+                self.reads.insert(request, answer);
+            }
             Output::Committed(change) => self.checks.committed_change(&change),
         }
     }
--- a/crates/currantgate-control/tests/consensus.rs
+++ b/crates/currantgate-control/tests/consensus.rs
@@ -7,7 +7,7 @@
 use common::net::Net;
 use currantgate_control::{ApplyAnswer, Base, Digest, RefuseReason};
 
-fn lead(net: &mut Net) -> u16 {
+fn lead(net: &mut Net) -> u64 {
     net.run_until("a leader", |net| net.leader().is_some());
     net.leader().unwrap()
 }
@@ -28,7 +28,7 @@
 #[case::one(1)]
 #[case::three(3)]
 #[case::five(5)]
-fn an_accepted_change_reaches_every_voter(#[case] voters: u16) {
+fn an_accepted_change_reaches_every_voter(#[case] voters: u64) {
     let mut net = Net::new(voters, 1);
     let base = accept(&mut net, Base::empty(), "a");
     net.run_until("all voters have it", |net| net.all_at(base));
--- a/crates/currantgate-control/tests/hostile.rs
+++ b/crates/currantgate-control/tests/hostile.rs
@@ -30,7 +30,7 @@
             text,
         }))
     });
-    let members = prop::collection::vec(0..4_u16, 0..3).prop_map(|ids| {
+    let members = prop::collection::vec(0..4_u64, 0..3).prop_map(|ids| {
         Command::Members(Members::new(ids.into_iter().map(|id| (id, address(id)))))
     });
     prop_oneof![Just(Command::Noop), change, members]
@@ -143,7 +143,7 @@
 
     #[test]
     fn a_replica_stands_any_message(
-        steps in prop::collection::vec((any_message(), 1..4_u16, 0..3_000_u64), 1..40),
+        steps in prop::collection::vec((any_message(), 1..4_u64, 0..3_000_u64), 1..40),
     ) {
         let members = Members::new((1..=3).map(|id| (id, address(id))));
         let (_, recovered) = Journal::init(FakeDisk::new(1), members).unwrap();
--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -78,7 +78,7 @@
 }
 
 impl Run {
-    fn new(voters: u16, seed: u64) -> Self {
+    fn new(voters: u64, seed: u64) -> Self {
         Self {
             net: Net::new(voters, seed),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -276,7 +276,7 @@
 
     #[test]
     fn accepted_revisions_survive_any_schedule(
-        voters in prop_oneof![Just(3_u16), Just(5)],
+        voters in prop_oneof![Just(3_u64), Just(5)],
         seed in any::<u64>(),
         actions in prop::collection::vec((any_action(), 5..150_u64), 20..60),
     ) {
--- /dev/null
+++ b/crates/currantgate-placement/src/placement.rs
@@ -0,0 +1,129 @@
+//! The choice of an upstream for a new flow.
+
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::candidate::{Candidate, Trust};
+use crate::{Key, PlacementSettings, Refusal, Target};
+
+/// Chooses an upstream for each new flow.
+#[derive(Debug)]
+pub struct Placement {
+    settings: PlacementSettings,
+    rng: ChaCha8Rng,
+    candidates: IndexMap<Key, Candidate>,
+    services: IndexMap<Box<str>, IndexSet<Key>>,
+}
+
+impl Placement {
+    /// Starts without upstreams.
+    pub fn new(settings: PlacementSettings) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            rng,
+            candidates: IndexMap::new(),
+            services: IndexMap::new(),
+        }
+    }
+
+    /// Replaces the upstreams that may get new flows; what is known of the
+    /// load of those that stay is kept.
+    pub fn set_targets(&mut self, targets: impl IntoIterator<Item = Target>) {
+        for candidate in self.candidates.values_mut() {
+            candidate.is_open = false;
+        }
+        self.services.clear();
+        for target in targets {
+            let service = target.service.clone();
+            self.services.entry(service).or_default().insert(target.key);
+            match self.candidates.get_mut(&target.key) {
+                Some(candidate) => {
+                    candidate.target = target;
+                    candidate.is_open = true;
+                }
+                None => {
+                    self.candidates.insert(target.key, Candidate::new(target));
+                }
+            }
+        }
+        self.candidates.retain(|_, c| c.is_open || c.flows > 0);
+    }
+
+    /// Chooses an upstream of `service` for a new flow that no upstream in
+    /// `tried` has answered, and counts the flow there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream takes the flow.
+    pub fn place(&mut self, now: Instant, service: &str, tried: &[Key]) -> Result<Key, Refusal> {
+        let chosen = self
+            .choose(now, service, tried)
+            .or_else(|| self.choose(now, service, &[]))
+            .ok_or(Refusal::NoUpstream)?;
+        self.candidates[&chosen].flows += 1;
+        Ok(chosen)
+    }
+
+    fn choose(&mut self, now: Instant, service: &str, tried: &[Key]) -> Option<Key> {
+        let keys = self.services.get(service)?;
+        let mut best: Option<(Trust, f64)> = None;
+        let mut chosen = None;
+        let mut equals = 0;
+        for key in keys.iter().filter(|key| !tried.contains(key)) {
+            let candidate = &self.candidates[key];
+            let trust = candidate.trust(now);
+            let rank = (trust, candidate.load_with_one_more(now, &self.settings));
+            if best.is_some_and(|best| rank > best) {
+                continue;
+            }
+            // Each of several equals gets the same chance.
+            equals = if best == Some(rank) { equals + 1 } else { 1 };
+            if self.rng.random_range(0..equals) == 0 {
+                chosen = Some(*key);
+            }
+            best = Some(rank);
+        }
+        chosen
+    }
+
+    /// Notes that the upstream answered a flow's first packet.
+    pub fn answered(&mut self, now: Instant, key: Key) {
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            candidate.note_answer(now);
+        }
+    }
+
+    /// Notes that a first packet sent at `sent` is unanswered, and takes the
+    /// flow off the upstream.
+    pub fn unanswered(&mut self, now: Instant, key: Key, sent: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            candidate.note_silence(now, sent, &self.settings);
+        }
+        self.ended(key);
+    }
+
+    /// Notes that a flow has ended.
+    pub fn ended(&mut self, key: Key) {
+        let Some(candidate) = self.candidates.get_mut(&key) else {
+            return;
+        };
+        candidate.flows = candidate.flows.saturating_sub(1);
+        if candidate.flows == 0 && !candidate.is_open {
+            self.candidates.swap_remove(&key);
+        }
+    }
+
+    /// Returns the flows that are open at an upstream.
+    pub fn flows(&self, key: Key) -> u32 {
+        self.candidates.get(&key).map_or(0, |c| c.flows)
+    }
+
+    /// Returns the flows that are open at all upstreams.
+    pub fn total_flows(&self) -> u32 {
+        self.candidates.values().map(|c| c.flows).sum()
+    }
+}
--- /dev/null
+++ b/crates/currantgate-registry/src/view.rs
@@ -0,0 +1,212 @@
+//! What an entry knows of all upstreams, from several control VMs.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{Age, Record, Report, UpstreamId, UpstreamState, ViewSettings};
+
+/// Whether an upstream may get new flows, as far as reports tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It is ready, and a control VM in reach hears it.
+    Ready,
+    /// Nobody in reach hears it: it may be dead or cut off.
+    Silent,
+    /// It drains, has left or its address is in use by a later one.
+    Closed,
+}
+
+/// An upstream as the view tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// The newest report.
+    pub report: Report,
+    /// When it is no longer slow from its start.
+    pub warm_at: Instant,
+    /// Whether it may get new flows.
+    pub standing: Standing,
+}
+
+#[derive(Debug)]
+struct Heard {
+    age: Age,
+    is_silent: bool,
+}
+
+#[derive(Debug)]
+struct Known {
+    report: Report,
+    warm_at: Instant,
+    /// The newest word of each control VM in reach.
+    heard: IndexMap<SocketAddr, Heard>,
+    /// Until when it counts as alive although nobody in reach hears it.
+    unconfirmed_until: Instant,
+    /// Set when it is out of use; it is forgotten some time after.
+    idle_since: Option<Instant>,
+}
+
+/// What an entry knows of all upstreams, from several control VMs.
+#[derive(Debug)]
+pub struct View {
+    settings: ViewSettings,
+    upstreams: IndexMap<UpstreamId, Known>,
+    sources: IndexSet<SocketAddr>,
+    /// Counts what could change a standing, apart from time.
+    version: u64,
+}
+
+impl View {
+    /// Starts without knowledge.
+    pub fn new(settings: ViewSettings) -> Self {
+        Self {
+            settings,
+            upstreams: IndexMap::new(),
+            sources: IndexSet::new(),
+            version: 0,
+        }
+    }
+
+    /// Notes that a control VM is in reach and about to tell all it knows.
+    pub fn connected(&mut self, now: Instant, source: SocketAddr) {
+        self.disconnected(now, source);
+        self.sources.insert(source);
+    }
+
+    /// Notes that a control VM is out of reach.
+    pub fn disconnected(&mut self, now: Instant, source: SocketAddr) {
+        self.version += 1;
+        self.sources.swap_remove(&source);
+        let unconfirmed_until = now + self.settings.unconfirmed_for;
+        for known in self.upstreams.values_mut() {
+            let was_confirmed = known.is_confirmed();
+            known.heard.swap_remove(&source);
+            if was_confirmed {
+                known.unconfirmed_until = unconfirmed_until;
+            }
+        }
+    }
+
+    /// Tells whether any control VM is in reach.
+    pub fn is_connected(&self) -> bool {
+        !self.sources.is_empty()
+    }
+
+    /// Takes what a control VM tells.
+    pub fn apply(&mut self, now: Instant, source: SocketAddr, records: Vec<Record>) {
+        self.version += 1;
+        for record in records {
+            self.apply_one(now, source, record);
+        }
+    }
+
+    fn apply_one(&mut self, now: Instant, source: SocketAddr, record: Record) {
+        let Record { report, is_silent } = record;
+        if report.is_departure() {
+            self.depart(&report);
+            return;
+        }
+        let age = report.age;
+        let warm_at = now + report.warms_for;
+        let id = report.id.clone();
+        let known = self.upstreams.entry(id).or_insert_with(|| Known {
+            report: report.clone(),
+            warm_at,
+            heard: IndexMap::new(),
+            unconfirmed_until: now,
+            idle_since: None,
+        });
+        if age > known.report.age {
+            known.report = report;
+            known.warm_at = warm_at;
+        }
+        known.heard.insert(source, Heard { age, is_silent });
+    }
+
+    /// Closes an upstream that told its end to a control VM that knew nothing
+    /// else of it.
+    fn depart(&mut self, report: &Report) {
+        let Some(known) = self.upstreams.get_mut(&report.id) else {
+            return;
+        };
+        let age = known.report.age;
+        if report.age.born_ms == 0 || report.age.born_ms == age.born_ms {
+            known.report.state = UpstreamState::Gone;
+            known.report.age.sequence = u64::MAX;
+        }
+    }
+
+    /// Tells whether any upstream is known.
+    pub fn has_upstreams(&self) -> bool {
+        !self.upstreams.is_empty()
+    }
+
+    /// Returns a number that grows whenever the view may have changed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns all upstreams with their standing; forgets those long gone.
+    pub fn upstreams(&mut self, now: Instant) -> Vec<Upstream> {
+        let newest = self.newest_at_addresses();
+        let forget_after = self.settings.forget_after;
+        let mut upstreams = Vec::with_capacity(self.upstreams.len());
+        self.upstreams.retain(|id, known| {
+            let superseded = newest[&known.report.address].1 != *id;
+            let standing = known.standing(now, superseded);
+            if standing == Standing::Ready {
+                known.idle_since = None;
+            } else if now >= *known.idle_since.get_or_insert(now) + forget_after {
+                return false;
+            }
+            upstreams.push(Upstream {
+                report: known.report.clone(),
+                warm_at: known.warm_at,
+                standing,
+            });
+            true
+        });
+        upstreams
+    }
+
+    /// Returns the incarnation that was started last at each address: addresses
+    /// are used again, and a late report may tell of an earlier holder.
+    fn newest_at_addresses(&self) -> IndexMap<SocketAddrV4, (u64, UpstreamId)> {
+        let mut newest: IndexMap<SocketAddrV4, (u64, UpstreamId)> = IndexMap::new();
+        for (id, known) in &self.upstreams {
+            let born_ms = known.report.age.born_ms;
+            let holder = newest
+                .entry(known.report.address)
+                .or_insert_with(|| (born_ms, id.clone()));
+            if (born_ms, id) > (holder.0, &holder.1) {
+                *holder = (born_ms, id.clone());
+            }
+        }
+        newest
+    }
+}
+
+impl Known {
+    /// Tells whether a control VM in reach hears the upstream. Only the one
+    /// that has the newest report can tell that it fell silent.
+    fn is_confirmed(&self) -> bool {
+        let newest = self.heard.values().max_by_key(|h| (h.age, !h.is_silent));
+        newest.is_some_and(|h| !h.is_silent && h.age >= self.report.age)
+    }
+
+    fn is_known_silent(&self) -> bool {
+        let newest = self.heard.values().max_by_key(|h| (h.age, !h.is_silent));
+        newest.is_some_and(|h| h.is_silent && h.age >= self.report.age)
+    }
+
+    fn standing(&self, now: Instant, superseded: bool) -> Standing {
+        if self.report.state != UpstreamState::Ready || superseded {
+            Standing::Closed
+        } else if self.is_confirmed() || (!self.is_known_silent() && now < self.unconfirmed_until) {
+            Standing::Ready
+        } else {
+            Standing::Silent
+        }
+    }
+}
--- /dev/null
+++ b/crates/currantgate-token/src/lib.rs
@@ -0,0 +1,25 @@
+//! Routes packets by a token that the ends of a flow return.
+//!
+//! The entry that takes a flow's first packet chooses the upstream and writes
+//! its token into the packet; both ends return the token in all later packets,
+//! so that any entry hands them to the same upstream without a record of the
+//! flow, whatever the view of the upstreams has become meanwhile. This is the
+//! second way of routing flows, beside the buckets of `currantgate-flow`; see
+//! `docs/design/flow-routing.md` for when each fits.
+
+mod decision;
+mod flow;
+mod flow_table;
+mod packet;
+mod route;
+mod router;
+mod settings;
+mod upstreams;
+
+pub use decision::{Decision, DropReason, Hop, ResetReason};
+pub use flow::{FlowId, Token};
+pub use packet::{Opening, Segment};
+pub use route::{Route, RouteTable};
+pub use router::TokenRouter;
+pub use settings::TokenSettings;
+pub use upstreams::TokenUpstream;
--- /dev/null
+++ b/crates/currantgate-token/src/router.rs
@@ -0,0 +1,173 @@
+//! The decision about each packet.
+
+use std::hash::Hasher as _;
+use std::time::Instant;
+
+use currantgate_placement::{Placement, PlacementSettings, Refusal, Target};
+use siphasher::sip::SipHasher13;
+
+use crate::flow_table::{FlowRecord, FlowTable, Phase};
+use crate::upstreams::TokenMap;
+use crate::{
+    Decision, DropReason, FlowId, Opening, ResetReason, RouteTable, Segment, Token, TokenSettings,
+    TokenUpstream,
+};
+
+/// Decides where the packets of flows go.
+#[derive(Debug)]
+pub struct TokenRouter {
+    settings: TokenSettings,
+    placement: Placement,
+    tokens: TokenMap,
+    routes: RouteTable,
+    /// Whether `routes` is known to be the newest revision.
+    routes_current: bool,
+    flows: FlowTable,
+}
+
+impl TokenRouter {
+    /// Starts without routes and upstreams.
+    pub fn new(settings: TokenSettings, placement: PlacementSettings) -> Self {
+        Self {
+            settings,
+            placement: Placement::new(placement),
+            tokens: TokenMap::default(),
+            routes: RouteTable::default(),
+            routes_current: false,
+            flows: FlowTable::default(),
+        }
+    }
+
+    /// Puts routes in force for flows that are opened from now on.
+    pub fn set_routes(&mut self, routes: RouteTable) {
+        self.routes = routes;
+    }
+
+    /// Notes whether the routes are known to be the newest.
+    pub fn set_routes_current(&mut self, current: bool) {
+        self.routes_current = current;
+    }
+
+    /// Replaces all upstreams: those that may get new flows come with how
+    /// placement should see them, given the token.
+    pub fn set_upstreams(&mut self, upstreams: Vec<(TokenUpstream, Option<Target>)>) {
+        let known = upstreams.iter().map(|(upstream, _)| upstream.clone());
+        let tokens = self.tokens.replace(known.collect());
+        let targets = upstreams.into_iter().filter_map(|(upstream, target)| {
+            let key = *tokens.get(&upstream.id)?;
+            target.map(|target| Target { key, ..target })
+        });
+        self.placement.set_targets(targets);
+    }
+
+    /// Decides about the first packet of a flow, or a copy of it.
+    pub fn open(&mut self, now: Instant, opening: Opening) -> Decision {
+        let Some(route) = self.routes.get(&opening.flow.service) else {
+            return if self.routes_current {
+                Decision::Reset(ResetReason::NoRoute)
+            } else {
+                Decision::Drop(DropReason::RoutesOutOfDate)
+            };
+        };
+        let deadline = now + route.timeout + self.settings.timeout_slack;
+        let hash = self.hash(&opening.flow);
+        let Some(service) = route.service(hash) else {
+            return Decision::Reset(ResetReason::NoUpstream);
+        };
+        let before = self.flows.get_mut(&opening.flow).copied();
+        if let Some(record) = before {
+            let is_copy = now < record.sent + self.settings.same_upstream_for;
+            if (is_copy || record.phase == Phase::Open)
+                && let Some(hop) = self.tokens.get(record.token)
+            {
+                return Decision::Forward(hop);
+            }
+            self.flows.remove(&opening.flow);
+            self.placement.unanswered(now, record.token, record.sent);
+        }
+        let tried = before.map(|record| record.token);
+        match self.placement.place(now, service, tried.as_slice()) {
+            Ok(token) => self.forward_first(now, opening.flow, token, deadline),
+            Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
+            Err(Refusal::Overload) => Decision::Reset(ResetReason::Overload),
+        }
+    }
+
+    fn forward_first(
+        &mut self,
+        now: Instant,
+        flow: FlowId,
+        token: Token,
+        deadline: Instant,
+    ) -> Decision {
+        let Some(hop) = self.tokens.get(token) else {
+            self.placement.ended(token);
+            return Decision::Drop(DropReason::UnknownToken);
+        };
+        if self.flows.len() >= self.settings.max_flows {
+            self.placement.ended(token);
+            return Decision::Forward(hop);
+        }
+        let record = FlowRecord {
+            token,
+            phase: Phase::Opening,
+            sent: now,
+            deadline,
+        };
+        self.flows.insert(flow, record);
+        Decision::Forward(hop)
+    }
+
+    /// Decides about a later packet of a flow: its token alone tells where it
+    /// goes, and the record of the flow only keeps count.
+    pub fn carry(&mut self, now: Instant, segment: Segment) -> Decision {
+        let Some(hop) = self.tokens.get(segment.token) else {
+            return Decision::Drop(DropReason::UnknownToken);
+        };
+        self.keep_count(now, segment);
+        Decision::Forward(hop)
+    }
+
+    fn keep_count(&mut self, now: Instant, segment: Segment) {
+        let Some(record) = self.flows.get_mut(&segment.flow) else {
+            return;
+        };
+        if record.phase == Phase::Opening {
+            record.phase = Phase::Open;
+            let chosen = record.token;
+            if chosen == segment.token {
+                self.placement.answered(now, chosen);
+            }
+        }
+        if segment.is_last {
+            let chosen = record.token;
+            self.flows.remove(&segment.flow);
+            self.placement.ended(chosen);
+        }
+    }
+
+    /// Lets go of flows whose callers have given up.
+    pub fn tick(&mut self, now: Instant) {
+        while let Some((_, record)) = self.flows.pop_expired(now) {
+            if record.phase == Phase::Opening {
+                self.placement.unanswered(now, record.token, record.sent);
+            } else {
+                self.placement.ended(record.token);
+            }
+        }
+    }
+
+    /// Returns how many flows are open or opening.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    fn hash(&self, flow: &FlowId) -> u64 {
+        let mut hasher = SipHasher13::new_with_key(&self.settings.hash_key);
+        hasher.write_u32(flow.caller.ip().to_bits());
+        hasher.write_u16(flow.caller.port());
+        hasher.write_u32(flow.service.ip().to_bits());
+        hasher.write_u16(flow.service.port());
+        hasher.finish()
+    }
+}
--- a/crates/currantgate/src/control/call.rs
+++ b/crates/currantgate/src/control/call.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Base, Message, Reach, Read, ReplaceAnswer, ReplaceRequest, Revision,
-    Status, VoterId,
+    ApplyAnswer, ApplyRequest, Base, Message, Reach, Read, ReadAnswer, ReplaceAnswer,
+    ReplaceRequest, Revision, Status, VoterId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,8 @@
     /// The site file is wrong; nothing was applied.
     WrongFile(Box<str>),
     Read(Read),
+    /// A read that a quorum confirmed.
+    Confirmed(ReadAnswer),
     /// The revision, if it is in the known history.
     Base(Option<Base>),
     Status(Box<NodeStatus>),
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -262,6 +262,10 @@
             revision,
             already: true,
         })),
+        Reply::Apply(ApplyAnswer::Superseded(revision)) => Tried::Done(Ok(Applied {
+            revision,
+            already: true,
+        })),
         Reply::Apply(ApplyAnswer::Conflict(winner)) => {
             Tried::Done(Err(ClientError::Conflict(winner)))
         }
@@ -280,7 +284,7 @@
             Tried::Unknown
         }
         Reply::NoVoter => Tried::Next("it does not vote".into()),
-        Reply::Read(_) | Reply::Base(_) | Reply::Status(_) => {
+        Reply::Read(_) | Reply::Confirmed(_) | Reply::Base(_) | Reply::Status(_) => {
             Tried::Next("its answer is to another question".into())
         }
     }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -3,15 +3,16 @@
 use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
-use currantgate_config::{ControlSettings, Prefix, Site};
+use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Output, ReplaceRequest, Replica, RequestId, Revision, Secret,
-    StorageError, VoterId,
+    ApplyAnswer, ApplyRequest, Change, Output, ReplaceRequest, Replica, RequestId, Revision,
+    Secret, StorageError, VersionedRequest, VoterId, VoterPlan,
 };
 use indexmap::IndexMap;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tracing::debug_span;
 
 use super::call::{Envelope, NodeStatus, Reply};
@@ -21,6 +22,9 @@
 use super::writer::Writes;
 use crate::TRACE_TARGET;
 
+/// Says what is wrong with a site file, if anything.
+pub type FileCheck = Rc<dyn Fn(&str) -> Result<(), Box<str>>>;
+
 /// One replica with its disk, its peers and the requests that wait.
 pub(super) struct Core {
     replica: Replica,
@@ -34,6 +38,10 @@
     heard_from: IndexMap<VoterId, SocketAddr>,
     waiting: IndexMap<RequestId, oneshot::Sender<Reply>>,
     metrics: ControlMetrics,
+    check: FileCheck,
+    /// Replaces lost voters, where no operator does.
+    plan: Option<VoterPlan>,
+    committed: watch::Sender<Option<Arc<Change>>>,
     next_request: RequestId,
     pub(super) wake: Rc<Notify>,
 }
@@ -46,7 +54,9 @@
         writes: Writes,
         publishing: Rc<RefCell<Publishing>>,
         metrics: ControlMetrics,
+        check: FileCheck,
     ) -> Self {
+        let (committed, _) = watch::channel(replica.read(Instant::now()).change);
         Self {
             replica,
             writes,
@@ -58,6 +68,9 @@
             heard_from: IndexMap::new(),
             waiting: IndexMap::new(),
             metrics,
+            check,
+            plan: None,
+            committed,
             next_request: 0,
             wake: Rc::new(Notify::new()),
         }
@@ -89,11 +102,8 @@
     }
 
     pub(super) fn apply(&mut self, request: ApplyRequest) -> oneshot::Receiver<Reply> {
-        if let Err(e) = Site::parse(&request.text, "the applied file") {
-            let (tx, rx) = oneshot::channel();
-            // The receiver is returned below, so it takes the answer.
-            let _ = tx.send(Reply::WrongFile(e.to_string().into()));
-            return rx;
+        if let Err(problem) = (self.check)(&request.text) {
+            return answered(Reply::WrongFile(problem));
         }
         let now = Instant::now();
         let (id, rx) = self.register();
@@ -102,6 +112,98 @@
         rx
     }
 
+    /// Takes a file that carries its own version.
+    pub(super) fn apply_version(&mut self, request: VersionedRequest) -> oneshot::Receiver<Reply> {
+        if let Err(problem) = (self.check)(&request.text) {
+            return answered(Reply::WrongFile(problem));
+        }
+        let now = Instant::now();
+        let (id, rx) = self.register();
+        self.replica.apply_version(now, id, request);
+        self.flush(now);
+        rx
+    }
+
+    /// Reads what is in force, as a quorum confirms.
+    pub(super) fn read_confirmed(&mut self) -> oneshot::Receiver<Reply> {
+        let now = Instant::now();
+        let (id, rx) = self.register();
+        self.replica.read_confirmed(now, id);
+        self.flush(now);
+        rx
+    }
+
+    /// Lets the VM replace lost voters by itself.
+    pub(super) fn set_plan(&mut self, plan: VoterPlan) {
+        self.plan = Some(plan);
+    }
+
+    /// Notes that a control VM, voter or not, is alive.
+    pub(super) fn heard(&mut self, id: VoterId, address: SocketAddr, domain: &str) {
+        if let Some(plan) = &mut self.plan {
+            plan.heard(Instant::now(), id, address, domain);
+        }
+    }
+
+    /// Returns who leads and where it listens, as far as this VM knows.
+    pub(super) fn leader(&self) -> Option<(VoterId, SocketAddr)> {
+        let now = Instant::now();
+        if !self.replica.is_in_quorum(now) {
+            return None;
+        }
+        let id = self.replica.leader_id()?;
+        Some((id, self.replica.address_of(id)?))
+    }
+
+    /// Tells whether this VM is in contact with a quorum.
+    pub(super) fn is_in_quorum(&self) -> bool {
+        self.replica.is_in_quorum(Instant::now())
+    }
+
+    /// Returns the newest committed change, and wakes for each newer one.
+    pub(super) fn committed(&self) -> watch::Receiver<Option<Arc<Change>>> {
+        self.committed.subscribe()
+    }
+
+    /// Stops leading at once, so that another voter is elected soon.
+    pub(super) fn resign(&mut self) {
+        let now = Instant::now();
+        self.replica.resign(now);
+        self.flush(now);
+    }
+
+    /// Takes the next step towards the voters that the site should have.
+    fn advance_plan(&mut self, now: Instant) {
+        let Some(plan) = &mut self.plan else {
+            return;
+        };
+        if !self.replica.has_lease(now) {
+            plan.restart(now);
+            return;
+        }
+        let status = self.replica.status(now);
+        let is_alive = |id| plan.is_alive(now, id);
+        if let Some(fresh) = self.replica.joining_voter() {
+            if !is_alive(fresh) && self.replica.abandon_catch_up() {
+                log::warn!("control VM {fresh} fell silent before it could vote");
+            }
+            return;
+        }
+        let Some(change) = plan.next(now, status.id, &status.members) else {
+            return;
+        };
+        log::info!("the voters change: {change:?}, of {:?}", status.members);
+        let (id, _) = self.register();
+        self.replica.change_voters(now, id, change);
+        self.flush(now);
+    }
+
+    /// Ends connections to control VMs that are no voters any more.
+    fn drop_old_peers(&mut self) {
+        let replica = &self.replica;
+        self.peers.retain(|id, _| replica.address_of(*id).is_some());
+    }
+
     pub(super) fn replace(&mut self, request: ReplaceRequest) -> oneshot::Receiver<Reply> {
         let now = Instant::now();
         let (id, rx) = self.register();
@@ -149,6 +251,8 @@
     pub(super) fn tick(&mut self) {
         let now = Instant::now();
         self.replica.tick(now);
+        self.advance_plan(now);
+        self.drop_old_peers();
         self.flush(now);
     }
 
@@ -174,11 +278,15 @@
                 Output::Replaced { request, answer } => {
                     self.answer(request, Reply::Replace(answer));
                 }
+                Output::ReadDone { request, answer } => {
+                    self.answer(request, Reply::Confirmed(answer));
+                }
                 Output::Committed(change) => {
                     let revision = change.as_base();
                     log::info!("revision {revision} is accepted");
                     let control = self.replica.id();
                     debug_span!(target: TRACE_TARGET, "commit", control, %revision).in_scope(|| {});
+                    self.committed.send_replace(Some(Arc::clone(&change)));
                     self.publishing.borrow_mut().publish(now, change);
                 }
             }
@@ -217,12 +325,21 @@
     }
 }
 
+/// Returns an answer that is there already.
+fn answered(reply: Reply) -> oneshot::Receiver<Reply> {
+    let (tx, rx) = oneshot::channel();
+    // The receiver is returned below, so it takes the answer.
+    let _ = tx.send(reply);
+    rx
+}
+
 /// Names what became of a change, for the metrics.
 fn outcome(answer: &ApplyAnswer) -> &'static str {
     match answer {
         ApplyAnswer::Accepted(_) => "accepted",
         ApplyAnswer::AlreadyAccepted(_) => "already_accepted",
         ApplyAnswer::Conflict(_) => "conflict",
+        ApplyAnswer::Superseded(_) => "superseded",
         ApplyAnswer::Refused(_) => "refused",
         ApplyAnswer::Unknown => "unknown",
     }
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -8,16 +8,18 @@
 
 use actix_rt::task::JoinHandle;
 use actix_web::dev::ServerHandle;
-use currantgate_config::ControlSettings;
+use currantgate_config::{ControlSettings, Site};
 use currantgate_control::{
-    Folder, Journal, Members, Recovered, Replica, ReplicaSettings, Server, ServerSettings,
-    StorageError,
+    Folder, Incoming, Journal, Members, Recovered, Replica, ReplicaSettings, Server,
+    ServerSettings, StorageError,
 };
+use futures_util::future::LocalBoxFuture;
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
 use super::ControlError;
-use super::core::Core;
+use super::core::{Core, FileCheck};
+use super::handle::ControlHandle;
 use super::metrics::ControlMetrics;
 use super::publishing::{Publishing, keep_publishing};
 use super::serve::serve_stream;
@@ -38,10 +40,28 @@
     InitOrResume,
 }
 
+/// Serves a stream whose path this module does not know.
+pub(crate) type ServeStream = Rc<dyn Fn(Incoming) -> LocalBoxFuture<'static, ()>>;
+
+/// What a program adds that is more than control.
+pub(crate) struct Extension {
+    /// Checks a site file before it is proposed.
+    pub(crate) check: FileCheck,
+    /// Serves the streams of other paths.
+    pub(crate) serve: Option<ServeStream>,
+}
+
+/// Checks a file of the product's own format.
+fn check_site(text: &str) -> Result<(), Box<str>> {
+    let site = Site::parse(text, "the applied file");
+    site.map(|_| ()).map_err(|e| e.to_string().into())
+}
+
 /// A running control VM; it stops when it is dropped.
 pub struct Control {
     address: SocketAddr,
     _server: Server,
+    core: Rc<RefCell<Core>>,
     metrics_server: Option<ServerHandle>,
     tasks: Vec<JoinHandle<()>>,
     failed: watch::Receiver<bool>,
@@ -60,7 +80,21 @@
         listener: TcpListener,
     ) -> Result<Self, ControlError> {
         let (address, listener) = use_listener(settings.listen, listener)?;
-        let (journal, recovered) = open_journal(settings, start)?;
+        let opened = open_journal(settings, start)?;
+        let extension = Extension {
+            check: Rc::new(check_site),
+            serve: None,
+        };
+        Self::run(settings, opened, (address, listener), extension)
+    }
+
+    /// Starts with what a program adds that is more than control.
+    pub(crate) fn run(
+        settings: &ControlSettings,
+        (journal, recovered): (Journal<Folder>, Recovered),
+        (address, listener): (SocketAddr, tokio::net::TcpListener),
+        extension: Extension,
+    ) -> Result<Self, ControlError> {
         let now = Instant::now();
         let replica_settings = ReplicaSettings {
             id: settings.id,
@@ -83,14 +117,15 @@
             writes,
             Rc::clone(&publishing),
             metrics,
+            extension.check,
         );
         let core = Rc::new(RefCell::new(core));
         let (failed_tx, failed) = watch::channel(false);
-        let server = serve(settings, listener, &core, &publishing);
+        let server = serve(settings, listener, &core, &publishing, extension.serve);
         let tasks = vec![
             actix_rt::spawn(keep_publishing(publishing)),
             actix_rt::spawn(confirm_writes(Rc::clone(&core), confirmations, failed_tx)),
-            actix_rt::spawn(keep_time(core)),
+            actix_rt::spawn(keep_time(Rc::clone(&core))),
         ];
         if settings.key.is_public() {
             log::warn!("no key is set: whoever can connect can change the site");
@@ -99,6 +134,7 @@
         Ok(Self {
             address,
             _server: server,
+            core,
             metrics_server,
             tasks,
             failed,
@@ -110,6 +146,11 @@
         self.address
     }
 
+    /// Returns what the rest of the process uses of this VM.
+    pub(crate) fn handle(&self) -> ControlHandle {
+        ControlHandle::new(Rc::clone(&self.core))
+    }
+
     /// Waits until the disk fails; the VM then takes no further part.
     pub async fn failed(&self) {
         let mut failed = self.failed.clone();
@@ -147,7 +188,7 @@
 }
 
 /// Puts a listener to use and returns its address.
-pub(super) fn use_listener(
+pub(crate) fn use_listener(
     asked: SocketAddr,
     listener: TcpListener,
 ) -> Result<(SocketAddr, tokio::net::TcpListener), ControlError> {
@@ -193,7 +234,7 @@
 
 /// Returns a seed that differs between VMs and between starts, so that
 /// elections rarely collide.
-pub(super) fn rand_seed(id: u16) -> u64 {
+pub(crate) fn rand_seed(id: u64) -> u64 {
     use std::hash::{BuildHasher as _, RandomState};
     RandomState::new().hash_one(id)
 }
@@ -203,6 +244,7 @@
     listener: tokio::net::TcpListener,
     core: &Rc<RefCell<Core>>,
     publishing: &Rc<RefCell<Publishing>>,
+    extra: Option<ServeStream>,
 ) -> Server {
     let server_settings = ServerSettings {
         secret: *settings.key.bytes(),
@@ -215,7 +257,10 @@
         listener,
         server_settings,
         move |address| allowing.borrow().is_allowed(address),
-        move |incoming| serve_stream(Rc::clone(&core), Rc::clone(&publishing), incoming),
+        move |incoming| {
+            let served = extra.clone();
+            serve_stream(Rc::clone(&core), Rc::clone(&publishing), served, incoming)
+        },
     )
 }
 
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -39,7 +39,7 @@
     /// can't serve the metrics: {0}
     Metrics(Box<EntryError>),
     /// control VM {0} is not among the voters of its settings
-    NoVoter(u16),
+    NoVoter(u64),
 }
 
 impl std::error::Error for ControlError {
--- a/crates/currantgate/src/control/serve.rs
+++ b/crates/currantgate/src/control/serve.rs
@@ -7,6 +7,7 @@
 
 use super::call::{CALL_PATH, Call, PEER_PATH, Reply, SUBSCRIBE_PATH};
 use super::core::Core;
+use super::daemon::ServeStream;
 use super::peer::serve_peer;
 use super::publishing::{Publishing, serve_subscriber};
 
@@ -14,13 +15,21 @@
 pub(super) async fn serve_stream(
     core: Rc<RefCell<Core>>,
     publishing: Rc<RefCell<Publishing>>,
+    extra: Option<ServeStream>,
     incoming: Incoming,
 ) {
     match &*incoming.path {
         PEER_PATH => serve_peer(incoming, |envelope| core.borrow_mut().receive(envelope)).await,
         SUBSCRIBE_PATH => serve_subscriber(&publishing, incoming).await,
         CALL_PATH => serve_call(incoming, async |call| answer(&core, call).await).await,
-        other => log::warn!("{} asks for {other}, which there is none", incoming.from),
+        other if extra.is_none() => {
+            log::warn!("{} asks for {other}, which there is none", incoming.from)
+        }
+        _ => {
+            if let Some(serve) = extra {
+                serve(incoming).await;
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/currantgate/src/feed/server.rs
@@ -0,0 +1,219 @@
+//! The control VM's side of a feed.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use currantgate_control::{Change, FrameWriter, Incoming, TransportError};
+use currantgate_registry::{ChangeNumber, Registry};
+use indexmap::IndexMap;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::message::{FeedHello, FeedMessage, FeedRequest, Present};
+use crate::control::ControlHandle;
+
+/// How often a feed tells that it is alive. A listener turns away after three.
+const PRESENT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Silence after which a listener counts as gone: three of its messages.
+const LISTENER_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// How long a listener may take to accept a message; a feed that is stuck is
+/// opened again.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// How long a control VM is told of after it was last heard.
+const CONTROL_LISTED_FOR: Duration = Duration::from_secs(10);
+
+/// What all feeds of a control VM tell.
+pub(crate) struct FeedSource {
+    pub(crate) registry: RefCell<Registry>,
+    handle: RefCell<Option<ControlHandle>>,
+    /// Counts changes that feeds tell at once.
+    changed: watch::Sender<u64>,
+    /// Control VMs and when each was last heard.
+    controls: RefCell<IndexMap<SocketAddr, Instant>>,
+    own_address: Cell<Option<SocketAddr>>,
+}
+
+impl FeedSource {
+    pub(crate) fn new(registry: Registry) -> Self {
+        Self {
+            registry: RefCell::new(registry),
+            handle: RefCell::new(None),
+            changed: watch::channel(0).0,
+            controls: RefCell::new(IndexMap::new()),
+            own_address: Cell::new(None),
+        }
+    }
+
+    /// Completes the source once the control VM listens.
+    pub(crate) fn set_control(&self, own: SocketAddr, handle: ControlHandle) {
+        self.own_address.set(Some(own));
+        *self.handle.borrow_mut() = Some(handle);
+    }
+
+    /// Wakes all feeds.
+    pub(crate) fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Notes that a control VM is alive.
+    pub(crate) fn heard_control(&self, address: SocketAddr) {
+        self.controls.borrow_mut().insert(address, Instant::now());
+    }
+
+    /// Returns the control VMs that were heard lately, and this one.
+    pub(crate) fn controls(&self) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let mut controls = self.controls.borrow_mut();
+        controls.retain(|_, heard| now < *heard + CONTROL_LISTED_FOR);
+        self.own_address
+            .get()
+            .into_iter()
+            .chain(controls.keys().copied())
+            .collect()
+    }
+
+    fn present(&self) -> Present {
+        let handle = self.handle.borrow();
+        let handle = handle.as_ref();
+        Present {
+            revision: handle.map_or(0, |h| {
+                h.committed().borrow().as_ref().map_or(0, |c| c.revision)
+            }),
+            is_in_quorum: handle.is_some_and(ControlHandle::is_in_quorum),
+            leader: handle.and_then(|h| h.leader()).map(|(_, address)| address),
+            controls: self.controls(),
+        }
+    }
+
+    fn change(&self) -> Option<Arc<Change>> {
+        let handle = self.handle.borrow();
+        let committed = handle.as_ref()?.committed();
+        let change = committed.borrow().clone();
+        change
+    }
+
+    fn heard(&self, hello: &FeedHello) {
+        let Some((id, address)) = hello.control else {
+            return;
+        };
+        self.heard_control(address);
+        if let Some(handle) = &*self.handle.borrow() {
+            handle.heard(id, address, &hello.domain);
+        }
+    }
+}
+
+/// Serves one feed until its listener is gone.
+pub(crate) async fn serve_feed(source: Rc<FeedSource>, incoming: Incoming) {
+    let from = incoming.from;
+    match Feed::open(source, incoming).await {
+        Ok(mut feed) => {
+            let name = feed.hello.name.clone();
+            log::info!("feed to {name} at {from} is open");
+            if let Err(e) = feed.run().await {
+                log::info!("feed to {name} at {from} has ended: {e}");
+            }
+        }
+        Err(e) => log::warn!("a feed from {from} could not start: {e}"),
+    }
+}
+
+struct Feed {
+    source: Rc<FeedSource>,
+    hello: FeedHello,
+    writer: FrameWriter,
+    reader: currantgate_control::FrameReader,
+    told: Present,
+    told_change: ChangeNumber,
+    present_due: Instant,
+    listener_deadline: Instant,
+}
+
+impl Feed {
+    async fn open(source: Rc<FeedSource>, incoming: Incoming) -> Result<Self, TransportError> {
+        let Incoming {
+            mut reader, writer, ..
+        } = incoming;
+        let hello = timeout(LISTENER_TIMEOUT, reader.next::<FeedHello>()).await;
+        let hello = hello.map_err(|_| TransportError::Timeout)??;
+        let now = Instant::now();
+        Ok(Self {
+            source,
+            hello: hello.ok_or(TransportError::Truncated)?,
+            writer,
+            reader,
+            told: Present::default(),
+            told_change: 0,
+            present_due: now,
+            listener_deadline: now + LISTENER_TIMEOUT,
+        })
+    }
+
+    async fn run(&mut self) -> Result<(), TransportError> {
+        let mut changed = self.source.changed.subscribe();
+        self.source.heard(&self.hello);
+        let first = self.upstreams_since_told();
+        self.send(&FeedMessage::Upstreams(first)).await?;
+        loop {
+            self.tell_news().await?;
+            tokio::select! {
+                request = self.reader.next::<FeedRequest>() => {
+                    let request = request?.ok_or(TransportError::Truncated)?;
+                    self.listener_deadline = Instant::now() + LISTENER_TIMEOUT;
+                    self.source.heard(&self.hello);
+                    self.take(&request).await?;
+                }
+                _ = changed.changed() => {}
+                () = sleep_until(self.present_due) => {}
+                () = sleep_until(self.listener_deadline) => return Err(TransportError::Timeout),
+            }
+        }
+    }
+
+    async fn take(&mut self, request: &FeedRequest) -> Result<(), TransportError> {
+        let FeedRequest::Change(revision) = request else {
+            return Ok(());
+        };
+        match self.source.change() {
+            Some(change) if change.revision >= *revision => {
+                self.send(&FeedMessage::Change(change)).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn tell_news(&mut self) -> Result<(), TransportError> {
+        if self.hello.control.is_none() {
+            let records = self.upstreams_since_told();
+            if !records.is_empty() {
+                self.send(&FeedMessage::Upstreams(records)).await?;
+            }
+        }
+        let present = self.source.present();
+        let now = Instant::now();
+        if present != self.told || now >= self.present_due {
+            self.present_due = now + PRESENT_INTERVAL;
+            self.told = present.clone();
+            self.send(&FeedMessage::Present(present)).await?;
+        }
+        Ok(())
+    }
+
+    fn upstreams_since_told(&mut self) -> Vec<currantgate_registry::Record> {
+        let registry = self.source.registry.borrow();
+        let records = registry.changed_after(self.told_change);
+        self.told_change = registry.last_change();
+        records
+    }
+
+    async fn send(&mut self, message: &FeedMessage) -> Result<(), TransportError> {
+        let sent = timeout(WRITE_TIMEOUT, self.writer.send(message)).await;
+        sent.map_err(|_| TransportError::Timeout)?
+    }
+}
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -26,14 +26,22 @@
 
 mod control;
 mod entry;
+mod feed;
+mod node;
 mod relay;
 mod revisions;
+mod token_entry;
 mod trace;
 
 pub use control::{
-    Accepted, Applied, ClientError, Control, ControlClient, ControlError, ControlStart, FanOut,
-    NodeStatus, Shown, Subscription, SubscriptionSettings,
+    Accepted, Applied, ClientError, Control, ControlClient, ControlError, ControlHandle,
+    ControlStart, FanOut, FileCheck, NodeStatus, Shown, Subscription, SubscriptionSettings,
+    VersionedAnswer,
 };
 pub use entry::{Entry, EntryError, EntrySockets};
+pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
+pub use token_entry::{
+    MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings, WireFormat,
+};
 pub use trace::TRACE_TARGET;
--- /dev/null
+++ b/crates/currantgate/src/node/error.rs
@@ -0,0 +1,45 @@
+//! Why a control node can't run.
+
+use std::io;
+
+use currantgate_control::StorageError;
+use displaydoc::Display;
+
+use crate::ControlError;
+
+/// Why a control node can't run.
+#[derive(Debug, Display)]
+pub enum NodeError {
+    /// data folder {folder}: {source}
+    Folder {
+        /// The folder.
+        folder: Box<str>,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// data folder {folder}: {source}
+    Storage {
+        /// The folder.
+        folder: Box<str>,
+        /// What is wrong with its files.
+        source: StorageError,
+    },
+    /// {0}
+    Control(ControlError),
+}
+
+impl std::error::Error for NodeError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Folder { source, .. } => Some(source),
+            Self::Storage { source, .. } => Some(source),
+            Self::Control(source) => Some(source),
+        }
+    }
+}
+
+impl From<ControlError> for NodeError {
+    fn from(source: ControlError) -> Self {
+        Self::Control(source)
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/node/mod.rs
@@ -0,0 +1,11 @@
+//! The control node: a control VM with the registry of upstreams and the
+//! feeds that tell both to entries.
+
+mod error;
+mod identity;
+mod node;
+mod settings;
+
+pub use error::NodeError;
+pub use node::ControlNode;
+pub use settings::NodeSettings;
--- /dev/null
+++ b/crates/currantgate/src/node/node.rs
@@ -0,0 +1,305 @@
+//! A running control node.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use currantgate_config::{ControlSettings, Prefix};
+use currantgate_control::{
+    Folder, Incoming, Journal, Members, Recovered, VersionedRequest, VoterId, VoterPlan,
+    VoterPlanSettings,
+};
+use currantgate_registry::{Registry, RegistrySettings, Report};
+use futures_util::FutureExt as _;
+use tokio::sync::{mpsc, watch};
+
+use super::{NodeError, NodeSettings, identity};
+use crate::control::{Control, ControlHandle, Extension, FileCheck, VersionedAnswer, use_listener};
+use crate::feed::{
+    FEED_PATH, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedSource,
+    serve_feed,
+};
+
+/// How often the registry is looked through for silent upstreams: a fraction
+/// of the time after which they count as silent.
+const REGISTRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The most connections at a time: one for each entry and control VM, and as
+/// many again that are being replaced, within the descriptors of a small VM.
+const MAX_CONNECTIONS: u32 = 2_048;
+
+/// How long another VM's word on who leads is good: two of its messages.
+const LEADER_KNOWN_FOR: Duration = Duration::from_millis(1_200);
+
+/// A running control node; it stops when it is dropped.
+pub struct ControlNode {
+    control: Control,
+    handle: ControlHandle,
+    source: Rc<FeedSource>,
+    elsewhere: Rc<std::cell::Cell<Option<(SocketAddr, Instant)>>>,
+    seeds_tx: watch::Sender<Vec<SocketAddr>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlNode {
+    /// Starts a control node on the current thread's runtime; `check` tells
+    /// whether a configuration is valid.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the data folder or the listener can't be used.
+    pub fn start(
+        settings: &NodeSettings,
+        check: FileCheck,
+        listener: TcpListener,
+    ) -> Result<Self, NodeError> {
+        let (id, opened) = open_state(settings)?;
+        let listening = use_listener(settings.listen, listener)?;
+        let registry = RegistrySettings::for_interval(settings.report_interval);
+        let source = Rc::new(FeedSource::new(Registry::new(registry)));
+        let feeding = Rc::clone(&source);
+        let extension = Extension {
+            check,
+            serve: Some(Rc::new(move |incoming: Incoming| {
+                let source = Rc::clone(&feeding);
+                async move {
+                    if &*incoming.path == FEED_PATH {
+                        serve_feed(source, incoming).await;
+                    } else {
+                        log::warn!("{} asks for {}", incoming.from, incoming.path);
+                    }
+                }
+                .boxed_local()
+            })),
+        };
+        let own = listening.0;
+        let control = Control::run(
+            &control_settings(settings, id),
+            opened,
+            listening,
+            extension,
+        )?;
+        let handle = control.handle();
+        let plan = VoterPlanSettings {
+            target: settings.voters(),
+            ..VoterPlanSettings::default()
+        };
+        handle.set_plan(VoterPlan::new(plan, Instant::now()));
+        source.set_control(own, handle.clone());
+        let elsewhere = Rc::new(std::cell::Cell::new(None));
+        let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
+        let (links, events) = start_links(settings, id, own);
+        let tasks = vec![
+            actix_rt::spawn(watch_registry(Rc::clone(&source))),
+            actix_rt::spawn(announce_commits(Rc::clone(&source), handle.clone())),
+            actix_rt::spawn(follow_others(
+                links,
+                events,
+                seeds,
+                Rc::clone(&source),
+                Rc::clone(&elsewhere),
+            )),
+        ];
+        log::info!("control node {} runs as voter id {id}", settings.name);
+        Ok(Self {
+            control,
+            handle,
+            source,
+            elsewhere,
+            seeds_tx,
+            tasks,
+        })
+    }
+
+    /// Takes an upstream's report and tells entries what is new; returns
+    /// whether it is the newest of its upstream.
+    pub fn report(&self, report: Report) -> bool {
+        let before = self.source.registry.borrow().last_change();
+        let is_newest = {
+            let mut registry = self.source.registry.borrow_mut();
+            registry.report(Instant::now(), report)
+        };
+        self.notify_after(before);
+        is_newest
+    }
+
+    /// Takes the word of an upstream that it has left.
+    pub fn leave(&self, id: &str, born_ms: Option<u64>) {
+        let before = self.source.registry.borrow().last_change();
+        let mut registry = self.source.registry.borrow_mut();
+        registry.leave(Instant::now(), id, born_ms);
+        drop(registry);
+        self.notify_after(before);
+    }
+
+    fn notify_after(&self, before: u64) {
+        if self.source.registry.borrow().last_change() > before {
+            self.source.notify();
+        }
+    }
+
+    /// Puts a configuration in force whose author numbered it.
+    pub async fn apply(&self, request: VersionedRequest) -> VersionedAnswer {
+        self.handle.apply_version(request).await
+    }
+
+    /// Returns the accepted configuration as a quorum confirms it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why this node can't tell.
+    pub async fn read(&self) -> currantgate_control::ReadAnswer {
+        self.handle.read_confirmed().await
+    }
+
+    /// Returns where the leader listens for control VMs, if it is another one.
+    pub fn other_leader(&self) -> Option<SocketAddr> {
+        let own = self.control.address();
+        let known = self.handle.leader().map(|(_, address)| address);
+        let heard = self.elsewhere.get();
+        let heard = heard.filter(|(_, at)| at.elapsed() < LEADER_KNOWN_FOR);
+        known
+            .or(heard.map(|(address, _)| address))
+            .filter(|address| *address != own)
+    }
+
+    /// Replaces the control VMs that are known from the settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds_tx.send_replace(seeds);
+    }
+
+    /// Gives up the lead, before a planned stop.
+    pub fn resign(&self) {
+        self.handle.resign();
+    }
+
+    /// Waits until the disk fails; the node then takes no further part.
+    pub async fn failed(&self) {
+        self.control.failed().await;
+    }
+}
+
+impl Drop for ControlNode {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn control_settings(settings: &NodeSettings, id: VoterId) -> ControlSettings {
+    ControlSettings {
+        id,
+        domain: settings.domain.clone(),
+        data: settings.data.clone(),
+        listen: settings.listen,
+        metrics: None,
+        key: settings.key,
+        // Entries come and go at addresses that nobody lists.
+        allow: vec![Prefix::any_v4()],
+        max_connections: MAX_CONNECTIONS,
+        voters: Vec::new(),
+        fan_out_of: Vec::new(),
+    }
+}
+
+/// Opens the VM's durable state, or begins it.
+fn open_state(
+    settings: &NodeSettings,
+) -> Result<(VoterId, (Journal<Folder>, Recovered)), NodeError> {
+    let folder_error = |source| NodeError::Folder {
+        folder: settings.data.display().to_string().into(),
+        source,
+    };
+    let storage_error = |source| NodeError::Storage {
+        folder: settings.data.display().to_string().into(),
+        source,
+    };
+    let mut folder = Folder::open(&settings.data).map_err(folder_error)?;
+    let id = identity::load(&mut folder).map_err(storage_error)?;
+    if let Some(id) = id
+        && Journal::exists(&mut folder).map_err(storage_error)?
+    {
+        log::info!("the data folder holds the state of voter {id}");
+        return Ok((id, Journal::open(folder).map_err(storage_error)?));
+    }
+    let voters = identity::first_voters(&settings.seeds);
+    let own = voters.iter().find(|(_, a)| a.ip() == settings.own_ip());
+    let first = own.filter(|_| settings.is_first_voter());
+    let id = first.map_or_else(identity::choose, |(id, _)| *id);
+    identity::store(&mut folder, id).map_err(storage_error)?;
+    let opened = if first.is_some() {
+        log::info!("this VM is first voter {id} of a new site: {voters:?}");
+        Journal::init(folder, Members::new(voters))
+    } else {
+        log::info!("this VM joins as {id}");
+        Journal::join(folder)
+    };
+    Ok((id, opened.map_err(storage_error)?))
+}
+
+fn start_links(
+    settings: &NodeSettings,
+    id: VoterId,
+    own: SocketAddr,
+) -> (FeedLinks, mpsc::UnboundedReceiver<FeedEvent>) {
+    let links = FeedLinksSettings {
+        hello: FeedHello {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            control: Some((id, own)),
+        },
+        secret: *settings.key.bytes(),
+        own: Some(own),
+    };
+    FeedLinks::start(links, settings.seeds.clone())
+}
+
+async fn watch_registry(source: Rc<FeedSource>) {
+    let mut interval = actix_rt::time::interval(REGISTRY_INTERVAL);
+    loop {
+        interval.tick().await;
+        let before = source.registry.borrow().last_change();
+        source.registry.borrow_mut().tick(Instant::now());
+        if source.registry.borrow().last_change() > before {
+            source.notify();
+        }
+    }
+}
+
+async fn announce_commits(source: Rc<FeedSource>, handle: ControlHandle) {
+    let mut committed = handle.committed();
+    while committed.changed().await.is_ok() {
+        source.notify();
+    }
+}
+
+/// Listens to the other control VMs, which thereby hear of this one.
+async fn follow_others(
+    mut links: FeedLinks,
+    mut events: mpsc::UnboundedReceiver<FeedEvent>,
+    mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    source: Rc<FeedSource>,
+    elsewhere: Rc<std::cell::Cell<Option<(SocketAddr, Instant)>>>,
+) {
+    loop {
+        tokio::select! {
+            Some(event) = events.recv() => {
+                links.note(&event);
+                if let FeedEvent::Message(from, FeedMessage::Present(present)) = event {
+                    source.heard_control(from);
+                    if let Some(leader) = present.leader.filter(|_| present.is_in_quorum) {
+                        elsewhere.set(Some((leader, Instant::now())));
+                    }
+                }
+            }
+            Ok(()) = seeds.changed() => {
+                let seeds = seeds.borrow_and_update().clone();
+                links.set_seeds(seeds);
+            }
+            else => return,
+        }
+        links.tick();
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -0,0 +1,270 @@
+//! The token entry daemon: a socket, feeds and timers around one router.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use currantgate_control::Change;
+use currantgate_placement::Target;
+use currantgate_registry::{Standing, Upstream, View};
+use currantgate_token::{TokenRouter, TokenUpstream};
+use prometheus_client::registry::Registry;
+use tokio::sync::{mpsc, watch};
+
+use super::error::TokenEntryError;
+use super::format::WireFormat;
+use super::held_routes::HeldRoutes;
+use super::metrics::TokenEntryMetrics;
+use super::packets::Packets;
+use super::settings::TokenEntrySettings;
+use crate::feed::{FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedRequest};
+
+/// How often flows whose callers gave up are let go: a small part of a
+/// caller's patience.
+const FLOW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often upstreams are looked through although nothing was told of them:
+/// a small part of the time that an unconfirmed one stays in use.
+const VIEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A running token entry; it stops when it is dropped.
+pub struct TokenEntry {
+    address: SocketAddr,
+    is_ready: Rc<Cell<bool>>,
+    seeds_tx: watch::Sender<Vec<SocketAddr>>,
+    metrics: TokenEntryMetrics,
+    task: JoinHandle<()>,
+}
+
+impl TokenEntry {
+    /// Starts an entry on the current thread's runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when packets can't be taken at the address.
+    pub fn start<F: WireFormat>(
+        settings: &TokenEntrySettings,
+        format: F,
+    ) -> Result<Self, TokenEntryError> {
+        let error = |source| TokenEntryError::Packets {
+            address: settings.packets,
+            source,
+        };
+        let packets = Packets::bind(settings.packets, format).map_err(error)?;
+        let address = packets.local_addr().map_err(error)?;
+        let links = FeedLinksSettings {
+            hello: FeedHello {
+                name: settings.name.clone(),
+                domain: settings.domain.clone(),
+                control: None,
+            },
+            secret: *settings.key.bytes(),
+            own: None,
+        };
+        let (links, events) = FeedLinks::start(links, settings.seeds.clone());
+        let is_ready = Rc::new(Cell::new(false));
+        let metrics = TokenEntryMetrics::default();
+        let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
+        let core = Core {
+            router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+            packets,
+            view: View::new(settings.view.clone()),
+            held: HeldRoutes::default(),
+            links,
+            domain: settings.domain.clone(),
+            is_ready: Rc::clone(&is_ready),
+            metrics: metrics.clone(),
+        };
+        let task = actix_rt::spawn(core.run(events, seeds));
+        log::info!("entry {} takes packets at {address}", settings.name);
+        Ok(Self {
+            address,
+            is_ready,
+            seeds_tx,
+            metrics,
+            task,
+        })
+    }
+
+    /// Returns where packets are taken.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether routes and upstreams are known, so that packets can be
+    /// served.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.get()
+    }
+
+    /// Replaces the control VMs that are known from the settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds_tx.send_replace(seeds);
+    }
+
+    /// Adds the entry's metrics to those of the process.
+    pub fn register_metrics(&self, registry: &mut Registry) {
+        self.metrics.register(registry);
+    }
+}
+
+impl Drop for TokenEntry {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Core<F> {
+    router: TokenRouter,
+    packets: Packets<F>,
+    view: View,
+    held: HeldRoutes,
+    links: FeedLinks,
+    domain: Box<str>,
+    is_ready: Rc<Cell<bool>>,
+    metrics: TokenEntryMetrics,
+}
+
+impl<F: WireFormat> Core<F> {
+    async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<FeedEvent>,
+        mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) {
+        let mut flow_interval = actix_rt::time::interval(FLOW_INTERVAL);
+        let mut view_interval = actix_rt::time::interval(VIEW_INTERVAL);
+        loop {
+            tokio::select! {
+                readable = self.packets.readable() => match readable {
+                    Ok(()) => self.packets.take(&mut self.router, &self.metrics),
+                    Err(e) => log::error!("packets can't be awaited: {e}"),
+                },
+                Some(event) = events.recv() => {
+                    let version = self.view.version();
+                    self.take(event);
+                    while let Ok(event) = events.try_recv() {
+                        self.take(event);
+                    }
+                    if self.view.version() > version {
+                        self.show_upstreams();
+                    }
+                    self.update_routes_state();
+                }
+                _ = flow_interval.tick() => self.router.tick(Instant::now()),
+                _ = view_interval.tick() => {
+                    self.show_upstreams();
+                    self.update_routes_state();
+                    self.links.tick();
+                }
+                Ok(()) = seeds.changed() => {
+                    let seeds = seeds.borrow_and_update().clone();
+                    self.links.set_seeds(seeds);
+                }
+                else => return,
+            }
+        }
+    }
+
+    fn take(&mut self, event: FeedEvent) {
+        self.links.note(&event);
+        let now = Instant::now();
+        match event {
+            FeedEvent::Up(from) => self.view.connected(now, from),
+            FeedEvent::Down(from) => {
+                self.view.disconnected(now, from);
+                self.held.lost(from);
+            }
+            FeedEvent::Message(from, FeedMessage::Present(present)) => {
+                self.held.told(from, present.revision, present.is_in_quorum);
+            }
+            FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
+                self.view.apply(now, from, records);
+            }
+            FeedEvent::Message(_, FeedMessage::Change(change)) => self.adopt(&change),
+        }
+    }
+
+    /// Puts a newer revision in force; an entry never goes back to an older.
+    fn adopt(&mut self, change: &Arc<Change>) {
+        if change.revision <= self.held.held() {
+            return;
+        }
+        match self.packets.format().routes(&change.text) {
+            Ok(routes) => {
+                self.held.take(change.revision);
+                log::info!(
+                    "revision {} is in force: {} routes",
+                    change.revision,
+                    routes.len()
+                );
+                self.router.set_routes(routes);
+            }
+            // Control VMs check each file, so theirs is another release.
+            Err(e) => log::error!("revision {} is kept out of force: {e}", change.revision),
+        }
+    }
+
+    fn update_routes_state(&mut self) {
+        if let Some(ask) = self.held.next_ask(Instant::now()) {
+            let sent = self.links.send(ask.to, FeedRequest::Change(ask.revision));
+            if !sent {
+                log::debug!(
+                    "{} could not be asked for revision {}",
+                    ask.to,
+                    ask.revision
+                );
+            }
+        }
+        self.router.set_routes_current(self.held.is_current());
+        let has_started = self.held.held() > 0 && self.view.has_upstreams();
+        if has_started && !self.is_ready.replace(true) {
+            log::info!("ready with revision {}", self.held.held());
+        }
+    }
+
+    fn show_upstreams(&mut self) {
+        let upstreams = self.view.upstreams(Instant::now());
+        let known = upstreams.len();
+        let domain = &self.domain;
+        let format = self.packets.format();
+        let shown = upstreams
+            .iter()
+            .filter_map(|upstream| show(upstream, domain, format))
+            .collect();
+        self.router.set_upstreams(shown);
+        self.metrics
+            .show(self.router.flows(), known, self.held.held());
+    }
+}
+
+/// Returns an upstream as routing and placement see it.
+fn show<F: WireFormat>(
+    upstream: &Upstream,
+    domain: &str,
+    format: &F,
+) -> Option<(TokenUpstream, Option<Target>)> {
+    let report = &upstream.report;
+    let Some(identity) = format.identity(&report.id) else {
+        log::debug!("upstream {} can't be named in packets", report.id);
+        return None;
+    };
+    let as_hop = TokenUpstream {
+        id: report.id.clone(),
+        born_ms: report.age.born_ms,
+        address: report.address,
+        identity,
+    };
+    let target = Target {
+        key: 0,
+        service: report.service.clone(),
+        is_near: &*report.domain == domain,
+        slots: report.slots,
+        warm_at: upstream.warm_at,
+        is_heard: upstream.standing == Standing::Ready,
+    };
+    let takes_flows = upstream.standing != Standing::Closed;
+    Some((as_hop, takes_flows.then_some(target)))
+}
--- /dev/null
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -0,0 +1,102 @@
+//! Metrics of a token entry.
+
+use currantgate_token::{Decision, DropReason, ResetReason};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use super::format::MalformedPacket;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+    reason: String,
+}
+
+/// Counts what became of packets.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TokenEntryMetrics {
+    packets: Family<Outcome, Counter>,
+    forwarded: Counter,
+    failed_sends: Counter,
+    flows: Gauge,
+    upstreams: Gauge,
+    revision: Gauge,
+}
+
+impl TokenEntryMetrics {
+    pub(super) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "packets_not_forwarded",
+            "Packets that were reset or dropped, by reason",
+            self.packets.clone(),
+        );
+        registry.register(
+            "packets_forwarded",
+            "Packets handed to upstreams",
+            self.forwarded.clone(),
+        );
+        registry.register(
+            "packets_failed_sends",
+            "Packets that the system did not take",
+            self.failed_sends.clone(),
+        );
+        registry.register(
+            "flows_open",
+            "Flows that this entry opened and that have not ended",
+            self.flows.clone(),
+        );
+        registry.register(
+            "upstreams_known",
+            "Upstreams that packets can reach, also those that take no new flows",
+            self.upstreams.clone(),
+        );
+        registry.register(
+            "routes_revision",
+            "The revision of the routes in force here",
+            self.revision.clone(),
+        );
+    }
+
+    pub(super) fn count(&self, decision: &Decision) {
+        match decision {
+            Decision::Forward(_) => {
+                self.forwarded.inc();
+            }
+            Decision::Reset(reason) => self.count_reset(*reason),
+            Decision::Drop(reason) => self.count_drop(*reason),
+        }
+    }
+
+    fn count_reset(&self, reason: ResetReason) {
+        self.count_outcome("reset", reason.to_string());
+    }
+
+    fn count_drop(&self, reason: DropReason) {
+        self.count_outcome("dropped", reason.to_string());
+    }
+
+    pub(super) fn count_malformed(&self, reason: MalformedPacket) {
+        self.count_outcome("malformed", reason.to_string());
+    }
+
+    pub(super) fn count_failed_send(&self) {
+        self.failed_sends.inc();
+    }
+
+    pub(super) fn show(&self, flows: usize, upstreams: usize, revision: u64) {
+        self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
+        self.upstreams
+            .set(i64::try_from(upstreams).unwrap_or(i64::MAX));
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    fn count_outcome(&self, outcome: &'static str, reason: String) {
+        self.packets
+            .get_or_create(&Outcome { outcome, reason })
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -0,0 +1,15 @@
+//! The token entry: takes packets of any format and hands each to the upstream
+//! that its token names.
+
+mod daemon;
+mod error;
+mod format;
+mod held_routes;
+mod metrics;
+mod packets;
+mod settings;
+
+pub use daemon::TokenEntry;
+pub use error::TokenEntryError;
+pub use format::{MalformedPacket, Packet, WireFormat};
+pub use settings::TokenEntrySettings;
