--- a/crates/currantgate-control/src/transport/client.rs
+++ b/crates/currantgate-control/src/transport/client.rs
@@ -11,8 +11,10 @@
 
 use super::{FrameReader, FrameWriter, Secret, TransportError};
 
-/// How long a connection may take to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection may take to come up: many round trips, and below the
+/// second after which the system repeats a lost first packet, so that a VM that
+/// has just come back is found by the next try.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The bytes that may be under way on one stream.
 const WINDOW_BYTES: u32 = 1 << 20;
@@ -30,7 +32,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the connection does not come up in a second.
+    /// Returns an error when the connection does not come up in time.
     pub async fn connect(address: SocketAddr, secret: Secret) -> Result<Self, TransportError> {
         let connecting = async {
             let stream = TcpStream::connect(address).await?;
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -18,10 +18,10 @@
 
 /// The first wait before a feed is opened again; it doubles up to the last,
 /// so that a lost VM costs little and one that is back is found soon.
-const FIRST_WAIT: Duration = Duration::from_millis(100);
+const FIRST_WAIT: Duration = Duration::from_millis(50);
 
 /// The longest wait before a feed is opened again.
-const LAST_WAIT: Duration = Duration::from_millis(800);
+const LAST_WAIT: Duration = Duration::from_millis(400);
 
 /// Keeps a feed open; ends when `requests` is closed.
 pub(super) async fn keep_feed(
