Send configurations as packed deltas, and let control VMs without a vote follow

A removed voter also offered revision 4 after a restart. Ruled out: commits, as all voters had revision 78 on disk. Change: feeds send what differs (parts end at line ends or braces), deflated; control VMs out of quorum follow the feeds and keep the newest on disk.

--- a/crates/currantgate-control/src/distribution/delta.rs
+++ b/crates/currantgate-control/src/distribution/delta.rs
@@ -4,10 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
+/// What ends a part of a text that is compared whole.
+const ENDS: [char; 2] = ['\n', '}'];
+
 /// A text made of parts of an older text and of new parts.
 ///
-/// Lines are compared whole: a change of one service costs little more than
-/// its lines, wherever else the file changed too.
+/// Lines are compared whole, and so is what ends with a brace: a change of one
+/// service costs little more than its part, wherever else the file changed too
+/// and whether or not its author breaks lines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
     parts: Vec<Part>,
@@ -26,7 +30,7 @@
     pub fn between(old: &str, new: &str) -> Self {
         let starts = first_starts(old);
         let mut parts = Parts::default();
-        for line in new.split_inclusive('\n') {
+        for line in new.split_inclusive(ENDS) {
             let follows = old
                 .get(parts.copied_to..)
                 .is_some_and(|r| r.starts_with(line));
@@ -69,7 +73,7 @@
 fn first_starts(text: &str) -> HashMap<&str, usize> {
     let mut starts = HashMap::new();
     let mut start = 0;
-    for line in text.split_inclusive('\n') {
+    for line in text.split_inclusive(ENDS) {
         starts.entry(line).or_insert(start);
         start += line.len();
     }
--- a/crates/currantgate-control/src/distribution/message.rs
+++ b/crates/currantgate-control/src/distribution/message.rs
@@ -1,11 +1,15 @@
 //! Messages between publishers and subscribers.
 
+use std::io::{Read as _, Write as _};
 use std::sync::Arc;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::{Deserialize, Serialize};
 
 use super::{Delta, Reach};
-use crate::{Base, Change};
+use crate::{Base, Change, Digest, MAX_MESSAGE_BYTES, TransportError, codec};
 
 /// One revision on its way to a subscriber.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +37,52 @@
             Self::Delta { to, .. } => *to,
         }
     }
+
+    /// Makes the change from what the receiver holds; nothing when it holds
+    /// another revision or the outcome is not the one that is meant.
+    pub fn rebuild(&self, held: Option<&Arc<Change>>) -> Option<Arc<Change>> {
+        let change = match self {
+            Self::Full(change) => Arc::clone(change),
+            Self::Delta {
+                from,
+                to,
+                base,
+                delta,
+            } => {
+                let held = held.filter(|held| held.as_base() == *from)?;
+                Arc::new(Change {
+                    revision: to.revision,
+                    digest: to.digest,
+                    base: *base,
+                    text: delta.apply(&held.text)?.into(),
+                })
+            }
+        };
+        (Digest::of(&change.text) == change.digest).then_some(change)
+    }
+
+    /// Returns the update in as few bytes as it takes on a slow link.
+    pub fn pack(&self) -> Vec<u8> {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+        let written = encoder.write_all(&codec::encode(self));
+        let packed = written.and_then(|()| encoder.finish());
+        packed.expect("writing to memory does not fail")
+    }
+
+    /// Reads what [`Update::pack`] returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the bytes are damaged or too many.
+    pub fn unpack(packed: &[u8]) -> Result<Self, TransportError> {
+        let mut bytes = Vec::new();
+        let mut decoder = DeflateDecoder::new(packed).take(MAX_MESSAGE_BYTES as u64 + 1);
+        decoder.read_to_end(&mut bytes)?;
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return Err(TransportError::TooLarge(bytes.len()));
+        }
+        Ok(codec::decode(&bytes)?)
+    }
 }
 
 /// A message from a publisher.
--- a/crates/currantgate-control/src/distribution/mod.rs
+++ b/crates/currantgate-control/src/distribution/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod publisher;
 mod reach;
+mod recent;
 mod subscriber;
 
 pub use adopted::AdoptedFile;
@@ -18,4 +19,5 @@
 pub use message::{PublisherMessage, SubscriberMessage, Update};
 pub use publisher::{Publisher, PublisherOutput, PublisherSettings, SubscriberId};
 pub use reach::Reach;
+pub use recent::RecentChanges;
 pub use subscriber::{Subscriber, SubscriberOutput, SubscriberSettings};
--- a/crates/currantgate-control/src/distribution/publisher.rs
+++ b/crates/currantgate-control/src/distribution/publisher.rs
@@ -6,12 +6,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Delta, PublisherMessage, Reach, SubscriberMessage, Update};
+use super::{PublisherMessage, Reach, RecentChanges, SubscriberMessage, Update};
 use crate::{Base, Change, PUBLISHER_INTERVAL, Revision};
 
-/// How many older revisions are kept, to send what changed since.
-const RECENT_REVISIONS: usize = 16;
-
 /// Silence after which a subscriber is taken for lost.
 const SUBSCRIBER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -65,10 +62,7 @@
 #[derive(Debug)]
 pub struct Publisher {
     settings: PublisherSettings,
-    newest: Option<Arc<Change>>,
-    recent: VecDeque<Arc<Change>>,
-    /// Updates to the newest revision, by the revision that they start from.
-    deltas: IndexMap<Base, Arc<Update>>,
+    changes: RecentChanges,
     followers: IndexMap<SubscriberId, Follower>,
     /// Subscribers that need the whole file, in the order they asked.
     waiting: IndexSet<SubscriberId>,
@@ -82,9 +76,7 @@
     pub fn new(settings: PublisherSettings, now: Instant) -> Self {
         Self {
             settings,
-            newest: None,
-            recent: VecDeque::new(),
-            deltas: IndexMap::new(),
+            changes: RecentChanges::default(),
             followers: IndexMap::new(),
             waiting: IndexSet::new(),
             next_full: now,
@@ -95,23 +87,14 @@
 
     /// Returns the newest revision.
     pub fn newest(&self) -> Base {
-        self.newest
-            .as_ref()
-            .map_or_else(Base::empty, |change| change.as_base())
+        self.changes.newest()
     }
 
     /// Takes a newer revision and pushes it; an older one is ignored.
     pub fn publish(&mut self, now: Instant, change: Arc<Change>) {
-        if change.revision <= self.newest().revision {
+        if !self.changes.publish(change) {
             return;
         }
-        if let Some(before) = self.newest.replace(change) {
-            self.recent.push_back(before);
-        }
-        if self.recent.len() > RECENT_REVISIONS {
-            self.recent.pop_front();
-        }
-        self.deltas.clear();
         let ids: Vec<_> = self.followers.keys().copied().collect();
         for id in ids {
             self.update(now, id);
@@ -185,7 +168,7 @@
             return;
         }
         let have = follower.have;
-        let Some(update) = self.delta_from(have) else {
+        let Some(update) = self.changes.delta_from(have) else {
             self.waiting.insert(id);
             return self.send_whole_files(now);
         };
@@ -195,26 +178,9 @@
         self.send(id, PublisherMessage::Update(update));
     }
 
-    /// Returns what changed since `from`, if that is known and pays.
-    fn delta_from(&mut self, from: Base) -> Option<Arc<Update>> {
-        if let Some(update) = self.deltas.get(&from) {
-            return Some(Arc::clone(update));
-        }
-        let newest = self.newest.as_ref()?;
-        let old = self.recent.iter().find(|old| old.as_base() == from)?;
-        let update = Arc::new(Update::Delta {
-            from,
-            to: newest.as_base(),
-            base: newest.base,
-            delta: Delta::between(&old.text, &newest.text),
-        });
-        self.deltas.insert(from, Arc::clone(&update));
-        Some(update)
-    }
-
     /// Sends whole files as fast as the settings allow.
     fn send_whole_files(&mut self, now: Instant) {
-        let Some(newest) = self.newest.clone() else {
+        let Some(newest) = self.changes.newest_change().cloned() else {
             return;
         };
         let update = Arc::new(Update::Full(Arc::clone(&newest)));
--- a/crates/currantgate-control/src/distribution/subscriber.rs
+++ b/crates/currantgate-control/src/distribution/subscriber.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{PublisherMessage, Reach, SubscriberMessage, Update};
-use crate::{Base, Change, Digest, SILENCE_TIMEOUT};
+use crate::{Base, Change, SILENCE_TIMEOUT};
 
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -167,38 +167,15 @@
         if update.target().revision <= self.have().revision {
             return self.send_ack();
         }
-        match self.rebuild(update) {
-            Some(change) if Digest::of(&change.text) == change.digest => self.adopt(change),
-            _ => {
+        match update.rebuild(self.adopted.as_ref()) {
+            Some(change) => self.adopt(change),
+            None => {
                 let have = self.have();
                 self.send(SubscriberMessage::Pull { have });
             }
         }
     }
 
-    fn rebuild(&self, update: &Update) -> Option<Arc<Change>> {
-        match update {
-            Update::Full(change) => Some(Arc::clone(change)),
-            Update::Delta {
-                from,
-                to,
-                base,
-                delta,
-            } => {
-                if *from != self.have() {
-                    return None;
-                }
-                let old = self.adopted.as_ref().map_or("", |change| &change.text);
-                Some(Arc::new(Change {
-                    revision: to.revision,
-                    digest: to.digest,
-                    base: *base,
-                    text: delta.apply(old)?.into(),
-                }))
-            }
-        }
-    }
-
     fn adopt(&mut self, change: Arc<Change>) {
         self.adopted = Some(Arc::clone(&change));
         self.outputs.push_back(SubscriberOutput::Adopt(change));
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -36,7 +36,8 @@
 pub use digest::Digest;
 pub use distribution::{
     AdoptedFile, Delta, Publisher, PublisherMessage, PublisherOutput, PublisherSettings, Reach,
-    Subscriber, SubscriberId, SubscriberMessage, SubscriberOutput, SubscriberSettings, Update,
+    RecentChanges, Subscriber, SubscriberId, SubscriberMessage, SubscriberOutput,
+    SubscriberSettings, Update,
 };
 pub use entry::{Command, Entry};
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
--- a/crates/currantgate-registry/tests/common/mod.rs
+++ b/crates/currantgate-registry/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 /// Returns a report of an upstream that is ready; its address follows from
 /// its id.
-pub fn report(id: &str, born_ms: u64, sequence: u64) -> Report {
+pub(crate) fn report(id: &str, born_ms: u64, sequence: u64) -> Report {
     let host = id.bytes().next().unwrap_or(0);
     Report {
         id: id.into(),
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use currantgate_control::{Change, Revision, VoterId};
+use currantgate_control::{Base, Revision, VoterId};
 use currantgate_registry::Record;
 use serde::{Deserialize, Serialize};
 
@@ -26,8 +26,13 @@
 pub(crate) enum FeedRequest {
     /// It is still there.
     Alive,
-    /// It wants the change in force, which has at least this revision.
-    Change(Revision),
+    /// It wants the change in force.
+    Change {
+        /// The revision that it has at least.
+        revision: Revision,
+        /// What the listener holds.
+        have: Base,
+    },
 }
 
 /// What a control VM knows at a moment.
@@ -52,6 +57,7 @@
     /// Upstreams whose record has changed since the last such message; the
     /// first has all.
     Upstreams(Vec<Record>),
-    /// The change that was asked for.
-    Change(Arc<Change>),
+    /// The change that was asked for, as [`currantgate_control::Update::pack`]
+    /// returns it.
+    Update(Arc<[u8]>),
 }
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -5,10 +5,12 @@
 //! feeds of the own side. See `docs/design/platform.md`.
 
 mod client;
+mod held;
 mod links;
 mod message;
 mod server;
 
+pub(crate) use held::Held;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
-pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, FeedRequest};
+pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, FeedRequest, Present};
 pub(crate) use server::{FeedSource, serve_feed};
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use currantgate_control::{Change, FrameWriter, Incoming, TransportError};
+use currantgate_control::{Base, Change, FrameWriter, Incoming, RecentChanges, TransportError};
 use currantgate_registry::{ChangeNumber, Registry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -31,6 +31,9 @@
 /// What all feeds of a control VM tell.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<Registry>,
+    changes: RefCell<RecentChanges>,
+    /// Updates to the newest change as they are sent, by what they start from.
+    packed: RefCell<IndexMap<Base, Arc<[u8]>>>,
     handle: RefCell<Option<ControlHandle>>,
     /// Counts changes that feeds tell at once.
     changed: watch::Sender<u64>,
@@ -43,6 +46,8 @@
     pub(crate) fn new(registry: Registry) -> Self {
         Self {
             registry: RefCell::new(registry),
+            changes: RefCell::default(),
+            packed: RefCell::default(),
             handle: RefCell::new(None),
             changed: watch::channel(0).0,
             controls: RefCell::new(IndexMap::new()),
@@ -82,20 +87,35 @@
         let handle = self.handle.borrow();
         let handle = handle.as_ref();
         Present {
-            revision: handle.map_or(0, |h| {
-                h.committed().borrow().as_ref().map_or(0, |c| c.revision)
-            }),
+            revision: self.changes.borrow().newest().revision,
             is_in_quorum: handle.is_some_and(ControlHandle::is_in_quorum),
             leader: handle.and_then(|h| h.leader()).map(|(_, address)| address),
             controls: self.controls(),
         }
     }
 
-    fn change(&self) -> Option<Arc<Change>> {
-        let handle = self.handle.borrow();
-        let committed = handle.as_ref()?.committed();
-        let change = committed.borrow().clone();
-        change
+    /// Takes a change that is in force; an older one is ignored.
+    pub(crate) fn publish(&self, change: Arc<Change>) {
+        if self.changes.borrow_mut().publish(change) {
+            self.packed.borrow_mut().clear();
+            self.notify();
+        }
+    }
+
+    /// Returns the newest change.
+    pub(crate) fn newest_change(&self) -> Option<Arc<Change>> {
+        self.changes.borrow().newest_change().cloned()
+    }
+
+    /// Returns what makes the newest change for a listener that has `have`.
+    fn update_from(&self, have: Base) -> Option<Arc<[u8]>> {
+        if let Some(packed) = self.packed.borrow().get(&have) {
+            return Some(Arc::clone(packed));
+        }
+        let update = self.changes.borrow_mut().update_from(have)?;
+        let packed: Arc<[u8]> = update.pack().into();
+        self.packed.borrow_mut().insert(have, Arc::clone(&packed));
+        Some(packed)
     }
 
     fn heard(&self, hello: &FeedHello) {
@@ -177,14 +197,15 @@
     }
 
     async fn take(&mut self, request: &FeedRequest) -> Result<(), TransportError> {
-        let FeedRequest::Change(revision) = request else {
+        let FeedRequest::Change { revision, have } = request else {
             return Ok(());
         };
-        match self.source.change() {
-            Some(change) if change.revision >= *revision => {
-                self.send(&FeedMessage::Change(change)).await
-            }
-            _ => Ok(()),
+        if self.source.changes.borrow().newest().revision < *revision {
+            return Ok(());
+        }
+        match self.source.update_from(*have) {
+            Some(packed) => self.send(&FeedMessage::Update(packed)).await,
+            None => Ok(()),
         }
     }
 
--- a/crates/currantgate/src/node/mod.rs
+++ b/crates/currantgate/src/node/mod.rs
@@ -3,8 +3,9 @@
 
 mod error;
 mod identity;
-mod kept_upstreams;
+mod keeper;
 mod node;
+mod others;
 mod settings;
 
 pub use error::NodeError;
--- a/crates/currantgate/src/node/node.rs
+++ b/crates/currantgate/src/node/node.rs
@@ -2,23 +2,24 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    Folder, Incoming, Journal, Members, Recovered, VersionedRequest, VoterId, VoterPlan,
+    Folder, Incoming, Journal, Members, Recovered, Saved, VersionedRequest, VoterId, VoterPlan,
     VoterPlanSettings,
 };
 use currantgate_registry::{Registry, RegistrySettings, Report};
 use futures_util::FutureExt as _;
 use tokio::sync::{mpsc, watch};
 
-use super::{NodeError, NodeSettings, identity, kept_upstreams};
+use super::others::{ADOPTED, LeaderElsewhere, Others};
+use super::{NodeError, NodeSettings, identity, keeper};
 use crate::control::{Control, ControlHandle, Extension, FileCheck, VersionedAnswer, use_listener};
 use crate::feed::{
-    FEED_PATH, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedSource,
-    serve_feed,
+    FEED_PATH, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedSource, Held, serve_feed,
 };
 
 /// How often the registry is looked through for silent upstreams: a fraction
@@ -37,7 +38,7 @@
     control: Control,
     handle: ControlHandle,
     source: Rc<FeedSource>,
-    elsewhere: Rc<std::cell::Cell<Option<(SocketAddr, Instant)>>>,
+    elsewhere: LeaderElsewhere,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -55,13 +56,18 @@
         listener: TcpListener,
     ) -> Result<Self, NodeError> {
         let mut folder = open_folder(settings)?;
-        let mut kept = kept_upstreams::open(&folder);
+        let mut upstreams = Saved::new(folder.share(), keeper::UPSTREAMS);
+        let mut adopted = Saved::new(folder.share(), ADOPTED);
         let (id, opened) = open_state(settings, &mut folder)?;
         let listening = use_listener(settings.listen, listener)?;
         let registry = RegistrySettings::for_interval(settings.report_interval);
         let mut registry = Registry::new(registry);
-        registry.restore(Instant::now(), kept_upstreams::load(&mut kept));
+        let known = keeper::load(&mut upstreams, keeper::UPSTREAMS);
+        registry.restore(Instant::now(), known.unwrap_or_default());
         let source = Rc::new(FeedSource::new(registry));
+        if let Some(change) = keeper::load(&mut adopted, ADOPTED) {
+            source.publish(Arc::new(change));
+        }
         let feeding = Rc::clone(&source);
         let extension = Extension {
             check,
@@ -91,20 +97,25 @@
         };
         handle.set_plan(VoterPlan::new(plan, Instant::now()));
         source.set_control(own, handle.clone());
-        let elsewhere = Rc::new(std::cell::Cell::new(None));
+        let elsewhere = LeaderElsewhere::default();
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
         let (links, events) = start_links(settings, id, own);
+        let others = Others {
+            links,
+            source: Rc::clone(&source),
+            handle: handle.clone(),
+            held: Held::default(),
+            adopted: keeper::start(adopted, ADOPTED),
+            elsewhere: Rc::clone(&elsewhere),
+        };
         let tasks = vec![
             actix_rt::spawn(watch_registry(Rc::clone(&source))),
-            actix_rt::spawn(kept_upstreams::keep(Rc::clone(&source), kept)),
-            actix_rt::spawn(announce_commits(Rc::clone(&source), handle.clone())),
-            actix_rt::spawn(follow_others(
-                links,
-                events,
-                seeds,
+            actix_rt::spawn(keeper::keep_upstreams(
                 Rc::clone(&source),
-                Rc::clone(&elsewhere),
+                keeper::start(upstreams, keeper::UPSTREAMS),
             )),
+            actix_rt::spawn(announce_commits(Rc::clone(&source), handle.clone())),
+            actix_rt::spawn(others.run(events, seeds)),
         ];
         log::info!("control node {} runs as voter id {id}", settings.name);
         Ok(Self {
@@ -278,36 +289,13 @@
 
 async fn announce_commits(source: Rc<FeedSource>, handle: ControlHandle) {
     let mut committed = handle.committed();
-    while committed.changed().await.is_ok() {
-        source.notify();
-    }
-}
-
-/// Listens to the other control VMs, which thereby hear of this one.
-async fn follow_others(
-    mut links: FeedLinks,
-    mut events: mpsc::UnboundedReceiver<FeedEvent>,
-    mut seeds: watch::Receiver<Vec<SocketAddr>>,
-    source: Rc<FeedSource>,
-    elsewhere: Rc<std::cell::Cell<Option<(SocketAddr, Instant)>>>,
-) {
     loop {
-        tokio::select! {
-            Some(event) = events.recv() => {
-                links.note(&event);
-                if let FeedEvent::Message(from, FeedMessage::Present(present)) = event {
-                    source.heard_control(from);
-                    if let Some(leader) = present.leader.filter(|_| present.is_in_quorum) {
-                        elsewhere.set(Some((leader, Instant::now())));
-                    }
-                }
-            }
-            Ok(()) = seeds.changed() => {
-                let seeds = seeds.borrow_and_update().clone();
-                links.set_seeds(seeds);
-            }
-            else => return,
+        let change = committed.borrow_and_update().clone();
+        if let Some(change) = change {
+            source.publish(change);
+        }
+        if committed.changed().await.is_err() {
+            return;
         }
-        links.tick();
     }
 }
--- /dev/null
+++ b/crates/currantgate/src/node/others.rs
@@ -0,0 +1,116 @@
+//! What a control node hears from the other control VMs, which thereby hear of
+//! it.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::time::Instant;
+
+use currantgate_control::{Change, Update};
+use tokio::sync::{mpsc, watch};
+
+use crate::control::ControlHandle;
+use crate::feed::{FeedEvent, FeedLinks, FeedMessage, FeedRequest, FeedSource, Held, Present};
+
+/// The file of the newest change that a VM without a vote adopted.
+pub(super) const ADOPTED: &str = "adopted";
+
+/// Who leads, as another VM said, and when it did.
+pub(super) type LeaderElsewhere = Rc<Cell<Option<(SocketAddr, Instant)>>>;
+
+/// What a control node hears from the other control VMs.
+pub(super) struct Others {
+    pub(super) links: FeedLinks,
+    pub(super) source: Rc<FeedSource>,
+    pub(super) handle: ControlHandle,
+    pub(super) held: Held,
+    pub(super) adopted: SyncSender<Change>,
+    pub(super) elsewhere: LeaderElsewhere,
+}
+
+impl Others {
+    pub(super) async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<FeedEvent>,
+        mut seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) {
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.take(event),
+                Ok(()) = seeds.changed() => {
+                    let seeds = seeds.borrow_and_update().clone();
+                    self.links.set_seeds(seeds);
+                }
+                else => return,
+            }
+            self.links.tick();
+        }
+    }
+
+    fn take(&mut self, event: FeedEvent) {
+        self.links.note(&event);
+        match event {
+            FeedEvent::Message(from, FeedMessage::Present(present)) => {
+                self.take_present(from, &present);
+            }
+            FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
+            FeedEvent::Message(_, FeedMessage::Upstreams(_)) | FeedEvent::Up(_) => {}
+            FeedEvent::Down(from) => self.held.lost(from),
+        }
+    }
+
+    fn take_present(&mut self, from: SocketAddr, present: &Present) {
+        self.source.heard_control(from);
+        if !present.is_in_quorum {
+            return;
+        }
+        if let Some(leader) = present.leader {
+            self.elsewhere.set(Some((leader, Instant::now())));
+        }
+        self.held.told(from, present.revision, true);
+        // The log brings changes to those who vote.
+        if !self.handle.is_in_quorum() {
+            self.ask();
+        }
+    }
+
+    /// Asks for a newer change, so that entries that know no other control VM
+    /// are told the newest, also after a restart.
+    fn ask(&mut self) {
+        if let Some(newest) = self.source.newest_change() {
+            self.held.set(newest);
+        }
+        if let Some(ask) = self.held.next_ask(Instant::now()) {
+            let request = FeedRequest::Change {
+                revision: ask.revision,
+                have: ask.have,
+            };
+            if !self.links.send(ask.to, request) {
+                log::debug!(
+                    "{} could not be asked for revision {}",
+                    ask.to,
+                    ask.revision
+                );
+            }
+        }
+    }
+
+    fn adopt(&mut self, from: SocketAddr, packed: &[u8]) {
+        let update = match Update::unpack(packed) {
+            Ok(update) => update,
+            Err(e) => {
+                log::error!("an update of {from} can't be read: {e}");
+                return;
+            }
+        };
+        let Some(change) = self.held.take(&update) else {
+            return;
+        };
+        log::info!("revision {} is adopted from {from}", change.revision);
+        if self.adopted.try_send(Change::clone(&change)).is_err() {
+            log::debug!("revision {} is not kept: the disk is busy", change.revision);
+        }
+        self.source.publish(change);
+    }
+}
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -3,11 +3,10 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use currantgate_control::Change;
+use currantgate_control::Update;
 use currantgate_placement::Target;
 use currantgate_registry::{Standing, Upstream, View};
 use currantgate_token::{TokenRouter, TokenUpstream};
@@ -16,11 +15,12 @@
 
 use super::error::TokenEntryError;
 use super::format::WireFormat;
-use super::held_routes::HeldRoutes;
 use super::metrics::TokenEntryMetrics;
 use super::packets::Packets;
 use super::settings::TokenEntrySettings;
-use crate::feed::{FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedRequest};
+use crate::feed::{
+    FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedRequest, Held,
+};
 
 /// How often flows whose callers gave up are let go: a small part of a
 /// caller's patience.
@@ -72,7 +72,7 @@
             router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
             packets,
             view: View::new(settings.view.clone()),
-            held: HeldRoutes::default(),
+            held: Held::default(),
             links,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
@@ -121,7 +121,7 @@
     router: TokenRouter,
     packets: Packets<F>,
     view: View,
-    held: HeldRoutes,
+    held: Held,
     links: FeedLinks,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
@@ -183,22 +183,28 @@
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
                 self.view.apply(now, from, records);
             }
-            FeedEvent::Message(_, FeedMessage::Change(change)) => self.adopt(&change),
+            FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
         }
     }
 
     /// Puts a newer revision in force; an entry never goes back to an older.
-    fn adopt(&mut self, change: &Arc<Change>) {
-        if change.revision <= self.held.held() {
+    fn adopt(&mut self, from: SocketAddr, packed: &[u8]) {
+        let update = match Update::unpack(packed) {
+            Ok(update) => update,
+            Err(e) => {
+                log::error!("an update of {from} can't be read: {e}");
+                return;
+            }
+        };
+        let Some(change) = self.held.take(&update) else {
             return;
-        }
+        };
         match self.packets.format().routes(&change.text) {
             Ok(routes) => {
-                self.held.take(change.revision);
+                let routes_len = routes.len();
                 log::info!(
-                    "revision {} is in force: {} routes",
-                    change.revision,
-                    routes.len()
+                    "revision {} is in force: {routes_len} routes",
+                    change.revision
                 );
                 self.router.set_routes(routes);
             }
@@ -209,8 +215,11 @@
 
     fn update_routes_state(&mut self) {
         if let Some(ask) = self.held.next_ask(Instant::now()) {
-            let sent = self.links.send(ask.to, FeedRequest::Change(ask.revision));
-            if !sent {
+            let request = FeedRequest::Change {
+                revision: ask.revision,
+                have: ask.have,
+            };
+            if !self.links.send(ask.to, request) {
                 log::debug!(
                     "{} could not be asked for revision {}",
                     ask.to,
@@ -219,9 +228,9 @@
             }
         }
         self.router.set_routes_current(self.held.is_current());
-        let has_started = self.held.held() > 0 && self.view.has_upstreams();
+        let has_started = self.held.revision() > 0 && self.view.has_upstreams();
         if has_started && !self.is_ready.replace(true) {
-            log::info!("ready with revision {}", self.held.held());
+            log::info!("ready with revision {}", self.held.revision());
         }
     }
 
@@ -236,7 +245,7 @@
             .collect();
         self.router.set_upstreams(shown);
         self.metrics
-            .show(self.router.flows(), known, self.held.held());
+            .show(self.router.flows(), known, self.held.revision());
     }
 }
 
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -4,7 +4,6 @@
 mod daemon;
 mod error;
 mod format;
-mod held_routes;
 mod metrics;
 mod packets;
 mod settings;
