--- /dev/null
+++ b/crates/currantgate-token/tests/router.rs
@@ -0,0 +1,359 @@
+//! Where the packets of a flow go.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use currantgate_placement::{PlacementSettings, Target};
+use currantgate_token::{
+    Decision, DropReason, FlowId, Hop, Opening, ResetReason, Route, RouteTable, Segment,
+    TokenRouter, TokenSettings, TokenUpstream,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+fn flow(n: u16) -> FlowId {
+    FlowId {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 40_000 + n),
+        service: SERVICE,
+    }
+}
+
+fn route(services: &[(&str, u32)]) -> Route {
+    let services = services
+        .iter()
+        .map(|(name, weight)| ((*name).into(), *weight));
+    Route {
+        services: services.collect(),
+        timeout: TIMEOUT,
+        latency_target: TIMEOUT / 10,
+        priority: 1,
+        is_idempotent: true,
+    }
+}
+
+/// Returns upstream `n` of booking as an entry is told of it.
+fn upstream(n: u8, now: Instant) -> (TokenUpstream, Option<Target>) {
+    let known = TokenUpstream {
+        id: format!("i-{n:08x}").into(),
+        born_ms: n.into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 80),
+        identity: n.into(),
+    };
+    let target = Target {
+        key: 0,
+        service: "booking".into(),
+        domain: "a".into(),
+        is_near: true,
+        slots: 3,
+        warm_at: now,
+        is_heard: true,
+    };
+    (known, Some(target))
+}
+
+struct Entry {
+    router: TokenRouter,
+    now: Instant,
+}
+
+impl Entry {
+    fn new(upstreams: impl IntoIterator<Item = u8>, seed: u64) -> Self {
+        let now = Instant::now();
+        let placement = PlacementSettings {
+            seed,
+            ..PlacementSettings::default()
+        };
+        let mut router = TokenRouter::new(TokenSettings::default(), placement);
+        router.set_routes(RouteTable::new([(SERVICE, route(&[("booking", 1)]))]));
+        router.set_routes_current(true);
+        router.set_upstreams(upstreams.into_iter().map(|n| upstream(n, now)).collect());
+        Self { router, now }
+    }
+
+    fn open(&mut self, n: u16) -> Hop {
+        let decision = self.try_open(n, 0);
+        hop(decision)
+    }
+
+    fn try_open(&mut self, n: u16, copies: u32) -> Decision {
+        let opening = Opening {
+            flow: flow(n),
+            copies,
+        };
+        self.router.open(self.now, opening)
+    }
+
+    fn carry(&mut self, n: u16, token: u32, is_last: bool) -> Decision {
+        let segment = Segment {
+            flow: flow(n),
+            token,
+            is_last,
+        };
+        self.router.carry(self.now, segment)
+    }
+
+    /// Leaves out an upstream from those that take new flows, or altogether.
+    fn close(&mut self, upstreams: impl IntoIterator<Item = u8>, closed: u8) {
+        let shown = upstreams.into_iter().map(|n| {
+            let (known, target) = upstream(n, self.now);
+            (known, target.filter(|_| n != closed))
+        });
+        self.router.set_upstreams(shown.collect());
+    }
+}
+
+fn hop(decision: Decision) -> Hop {
+    match decision {
+        Decision::Forward(hop) => hop,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+#[test]
+fn any_entry_hands_an_open_flow_to_its_upstream() {
+    let mut first = Entry::new(1..=5, 1);
+    let mut second = Entry::new(1..=5, 2);
+    for n in 0..50 {
+        let chosen = first.open(n);
+        assert_eq!(
+            second.carry(n, chosen.token, false),
+            Decision::Forward(chosen)
+        );
+    }
+}
+
+#[test]
+fn an_open_flow_outlives_its_upstreams_leaving() {
+    let mut entry = Entry::new(1..=2, 1);
+    let chosen = entry.open(1);
+    let leaving = chosen.address.ip().octets()[3];
+    entry.close(1..=2, leaving);
+    assert_eq!(
+        entry.carry(1, chosen.token, false),
+        Decision::Forward(chosen)
+    );
+    assert_ne!(entry.open(2), chosen, "it gets no new flows");
+}
+
+#[test]
+fn an_unknown_token_is_dropped_and_never_guessed() {
+    let mut entry = Entry::new(1..=2, 1);
+    for token in [0, 77] {
+        let decision = entry.carry(1, token, false);
+        assert_eq!(decision, Decision::Drop(DropReason::UnknownToken));
+    }
+}
+
+#[test]
+fn a_copy_made_on_the_way_goes_to_the_same_upstream() {
+    let mut entry = Entry::new(1..=5, 1);
+    let chosen = entry.open(1);
+    entry.now += Duration::from_millis(5);
+    assert_eq!(hop(entry.try_open(1, 0)), chosen);
+}
+
+/// The caller repeats a first packet after 200 ms, when the upstream has not
+/// answered for a hundred times the usual time.
+#[test]
+fn a_copy_after_a_silence_goes_to_another_upstream() {
+    let mut entry = Entry::new(1..=5, 1);
+    let mut tried = vec![entry.open(1)];
+    for copies in 1..=2 {
+        entry.now += Duration::from_millis(200);
+        let next = hop(entry.try_open(1, copies));
+        assert!(!tried.contains(&next), "{next:?} was tried");
+        tried.push(next);
+    }
+}
+
+#[test]
+fn a_late_copy_of_an_open_flow_goes_to_its_upstream() {
+    let mut entry = Entry::new(1..=5, 1);
+    let chosen = entry.open(1);
+    entry.carry(1, chosen.token, false);
+    entry.now += Duration::from_millis(300);
+    assert_eq!(hop(entry.try_open(1, 1)), chosen);
+}
+
+#[test]
+fn a_flow_without_a_route_is_reset_only_when_the_routes_are_current() {
+    let mut entry = Entry::new(1..=2, 1);
+    entry.router.set_routes(RouteTable::default());
+    assert_eq!(entry.try_open(1, 0), Decision::Reset(ResetReason::NoRoute));
+    entry.router.set_routes_current(false);
+    let decision = entry.try_open(1, 0);
+    assert_eq!(decision, Decision::Drop(DropReason::RoutesOutOfDate));
+}
+
+#[test]
+fn a_dropped_route_leaves_open_flows_alone() {
+    let mut entry = Entry::new(1..=2, 1);
+    let chosen = entry.open(1);
+    entry.router.set_routes(RouteTable::default());
+    assert_eq!(
+        entry.carry(1, chosen.token, false),
+        Decision::Forward(chosen)
+    );
+}
+
+#[test]
+fn a_flow_without_upstreams_is_refused_at_once() {
+    let mut entry = Entry::new([], 1);
+    let decision = entry.try_open(1, 0);
+    assert_eq!(decision, Decision::Reset(ResetReason::NoUpstream));
+}
+
+#[test]
+fn the_end_of_a_flow_frees_its_place() {
+    let mut entry = Entry::new(1..=2, 1);
+    let chosen = entry.open(1);
+    entry.carry(1, chosen.token, false);
+    assert_eq!(entry.router.flows(), 1);
+    entry.carry(1, chosen.token, true);
+    assert_eq!(entry.router.flows(), 0);
+    assert_eq!(
+        entry.carry(1, chosen.token, false),
+        Decision::Forward(chosen)
+    );
+}
+
+#[test]
+fn a_flow_whose_caller_gave_up_is_let_go() {
+    let mut entry = Entry::new(1..=2, 1);
+    let chosen = entry.open(1);
+    entry.carry(1, chosen.token, false);
+    entry.now += TIMEOUT;
+    entry.router.tick(entry.now);
+    assert_eq!(entry.router.flows(), 1);
+    entry.now += Duration::from_millis(300);
+    entry.router.tick(entry.now);
+    assert_eq!(entry.router.flows(), 0);
+}
+
+#[test]
+fn beyond_the_limit_flows_are_routed_without_a_record() {
+    let mut entry = Entry::new(1..=2, 1);
+    let settings = TokenSettings {
+        max_flows: 2,
+        ..TokenSettings::default()
+    };
+    entry.router = TokenRouter::new(settings, PlacementSettings::default());
+    let routes = RouteTable::new([(SERVICE, route(&[("booking", 1)]))]);
+    entry.router.set_routes(routes);
+    let known = (1..=2).map(|n| upstream(n, entry.now)).collect();
+    entry.router.set_upstreams(known);
+    for n in 0..10 {
+        entry.open(n);
+    }
+    assert_eq!(entry.router.flows(), 2);
+}
+
+/// An identity that is no token by itself is mixed into one; two that come to
+/// the same token are told apart alike on all entries.
+#[test]
+fn of_two_upstreams_with_one_token_the_older_has_it() {
+    let now = Instant::now();
+    let mut clash = upstream(2, now);
+    clash.0.identity = 1;
+    let older = upstream(1, now);
+    for shown in [vec![older.clone(), clash.clone()], vec![clash, older]] {
+        let mut entry = Entry::new([], 1);
+        entry.router.set_upstreams(shown);
+        for n in 0..10 {
+            assert_eq!(entry.open(n).address.ip().octets()[3], 1);
+        }
+    }
+}
+
+#[test]
+fn a_long_identity_has_a_token_that_is_not_zero() {
+    let now = Instant::now();
+    let mut long = upstream(1, now);
+    long.0.identity = 0x7f3a_91c2_0000_0000;
+    let mut entry = Entry::new([], 1);
+    entry.router.set_upstreams(vec![long]);
+    let chosen = entry.open(1);
+    assert_ne!(chosen.token, 0);
+    assert_eq!(chosen.identity, 0x7f3a_91c2_0000_0000);
+}
+
+#[test]
+fn a_split_route_shares_flows_by_weight() {
+    let route = route(&[("booking", 90), ("calendar", 10)]);
+    let calendar = (0..1_000_u64)
+        .filter(|hash| route.service(*hash) == Some("calendar"))
+        .count();
+    assert_eq!(calendar, 100);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Open(u16),
+    Carry(u16),
+    End(u16),
+    Wait(u64),
+    Close(u8),
+    Restart,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..20_u16).prop_map(Step::Open),
+        (0..20_u16).prop_map(Step::Carry),
+        (0..20_u16).prop_map(Step::End),
+        (1..400_u64).prop_map(Step::Wait),
+        (0..6_u8).prop_map(Step::Close),
+        Just(Step::Restart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever closes and restarts: the packets of an open flow go to one
+    /// upstream.
+    #[test]
+    fn an_open_flow_has_one_upstream(
+        steps in prop::collection::vec(any_step(), 1..120),
+    ) {
+        let mut entry = Entry::new(1..=5, 9);
+        let mut open = std::collections::HashMap::new();
+        for step in steps {
+            match step {
+                Step::Open(n) => {
+                    if let (false, Decision::Forward(chosen)) =
+                        (open.contains_key(&n), entry.try_open(n, 0))
+                    {
+                        prop_assert!(entry.carry(n, chosen.token, false) == Decision::Forward(chosen));
+                        open.insert(n, chosen);
+                    }
+                }
+                Step::Carry(n) | Step::End(n) => {
+                    if let Some(chosen) = open.get(&n).copied() {
+                        let is_last = matches!(step, Step::End(_));
+                        let decision = entry.carry(n, chosen.token, is_last);
+                        prop_assert_eq!(decision, Decision::Forward(chosen));
+                        if is_last {
+                            open.remove(&n);
+                        }
+                    }
+                }
+                Step::Wait(ms) => {
+                    entry.now += Duration::from_millis(ms);
+                    entry.router.tick(entry.now);
+                }
+                Step::Close(closed) => entry.close(1..=5, closed),
+                Step::Restart => entry = Entry::new(1..=5, 10),
+            }
+        }
+    }
+}
