Test the whole path on loopback with stand-ins of the platform's ends

Found by it: first voters and successors of wiped voters were told by IP address alone, which fails where several VMs share one. Addresses are compared whole now.

--- a/crates/currantgate-control/src/voter_plan.rs
+++ b/crates/currantgate-control/src/voter_plan.rs
@@ -4,7 +4,7 @@
 //! leader hears from all control VMs, voters or not, and takes one step at a
 //! time. See `docs/design/platform.md`.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -106,9 +106,9 @@
             return false;
         }
         // Another id at its address proves that its disk is gone.
-        let address = members.address(id).map(|a| a.ip());
+        let address = members.address(id);
         let is_successor = |(other, peer): (&VoterId, &Peer)| {
-            *other != id && self.is_alive(now, *other) && Some(peer.address.ip()) == address
+            *other != id && self.is_alive(now, *other) && Some(peer.address) == address
         };
         let silent = now >= self.started + self.settings.lost_after;
         silent || self.peers.iter().any(is_successor)
@@ -121,22 +121,19 @@
         members: &Members,
         lost: Option<VoterId>,
     ) -> Option<VoterId> {
-        let lost_ip = lost.and_then(|id| members.address(id)).map(|a| a.ip());
+        let lost_address = lost.and_then(|id| members.address(id));
         let remaining = || members.ids().filter(|id| Some(*id) != lost);
         let crowding = |peer: &Peer| {
             remaining()
                 .filter(|id| self.peers.get(id).is_some_and(|p| p.domain == peer.domain))
                 .count()
         };
-        let taken: Vec<IpAddr> = remaining()
-            .filter_map(|id| members.address(id))
-            .map(|a| a.ip())
-            .collect();
+        let taken: Vec<SocketAddr> = remaining().filter_map(|id| members.address(id)).collect();
         self.peers
             .iter()
             .filter(|(id, _)| !members.contains(**id) && self.is_alive(now, **id))
-            .filter(|(_, peer)| !taken.contains(&peer.address.ip()))
-            .min_by_key(|(id, peer)| (crowding(peer), Some(peer.address.ip()) != lost_ip, **id))
+            .filter(|(_, peer)| !taken.contains(&peer.address))
+            .min_by_key(|(id, peer)| (crowding(peer), Some(peer.address) != lost_address, **id))
             .map(|(id, _)| *id)
     }
 }
--- a/crates/currantgate-standin/src/lib.rs
+++ b/crates/currantgate-standin/src/lib.rs
@@ -4,6 +4,9 @@
 //! the entries at work on loopback. An [`Upstream`] answers like a kernel
 //! would, so a flow that is led astray is reset and seen as broken by its
 //! [`Caller`].
+//!
+//! [`TokenStandin`] and [`TokenCaller`] are the two ends of flows that are
+//! routed by tokens; a [`TokenWire`] knows the platform's packets.
 
 mod announcer;
 mod caller;
@@ -24,6 +27,9 @@
 mod spray;
 mod spray_target;
 mod tally;
+mod token_caller;
+mod token_upstream;
+mod token_wire;
 mod upstream;
 mod upstream_settings;
 
@@ -37,5 +43,8 @@
 pub use settings::Settings;
 pub use spray_target::SprayTarget;
 pub use tally::Tally;
+pub use token_caller::{TokenCaller, TokenOutcome};
+pub use token_upstream::{TokenStandin, TokenUpstreamTally};
+pub use token_wire::{TokenFlags, TokenPacket, TokenWire};
 pub use upstream::Upstream;
 pub use upstream_settings::UpstreamSettings;
--- /dev/null
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -0,0 +1,176 @@
+//! An upstream of token flows.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+
+use crate::token_wire::{TokenFlags, TokenPacket, TokenWire};
+
+/// The sequence number that upstreams begin with.
+const FIRST_SEQ: u32 = 7_000;
+
+/// The largest datagram of a platform.
+const MAX_DATAGRAM: usize = 2_048;
+
+/// What an upstream saw.
+#[derive(Debug, Default)]
+pub struct TokenUpstreamTally {
+    /// Requests that it ran.
+    pub ran: Cell<usize>,
+    /// Packets of flows that it does not hold, which it reset.
+    pub strays: Cell<usize>,
+    /// Packets for another upstream, which it ignored.
+    pub foreign: Cell<usize>,
+}
+
+/// An upstream of token flows: it answers each request with one packet,
+/// directly to the caller; it stops when it is dropped.
+pub struct TokenStandin {
+    address: SocketAddrV4,
+    tally: Rc<TokenUpstreamTally>,
+    task: JoinHandle<()>,
+}
+
+impl TokenStandin {
+    /// Serves on `socket` as `identity`; callers take packets at
+    /// `caller_port`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the socket has no IPv4 address.
+    pub fn start<W: TokenWire>(
+        socket: std::net::UdpSocket,
+        identity: u64,
+        caller_port: u16,
+        wire: W,
+    ) -> io::Result<Self> {
+        let SocketAddr::V4(address) = socket.local_addr()? else {
+            return Err(io::Error::other("the socket has no IPv4 address"));
+        };
+        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(socket)?;
+        let tally = Rc::new(TokenUpstreamTally::default());
+        let server = Server {
+            socket,
+            identity,
+            caller_port,
+            wire,
+            open: RefCell::default(),
+            tally: Rc::clone(&tally),
+        };
+        let task = actix_rt::spawn(server.run());
+        Ok(Self {
+            address,
+            tally,
+            task,
+        })
+    }
+
+    /// Returns where it takes packets.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Returns what it saw.
+    pub fn tally(&self) -> &TokenUpstreamTally {
+        &self.tally
+    }
+}
+
+impl Drop for TokenStandin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Server<W> {
+    socket: UdpSocket,
+    identity: u64,
+    caller_port: u16,
+    wire: W,
+    /// Callers' flows, and whether the request has run.
+    open: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), bool>>,
+    tally: Rc<TokenUpstreamTally>,
+}
+
+impl<W: TokenWire> Server<W> {
+    async fn run(self) {
+        let mut buf = [0; MAX_DATAGRAM];
+        loop {
+            match self.socket.recv(&mut buf).await {
+                Ok(len) => self.take(&buf[..len]),
+                Err(e) => log::debug!("a packet could not be read: {e}"),
+            }
+        }
+    }
+
+    fn take(&self, datagram: &[u8]) {
+        let Some((identity, rest)) = self.wire.split_identity(datagram) else {
+            return;
+        };
+        if identity != 0 && identity != self.identity {
+            self.tally.foreign.set(self.tally.foreign.get() + 1);
+            return;
+        }
+        if let Some(packet) = self.wire.decode(rest)
+            && let Some(answer) = self.answer(&packet)
+        {
+            let to = SocketAddrV4::new(*packet.from.ip(), self.caller_port);
+            let datagram = self.wire.encode(&answer);
+            if let Err(e) = self.socket.try_send_to(&datagram, to.into()) {
+                log::debug!("an answer to {to} is lost: {e}");
+            }
+        }
+    }
+
+    fn answer(&self, packet: &TokenPacket) -> Option<TokenPacket> {
+        let flow = (packet.from, packet.to);
+        let mut open = self.open.borrow_mut();
+        let back = |flags, data| TokenPacket {
+            from: packet.to,
+            to: packet.from,
+            token: packet.token,
+            seq: FIRST_SEQ,
+            ack: packet.seq,
+            flags,
+            data,
+        };
+        if packet.flags.open {
+            open.entry(flow).or_insert(false);
+            let flags = TokenFlags {
+                open: true,
+                ack: true,
+                ..TokenFlags::default()
+            };
+            return Some(back(flags, Vec::new()));
+        }
+        let Some(has_run) = open.get_mut(&flow) else {
+            self.tally.strays.set(self.tally.strays.get() + 1);
+            let flags = TokenFlags {
+                reset: true,
+                ..TokenFlags::default()
+            };
+            return Some(back(flags, Vec::new()));
+        };
+        if packet.flags.end {
+            open.swap_remove(&flow);
+            return None;
+        }
+        if packet.data.is_empty() {
+            return None;
+        }
+        if !std::mem::replace(has_run, true) {
+            self.tally.ran.set(self.tally.ran.get() + 1);
+        }
+        let flags = TokenFlags {
+            ack: true,
+            ..TokenFlags::default()
+        };
+        Some(back(flags, packet.data.clone()))
+    }
+}
--- a/crates/currantgate/src/node/node.rs
+++ b/crates/currantgate/src/node/node.rs
@@ -244,7 +244,7 @@
         return Ok((id, Journal::open(folder.share()).map_err(storage_error)?));
     }
     let voters = identity::first_voters(&settings.seeds);
-    let own = voters.iter().find(|(_, a)| a.ip() == settings.own_ip());
+    let own = voters.iter().find(|(_, a)| *a == settings.listen);
     let first = own.filter(|_| settings.is_first_voter());
     let id = first.map_or_else(identity::choose, |(id, _)| *id);
     identity::store(folder, id).map_err(storage_error)?;
--- a/crates/currantgate/src/node/settings.rs
+++ b/crates/currantgate/src/node/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a control node.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -40,8 +40,4 @@
     pub(crate) fn is_first_voter(&self) -> bool {
         self.is_new_site && self.seeds.contains(&self.listen)
     }
-
-    pub(crate) fn own_ip(&self) -> IpAddr {
-        self.listen.ip()
-    }
 }
