--- /dev/null
+++ b/crates/currantgate-log/src/fields.rs
@@ -0,0 +1,54 @@
+//! The fields of a line, gathered into a JSON object.
+
+use log::kv::{Error, Key, Value, VisitSource, VisitValue};
+use serde_json::{Map, Number};
+
+/// Gathers the fields of a line.
+#[derive(Default)]
+pub(crate) struct Fields {
+    pub(crate) map: Map<String, serde_json::Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let mut json = Json(serde_json::Value::Null);
+        value.visit(&mut json)?;
+        self.map.insert(key.as_str().to_owned(), json.0);
+        Ok(())
+    }
+}
+
+/// One value as JSON; what JSON has no type for becomes a text.
+struct Json(serde_json::Value);
+
+impl VisitValue<'_> for Json {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), Error> {
+        self.0 = value.to_string().into();
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, value: u64) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, value: i64) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_f64(&mut self, value: f64) -> Result<(), Error> {
+        self.0 = Number::from_f64(value).map_or_else(|| value.to_string().into(), Into::into);
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, value: bool) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_str(&mut self, value: &str) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+}
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -16,4 +16,4 @@
 pub use placement::Placement;
 pub use refusal::Refusal;
 pub use settings::PlacementSettings;
-pub use target::{Key, Target};
+pub use target::{Key, Placed, Target};
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -8,7 +8,10 @@
 
 use crate::candidate::{Candidate, Trust};
 use crate::domain::Domain;
-use crate::{Key, PlacementSettings, Refusal, Target};
+use crate::{Key, Placed, PlacementSettings, Refusal, Target};
+
+/// What upstreams are compared by; the smallest takes a flow.
+type Rank = (Trust, f64);
 
 /// Chooses an upstream for each new flow.
 #[derive(Debug)]
@@ -67,8 +70,8 @@
     /// # Errors
     ///
     /// Returns why no upstream takes the flow.
-    pub fn place(&mut self, now: Instant, service: &str, tried: &[Key]) -> Result<Key, Refusal> {
-        let chosen = self
+    pub fn place(&mut self, now: Instant, service: &str, tried: &[Key]) -> Result<Placed, Refusal> {
+        let (chosen, (trust, load)) = self
             .choose(now, service, tried)
             .or_else(|| self.choose(now, service, &[]))
             .ok_or(Refusal::NoUpstream)?;
@@ -76,12 +79,17 @@
         candidate.flows += 1;
         candidate.suspicion.note_opening();
         self.domains[candidate.domain].suspicion.note_opening();
-        Ok(chosen)
+        Ok(Placed {
+            key: chosen,
+            flows: candidate.flows,
+            load,
+            is_doubtful: trust != Trust::Good,
+        })
     }
 
-    fn choose(&mut self, now: Instant, service: &str, tried: &[Key]) -> Option<Key> {
+    fn choose(&mut self, now: Instant, service: &str, tried: &[Key]) -> Option<(Key, Rank)> {
         let keys = self.services.get(service)?;
-        let mut best: Option<(Trust, f64)> = None;
+        let mut best: Option<Rank> = None;
         let mut chosen = None;
         let mut equals = 0;
         for key in keys.iter().filter(|key| !tried.contains(key)) {
@@ -98,7 +106,7 @@
             }
             best = Some(rank);
         }
-        chosen
+        chosen.zip(best)
     }
 
     fn trust(&self, now: Instant, candidate: &Candidate) -> Trust {
--- a/crates/currantgate-placement/src/target.rs
+++ b/crates/currantgate-placement/src/target.rs
@@ -5,6 +5,19 @@
 /// Names one upstream among those of an entry.
 pub type Key = u32;
 
+/// Where a flow was placed, and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placed {
+    /// The upstream.
+    pub key: Key,
+    /// The flows that this entry has there, with the new one.
+    pub flows: u32,
+    /// The flows a slot that decided, with what the way there counts.
+    pub load: f64,
+    /// Whether nothing better than a doubtful upstream was left.
+    pub is_doubtful: bool,
+}
+
 /// An upstream as placement sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
--- a/crates/currantgate-placement/tests/placement.rs
+++ b/crates/currantgate-placement/tests/placement.rs
@@ -25,7 +25,7 @@
 }
 
 fn place(placement: &mut Placement, now: Instant) -> Key {
-    placement.place(now, "booking", &[]).unwrap()
+    placement.place(now, "booking", &[]).unwrap().key
 }
 
 /// Places `count` flows and returns how many each of `keys` upstreams got.
@@ -95,7 +95,7 @@
     let now = Instant::now();
     let mut placement = placement([target(1, now), target(2, now)]);
     for _ in 0..20 {
-        let key = placement.place(now, "booking", &[1]).unwrap();
+        let key = placement.place(now, "booking", &[1]).unwrap().key;
         assert_eq!(key, 2);
         placement.ended(key);
     }
@@ -105,7 +105,7 @@
 fn the_only_upstream_gets_the_copy_too() {
     let now = Instant::now();
     let mut placement = placement([target(1, now)]);
-    assert_eq!(placement.place(now, "booking", &[1]), Ok(1));
+    assert_eq!(placement.place(now, "booking", &[1]).unwrap().key, 1);
 }
 
 #[test]
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -1,10 +1,12 @@
 //! What to do with a packet.
 
 use std::net::SocketAddrV4;
+use std::time::Instant;
 
+use currantgate_placement::Placed;
 use displaydoc::Display;
 
-use crate::Token;
+use crate::{FlowId, Token};
 
 /// Where a packet goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +20,31 @@
     pub identity: u64,
 }
 
+/// What to do with a first packet, and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Opened {
+    /// What to do with it.
+    pub decision: Decision,
+    /// How the flow was placed; nothing when it was refused, or when a copy
+    /// follows the packet before it.
+    pub placed: Option<Placed>,
+    /// The upstream that left an earlier copy unanswered.
+    pub unanswered: Option<Token>,
+}
+
+/// A flow that is let go because its caller has given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expired {
+    /// Which flow.
+    pub flow: FlowId,
+    /// Its upstream.
+    pub token: Token,
+    /// Whether the upstream had answered its first packet.
+    pub was_answered: bool,
+    /// When its first packet, or the copy that counts, was sent on.
+    pub sent: Instant,
+}
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -16,7 +16,7 @@
 mod settings;
 mod upstreams;
 
-pub use decision::{Decision, DropReason, Hop, ResetReason};
+pub use decision::{Decision, DropReason, Expired, Hop, Opened, ResetReason};
 pub use flow::{FlowId, Token};
 pub use packet::{Opening, Segment};
 pub use route::{Route, RouteTable};
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -9,8 +9,8 @@
 use crate::flow_table::{FlowRecord, FlowTable, Phase};
 use crate::upstreams::TokenMap;
 use crate::{
-    Decision, DropReason, FlowId, Opening, ResetReason, RouteTable, Segment, Token, TokenSettings,
-    TokenUpstream,
+    Decision, DropReason, Expired, FlowId, Opened, Opening, ResetReason, RouteTable, Segment,
+    Token, TokenSettings, TokenUpstream,
 };
 
 /// Decides where the packets of flows go.
@@ -61,18 +61,17 @@
     }
 
     /// Decides about the first packet of a flow, or a copy of it.
-    pub fn open(&mut self, now: Instant, opening: Opening) -> Decision {
+    pub fn open(&mut self, now: Instant, opening: Opening) -> Opened {
         let Some(route) = self.routes.get(&opening.flow.service) else {
-            return if self.routes_current {
+            return unplaced(if self.routes_current {
                 Decision::Reset(ResetReason::NoRoute)
             } else {
                 Decision::Drop(DropReason::RoutesOutOfDate)
-            };
+            });
         };
         let deadline = now + route.timeout + self.settings.timeout_slack;
-        let hash = self.hash(&opening.flow);
-        let Some(service) = route.service(hash) else {
-            return Decision::Reset(ResetReason::NoUpstream);
+        let Some(service) = route.service(self.hash(&opening.flow)) else {
+            return unplaced(Decision::Reset(ResetReason::NoUpstream));
         };
         let before = self.flows.get_mut(&opening.flow).copied();
         if let Some(record) = before {
@@ -80,16 +79,22 @@
             if (is_copy || record.phase == Phase::Open)
                 && let Some(hop) = self.tokens.get(record.token)
             {
-                return Decision::Forward(hop);
+                return unplaced(Decision::Forward(hop));
             }
             self.flows.remove(&opening.flow);
             self.placement.unanswered(now, record.token, record.sent);
         }
-        let tried = before.map(|record| record.token);
-        match self.placement.place(now, service, tried.as_slice()) {
-            Ok(token) => self.forward_first(now, opening.flow, token, deadline),
+        let unanswered = before.map(|record| record.token);
+        let placed = self.placement.place(now, service, unanswered.as_slice());
+        let decision = match placed {
+            Ok(placed) => self.forward_first(now, opening.flow, placed.key, deadline),
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
             Err(Refusal::Overload) => Decision::Reset(ResetReason::Overload),
+        };
+        Opened {
+            decision,
+            placed: placed.ok(),
+            unanswered,
         }
     }
 
@@ -144,15 +149,26 @@
         }
     }
 
-    /// Lets go of flows whose callers have given up.
-    pub fn tick(&mut self, now: Instant) {
-        while let Some((_, record)) = self.flows.pop_expired(now) {
-            if record.phase == Phase::Opening {
-                self.placement.unanswered(now, record.token, record.sent);
-            } else {
-                self.placement.ended(record.token);
-            }
+    /// Lets go of a flow whose caller has given up, if there is one.
+    pub fn pop_expired(&mut self, now: Instant) -> Option<Expired> {
+        let (flow, record) = self.flows.pop_expired(now)?;
+        let was_answered = record.phase == Phase::Open;
+        if was_answered {
+            self.placement.ended(record.token);
+        } else {
+            self.placement.unanswered(now, record.token, record.sent);
         }
+        Some(Expired {
+            flow,
+            token: record.token,
+            was_answered,
+            sent: record.sent,
+        })
+    }
+
+    /// Returns the name of the upstream that a token names.
+    pub fn upstream_id(&self, token: Token) -> Option<&str> {
+        self.tokens.id(token)
     }
 
     /// Returns how many flows are open or opening.
@@ -169,3 +185,12 @@
         hasher.finish()
     }
 }
+
+/// Returns a decision that placed nothing.
+fn unplaced(decision: Decision) -> Opened {
+    Opened {
+        decision,
+        placed: None,
+        unanswered: None,
+    }
+}
--- a/crates/currantgate-token/src/upstreams.rs
+++ b/crates/currantgate-token/src/upstreams.rs
@@ -57,6 +57,11 @@
         tokens
     }
 
+    /// Returns the name of the upstream that a token names.
+    pub(crate) fn id(&self, token: Token) -> Option<&str> {
+        self.hops.get(&token).map(|(id, _)| &**id)
+    }
+
     pub(crate) fn get(&self, token: Token) -> Option<Hop> {
         self.hops.get(&token).map(|(_, hop)| *hop)
     }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -83,7 +83,7 @@
             flow: flow(n),
             copies,
         };
-        self.router.open(self.now, opening)
+        self.router.open(self.now, opening).decision
     }
 
     fn carry(&mut self, n: u16, token: u32, is_last: bool) -> Decision {
@@ -226,10 +226,10 @@
     let chosen = entry.open(1);
     entry.carry(1, chosen.token, false);
     entry.now += TIMEOUT;
-    entry.router.tick(entry.now);
+    while entry.router.pop_expired(entry.now).is_some() {}
     assert_eq!(entry.router.flows(), 1);
     entry.now += Duration::from_millis(300);
-    entry.router.tick(entry.now);
+    while entry.router.pop_expired(entry.now).is_some() {}
     assert_eq!(entry.router.flows(), 0);
 }
 
@@ -349,7 +349,7 @@
                 }
                 Step::Wait(ms) => {
                     entry.now += Duration::from_millis(ms);
-                    entry.router.tick(entry.now);
+                    while entry.router.pop_expired(entry.now).is_some() {}
                 }
                 Step::Close(closed) => entry.close(1..=5, closed),
                 Step::Restart => entry = Entry::new(1..=5, 10),
--- a/crates/currantgate/src/node/node.rs
+++ b/crates/currantgate/src/node/node.rs
@@ -11,7 +11,7 @@
     Folder, Incoming, Journal, Members, Recovered, Saved, VersionedRequest, VoterId, VoterPlan,
     VoterPlanSettings,
 };
-use currantgate_registry::{Registry, RegistrySettings, Report};
+use currantgate_registry::{ChangeNumber, Record, Registry, RegistrySettings, Report};
 use futures_util::FutureExt as _;
 use tokio::sync::{mpsc, watch};
 
@@ -150,9 +150,7 @@
     }
 
     fn notify_after(&self, before: u64) {
-        if self.source.registry.borrow().last_change() > before {
-            self.source.notify();
-        }
+        tell_changes(&self.source, before);
     }
 
     /// Puts a configuration in force whose author numbered it.
@@ -281,9 +279,28 @@
         interval.tick().await;
         let before = source.registry.borrow().last_change();
         source.registry.borrow_mut().tick(Instant::now());
-        if source.registry.borrow().last_change() > before {
-            source.notify();
-        }
+        tell_changes(&source, before);
+    }
+}
+
+/// Logs what has changed of upstreams, and wakes the feeds.
+fn tell_changes(source: &FeedSource, before: ChangeNumber) {
+    let records = source.registry.borrow().changed_after(before);
+    for Record { report, is_silent } in &records {
+        log::info!(
+            event = "upstream",
+            upstream = &*report.id,
+            service = &*report.service,
+            address:% = report.address,
+            state:? = report.state,
+            is_silent = *is_silent,
+            born_ms = report.age.born_ms,
+            sequence = report.age.sequence;
+            "upstream has news"
+        );
+    }
+    if !records.is_empty() {
+        source.notify();
     }
 }
 
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
+use super::decision_log::DecisionLog;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
@@ -77,6 +78,7 @@
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             metrics: metrics.clone(),
+            decisions: DecisionLog::new(Instant::now()),
         };
         let task = actix_rt::spawn(core.run(events, seeds));
         log::info!("entry {} takes packets at {address}", settings.name);
@@ -126,6 +128,7 @@
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     metrics: TokenEntryMetrics,
+    decisions: DecisionLog,
 }
 
 impl<F: WireFormat> Core<F> {
@@ -139,7 +142,10 @@
         loop {
             tokio::select! {
                 readable = self.packets.readable() => match readable {
-                    Ok(()) => self.packets.take(&mut self.router, &self.metrics),
+                    Ok(()) => {
+                        let decisions = &mut self.decisions;
+                        self.packets.take(&mut self.router, &self.metrics, decisions);
+                    }
                     Err(e) => log::error!("packets can't be awaited: {e}"),
                 },
                 Some(event) = events.recv() => {
@@ -153,7 +159,7 @@
                     }
                     self.update_routes_state();
                 }
-                _ = flow_interval.tick() => self.router.tick(Instant::now()),
+                _ = flow_interval.tick() => self.expire_flows(),
                 _ = view_interval.tick() => {
                     self.show_upstreams();
                     self.update_routes_state();
@@ -168,6 +174,14 @@
         }
     }
 
+    fn expire_flows(&mut self) {
+        let now = Instant::now();
+        while let Some(expired) = self.router.pop_expired(now) {
+            self.metrics.count_expired(expired.was_answered);
+            self.decisions.expired(now, &expired, &self.router);
+        }
+    }
+
     fn take(&mut self, event: FeedEvent) {
         self.links.note(&event);
         let now = Instant::now();
@@ -178,9 +192,11 @@
                 self.held.lost(from);
             }
             FeedEvent::Message(from, FeedMessage::Present(present)) => {
+                self.decisions.view_at = now;
                 self.held.told(from, present.revision, present.is_in_quorum);
             }
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
+                self.decisions.view_at = now;
                 self.view.apply(now, from, records);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
@@ -207,6 +223,7 @@
                     change.revision
                 );
                 self.router.set_routes(routes);
+                self.decisions.revision = change.revision;
             }
             // Control VMs check each file, so theirs is another release.
             Err(e) => log::error!("revision {} is kept out of force: {e}", change.revision),
@@ -237,6 +254,7 @@
     fn show_upstreams(&mut self) {
         let upstreams = self.view.upstreams(Instant::now());
         let known = upstreams.len();
+        self.decisions.upstreams(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
         let shown = upstreams
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -30,7 +30,7 @@
     pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
             "packets_not_forwarded",
-            "Packets that were reset or dropped, by reason",
+            "Packets that were reset or dropped and flows that expired, by reason",
             self.packets.clone(),
         );
         registry.register(
@@ -82,6 +82,15 @@
         self.count_outcome("malformed", reason.to_string());
     }
 
+    pub(super) fn count_expired(&self, was_answered: bool) {
+        let reason = if was_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.count_outcome("expired", reason.to_owned());
+    }
+
     pub(super) fn count_failed_send(&self) {
         self.failed_sends.inc();
     }
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -2,6 +2,7 @@
 //! that its token names.
 
 mod daemon;
+mod decision_log;
 mod error;
 mod format;
 mod metrics;
--- a/crates/currantgate/src/token_entry/packets.rs
+++ b/crates/currantgate/src/token_entry/packets.rs
@@ -7,6 +7,7 @@
 use currantgate_token::{Decision, FlowId, TokenRouter};
 use tokio::net::UdpSocket;
 
+use super::decision_log::DecisionLog;
 use super::format::{Packet, WireFormat};
 use super::metrics::TokenEntryMetrics;
 
@@ -59,11 +60,16 @@
     }
 
     /// Takes the packets that have come, up to a batch.
-    pub(super) fn take(&mut self, router: &mut TokenRouter, metrics: &TokenEntryMetrics) {
+    pub(super) fn take(
+        &mut self,
+        router: &mut TokenRouter,
+        metrics: &TokenEntryMetrics,
+        decisions: &mut DecisionLog,
+    ) {
         let now = Instant::now();
         for _ in 0..BATCH {
             match self.socket.try_recv(&mut self.buf[F::HEADROOM..]) {
-                Ok(len) => self.handle(now, len, router, metrics),
+                Ok(len) => self.handle(now, len, router, metrics, decisions),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 // The answer to an earlier packet to a port that is closed.
                 Err(e) => log::debug!("a packet could not be read: {e}"),
@@ -77,18 +83,30 @@
         len: usize,
         router: &mut TokenRouter,
         metrics: &TokenEntryMetrics,
+        decisions: &mut DecisionLog,
     ) {
         let end = F::HEADROOM + len;
         let packet = match self.format.parse(&self.buf[F::HEADROOM..end]) {
             Ok(packet) => packet,
             Err(reason) => {
                 metrics.count_malformed(reason);
+                decisions.malformed(now, len, reason);
                 return;
             }
         };
         let (decision, flow) = match packet {
-            Packet::Opening(opening) => (router.open(now, opening), opening.flow),
-            Packet::Segment(segment) => (router.carry(now, segment), segment.flow),
+            Packet::Opening(opening) => {
+                let opened = router.open(now, opening);
+                decisions.opened(now, &opening.flow, &opened, router);
+                (opened.decision, opening.flow)
+            }
+            Packet::Segment(segment) => {
+                let decision = router.carry(now, segment);
+                if let Decision::Drop(reason) = decision {
+                    decisions.dropped(now, &segment.flow, segment.token, reason);
+                }
+                (decision, segment.flow)
+            }
         };
         metrics.count(&decision);
         match decision {
@@ -96,11 +114,8 @@
                 self.format.address(&mut self.buf[..end], &hop);
                 self.send(&self.buf[..end], hop.address, metrics);
             }
-            Decision::Reset(reason) => {
-                log::debug!("flow {flow} is refused: {reason}");
-                self.reset(&flow, metrics);
-            }
-            Decision::Drop(reason) => log::debug!("a packet of flow {flow} is dropped: {reason}"),
+            Decision::Reset(_) => self.reset(&flow, metrics),
+            Decision::Drop(_) => {}
         }
     }
 
