--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -43,6 +43,17 @@
     NotPresent,
     /// the disk failed; restart once it is sound, or replace this control VM
     DiskFailed,
+    /// {file}: {source}
+    #[from(ignore)]
+    Log {
+        /// The file.
+        file: Box<str>,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// no line names flow {0}: was it logged here, and within its budget?
+    #[from(ignore)]
+    UnknownFlow(Box<str>),
     /// the system refused: {0}
     Io(io::Error),
 }
@@ -66,6 +77,8 @@
             | Self::Control(_)
             | Self::Client(_)
             | Self::DiskFailed
+            | Self::Log { .. }
+            | Self::UnknownFlow(_)
             | Self::Io(_) => EXIT_FAILED,
         })
     }
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -37,6 +37,7 @@
         Some(("diff", sub)) => cmd::diff::execute(sub),
         Some(("apply", sub)) => cmd::apply::execute(sub),
         Some(("show", sub)) => cmd::show::execute(sub),
+        Some(("explain", sub)) => cmd::explain::execute(sub),
         Some(("status", sub)) => cmd::status::execute(sub),
         Some(("replace", sub)) => cmd::replace::execute(sub),
         Some(("completions", sub)) => cmd::completions::execute(sub, make_command()),
@@ -62,6 +63,7 @@
         .subcommand(cmd::diff::make_subcommand())
         .subcommand(cmd::apply::make_subcommand())
         .subcommand(cmd::show::make_subcommand())
+        .subcommand(cmd::explain::make_subcommand())
         .subcommand(cmd::status::make_subcommand())
         .subcommand(cmd::replace::make_subcommand())
         .subcommand(cmd::completions::make_subcommand())
--- a/crates/currantgate-control/src/distribution/message.rs
+++ b/crates/currantgate-control/src/distribution/message.rs
@@ -62,6 +62,10 @@
     }
 
     /// Returns the update in as few bytes as it takes on a slow link.
+    ///
+    /// # Panics
+    ///
+    /// Never: only writing could fail, and it is to memory.
     pub fn pack(&self) -> Vec<u8> {
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
         let written = encoder.write_all(&codec::encode(self));
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -160,7 +160,7 @@
         let (journal, recovered) = Journal::open(node.disk.clone()).unwrap();
         let settings = ReplicaSettings {
             id,
-            seed: u64::from(id) << 32 | node.starts,
+            seed: id << 32 | node.starts,
             snapshot_entries: SNAPSHOT_ENTRIES,
             chunk_bytes: 100,
             ..ReplicaSettings::default()
@@ -253,7 +253,7 @@
             text: Arc::from(text),
         };
         self.with_replica(to, |replica, now, id| {
-            replica.apply_version(now, id, request)
+            replica.apply_version(now, id, request);
         })
     }
 
@@ -265,7 +265,7 @@
     /// Asks for a change of the voters.
     pub fn change_voters(&mut self, at: VoterId, change: VoterChange) -> RequestId {
         self.with_replica(at, |replica, now, id| {
-            replica.change_voters(now, id, change)
+            replica.change_voters(now, id, change);
         })
     }
 
--- /dev/null
+++ b/crates/currantgate-control/tests/updates.rs
@@ -0,0 +1,108 @@
+//! What a control VM sends of a newer revision.
+
+use std::sync::Arc;
+
+use currantgate_control::{Base, Change, Digest, RecentChanges, Update};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+fn change(revision: u64, text: &str) -> Arc<Change> {
+    Arc::new(Change {
+        revision,
+        digest: Digest::of(text),
+        base: Base::empty(),
+        text: text.into(),
+    })
+}
+
+/// A configuration as operators send it: one line of JSON.
+fn configuration(routes: u32, timeout_ms: u32) -> String {
+    let routes: Vec<_> = (0..routes)
+        .map(|n| {
+            let timeout = if n == 7 { timeout_ms } else { 1_500 };
+            format!(
+                r#"{{"name":"r-{n:x}","host":"198.18.{}.{}","path-prefix":"/8080/","kind":"safe","timeout-ms":{timeout},"target-latency-ms":150,"priority":1,"service":"huvo11a","attempts":2}}"#,
+                n / 250,
+                n % 250,
+            )
+        })
+        .collect();
+    format!(r#"{{"version":7,"routes":[{}]}}"#, routes.join(","))
+}
+
+/// A link of 2 Mbit/s carries 250 KB a second, and feeds time out after 1.5 s:
+/// a change is to take less than a hundredth of a second, a whole file of the
+/// grown sites less than half of one.
+#[test]
+fn a_change_of_one_route_is_small_on_a_feed() {
+    let before = change(7, &configuration(1_534, 1_500));
+    let after = change(8, &configuration(1_534, 900));
+    let mut changes = RecentChanges::default();
+    changes.publish(Arc::clone(&before));
+    changes.publish(Arc::clone(&after));
+    let delta = changes.update_from(before.as_base()).unwrap().pack();
+    assert!(delta.len() < 2_500, "{} bytes", delta.len());
+    let whole = changes.update_from(Base::empty()).unwrap().pack();
+    assert!(whole.len() < 125_000, "{} bytes", whole.len());
+    let rebuilt = Update::unpack(&delta).unwrap().rebuild(Some(&before));
+    assert_eq!(rebuilt, Some(Arc::clone(&after)));
+    let rebuilt = Update::unpack(&whole).unwrap().rebuild(None);
+    assert_eq!(rebuilt, Some(after));
+}
+
+#[test]
+fn an_update_from_another_revision_is_not_used() {
+    let mut changes = RecentChanges::default();
+    let before = change(7, "a\nb\n");
+    changes.publish(Arc::clone(&before));
+    changes.publish(change(8, "a\nc\n"));
+    let delta = changes.update_from(before.as_base()).unwrap();
+    assert_eq!(delta.rebuild(Some(&change(7, "another"))), None);
+    assert_eq!(delta.rebuild(None), None);
+}
+
+#[test]
+fn a_revision_that_is_long_past_is_sent_whole() {
+    let mut changes = RecentChanges::default();
+    let first = change(1, "file 1");
+    changes.publish(Arc::clone(&first));
+    for revision in 2..40 {
+        changes.publish(change(revision, &format!("file {revision}")));
+    }
+    let update = changes.update_from(first.as_base()).unwrap();
+    assert!(matches!(*update, Update::Full(_)));
+}
+
+#[test]
+fn an_older_revision_is_never_published() {
+    let mut changes = RecentChanges::default();
+    assert!(changes.publish(change(9, "nine")));
+    assert!(!changes.publish(change(8, "eight")));
+    assert_eq!(changes.newest().revision, 9);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(13),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_two_texts_make_an_update(old in "[ab}\\n{,]{0,60}", new in "[ab}\\n{,]{0,60}") {
+        let mut changes = RecentChanges::default();
+        let (before, after) = (change(1, &old), change(2, &new));
+        changes.publish(Arc::clone(&before));
+        changes.publish(Arc::clone(&after));
+        let packed = changes.update_from(before.as_base()).unwrap().pack();
+        let update = Update::unpack(&packed).unwrap();
+        prop_assert_eq!(update.rebuild(Some(&before)), Some(after));
+    }
+
+    #[test]
+    fn no_bytes_make_unpacking_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Update::unpack(&bytes);
+    }
+}
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -88,9 +88,9 @@
         }
     }
 
-    /// Tells whether any control VM is in reach.
-    pub fn is_connected(&self) -> bool {
-        !self.sources.is_empty()
+    /// Returns how many control VMs are in reach.
+    pub fn sources(&self) -> usize {
+        self.sources.len()
     }
 
     /// Takes what a control VM tells.
--- /dev/null
+++ b/crates/currantgate-token/benches/packets.rs
@@ -0,0 +1,164 @@
+//! What packets cost an entry that routes by tokens: time, allocations, memory.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hash::Hasher as _;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use currantgate_placement::{PlacementSettings, Target};
+use currantgate_token::{
+    Decision, FlowId, Opening, Route, RouteTable, Segment, TokenRouter, TokenSettings,
+    TokenUpstream,
+};
+use siphasher::sip::SipHasher13;
+
+/// Counts what is allocated.
+struct Counting;
+
+static ALLOCATIONS: AtomicUsize = AtomicUsize::new(0);
+static BYTES: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: all calls go to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const FLOWS: u32 = 30_000;
+const ROUNDS: u32 = 40;
+const UPSTREAMS: u32 = 120;
+
+/// The least packets a second, as a part of those that a hash of the flow to a
+/// table of upstreams takes: the same target as that of buckets.
+const MIN_OF_PLAIN_HASH: f64 = 0.7;
+
+/// The most bytes a flow's record may take: 190 million open flows on 5,700
+/// entries are 33,000 each, 9 MB of the 256 MB.
+const MAX_BYTES_PER_FLOW: usize = 268;
+
+fn flow(n: u32) -> FlowId {
+    let port = 1_024 + (n % 60_000) as u16;
+    let caller = Ipv4Addr::from_bits(0x6440_0000 + n / 60_000);
+    FlowId {
+        caller: SocketAddrV4::new(caller, port),
+        service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+    }
+}
+
+fn router(now: Instant) -> TokenRouter {
+    let settings = TokenSettings {
+        max_flows: FLOWS as usize,
+        ..TokenSettings::default()
+    };
+    let mut router = TokenRouter::new(settings, PlacementSettings::default());
+    let route = Route {
+        services: vec![("booking".into(), 1)],
+        timeout: Duration::from_secs(60),
+        latency_target: Duration::from_millis(250),
+        priority: 1,
+        is_idempotent: true,
+    };
+    router.set_routes(RouteTable::new([(flow(0).service, route)]));
+    router.set_routes_current(true);
+    let upstreams = (1..=UPSTREAMS).map(|n| {
+        let known = TokenUpstream {
+            id: format!("i-{n:08x}").into(),
+            born_ms: n.into(),
+            address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0000 + n), 80),
+            identity: n.into(),
+        };
+        let target = Target {
+            key: 0,
+            service: "booking".into(),
+            domain: "a".into(),
+            is_near: true,
+            slots: 2,
+            warm_at: now,
+            is_heard: true,
+        };
+        (known, Some(target))
+    });
+    router.set_upstreams(upstreams.collect());
+    router
+}
+
+/// What a hash of the flow to a table of upstreams takes for each packet.
+fn plain_hash() -> Duration {
+    let table: Vec<u32> = (0..65_536).map(|n| n % UPSTREAMS).collect();
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        for n in 0..FLOWS {
+            let flow = flow(n);
+            let mut hasher = SipHasher13::new_with_key(&[0; 16]);
+            hasher.write_u32(flow.caller.ip().to_bits());
+            hasher.write_u16(flow.caller.port());
+            hasher.write_u32(flow.service.ip().to_bits());
+            hasher.write_u16(flow.service.port());
+            black_box(table[(hasher.finish() % 65_536) as usize] + round);
+        }
+    }
+    start.elapsed()
+}
+
+fn main() {
+    let now = Instant::now();
+    let mut router = router(now);
+    let before = BYTES.load(Ordering::Relaxed);
+    let mut tokens = Vec::with_capacity(FLOWS as usize);
+    let list_bytes = FLOWS as usize * size_of::<u32>();
+    for n in 0..FLOWS {
+        let opening = Opening {
+            flow: flow(n),
+            copies: 0,
+        };
+        let Decision::Forward(hop) = router.open(now, opening).decision else {
+            panic!("flow {n} is not placed");
+        };
+        tokens.push(hop.token);
+    }
+    let grown = BYTES.load(Ordering::Relaxed) - before - list_bytes;
+    let per_flow = grown / FLOWS as usize;
+
+    let carry = |router: &mut TokenRouter| {
+        for (n, token) in (0..FLOWS).zip(&tokens) {
+            let segment = Segment {
+                flow: flow(n),
+                token: *token,
+                is_last: false,
+            };
+            black_box(router.carry(now, segment));
+        }
+    };
+    carry(&mut router);
+    let allocations = ALLOCATIONS.load(Ordering::Relaxed);
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        carry(&mut router);
+    }
+    let took = start.elapsed();
+    let allocations = ALLOCATIONS.load(Ordering::Relaxed) - allocations;
+    let plain = plain_hash();
+    let ratio = plain.as_secs_f64() / took.as_secs_f64();
+    let per_packet = took / (ROUNDS * FLOWS);
+    println!("a packet of an open flow: {per_packet:?}, {allocations} allocations");
+    println!("packets/s to plain hash: {ratio:.2} (at least {MIN_OF_PLAIN_HASH})");
+    println!("heap bytes per open flow: {per_flow} (at most {MAX_BYTES_PER_FLOW})");
+    assert_eq!(allocations, 0, "a packet of an open flow allocates");
+    assert!(ratio >= MIN_OF_PLAIN_HASH, "{ratio:.2} of plain hash");
+    assert!(per_flow <= MAX_BYTES_PER_FLOW, "{per_flow} bytes a flow");
+}
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -1,7 +1,7 @@
 //! The decision about each packet.
 
 use std::hash::Hasher as _;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_placement::{Placement, PlacementSettings, Refusal, Target};
 use siphasher::sip::SipHasher13;
@@ -23,6 +23,8 @@
     /// Whether `routes` is known to be the newest revision.
     routes_current: bool,
     flows: FlowTable,
+    /// How long the newest first packet that was answered took.
+    answer_time: Option<Duration>,
 }
 
 impl TokenRouter {
@@ -35,6 +37,7 @@
             routes: RouteTable::default(),
             routes_current: false,
             flows: FlowTable::default(),
+            answer_time: None,
         }
     }
 
@@ -73,10 +76,10 @@
         let Some(service) = route.service(self.hash(&opening.flow)) else {
             return unplaced(Decision::Reset(ResetReason::NoUpstream));
         };
-        let before = self.flows.get_mut(&opening.flow).copied();
-        if let Some(record) = before {
+        let before = self.flows.get(&opening.flow);
+        if let Some((phase, record)) = before {
             let is_copy = now < record.sent + self.settings.same_upstream_for;
-            if (is_copy || record.phase == Phase::Open)
+            if (is_copy || phase == Phase::Open)
                 && let Some(hop) = self.tokens.get(record.token)
             {
                 return unplaced(Decision::Forward(hop));
@@ -84,7 +87,7 @@
             self.flows.remove(&opening.flow);
             self.placement.unanswered(now, record.token, record.sent);
         }
-        let unanswered = before.map(|record| record.token);
+        let unanswered = before.map(|(_, record)| record.token);
         let placed = self.placement.place(now, service, unanswered.as_slice());
         let decision = match placed {
             Ok(placed) => self.forward_first(now, opening.flow, placed.key, deadline),
@@ -115,7 +118,6 @@
         }
         let record = FlowRecord {
             token,
-            phase: Phase::Opening,
             sent: now,
             deadline,
         };
@@ -134,25 +136,21 @@
     }
 
     fn keep_count(&mut self, now: Instant, segment: Segment) {
-        let Some(record) = self.flows.get_mut(&segment.flow) else {
-            return;
-        };
-        if record.phase == Phase::Opening {
-            record.phase = Phase::Open;
-            let chosen = record.token;
-            self.placement.answered(now, chosen);
+        if let Some(record) = self.flows.answer(&segment.flow) {
+            self.answer_time = Some(now.saturating_duration_since(record.sent));
+            self.placement.answered(now, record.token);
         }
-        if segment.is_last {
-            let chosen = record.token;
-            self.flows.remove(&segment.flow);
-            self.placement.ended(chosen);
+        if segment.is_last
+            && let Some(record) = self.flows.remove(&segment.flow)
+        {
+            self.placement.ended(record.token);
         }
     }
 
     /// Lets go of a flow whose caller has given up, if there is one.
     pub fn pop_expired(&mut self, now: Instant) -> Option<Expired> {
-        let (flow, record) = self.flows.pop_expired(now)?;
-        let was_answered = record.phase == Phase::Open;
+        let (flow, phase, record) = self.flows.pop_expired(now)?;
+        let was_answered = phase == Phase::Open;
         if was_answered {
             self.placement.ended(record.token);
         } else {
@@ -166,6 +164,12 @@
         })
     }
 
+    /// Returns how long the first packet took that the packet before told to be
+    /// answered, if it told one.
+    pub fn take_answer_time(&mut self) -> Option<Duration> {
+        self.answer_time.take()
+    }
+
     /// Returns the name of the upstream that a token names.
     pub fn upstream_id(&self, token: Token) -> Option<&str> {
         self.tokens.id(token)
--- a/crates/currantgate-token/src/upstreams.rs
+++ b/crates/currantgate-token/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use ahash::RandomState;
 use indexmap::IndexMap;
 
 use crate::{Hop, Token};
@@ -22,7 +23,8 @@
 /// Which upstream each token names.
 #[derive(Debug, Default)]
 pub(crate) struct TokenMap {
-    hops: IndexMap<Token, (Box<str>, Hop)>,
+    hops: IndexMap<Token, Hop, RandomState>,
+    ids: IndexMap<Token, Box<str>>,
 }
 
 impl TokenMap {
@@ -36,10 +38,11 @@
     ) -> IndexMap<Box<str>, Token> {
         upstreams.sort_by(|a, b| (a.born_ms, &a.id).cmp(&(b.born_ms, &b.id)));
         self.hops.clear();
+        self.ids.clear();
         let mut tokens = IndexMap::with_capacity(upstreams.len());
         for upstream in upstreams {
             let token = token_of(upstream.identity);
-            if let Some((holder, _)) = self.hops.get(&token) {
+            if let Some(holder) = self.ids.get(&token) {
                 log::error!(
                     "upstream {} gets no flows: its token is {holder}'s",
                     upstream.id
@@ -51,7 +54,8 @@
                 address: upstream.address,
                 identity: upstream.identity,
             };
-            self.hops.insert(token, (upstream.id.clone(), hop));
+            self.hops.insert(token, hop);
+            self.ids.insert(token, upstream.id.clone());
             tokens.insert(upstream.id, token);
         }
         tokens
@@ -59,11 +63,11 @@
 
     /// Returns the name of the upstream that a token names.
     pub(crate) fn id(&self, token: Token) -> Option<&str> {
-        self.hops.get(&token).map(|(id, _)| &**id)
+        self.ids.get(&token).map(|id| &**id)
     }
 
     pub(crate) fn get(&self, token: Token) -> Option<Hop> {
-        self.hops.get(&token).map(|(_, hop)| *hop)
+        self.hops.get(&token).copied()
     }
 }
 
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -62,6 +62,7 @@
     address: SocketAddr,
     _server: Server,
     core: Rc<RefCell<Core>>,
+    metrics: ControlMetrics,
     metrics_server: Option<ServerHandle>,
     tasks: Vec<JoinHandle<()>>,
     failed: watch::Receiver<bool>,
@@ -116,7 +117,7 @@
             replica,
             writes,
             Rc::clone(&publishing),
-            metrics,
+            metrics.clone(),
             extension.check,
         );
         let core = Rc::new(RefCell::new(core));
@@ -135,6 +136,7 @@
             address,
             _server: server,
             core,
+            metrics,
             metrics_server,
             tasks,
             failed,
@@ -146,6 +148,11 @@
         self.address
     }
 
+    /// Adds the VM's metrics to those of the process.
+    pub(crate) fn register_metrics(&self, registry: &mut Registry) {
+        self.metrics.register(registry);
+    }
+
     /// Returns what the rest of the process uses of this VM.
     pub(crate) fn handle(&self) -> ControlHandle {
         ControlHandle::new(Rc::clone(&self.core))
--- a/crates/currantgate/src/control/serve.rs
+++ b/crates/currantgate/src/control/serve.rs
@@ -23,7 +23,7 @@
         SUBSCRIBE_PATH => serve_subscriber(&publishing, incoming).await,
         CALL_PATH => serve_call(incoming, async |call| answer(&core, call).await).await,
         other if extra.is_none() => {
-            log::warn!("{} asks for {other}, which there is none", incoming.from)
+            log::warn!("{} asks for {other}, which there is none", incoming.from);
         }
         _ => {
             if let Some(serve) = extra {
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -61,6 +61,11 @@
         *self.handle.borrow_mut() = Some(handle);
     }
 
+    /// Returns how many feeds are open.
+    pub(crate) fn listeners(&self) -> usize {
+        self.changed.receiver_count()
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/currantgate/src/node/node.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -11,10 +11,12 @@
     Folder, Incoming, Journal, Members, Recovered, Saved, VersionedRequest, VoterId, VoterPlan,
     VoterPlanSettings,
 };
-use currantgate_registry::{ChangeNumber, Record, Registry, RegistrySettings, Report};
+use currantgate_registry::{ChangeNumber, Record, Registry as Upstreams, RegistrySettings, Report};
 use futures_util::FutureExt as _;
+use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
+use super::metrics::NodeMetrics;
 use super::others::{ADOPTED, LeaderElsewhere, Others};
 use super::{NodeError, NodeSettings, identity, keeper};
 use crate::control::{Control, ControlHandle, Extension, FileCheck, VersionedAnswer, use_listener};
@@ -40,6 +42,7 @@
     source: Rc<FeedSource>,
     elsewhere: LeaderElsewhere,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
+    metrics: NodeMetrics,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -61,7 +64,7 @@
         let (id, opened) = open_state(settings, &mut folder)?;
         let listening = use_listener(settings.listen, listener)?;
         let registry = RegistrySettings::for_interval(settings.report_interval);
-        let mut registry = Registry::new(registry);
+        let mut registry = Upstreams::new(registry);
         let known = keeper::load(&mut upstreams, keeper::UPSTREAMS);
         registry.restore(Instant::now(), known.unwrap_or_default());
         let source = Rc::new(FeedSource::new(registry));
@@ -108,8 +111,9 @@
             adopted: keeper::start(adopted, ADOPTED),
             elsewhere: Rc::clone(&elsewhere),
         };
+        let metrics = NodeMetrics::default();
         let tasks = vec![
-            actix_rt::spawn(watch_registry(Rc::clone(&source))),
+            actix_rt::spawn(watch_registry(Rc::clone(&source), metrics.clone())),
             actix_rt::spawn(keeper::keep_upstreams(
                 Rc::clone(&source),
                 keeper::start(upstreams, keeper::UPSTREAMS),
@@ -124,6 +128,7 @@
             source,
             elsewhere,
             seeds_tx,
+            metrics,
             tasks,
         })
     }
@@ -137,6 +142,7 @@
             registry.report(Instant::now(), report)
         };
         self.notify_after(before);
+        self.metrics.count_report(is_newest);
         is_newest
     }
 
@@ -155,7 +161,10 @@
 
     /// Puts a configuration in force whose author numbered it.
     pub async fn apply(&self, request: VersionedRequest) -> VersionedAnswer {
-        self.handle.apply_version(request).await
+        let asked = Instant::now();
+        let answer = self.handle.apply_version(request).await;
+        self.metrics.note_commit(asked.elapsed().as_secs_f64());
+        answer
     }
 
     /// Returns the accepted configuration as a quorum confirms it.
@@ -188,6 +197,12 @@
         self.handle.resign();
     }
 
+    /// Adds the node's metrics to those of the process.
+    pub fn register_metrics(&self, registry: &mut Registry) {
+        self.control.register_metrics(registry);
+        self.metrics.register(registry);
+    }
+
     /// Waits until the disk fails; the node then takes no further part.
     pub async fn failed(&self) {
         self.control.failed().await;
@@ -273,13 +288,14 @@
     FeedLinks::start(links, settings.seeds.clone())
 }
 
-async fn watch_registry(source: Rc<FeedSource>) {
+async fn watch_registry(source: Rc<FeedSource>, metrics: NodeMetrics) {
     let mut interval = actix_rt::time::interval(REGISTRY_INTERVAL);
     loop {
         interval.tick().await;
         let before = source.registry.borrow().last_change();
         source.registry.borrow_mut().tick(Instant::now());
         tell_changes(&source, before);
+        metrics.show(&source.registry.borrow().records(), source.listeners());
     }
 }
 
--- /dev/null
+++ b/crates/currantgate/src/node/metrics.rs
@@ -0,0 +1,88 @@
+//! What a control node counts besides its part in the consensus.
+
+use currantgate_registry::{Record, UpstreamState};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label that tells what became of a report.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+/// Label that tells how an upstream stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct State {
+    state: &'static str,
+}
+
+/// What a control node counts besides its part in the consensus.
+#[derive(Clone, Debug)]
+pub(super) struct NodeMetrics {
+    reports: Family<Outcome, Counter>,
+    upstreams: Family<State, Gauge>,
+    feeds: Gauge,
+    commit_seconds: Histogram,
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        Self {
+            reports: Family::default(),
+            upstreams: Family::default(),
+            feeds: Gauge::default(),
+            // From 1 ms, a round trip, to 8 s, above the longest outage.
+            commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
+        }
+    }
+}
+
+impl NodeMetrics {
+    /// Registers all metrics under the `currantgate_node` prefix.
+    pub(super) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("currantgate_node");
+        registry.register("reports", "Reports of upstreams", self.reports.clone());
+        registry.register(
+            "upstreams",
+            "Upstreams that report here, by state",
+            self.upstreams.clone(),
+        );
+        registry.register("feeds", "Feeds that are open", self.feeds.clone());
+        registry.register(
+            "commit_seconds",
+            "Time from a change to its answer",
+            self.commit_seconds.clone(),
+        );
+    }
+
+    pub(super) fn count_report(&self, is_newest: bool) {
+        let outcome = if is_newest { "taken" } else { "late" };
+        self.reports.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(super) fn note_commit(&self, seconds: f64) {
+        self.commit_seconds.observe(seconds);
+    }
+
+    pub(super) fn show(&self, records: &[Record], feeds: usize) {
+        for state in ["ready", "silent", "draining", "gone"] {
+            let in_state = records.iter().filter(|record| name_of(record) == state);
+            let count = i64::try_from(in_state.count()).unwrap_or(i64::MAX);
+            self.upstreams.get_or_create(&State { state }).set(count);
+        }
+        self.feeds.set(i64::try_from(feeds).unwrap_or(i64::MAX));
+    }
+}
+
+fn name_of(record: &Record) -> &'static str {
+    match record.report.state {
+        UpstreamState::Gone => "gone",
+        UpstreamState::Draining => "draining",
+        UpstreamState::Ready if record.is_silent => "silent",
+        UpstreamState::Ready => "ready",
+    }
+}
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -244,7 +244,9 @@
                 );
             }
         }
-        self.router.set_routes_current(self.held.is_current());
+        let is_current = self.held.is_current();
+        self.router.set_routes_current(is_current);
+        self.metrics.show_feeds(self.view.sources(), is_current);
         let has_started = self.held.revision() > 0 && self.view.has_upstreams();
         if has_started && !self.is_ready.replace(true) {
             log::info!("ready with revision {}", self.held.revision());
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -1,10 +1,13 @@
 //! Metrics of a token entry.
 
+use std::time::Duration;
+
 use currantgate_token::{Decision, DropReason, ResetReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
 use super::format::MalformedPacket;
@@ -16,7 +19,7 @@
 }
 
 /// Counts what became of packets.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct TokenEntryMetrics {
     packets: Family<Outcome, Counter>,
     forwarded: Counter,
@@ -24,10 +27,33 @@
     flows: Gauge,
     upstreams: Gauge,
     revision: Gauge,
+    feeds: Gauge,
+    routes_current: Gauge,
+    handshake_seconds: Histogram,
+}
+
+impl Default for TokenEntryMetrics {
+    fn default() -> Self {
+        Self {
+            packets: Family::default(),
+            forwarded: Counter::default(),
+            failed_sends: Counter::default(),
+            flows: Gauge::default(),
+            upstreams: Gauge::default(),
+            revision: Gauge::default(),
+            feeds: Gauge::default(),
+            routes_current: Gauge::default(),
+            // From 1 ms, a round trip in a domain, to 4 s, beyond which callers
+            // have given up.
+            handshake_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 13)),
+        }
+    }
 }
 
 impl TokenEntryMetrics {
+    /// Registers all metrics under the `currantgate_entry` prefix.
     pub(super) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("currantgate_entry");
         registry.register(
             "packets_not_forwarded",
             "Packets that were reset or dropped and flows that expired, by reason",
@@ -58,6 +84,17 @@
             "The revision of the routes in force here",
             self.revision.clone(),
         );
+        registry.register(
+            "routes_current",
+            "1 while a control VM in contact with a quorum holds nothing newer",
+            self.routes_current.clone(),
+        );
+        registry.register("feeds_open", "Control VMs in reach", self.feeds.clone());
+        registry.register(
+            "handshake_seconds",
+            "Time from a first packet to the sign that its upstream answered",
+            self.handshake_seconds.clone(),
+        );
     }
 
     pub(super) fn count(&self, decision: &Decision) {
@@ -95,6 +132,15 @@
         self.failed_sends.inc();
     }
 
+    pub(super) fn note_handshake(&self, time: Duration) {
+        self.handshake_seconds.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn show_feeds(&self, feeds: usize, routes_current: bool) {
+        self.feeds.set(i64::try_from(feeds).unwrap_or(i64::MAX));
+        self.routes_current.set(i64::from(routes_current));
+    }
+
     pub(super) fn show(&self, flows: usize, upstreams: usize, revision: u64) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.upstreams
--- a/crates/currantgate/src/token_entry/packets.rs
+++ b/crates/currantgate/src/token_entry/packets.rs
@@ -102,6 +102,9 @@
             }
             Packet::Segment(segment) => {
                 let decision = router.carry(now, segment);
+                if let Some(time) = router.take_answer_time() {
+                    metrics.note_handshake(time);
+                }
                 if let Decision::Drop(reason) = decision {
                     decisions.dropped(now, &segment.flow, segment.token, reason);
                 }
