--- a/crates/currantgate-standin/src/token_caller.rs
+++ b/crates/currantgate-standin/src/token_caller.rs
@@ -18,6 +18,9 @@
 /// The largest datagram of a platform.
 const MAX_DATAGRAM: usize = 2_048;
 
+/// What a request says unless its sender chooses the bytes.
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TokenOutcome {
@@ -63,6 +66,20 @@
         &mut self,
         service: SocketAddrV4,
         entries: &[SocketAddr],
+    ) -> io::Result<TokenOutcome> {
+        self.send_request(service, entries, REQUEST).await
+    }
+
+    /// Sends one request with the given bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system said.
+    pub async fn send_request(
+        &mut self,
+        service: SocketAddrV4,
+        entries: &[SocketAddr],
+        bytes: &[u8],
     ) -> io::Result<TokenOutcome> {
         self.next_port += 1;
         let mut packet = TokenPacket {
@@ -89,7 +106,7 @@
             ack: true,
             ..TokenFlags::default()
         };
-        packet.data = b"GET / HTTP/1.1\r\n\r\n".to_vec();
+        packet.data = bytes.to_vec();
         let answered = self.exchange(&mut packet, entries).await?;
         packet.data.clear();
         packet.flags.end = true;
--- a/crates/currantgate-standin/src/token_upstream.rs
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
+use std::time::Instant;
 
 use actix_rt::task::JoinHandle;
 use indexmap::IndexMap;
@@ -22,6 +23,10 @@
 pub struct TokenUpstreamTally {
     /// Requests that it ran.
     pub ran: Cell<usize>,
+    /// How often it ran each request, by the request's bytes.
+    pub runs: RefCell<IndexMap<Vec<u8>, usize>>,
+    /// When a flow was last opened here.
+    pub opened: Cell<Option<Instant>>,
     /// Packets of flows that it does not hold, which it reset.
     pub strays: Cell<usize>,
     /// Packets for another upstream, which it ignored.
@@ -142,6 +147,7 @@
         };
         if packet.flags.open {
             open.entry(flow).or_insert(false);
+            self.tally.opened.set(Some(Instant::now()));
             let flags = TokenFlags {
                 open: true,
                 ack: true,
@@ -166,6 +172,8 @@
         }
         if !std::mem::replace(has_run, true) {
             self.tally.ran.set(self.tally.ran.get() + 1);
+            let mut runs = self.tally.runs.borrow_mut();
+            *runs.entry(packet.data.clone()).or_default() += 1;
         }
         let flags = TokenFlags {
             ack: true,
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -62,7 +62,8 @@
         let mut upstreams = Saved::new(folder.share(), keeper::UPSTREAMS);
         let mut adopted = Saved::new(folder.share(), ADOPTED);
         let (id, opened) = open_state(settings, &mut folder)?;
-        let listening = use_listener(settings.listen, listener)?;
+        let (_, listener) = use_listener(settings.listen, listener)?;
+        let listening = (settings.listen, listener);
         let registry = RegistrySettings::for_interval(settings.report_interval);
         let mut registry = Upstreams::new(registry);
         let known = keeper::load(&mut upstreams, keeper::UPSTREAMS);
--- a/crates/currantgate/src/node/settings.rs
+++ b/crates/currantgate/src/node/settings.rs
@@ -13,7 +13,8 @@
     pub name: Box<str>,
     /// Its failure domain.
     pub domain: Box<str>,
-    /// Where it listens for control VMs and entries.
+    /// Where control VMs and entries reach it. It may listen elsewhere, behind
+    /// something that forwards.
     pub listen: SocketAddr,
     /// Where control VMs listen that are known from the start.
     pub seeds: Vec<SocketAddr>,
