--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -8,8 +8,8 @@
 use actix_rt::task::JoinHandle;
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    Folder, Incoming, Journal, Members, Recovered, Saved, VersionedRequest, VoterId, VoterPlan,
-    VoterPlanSettings,
+    Change, Folder, Incoming, Journal, Members, Recovered, Saved, VersionedRequest, VoterId,
+    VoterPlan, VoterPlanSettings,
 };
 use currantgate_registry::{ChangeNumber, Record, Registry as Upstreams, RegistrySettings, Report};
 use futures_util::FutureExt as _;
@@ -59,40 +59,16 @@
         listener: TcpListener,
     ) -> Result<Self, NodeError> {
         let mut folder = open_folder(settings)?;
-        let mut upstreams = Saved::new(folder.share(), keeper::UPSTREAMS);
-        let mut adopted = Saved::new(folder.share(), ADOPTED);
+        let mut files = KeptFiles::open(&folder);
         let (id, opened) = open_state(settings, &mut folder)?;
         let (_, listener) = use_listener(settings.listen, listener)?;
-        let listening = (settings.listen, listener);
-        let registry = RegistrySettings::for_interval(settings.report_interval);
-        let mut registry = Upstreams::new(registry);
-        let known = keeper::load(&mut upstreams, keeper::UPSTREAMS);
-        registry.restore(Instant::now(), known.unwrap_or_default());
-        let source = Rc::new(FeedSource::new(registry));
-        if let Some(change) = keeper::load(&mut adopted, ADOPTED) {
-            source.publish(Arc::new(change));
-        }
-        let feeding = Rc::clone(&source);
-        let extension = Extension {
-            check,
-            serve: Some(Rc::new(move |incoming: Incoming| {
-                let source = Rc::clone(&feeding);
-                async move {
-                    if &*incoming.path == FEED_PATH {
-                        serve_feed(source, incoming).await;
-                    } else {
-                        log::warn!("{} asks for {}", incoming.from, incoming.path);
-                    }
-                }
-                .boxed_local()
-            })),
-        };
-        let own = listening.0;
+        let own = settings.listen;
+        let source = start_source(settings, &mut files);
         let control = Control::run(
             &control_settings(settings, id),
             opened,
-            listening,
-            extension,
+            (own, listener),
+            serving_feeds(check, &source),
         )?;
         let handle = control.handle();
         let plan = VoterPlanSettings {
@@ -109,16 +85,14 @@
             source: Rc::clone(&source),
             handle: handle.clone(),
             held: Held::default(),
-            adopted: keeper::start(adopted, ADOPTED),
+            adopted: keeper::start(files.adopted, ADOPTED),
             elsewhere: Rc::clone(&elsewhere),
         };
         let metrics = NodeMetrics::default();
+        let upstreams = keeper::start(files.upstreams, keeper::UPSTREAMS);
         let tasks = vec![
             actix_rt::spawn(watch_registry(Rc::clone(&source), metrics.clone())),
-            actix_rt::spawn(keeper::keep_upstreams(
-                Rc::clone(&source),
-                keeper::start(upstreams, keeper::UPSTREAMS),
-            )),
+            actix_rt::spawn(keeper::keep_upstreams(Rc::clone(&source), upstreams)),
             actix_rt::spawn(announce_commits(Rc::clone(&source), handle.clone())),
             actix_rt::spawn(others.run(events, seeds)),
         ];
@@ -138,11 +112,10 @@
     /// whether it is the newest of its upstream.
     pub fn report(&self, report: Report) -> bool {
         let before = self.source.registry.borrow().last_change();
-        let is_newest = {
-            let mut registry = self.source.registry.borrow_mut();
-            registry.report(Instant::now(), report)
-        };
-        self.notify_after(before);
+        let mut registry = self.source.registry.borrow_mut();
+        let is_newest = registry.report(Instant::now(), report);
+        drop(registry);
+        tell_changes(&self.source, before);
         self.metrics.count_report(is_newest);
         is_newest
     }
@@ -153,10 +126,6 @@
         let mut registry = self.source.registry.borrow_mut();
         registry.leave(Instant::now(), id, born_ms);
         drop(registry);
-        self.notify_after(before);
-    }
-
-    fn notify_after(&self, before: u64) {
         tell_changes(&self.source, before);
     }
 
@@ -218,6 +187,54 @@
     }
 }
 
+/// The files of a node beside its journal.
+struct KeptFiles {
+    upstreams: Saved<Folder, Vec<Record>>,
+    adopted: Saved<Folder, Change>,
+}
+
+impl KeptFiles {
+    fn open(folder: &Folder) -> Self {
+        Self {
+            upstreams: Saved::new(folder.share(), keeper::UPSTREAMS),
+            adopted: Saved::new(folder.share(), ADOPTED),
+        }
+    }
+}
+
+/// Returns what feeds tell, with what is known from before a restart.
+fn start_source(settings: &NodeSettings, files: &mut KeptFiles) -> Rc<FeedSource> {
+    let registry = RegistrySettings::for_interval(settings.report_interval);
+    let mut registry = Upstreams::new(registry);
+    let known = keeper::load(&mut files.upstreams, keeper::UPSTREAMS);
+    registry.restore(Instant::now(), known.unwrap_or_default());
+    let source = Rc::new(FeedSource::new(registry));
+    if let Some(change) = keeper::load(&mut files.adopted, ADOPTED) {
+        source.publish(Arc::new(change));
+    }
+    source
+}
+
+/// Returns what the node adds to a control VM: its check of files, and feeds.
+fn serving_feeds(check: FileCheck, source: &Rc<FeedSource>) -> Extension {
+    let source = Rc::clone(source);
+    let serve = move |incoming: Incoming| {
+        let source = Rc::clone(&source);
+        async move {
+            if &*incoming.path == FEED_PATH {
+                serve_feed(source, incoming).await;
+            } else {
+                log::warn!("{} asks for {}", incoming.from, incoming.path);
+            }
+        }
+        .boxed_local()
+    };
+    Extension {
+        check,
+        serve: Some(Rc::new(serve)),
+    }
+}
+
 fn control_settings(settings: &NodeSettings, id: VoterId) -> ControlSettings {
     ControlSettings {
         id,
