--- a/crates/currantgate/src/feed/held.rs
+++ b/crates/currantgate/src/feed/held.rs
@@ -52,15 +52,24 @@
         self.asked.take_if(|(ask, _)| ask.to == from);
     }
 
-    /// Takes an update; returns the change that it makes, if that is newer.
-    pub(crate) fn take(&mut self, update: &Update) -> Option<Arc<Change>> {
+    /// Takes an update as it was sent; returns the change that it makes, if
+    /// that is newer.
+    pub(crate) fn take(&mut self, from: SocketAddr, packed: &[u8]) -> Option<Arc<Change>> {
+        let update = match Update::unpack(packed) {
+            Ok(update) => update,
+            Err(e) => {
+                log::error!("an update of {from} can't be read: {e}");
+                return None;
+            }
+        };
+        let target = update.target();
         self.asked
-            .take_if(|(ask, _)| ask.revision <= update.target().revision);
-        if update.target().revision <= self.revision() {
+            .take_if(|(ask, _)| ask.revision <= target.revision);
+        if target.revision <= self.revision() {
             return None;
         }
         let Some(change) = update.rebuild(self.change.as_ref()) else {
-            log::warn!("{} can't be made from {}", update.target(), self.base());
+            log::warn!("{target} of {from} can't be made from {}", self.base());
             self.has_misfit = true;
             return None;
         };
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::client::keep_feed;
+use super::held::Ask;
 use super::message::{FeedHello, FeedMessage, FeedRequest};
 
 /// Requests that may wait for one feed; more are sent again later.
@@ -139,10 +140,20 @@
         });
     }
 
-    /// Sends a request; one that finds no room is lost.
-    pub(crate) fn send(&self, to: SocketAddr, request: FeedRequest) -> bool {
-        let link = self.links.get(&to);
-        link.is_some_and(|link| link.requests.try_send(request).is_ok())
+    /// Asks for a newer change; what finds no room is asked for again later.
+    pub(crate) fn ask(&self, ask: Ask) {
+        let request = FeedRequest::Change {
+            revision: ask.revision,
+            have: ask.have,
+        };
+        let link = self.links.get(&ask.to);
+        if link.is_none_or(|link| link.requests.try_send(request).is_err()) {
+            log::debug!(
+                "{} could not be asked for revision {}",
+                ask.to,
+                ask.revision
+            );
+        }
     }
 }
 
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -12,5 +12,5 @@
 
 pub(crate) use held::Held;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
-pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, FeedRequest, Present};
+pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, Present};
 pub(crate) use server::{FeedSource, serve_feed};
--- a/crates/currantgate/src/node/others.rs
+++ b/crates/currantgate/src/node/others.rs
@@ -7,11 +7,11 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
-use currantgate_control::{Change, Update};
+use currantgate_control::Change;
 use tokio::sync::{mpsc, watch};
 
 use crate::control::ControlHandle;
-use crate::feed::{FeedEvent, FeedLinks, FeedMessage, FeedRequest, FeedSource, Held, Present};
+use crate::feed::{FeedEvent, FeedLinks, FeedMessage, FeedSource, Held, Present};
 
 /// The file of the newest change that a VM without a vote adopted.
 pub(super) const ADOPTED: &str = "adopted";
@@ -82,29 +82,12 @@
             self.held.set(newest);
         }
         if let Some(ask) = self.held.next_ask(Instant::now()) {
-            let request = FeedRequest::Change {
-                revision: ask.revision,
-                have: ask.have,
-            };
-            if !self.links.send(ask.to, request) {
-                log::debug!(
-                    "{} could not be asked for revision {}",
-                    ask.to,
-                    ask.revision
-                );
-            }
+            self.links.ask(ask);
         }
     }
 
     fn adopt(&mut self, from: SocketAddr, packed: &[u8]) {
-        let update = match Update::unpack(packed) {
-            Ok(update) => update,
-            Err(e) => {
-                log::error!("an update of {from} can't be read: {e}");
-                return;
-            }
-        };
-        let Some(change) = self.held.take(&update) else {
+        let Some(change) = self.held.take(from, packed) else {
             return;
         };
         log::info!("revision {} is adopted from {from}", change.revision);
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use currantgate_control::Update;
 use currantgate_placement::Target;
 use currantgate_registry::{Standing, Upstream, View};
 use currantgate_token::{TokenRouter, TokenUpstream};
@@ -19,9 +18,7 @@
 use super::metrics::TokenEntryMetrics;
 use super::packets::Packets;
 use super::settings::TokenEntrySettings;
-use crate::feed::{
-    FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, FeedRequest, Held,
-};
+use crate::feed::{FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, Held};
 
 /// How often flows whose callers gave up are let go: a small part of a
 /// caller's patience.
@@ -205,14 +202,7 @@
 
     /// Puts a newer revision in force; an entry never goes back to an older.
     fn adopt(&mut self, from: SocketAddr, packed: &[u8]) {
-        let update = match Update::unpack(packed) {
-            Ok(update) => update,
-            Err(e) => {
-                log::error!("an update of {from} can't be read: {e}");
-                return;
-            }
-        };
-        let Some(change) = self.held.take(&update) else {
+        let Some(change) = self.held.take(from, packed) else {
             return;
         };
         match self.packets.format().routes(&change.text) {
@@ -232,17 +222,7 @@
 
     fn update_routes_state(&mut self) {
         if let Some(ask) = self.held.next_ask(Instant::now()) {
-            let request = FeedRequest::Change {
-                revision: ask.revision,
-                have: ask.have,
-            };
-            if !self.links.send(ask.to, request) {
-                log::debug!(
-                    "{} could not be asked for revision {}",
-                    ask.to,
-                    ask.revision
-                );
-            }
+            self.links.ask(ask);
         }
         let is_current = self.held.is_current();
         self.router.set_routes_current(is_current);
