Refuse for want of upstreams only when all had the time to be told

A caller repeats a dropped packet after 200 ms, and comes back later from a refusal. Tests: a_flow_is_not_refused_before_all_upstreams_were_told, the_view_is_complete_some_time_after_the_first_feed.

--- a/crates/currantgate-registry/src/settings.rs
+++ b/crates/currantgate-registry/src/settings.rs
@@ -43,6 +43,9 @@
     /// heard it is out of reach: the time that an upstream takes to find
     /// another one, and an interval of its reports.
     pub unconfirmed_for: Duration,
+    /// How long after the first control VM came in reach all upstreams count as
+    /// told: two intervals of their reports.
+    pub complete_after: Duration,
     /// How long an upstream that is gone or silent is remembered: the life of
     /// a flow, so that its flows still reach it, with some slack.
     pub forget_after: Duration,
@@ -52,6 +55,7 @@
     fn default() -> Self {
         Self {
             unconfirmed_for: Duration::from_millis(4_000),
+            complete_after: Duration::from_millis(2_400),
             forget_after: Duration::from_secs(90),
         }
     }
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -53,6 +53,8 @@
     settings: ViewSettings,
     upstreams: IndexMap<UpstreamId, Known>,
     sources: IndexSet<SocketAddr>,
+    /// Since when some control VM was in reach without a break.
+    connected_since: Option<Instant>,
     /// Counts what could change a standing, apart from time.
     version: u64,
 }
@@ -64,6 +66,7 @@
             settings,
             upstreams: IndexMap::new(),
             sources: IndexSet::new(),
+            connected_since: None,
             version: 0,
         }
     }
@@ -72,12 +75,16 @@
     pub fn connected(&mut self, now: Instant, source: SocketAddr) {
         self.disconnected(now, source);
         self.sources.insert(source);
+        self.connected_since.get_or_insert(now);
     }
 
     /// Notes that a control VM is out of reach.
     pub fn disconnected(&mut self, now: Instant, source: SocketAddr) {
         self.version += 1;
         self.sources.swap_remove(&source);
+        if self.sources.is_empty() {
+            self.connected_since = None;
+        }
         let unconfirmed_until = now + self.settings.unconfirmed_for;
         for known in self.upstreams.values_mut() {
             let was_confirmed = known.is_confirmed();
@@ -88,6 +95,14 @@
         }
     }
 
+    /// Tells whether all upstreams have had the time to be told: those that the
+    /// view lacks don't report.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let complete_after = self.settings.complete_after;
+        self.connected_since
+            .is_some_and(|since| now >= since + complete_after)
+    }
+
     /// Returns how many control VMs are in reach.
     pub fn sources(&self) -> usize {
         self.sources.len()
--- a/crates/currantgate-registry/tests/view.rs
+++ b/crates/currantgate-registry/tests/view.rs
@@ -76,6 +76,19 @@
     assert_eq!(entry.standing("a"), Some(Standing::Ready));
 }
 
+#[test]
+fn the_view_is_complete_some_time_after_the_first_feed() {
+    let mut entry = Entry::new(1);
+    assert!(!entry.view.is_complete(entry.now));
+    entry.now += 3 * SECOND;
+    assert!(entry.view.is_complete(entry.now));
+    entry.view.connected(entry.now, source(2));
+    entry.view.disconnected(entry.now, source(1));
+    assert!(entry.view.is_complete(entry.now), "another feed is open");
+    entry.view.disconnected(entry.now, source(2));
+    assert!(!entry.view.is_complete(entry.now));
+}
+
 #[test]
 fn an_older_word_changes_nothing() {
     let mut entry = Entry::new(2);
--- a/crates/currantgate-token/benches/packets.rs
+++ b/crates/currantgate-token/benches/packets.rs
@@ -75,6 +75,7 @@
     };
     router.set_routes(RouteTable::new([(flow(0).service, route)]));
     router.set_routes_current(true);
+    router.set_upstreams_complete(true);
     let upstreams = (1..=UPSTREAMS).map(|n| {
         let known = TokenUpstream {
             id: format!("i-{n:08x}").into(),
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -74,4 +74,6 @@
     UnknownToken,
     /// no route is known, and the routes may be out of date
     RoutesOutOfDate,
+    /// no upstream of the service is known, and some may not have been told yet
+    UpstreamsIncomplete,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -22,6 +22,8 @@
     routes: RouteTable,
     /// Whether `routes` is known to be the newest revision.
     routes_current: bool,
+    /// Whether all upstreams have had the time to be told.
+    upstreams_complete: bool,
     flows: FlowTable,
     /// How long the newest first packet that was answered took.
     answer_time: Option<Duration>,
@@ -36,6 +38,7 @@
             tokens: TokenMap::default(),
             routes: RouteTable::default(),
             routes_current: false,
+            upstreams_complete: false,
             flows: FlowTable::default(),
             answer_time: None,
         }
@@ -51,6 +54,11 @@
         self.routes_current = current;
     }
 
+    /// Notes whether all upstreams have had the time to be told.
+    pub fn set_upstreams_complete(&mut self, complete: bool) {
+        self.upstreams_complete = complete;
+    }
+
     /// Replaces all upstreams: those that may get new flows come with how
     /// placement should see them, given the token.
     pub fn set_upstreams(&mut self, upstreams: Vec<(TokenUpstream, Option<Target>)>) {
@@ -91,6 +99,9 @@
         let placed = self.placement.place(now, service, unanswered.as_slice());
         let decision = match placed {
             Ok(placed) => self.forward_first(now, opening.flow, placed.key, deadline),
+            Err(Refusal::NoUpstream) if !self.upstreams_complete => {
+                Decision::Drop(DropReason::UpstreamsIncomplete)
+            }
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
             Err(Refusal::Overload) => Decision::Reset(ResetReason::Overload),
         };
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -69,6 +69,7 @@
         let mut router = TokenRouter::new(TokenSettings::default(), placement);
         router.set_routes(RouteTable::new([(SERVICE, route(&[("booking", 1)]))]));
         router.set_routes_current(true);
+        router.set_upstreams_complete(true);
         router.set_upstreams(upstreams.into_iter().map(|n| upstream(n, now)).collect());
         Self { router, now }
     }
@@ -206,6 +207,18 @@
     assert_eq!(decision, Decision::Reset(ResetReason::NoUpstream));
 }
 
+/// An entry that has just started knows some upstreams and not others; a caller
+/// that is refused does not come back as soon as one that repeats its packet.
+#[test]
+fn a_flow_is_not_refused_before_all_upstreams_were_told() {
+    let mut entry = Entry::new([], 1);
+    entry.router.set_upstreams_complete(false);
+    let decision = entry.try_open(1, 0);
+    assert_eq!(decision, Decision::Drop(DropReason::UpstreamsIncomplete));
+    entry.close(1..=2, 0);
+    assert!(matches!(entry.try_open(1, 1), Decision::Forward(_)));
+}
+
 #[test]
 fn the_end_of_a_flow_frees_its_place() {
     let mut entry = Entry::new(1..=2, 1);
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -234,7 +234,10 @@
     }
 
     fn show_upstreams(&mut self) {
-        let upstreams = self.view.upstreams(Instant::now());
+        let now = Instant::now();
+        let upstreams = self.view.upstreams(now);
+        self.router
+            .set_upstreams_complete(self.view.is_complete(now));
         let known = upstreams.len();
         self.decisions.upstreams(&upstreams);
         let domain = &self.domain;
