--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use currantgate_control::{Base, Change, FrameWriter, Incoming, RecentChanges, TransportError};
+use currantgate_control::{
+    Base, Change, FrameWriter, Incoming, RecentChanges, TransportError, Update,
+};
 use currantgate_registry::{ChangeNumber, Registry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -114,13 +116,15 @@
 
     /// Returns what makes the newest change for a listener that has `have`.
     fn update_from(&self, have: Base) -> Option<Arc<[u8]>> {
-        if let Some(packed) = self.packed.borrow().get(&have) {
-            return Some(Arc::clone(packed));
-        }
         let update = self.changes.borrow_mut().update_from(have)?;
-        let packed: Arc<[u8]> = update.pack().into();
-        self.packed.borrow_mut().insert(have, Arc::clone(&packed));
-        Some(packed)
+        // A whole file is the same for all whose revision is not known here.
+        let from = match *update {
+            Update::Full(_) => Base::empty(),
+            Update::Delta { from, .. } => from,
+        };
+        let mut packed = self.packed.borrow_mut();
+        let packed = packed.entry(from).or_insert_with(|| update.pack().into());
+        Some(Arc::clone(packed))
     }
 
     fn heard(&self, hello: &FeedHello) {
