--- a/crates/currantgate-cli/src/log_setup.rs
+++ b/crates/currantgate-cli/src/log_setup.rs
@@ -1,22 +1,36 @@
-//! The `--log` option.
+//! The `--log` and `--log-format` options.
 
+use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgMatches};
+use currantgate_log::LogGuard;
 use env_logger::Env;
 
-/// Returns the `--log` option.
-pub(crate) fn make_arg() -> Arg {
-    Arg::new("log")
-        .long("log")
-        .value_name("FILTER")
-        .global(true)
-        .default_value("info")
-        .help("What to log: a level such as `debug`, or `module=level` pairs")
+/// Names the process in JSON lines.
+const PROCESS: &str = "currantgate";
+
+/// Returns the options.
+pub(crate) fn make_args() -> [Arg; 2] {
+    [
+        currantgate_log::filter_arg(),
+        Arg::new("log-format")
+            .long("log-format")
+            .value_name("FORMAT")
+            .global(true)
+            .default_value("text")
+            .value_parser(PossibleValuesParser::new(["text", "json"]))
+            .help("Text on standard error, or one JSON object a line on standard output"),
+    ]
 }
 
-/// Starts the logger with the filter that the command line asks for.
-pub(crate) fn init(matches: &ArgMatches) {
-    let filter = matches.get_one::<String>("log").map_or("info", |s| s);
+/// Starts the logger as the command line asks; keep the guard until the end.
+pub(crate) fn init(matches: &ArgMatches) -> Option<LogGuard> {
+    let filter = currantgate_log::filter_of(matches);
+    let format = matches.get_one::<String>("log-format");
+    if format.is_some_and(|format| format == "json") {
+        return Some(currantgate_log::init(PROCESS, filter));
+    }
     env_logger::Builder::from_env(Env::default().default_filter_or(filter))
         .format_timestamp_millis()
         .init();
+    None
 }
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -14,7 +14,8 @@
 
 fn main() -> ExitCode {
     let matches = make_command().get_matches();
-    log_setup::init(&matches);
+    // What is waiting is written when the guard goes.
+    let _guard = log_setup::init(&matches);
 
     match trace::init(&matches).and_then(|()| execute(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
@@ -51,7 +52,7 @@
         .version(clap::crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .arg(log_setup::make_arg())
+        .args(log_setup::make_args())
         .arg(trace::make_arg())
         .subcommand(cmd::entry::make_subcommand())
         .subcommand(cmd::relay::make_subcommand())
--- a/crates/currantgate-log/src/lib.rs
+++ b/crates/currantgate-log/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod budget;
 mod fields;
+mod filter;
 mod line;
 mod logger;
 mod sink;
 mod story;
 
 pub use budget::{LineBudget, LineBudgetSettings};
+pub use filter::{filter_arg, filter_of};
 pub use line::{LogLine, NotALine};
 pub use logger::{LogGuard, format_line, init};
 pub use story::Story;
