--- a/crates/currantgate-log/src/filter.rs
+++ b/crates/currantgate-log/src/filter.rs
@@ -4,8 +4,9 @@
 
 const LOG: &str = "log";
 
-/// What is logged unless the command line says otherwise.
-const DEFAULT: &str = "info";
+/// What is logged unless the command line says otherwise: not that the HTTP
+/// server of a library starts and stops.
+const DEFAULT: &str = "info,actix_server=warn";
 
 /// Returns the `--log` option.
 pub fn filter_arg() -> Arg {
--- a/crates/currantgate-log/tests/lines.rs
+++ b/crates/currantgate-log/tests/lines.rs
@@ -143,3 +143,20 @@
         let _ = LogLine::parse(&text);
     }
 }
+
+#[test]
+fn the_default_filter_leaves_out_the_chatter_of_libraries() {
+    let command = clap::Command::new("test").arg(currantgate_log::filter_arg());
+    let matches = command.clone().get_matches_from(["test"]);
+    let filter = currantgate_log::filter_of(&matches);
+    let filter = env_logger::Builder::new().parse_filters(filter).build();
+    let logs = |target, level| {
+        let metadata = log::Metadata::builder().target(target).level(level).build();
+        log::Log::enabled(&filter, &metadata)
+    };
+    assert!(logs("currantgate::entry", Level::Info));
+    assert!(!logs("actix_server::builder", Level::Info));
+    assert!(logs("actix_server::builder", Level::Warn));
+    let matches = command.get_matches_from(["test", "--log", "debug"]);
+    assert_eq!(currantgate_log::filter_of(&matches), "debug");
+}
