Prepare stops in the product, and route packets in one place

The platform's adapter decided how long an entry carries packets after a stop was asked for; the product does now.

--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -9,7 +9,7 @@
 use currantgate_control::{
     Base, Change, FrameWriter, Incoming, RecentChanges, TransportError, Update,
 };
-use currantgate_registry::{ChangeNumber, Registry};
+use currantgate_registry::{ChangeNumber, Record, Registry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -30,6 +30,10 @@
 /// How long a control VM is told of after it was last heard.
 const CONTROL_LISTED_FOR: Duration = Duration::from_secs(10);
 
+/// Upstreams in one message: some 10 KB, 40 ms of a link of 2 Mbit/s, so that the
+/// messages of several feeds get through within a listener's patience.
+const UPSTREAMS_PER_MESSAGE: usize = 100;
+
 /// What all feeds of a control VM tell.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<Registry>,
@@ -187,8 +191,6 @@
     async fn run(&mut self) -> Result<(), TransportError> {
         let mut changed = self.source.changed.subscribe();
         self.source.heard(&self.hello);
-        let first = self.upstreams_since_told();
-        self.send(&FeedMessage::Upstreams(first)).await?;
         loop {
             self.tell_news().await?;
             tokio::select! {
@@ -221,9 +223,7 @@
     async fn tell_news(&mut self) -> Result<(), TransportError> {
         if self.hello.control.is_none() {
             let records = self.upstreams_since_told();
-            if !records.is_empty() {
-                self.send(&FeedMessage::Upstreams(records)).await?;
-            }
+            self.tell_upstreams(&records).await?;
         }
         let present = self.source.present();
         let now = Instant::now();
@@ -235,7 +235,16 @@
         Ok(())
     }
 
-    fn upstreams_since_told(&mut self) -> Vec<currantgate_registry::Record> {
+    /// Tells of upstreams, some at a time: a listener on a slow link takes each
+    /// message as a sign of life.
+    async fn tell_upstreams(&mut self, records: &[Record]) -> Result<(), TransportError> {
+        for some in records.chunks(UPSTREAMS_PER_MESSAGE) {
+            self.send(&FeedMessage::Upstreams(some.to_vec())).await?;
+        }
+        Ok(())
+    }
+
+    fn upstreams_since_told(&mut self) -> Vec<Record> {
         let registry = self.source.registry.borrow();
         let records = registry.changed_after(self.told_change);
         self.told_change = registry.last_change();
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -32,6 +32,10 @@
 /// many again that are being replaced, within the descriptors of a small VM.
 const MAX_CONNECTIONS: u32 = 2_048;
 
+/// How long a node stays after it gave up the lead: a round of messages, so that
+/// callers hear where to go.
+const STOP_WAIT: Duration = Duration::from_millis(200);
+
 /// How long another VM's word on who leads is good: two of its messages.
 const LEADER_KNOWN_FOR: Duration = Duration::from_millis(1_200);
 
@@ -121,7 +125,7 @@
     }
 
     /// Takes the word of an upstream that it has left.
-    pub fn leave(&self, id: &str, born_ms: Option<u64>) {
+    pub fn upstream_left(&self, id: &str, born_ms: Option<u64>) {
         let before = self.source.registry.borrow().last_change();
         let mut registry = self.source.registry.borrow_mut();
         registry.leave(Instant::now(), id, born_ms);
@@ -162,9 +166,11 @@
         self.seeds_tx.send_replace(seeds);
     }
 
-    /// Gives up the lead, before a planned stop.
-    pub fn resign(&self) {
+    /// Gives up the lead before a planned stop, and stays until others have heard
+    /// of it.
+    pub async fn prepare_stop(&self) {
         self.handle.resign();
+        actix_rt::time::sleep(STOP_WAIT).await;
     }
 
     /// Adds the node's metrics to those of the process.
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -17,6 +17,7 @@
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
 use super::packets::Packets;
+use super::routing::Routing;
 use super::settings::TokenEntrySettings;
 use crate::feed::{FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, Held};
 
@@ -28,10 +29,15 @@
 /// a small part of the time that an unconfirmed one stays in use.
 const VIEW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long packets are carried after the entry said that it leaves: the fabric
+/// asks twice a second and turns away after two misses, with some slack.
+const LEAVE_FABRIC: Duration = Duration::from_millis(1_800);
+
 /// A running token entry; it stops when it is dropped.
 pub struct TokenEntry {
     address: SocketAddr,
     is_ready: Rc<Cell<bool>>,
+    is_leaving: Cell<bool>,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
     metrics: TokenEntryMetrics,
     task: JoinHandle<()>,
@@ -67,21 +73,24 @@
         let metrics = TokenEntryMetrics::default();
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
         let core = Core {
-            router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+            routing: Routing {
+                router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+                metrics: metrics.clone(),
+                decisions: DecisionLog::new(Instant::now()),
+            },
             packets,
             view: View::new(settings.view.clone()),
             held: Held::default(),
             links,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
-            metrics: metrics.clone(),
-            decisions: DecisionLog::new(Instant::now()),
         };
         let task = actix_rt::spawn(core.run(events, seeds));
         log::info!("entry {} takes packets at {address}", settings.name);
         Ok(Self {
             address,
             is_ready,
+            is_leaving: Cell::new(false),
             seeds_tx,
             metrics,
             task,
@@ -94,9 +103,16 @@
     }
 
     /// Tells whether routes and upstreams are known, so that packets can be
-    /// served.
+    /// served, and the entry is not about to leave.
     pub fn is_ready(&self) -> bool {
-        self.is_ready.get()
+        self.is_ready.get() && !self.is_leaving.get()
+    }
+
+    /// Leaves the fabric before a planned stop, within `limit`: the entry is not
+    /// ready any more, and carries packets until no more should come.
+    pub async fn prepare_stop(&self, limit: Duration) {
+        self.is_leaving.set(true);
+        actix_rt::time::sleep(LEAVE_FABRIC.min(limit)).await;
     }
 
     /// Replaces the control VMs that are known from the settings.
@@ -117,15 +133,13 @@
 }
 
 struct Core<F> {
-    router: TokenRouter,
+    routing: Routing,
     packets: Packets<F>,
     view: View,
     held: Held,
     links: FeedLinks,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
-    metrics: TokenEntryMetrics,
-    decisions: DecisionLog,
 }
 
 impl<F: WireFormat> Core<F> {
@@ -139,10 +153,7 @@
         loop {
             tokio::select! {
                 readable = self.packets.readable() => match readable {
-                    Ok(()) => {
-                        let decisions = &mut self.decisions;
-                        self.packets.take(&mut self.router, &self.metrics, decisions);
-                    }
+                    Ok(()) => self.packets.take(&mut self.routing),
                     Err(e) => log::error!("packets can't be awaited: {e}"),
                 },
                 Some(event) = events.recv() => {
@@ -156,7 +167,7 @@
                     }
                     self.update_routes_state();
                 }
-                _ = flow_interval.tick() => self.expire_flows(),
+                _ = flow_interval.tick() => self.routing.expire_flows(Instant::now()),
                 _ = view_interval.tick() => {
                     self.show_upstreams();
                     self.update_routes_state();
@@ -171,14 +182,6 @@
         }
     }
 
-    fn expire_flows(&mut self) {
-        let now = Instant::now();
-        while let Some(expired) = self.router.pop_expired(now) {
-            self.metrics.count_expired(expired.was_answered);
-            self.decisions.expired(now, &expired, &self.router);
-        }
-    }
-
     fn take(&mut self, event: FeedEvent) {
         self.links.note(&event);
         let now = Instant::now();
@@ -189,11 +192,11 @@
                 self.held.lost(from);
             }
             FeedEvent::Message(from, FeedMessage::Present(present)) => {
-                self.decisions.view_at = now;
+                self.routing.decisions.view_at = now;
                 self.held.told(from, present.revision, present.is_in_quorum);
             }
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
-                self.decisions.view_at = now;
+                self.routing.decisions.view_at = now;
                 self.view.apply(now, from, records);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
@@ -212,8 +215,8 @@
                     "revision {} is in force: {routes_len} routes",
                     change.revision
                 );
-                self.router.set_routes(routes);
-                self.decisions.revision = change.revision;
+                self.routing.router.set_routes(routes);
+                self.routing.decisions.revision = change.revision;
             }
             // Control VMs check each file, so theirs is another release.
             Err(e) => log::error!("revision {} is kept out of force: {e}", change.revision),
@@ -225,8 +228,10 @@
             self.links.ask(ask);
         }
         let is_current = self.held.is_current();
-        self.router.set_routes_current(is_current);
-        self.metrics.show_feeds(self.view.sources(), is_current);
+        self.routing.router.set_routes_current(is_current);
+        self.routing
+            .metrics
+            .show_feeds(self.view.sources(), is_current);
         let has_started = self.held.revision() > 0 && self.view.has_upstreams();
         if has_started && !self.is_ready.replace(true) {
             log::info!("ready with revision {}", self.held.revision());
@@ -236,19 +241,21 @@
     fn show_upstreams(&mut self) {
         let now = Instant::now();
         let upstreams = self.view.upstreams(now);
-        self.router
+        self.routing
+            .router
             .set_upstreams_complete(self.view.is_complete(now));
         let known = upstreams.len();
-        self.decisions.upstreams(&upstreams);
+        self.routing.decisions.upstreams(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
         let shown = upstreams
             .iter()
             .filter_map(|upstream| show(upstream, domain, format))
             .collect();
-        self.router.set_upstreams(shown);
-        self.metrics
-            .show(self.router.flows(), known, self.held.revision());
+        self.routing.router.set_upstreams(shown);
+        self.routing
+            .metrics
+            .show(self.routing.router.flows(), known, self.held.revision());
     }
 }
 
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -7,6 +7,7 @@
 mod format;
 mod metrics;
 mod packets;
+mod routing;
 mod settings;
 
 pub use daemon::TokenEntry;
--- a/crates/currantgate/src/token_entry/packets.rs
+++ b/crates/currantgate/src/token_entry/packets.rs
@@ -4,12 +4,12 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Instant;
 
-use currantgate_token::{Decision, FlowId, TokenRouter};
+use currantgate_token::{Decision, FlowId};
 use tokio::net::UdpSocket;
 
-use super::decision_log::DecisionLog;
-use super::format::{Packet, WireFormat};
+use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
+use super::routing::Routing;
 
 /// The largest datagram that is read; longer ones are cut and then malformed.
 const MAX_DATAGRAM: usize = 2_048;
@@ -60,16 +60,11 @@
     }
 
     /// Takes the packets that have come, up to a batch.
-    pub(super) fn take(
-        &mut self,
-        router: &mut TokenRouter,
-        metrics: &TokenEntryMetrics,
-        decisions: &mut DecisionLog,
-    ) {
+    pub(super) fn take(&mut self, routing: &mut Routing) {
         let now = Instant::now();
         for _ in 0..BATCH {
             match self.socket.try_recv(&mut self.buf[F::HEADROOM..]) {
-                Ok(len) => self.handle(now, len, router, metrics, decisions),
+                Ok(len) => self.handle(now, len, routing),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 // The answer to an earlier packet to a port that is closed.
                 Err(e) => log::debug!("a packet could not be read: {e}"),
@@ -77,47 +72,19 @@
         }
     }
 
-    fn handle(
-        &mut self,
-        now: Instant,
-        len: usize,
-        router: &mut TokenRouter,
-        metrics: &TokenEntryMetrics,
-        decisions: &mut DecisionLog,
-    ) {
+    fn handle(&mut self, now: Instant, len: usize, routing: &mut Routing) {
         let end = F::HEADROOM + len;
         let packet = match self.format.parse(&self.buf[F::HEADROOM..end]) {
             Ok(packet) => packet,
-            Err(reason) => {
-                metrics.count_malformed(reason);
-                decisions.malformed(now, len, reason);
-                return;
-            }
-        };
-        let (decision, flow) = match packet {
-            Packet::Opening(opening) => {
-                let opened = router.open(now, opening);
-                decisions.opened(now, &opening.flow, &opened, router);
-                (opened.decision, opening.flow)
-            }
-            Packet::Segment(segment) => {
-                let decision = router.carry(now, segment);
-                if let Some(time) = router.take_answer_time() {
-                    metrics.note_handshake(time);
-                }
-                if let Decision::Drop(reason) = decision {
-                    decisions.dropped(now, &segment.flow, segment.token, reason);
-                }
-                (decision, segment.flow)
-            }
+            Err(reason) => return routing.malformed(now, len, reason),
         };
-        metrics.count(&decision);
+        let (flow, decision) = routing.decide(now, packet);
         match decision {
             Decision::Forward(hop) => {
                 self.format.address(&mut self.buf[..end], &hop);
-                self.send(&self.buf[..end], hop.address, metrics);
+                self.send(&self.buf[..end], hop.address, &routing.metrics);
             }
-            Decision::Reset(_) => self.reset(&flow, metrics),
+            Decision::Reset(_) => self.reset(&flow, &routing.metrics),
             Decision::Drop(_) => {}
         }
     }
