--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -7,7 +7,7 @@
 
 use actix_rt::task::JoinHandle;
 use currantgate_placement::Target;
-use currantgate_registry::{Standing, Upstream, View};
+use currantgate_registry::{Standing, Upstream, View, ViewPace};
 use currantgate_token::{TokenRouter, TokenUpstream};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
@@ -25,9 +25,9 @@
 /// caller's patience.
 const FLOW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How often upstreams are looked through although nothing was told of them:
-/// a small part of the time that an unconfirmed one stays in use.
-const VIEW_INTERVAL: Duration = Duration::from_millis(500);
+/// How often it is looked whether routes are to be asked for again: a little less
+/// than a control VM may take to answer.
+const ROUTES_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long packets are carried after the entry said that it leaves: the fabric
 /// asks twice a second and turns away after two misses, with some slack.
@@ -81,6 +81,7 @@
             packets,
             view: View::new(settings.view.clone()),
             held: Held::default(),
+            pace: ViewPace::new(Instant::now()),
             links,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
@@ -137,6 +138,7 @@
     packets: Packets<F>,
     view: View,
     held: Held,
+    pace: ViewPace,
     links: FeedLinks,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
@@ -149,7 +151,7 @@
         mut seeds: watch::Receiver<Vec<SocketAddr>>,
     ) {
         let mut flow_interval = actix_rt::time::interval(FLOW_INTERVAL);
-        let mut view_interval = actix_rt::time::interval(VIEW_INTERVAL);
+        let mut routes_interval = actix_rt::time::interval(ROUTES_INTERVAL);
         loop {
             tokio::select! {
                 readable = self.packets.readable() => match readable {
@@ -163,13 +165,16 @@
                         self.take(event);
                     }
                     if self.view.version() > version {
-                        self.show_upstreams();
+                        self.pace.note_news();
                     }
+                    self.show_upstreams_if_due();
                     self.update_routes_state();
                 }
-                _ = flow_interval.tick() => self.routing.expire_flows(Instant::now()),
-                _ = view_interval.tick() => {
-                    self.show_upstreams();
+                _ = flow_interval.tick() => {
+                    self.routing.expire_flows(Instant::now());
+                    self.show_upstreams_if_due();
+                }
+                _ = routes_interval.tick() => {
                     self.update_routes_state();
                     self.links.tick();
                 }
@@ -238,13 +243,20 @@
         }
     }
 
-    fn show_upstreams(&mut self) {
+    fn show_upstreams_if_due(&mut self) {
         let now = Instant::now();
+        if self.pace.is_due(now) {
+            self.show_upstreams(now);
+        }
+    }
+
+    fn show_upstreams(&mut self, now: Instant) {
         let upstreams = self.view.upstreams(now);
         self.routing
             .router
             .set_upstreams_complete(self.view.is_complete(now));
         let known = upstreams.len();
+        self.pace.note_round(now, known);
         self.routing.decisions.upstreams(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
