Be ready only when routing knows upstreams

Cause: since the view is worked into routing at a pace, an entry could be ready up to 55 ms before its routing knew upstreams. Until it is ready each piece of news is worked in at once now, and it is ready after.

--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -152,11 +152,6 @@
         }
     }
 
-    /// Tells whether any upstream is known.
-    pub fn has_upstreams(&self) -> bool {
-        !self.upstreams.is_empty()
-    }
-
     /// Returns a number that grows whenever the view may have changed.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -82,6 +82,7 @@
             view: View::new(settings.view.clone()),
             held: Held::default(),
             pace: ViewPace::new(Instant::now()),
+            shown_upstreams: 0,
             links,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
@@ -139,6 +140,8 @@
     view: View,
     held: Held,
     pace: ViewPace,
+    /// The upstreams that routing knows.
+    shown_upstreams: usize,
     links: FeedLinks,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
@@ -237,7 +240,7 @@
         self.routing
             .metrics
             .show_feeds(self.view.sources(), is_current);
-        let has_started = self.held.revision() > 0 && self.view.has_upstreams();
+        let has_started = self.held.revision() > 0 && self.shown_upstreams > 0;
         if has_started && !self.is_ready.replace(true) {
             log::info!("ready with revision {}", self.held.revision());
         }
@@ -245,7 +248,8 @@
 
     fn show_upstreams_if_due(&mut self) {
         let now = Instant::now();
-        if self.pace.is_due(now) {
+        // Until the entry is ready, nothing else waits.
+        if self.pace.is_due(now) || !self.is_ready.get() {
             self.show_upstreams(now);
         }
     }
@@ -257,6 +261,7 @@
             .set_upstreams_complete(self.view.is_complete(now));
         let known = upstreams.len();
         self.pace.note_round(now, known);
+        self.shown_upstreams = known;
         self.routing.decisions.upstreams(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
