--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -60,4 +60,4 @@
     Client, FrameReader, FrameWriter, Incoming, MAX_MESSAGE_BYTES, Secret, Server, ServerSettings,
     TransportError,
 };
-pub use voter_plan::{Peer, VoterPlan, VoterPlanSettings};
+pub use voter_plan::{VoterPlan, VoterPlanSettings};
--- a/crates/currantgate-control/src/voter_plan.rs
+++ b/crates/currantgate-control/src/voter_plan.rs
@@ -34,11 +34,11 @@
 
 /// What is known of one control VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
+struct Peer {
     /// Where it listens for other control VMs.
-    pub address: SocketAddr,
+    address: SocketAddr,
     /// Its failure domain.
-    pub domain: Box<str>,
+    domain: Box<str>,
     heard: Instant,
 }
 
--- a/crates/currantgate-log/src/line.rs
+++ b/crates/currantgate-log/src/line.rs
@@ -42,11 +42,6 @@
         self.fields.get(name)?.as_str()
     }
 
-    /// Returns a field that is a whole number.
-    pub fn number(&self, name: &str) -> Option<u64> {
-        self.fields.get(name)?.as_u64()
-    }
-
     /// Returns when it was written.
     pub fn time(&self) -> &str {
         self.text("time").unwrap_or_default()
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -169,9 +169,4 @@
     pub fn flows(&self, key: Key) -> u32 {
         self.candidates.get(&key).map_or(0, |c| c.flows)
     }
-
-    /// Returns the flows that are open at all upstreams.
-    pub fn total_flows(&self) -> u32 {
-        self.candidates.values().map(|c| c.flows).sum()
-    }
 }
--- a/crates/currantgate-placement/src/refusal.rs
+++ b/crates/currantgate-placement/src/refusal.rs
@@ -7,6 +7,4 @@
 pub enum Refusal {
     /// no upstream of the service is known
     NoUpstream,
-    /// the queues of all upstreams are longer than the caller can wait
-    Overload,
 }
--- a/crates/currantgate-registry/src/registry.rs
+++ b/crates/currantgate-registry/src/registry.rs
@@ -97,8 +97,12 @@
 
     /// Returns what is known, to be kept over a restart.
     pub fn records(&self) -> Vec<Record> {
-        let kept = self.upstreams.values();
-        kept.map(|kept| kept.record.clone()).collect()
+        self.iter().cloned().collect()
+    }
+
+    /// Returns what is known, one upstream after the other.
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.upstreams.values().map(|kept| &kept.record)
     }
 
     /// Takes what was known before a restart: upstreams that still report are
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -87,7 +87,7 @@
         }
         let unconfirmed_until = now + self.settings.unconfirmed_for;
         for known in self.upstreams.values_mut() {
-            let was_confirmed = known.is_confirmed();
+            let was_confirmed = known.is_told_silent() == Some(false);
             known.heard.swap_remove(&source);
             if was_confirmed {
                 known.unconfirmed_until = unconfirmed_until;
@@ -198,25 +198,24 @@
 }
 
 impl Known {
-    /// Tells whether a control VM in reach hears the upstream. Only the one
-    /// that has the newest report can tell that it fell silent.
-    fn is_confirmed(&self) -> bool {
+    /// Tells whether the upstream is silent by the word of a control VM in reach
+    /// that has its newest report; others can't tell, as it may have turned away
+    /// from them.
+    fn is_told_silent(&self) -> Option<bool> {
         let newest = self.heard.values().max_by_key(|h| (h.age, !h.is_silent));
-        newest.is_some_and(|h| !h.is_silent && h.age >= self.report.age)
-    }
-
-    fn is_known_silent(&self) -> bool {
-        let newest = self.heard.values().max_by_key(|h| (h.age, !h.is_silent));
-        newest.is_some_and(|h| h.is_silent && h.age >= self.report.age)
+        newest
+            .filter(|h| h.age >= self.report.age)
+            .map(|h| h.is_silent)
     }
 
     fn standing(&self, now: Instant, superseded: bool) -> Standing {
         if self.report.state != UpstreamState::Ready || superseded {
-            Standing::Closed
-        } else if self.is_confirmed() || (!self.is_known_silent() && now < self.unconfirmed_until) {
-            Standing::Ready
-        } else {
-            Standing::Silent
+            return Standing::Closed;
+        }
+        match self.is_told_silent() {
+            Some(false) => Standing::Ready,
+            None if now < self.unconfirmed_until => Standing::Ready,
+            _ => Standing::Silent,
         }
     }
 }
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -63,8 +63,6 @@
     NoRoute,
     /// no upstream of the service is known
     NoUpstream,
-    /// the upstreams' queues are longer than the caller can wait
-    Overload,
 }
 
 /// Why a packet is dropped.
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -103,7 +103,6 @@
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
-            Err(Refusal::Overload) => Decision::Reset(ResetReason::Overload),
         };
         Opened {
             decision,
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -105,11 +105,7 @@
         if let Err(problem) = (self.check)(&request.text) {
             return answered(Reply::WrongFile(problem));
         }
-        let now = Instant::now();
-        let (id, rx) = self.register();
-        self.replica.apply(now, id, request);
-        self.flush(now);
-        rx
+        self.ask(|replica, now, id| replica.apply(now, id, request))
     }
 
     /// Takes a file that carries its own version.
@@ -117,20 +113,12 @@
         if let Err(problem) = (self.check)(&request.text) {
             return answered(Reply::WrongFile(problem));
         }
-        let now = Instant::now();
-        let (id, rx) = self.register();
-        self.replica.apply_version(now, id, request);
-        self.flush(now);
-        rx
+        self.ask(|replica, now, id| replica.apply_version(now, id, request))
     }
 
     /// Reads what is in force, as a quorum confirms.
     pub(super) fn read_confirmed(&mut self) -> oneshot::Receiver<Reply> {
-        let now = Instant::now();
-        let (id, rx) = self.register();
-        self.replica.read_confirmed(now, id);
-        self.flush(now);
-        rx
+        self.ask(Replica::read_confirmed)
     }
 
     /// Lets the VM replace lost voters by itself.
@@ -205,9 +193,17 @@
     }
 
     pub(super) fn replace(&mut self, request: ReplaceRequest) -> oneshot::Receiver<Reply> {
+        self.ask(|replica, now, id| replica.replace(now, id, request))
+    }
+
+    /// Gives the replica a request, and returns where its answer will come.
+    fn ask(
+        &mut self,
+        request: impl FnOnce(&mut Replica, Instant, RequestId),
+    ) -> oneshot::Receiver<Reply> {
         let now = Instant::now();
         let (id, rx) = self.register();
-        self.replica.replace(now, id, request);
+        request(&mut self.replica, now, id);
         self.flush(now);
         rx
     }
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -319,7 +319,7 @@
         let before = source.registry.borrow().last_change();
         source.registry.borrow_mut().tick(Instant::now());
         tell_changes(&source, before);
-        metrics.show(&source.registry.borrow().records(), source.listeners());
+        metrics.show(source.registry.borrow().iter(), source.listeners());
     }
 }
 
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -68,10 +68,14 @@
         self.commit_seconds.observe(seconds);
     }
 
-    pub(super) fn show(&self, records: &[Record], feeds: usize) {
-        for state in ["ready", "silent", "draining", "gone"] {
-            let in_state = records.iter().filter(|record| name_of(record) == state);
-            let count = i64::try_from(in_state.count()).unwrap_or(i64::MAX);
+    pub(super) fn show<'a>(&self, records: impl Iterator<Item = &'a Record>, feeds: usize) {
+        let mut counts = [("ready", 0), ("silent", 0), ("draining", 0), ("gone", 0)];
+        for name in records.map(name_of) {
+            for (state, count) in &mut counts {
+                *count += i64::from(*state == name);
+            }
+        }
+        for (state, count) in counts {
             self.upstreams.get_or_create(&State { state }).set(count);
         }
         self.feeds.set(i64::try_from(feeds).unwrap_or(i64::MAX));
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -8,7 +8,7 @@
 use currantgate_token::{
     Decision, DropReason, Expired, FlowId, Opened, ResetReason, Token, TokenRouter,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::format::MalformedPacket;
 
@@ -146,10 +146,11 @@
     pub(super) fn upstreams(&mut self, upstreams: &[Upstream]) {
         for upstream in upstreams {
             let id = &upstream.report.id;
-            let before = self.standings.insert(id.clone(), upstream.standing);
+            let before = self.standings.get(id).copied();
             if before == Some(upstream.standing) {
                 continue;
             }
+            self.standings.insert(id.clone(), upstream.standing);
             log::info!(
                 event = "standing",
                 upstream = &**id,
@@ -161,9 +162,9 @@
                 "upstream has another standing"
             );
         }
-        let is_known = |id: &str| upstreams.iter().any(|u| &*u.report.id == id);
         if self.standings.len() > upstreams.len() {
-            self.standings.retain(|id, _| is_known(id));
+            let known: IndexSet<_> = upstreams.iter().map(|u| &u.report.id).collect();
+            self.standings.retain(|id, _| known.contains(id));
         }
     }
 
