--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use common::net::Net;
-use currantgate_control::{ApplyAnswer, Base, Digest, ReplaceAnswer, VoterId};
+use common::net::{Net, address};
+use currantgate_control::{ApplyAnswer, Base, Digest, ReplaceAnswer, VoterChange, VoterId};
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed};
 use rand::{RngExt, SeedableRng};
@@ -41,6 +41,8 @@
         delay_ms: u64,
     },
     LoseDisk(usize),
+    /// The site gets one more voter.
+    Grow,
 }
 
 fn any_action() -> impl Strategy<Value = Action> {
@@ -61,9 +63,13 @@
             Action::Faults { loss, slow_writes, delay_ms }
         }),
         1 => vm.prop_map(Action::LoseDisk),
+        1 => Just(Action::Grow),
     ]
 }
 
+/// The most voters that a site grows to.
+const MAX_VOTERS: u64 = 7;
+
 /// The voter that is to be replaced, and by which.
 struct Repair {
     lost: VoterId,
@@ -74,6 +80,9 @@
     net: Net,
     rng: ChaCha8Rng,
     repair: Option<Repair>,
+    /// The voter that is to be added.
+    added: Option<VoterId>,
+    voters: u64,
     next_id: VoterId,
 }
 
@@ -83,6 +92,8 @@
             net: Net::new(voters, seed),
             rng: ChaCha8Rng::seed_from_u64(seed),
             repair: None,
+            added: None,
+            voters,
             next_id: voters + 1,
         }
     }
@@ -130,8 +141,10 @@
                 self.net.delay_ms = delay_ms;
             }
             Action::LoseDisk(vm) => self.lose_disk(self.vm(vm)),
+            Action::Grow => self.grow(),
         }
         self.go_on_with_repair();
+        self.go_on_with_growth();
     }
 
     /// Lets operators apply, race and resend for some time.
@@ -198,7 +211,8 @@
 
     /// One disk at a time: the next may be lost as soon as the repair is done.
     fn lose_disk(&mut self, lost: VoterId) {
-        if self.repair.is_some() {
+        // One that is only to be added can be lost without a word.
+        if self.repair.is_some() || self.added == Some(lost) {
             return;
         }
         let fresh = self.next_id;
@@ -208,6 +222,35 @@
         self.repair = Some(Repair { lost, fresh });
     }
 
+    fn grow(&mut self) {
+        if self.added.is_some() || self.voters == MAX_VOTERS {
+            return;
+        }
+        let fresh = self.next_id;
+        self.next_id += 1;
+        self.voters += 1;
+        self.net.join(fresh);
+        self.added = Some(fresh);
+    }
+
+    /// Asks again until the new voter is one.
+    fn go_on_with_growth(&mut self) {
+        let (Some(fresh), Some(leader)) = (self.added, self.net.leader()) else {
+            return;
+        };
+        let change = VoterChange {
+            lost: None,
+            fresh,
+            address: address(fresh),
+        };
+        let id = self.net.change_voters(leader, change);
+        // An earlier request was served when the new one is a voter already.
+        if let Some(ReplaceAnswer::Done | ReplaceAnswer::WrongMembers) = self.net.replaced.get(&id)
+        {
+            self.added = None;
+        }
+    }
+
     /// Asks again until the repair is done, as an operator whose answer is lost.
     fn go_on_with_repair(&mut self) {
         let (Some(repair), Some(leader)) = (&self.repair, self.net.leader()) else {
@@ -233,12 +276,15 @@
             self.net.run(Duration::from_millis(500));
             self.restart_all();
             self.go_on_with_repair();
-            if self.repair.is_none() && self.net.all_at(self.net.checks.newest()) {
+            self.go_on_with_growth();
+            let is_whole = self.repair.is_none() && self.added.is_none();
+            if is_whole && self.net.all_at(self.net.checks.newest()) {
                 break;
             }
         }
         self.net.run(Duration::from_secs(5));
         assert!(self.repair.is_none(), "the repair ends");
+        assert!(self.added.is_none(), "the site has grown");
         let leader = self.net.leader().expect("a leader is found");
         let base = self.net.checks.newest();
         let id = self.net.apply(leader, base, "end");
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -426,3 +426,147 @@
         }
     }
 }
+
+/// What happens to upstreams whose addresses are used again by other services.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Open {
+        n: u16,
+        is_calendar: bool,
+    },
+    Carry {
+        n: u16,
+        is_last: bool,
+    },
+    /// Upstream `n` drains.
+    Drain(u8),
+    /// Upstream `n` is gone, and one of the other service has its address.
+    Reuse(u8),
+    Wait(u64),
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => (0..30_u16, any::<bool>()).prop_map(|(n, is_calendar)| Change::Open { n, is_calendar }),
+        4 => (0..30_u16, any::<bool>()).prop_map(|(n, is_last)| Change::Carry { n, is_last }),
+        1 => (0..6_u8).prop_map(Change::Drain),
+        1 => (0..6_u8).prop_map(Change::Reuse),
+        1 => (1..600_u64).prop_map(Change::Wait),
+    ]
+}
+
+/// An upstream of the property below.
+#[derive(Clone, Debug)]
+struct Known {
+    identity: u64,
+    host: u8,
+    is_calendar: bool,
+    is_open: bool,
+}
+
+const CALENDAR: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+
+fn service_of(is_calendar: bool) -> &'static str {
+    if is_calendar { "calendar" } else { "booking" }
+}
+
+fn show(entry: &mut Entry, known: &[Known]) {
+    let shown = known.iter().map(|upstream| {
+        let (mut as_hop, target) = self::upstream(upstream.host, entry.now);
+        as_hop.id = format!("i-{:08x}", upstream.identity).into();
+        as_hop.identity = upstream.identity;
+        let target = target.filter(|_| upstream.is_open).map(|target| Target {
+            service: service_of(upstream.is_calendar).into(),
+            ..target
+        });
+        (as_hop, target)
+    });
+    let shown = shown.collect();
+    entry.router.set_upstreams(shown);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever drains, goes and has its address used again: a new flow goes to
+    /// an open upstream of its route's service, and later packets name the one
+    /// that it was opened at, also to whoever has its address by now.
+    #[test]
+    fn no_packet_reaches_another_service(
+        changes in prop::collection::vec(any_change(), 1..150),
+    ) {
+        let mut entry = Entry::new([], 9);
+        let routes = [(SERVICE, false), (CALENDAR, true)]
+            .map(|(address, is_calendar)| (address, route(&[(service_of(is_calendar), 1)])));
+        entry.router.set_routes(RouteTable::new(routes));
+        let mut known: Vec<_> = (0..6_u8)
+            .map(|host| Known {
+                identity: u64::from(host) + 1,
+                host,
+                is_calendar: host % 2 == 1,
+                is_open: true,
+            })
+            .collect();
+        show(&mut entry, &known);
+        let mut open = std::collections::HashMap::new();
+        for change in changes {
+            match change {
+                Change::Open { n, is_calendar } => {
+                    let opening = Opening {
+                        flow: FlowId {
+                            service: if is_calendar { CALENDAR } else { SERVICE },
+                            ..flow(n)
+                        },
+                        copies: 0,
+                    };
+                    if open.contains_key(&n) {
+                        continue;
+                    }
+                    if let Decision::Forward(hop) = entry.router.open(entry.now, opening).decision {
+                        let chosen = known.iter().find(|k| k.identity == hop.identity).unwrap();
+                        prop_assert!(chosen.is_open, "{chosen:?}");
+                        prop_assert_eq!(chosen.is_calendar, is_calendar);
+                        open.insert(n, (opening.flow, hop));
+                    }
+                }
+                Change::Carry { n, is_last } => {
+                    if let Some((flow, hop)) = open.get(&n).copied() {
+                        let segment = Segment { flow, token: hop.token, is_last };
+                        let decision = entry.router.carry(entry.now, segment);
+                        prop_assert_eq!(decision, Decision::Forward(hop));
+                        if is_last {
+                            open.remove(&n);
+                        }
+                    }
+                }
+                Change::Drain(host) => {
+                    let newest = known.iter_mut().rfind(|k| k.host == host).unwrap();
+                    newest.is_open = false;
+                    show(&mut entry, &known);
+                }
+                Change::Reuse(host) => {
+                    let before = known.iter_mut().rfind(|k| k.host == host).unwrap();
+                    before.is_open = false;
+                    let is_calendar = !before.is_calendar;
+                    known.push(Known {
+                        identity: known.len() as u64 + 1,
+                        host,
+                        is_calendar,
+                        is_open: true,
+                    });
+                    show(&mut entry, &known);
+                }
+                Change::Wait(ms) => {
+                    entry.now += Duration::from_millis(ms);
+                    while entry.router.pop_expired(entry.now).is_some() {}
+                }
+            }
+        }
+    }
+}
