--- a/crates/currantgate-cli/src/cmd/demo/entries.rs
+++ b/crates/currantgate-cli/src/cmd/demo/entries.rs
@@ -106,6 +106,11 @@
         drop(self.take(id));
     }
 
+    /// Tells whether all entries decide about flows.
+    pub(crate) fn are_serving(&self) -> bool {
+        self.running.iter().all(Entry::is_serving)
+    }
+
     /// Returns the control bytes that each entry has sent, in order of ids.
     pub(crate) fn control_bytes(&self) -> Vec<(EntryId, u64)> {
         let running = self.running.iter().map(|e| (e.id(), e.control_bytes()));
--- a/crates/currantgate-cli/src/cmd/demo/scenes.rs
+++ b/crates/currantgate-cli/src/cmd/demo/scenes.rs
@@ -10,8 +10,12 @@
 use super::site;
 use crate::error::CommandError;
 
-/// How long upstreams and entries have to find each other.
-const SETTLE: Duration = Duration::from_secs(3);
+/// How long entries have to know what the others know; they take about 3 s.
+const SERVING: Duration = Duration::from_secs(20);
+
+/// How long they have from then on to deal out the buckets, in which first
+/// packets wait; they take 1.5 s.
+const SETTLE: Duration = Duration::from_secs(2);
 
 /// How long a new entry runs before the one that it replaces leaves.
 const OVERLAP: Duration = Duration::from_secs(1);
@@ -45,6 +49,10 @@
         let started = Instant::now();
         let entries = Entries::start(&site, fabric.handle())?;
         let upstreams = site::start_upstreams(&site, &entries).await?;
+        let deadline = Instant::now() + SERVING;
+        while Instant::now() < deadline && !entries.are_serving() {
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
         actix_rt::time::sleep(SETTLE).await;
         Ok(Self {
             site,
