--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -36,6 +36,7 @@
         dark: 0,
         slow: 0,
         loses_domain: false,
+        loss: 0.0,
         retries: 2,
         seed: 7,
     }
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -13,6 +13,9 @@
 use crate::service::Service;
 use crate::{Demand, Doubt, Doubted, Key, Placed, PlacementSettings, Priority, Refusal, Target};
 
+/// The most doubts that are kept until they are asked for; older ones are let go.
+const MAX_UNTOLD: usize = 256;
+
 /// What upstreams are compared by; the smallest takes a flow.
 type Rank = (Trust, f64);
 
@@ -154,6 +157,9 @@
     }
 
     fn tell(&mut self, of: Doubted, until: Option<Instant>) {
+        if self.doubts.len() >= MAX_UNTOLD {
+            self.doubts.remove(0);
+        }
         self.doubts.push(Doubt { of, until });
     }
 
--- a/crates/currantgate-placement/tests/load/main.rs
+++ b/crates/currantgate-placement/tests/load/main.rs
@@ -21,6 +21,7 @@
         dark: 0,
         slow: 0,
         loses_domain: false,
+        loss: 0.0,
         retries: 2,
         seed: 7,
     }
@@ -47,6 +48,8 @@
 #[case::grown_heavy(grown(0.9))]
 #[case::slow(Scene { slow: 2, ..booking(0.5) })]
 #[case::lost_domain(Scene { loses_domain: true, ..booking(0.6) })]
+#[case::lossy(Scene { loss: 0.01, ..booking(0.6) })]
+#[case::grown_lossy(Scene { loss: 0.01, ..grown(0.6) })]
 #[case::burst(Scene { burst: 1.5, ..booking(0.6) })]
 fn callers_get_within_five_percent_of_one_queue(#[case] scene: Scene) {
     let policies = [Policy::OneQueue, Policy::Admission, Policy::Hash];
@@ -68,6 +71,25 @@
     assert!(refused < 0.001, "{refused}");
 }
 
+/// A lost packet looks like a silent upstream to an entry that sends it little.
+#[rstest]
+#[case::usual(booking(0.6))]
+#[case::grown(grown(0.6))]
+fn a_lost_packet_raises_one_false_doubt_at_most(#[case] scene: Scene) {
+    let scene = Scene {
+        loss: 0.01,
+        ..scene
+    };
+    let report = play(&scene, Policy::Admission);
+    let lost = f64::from(report.lost);
+    let [upstreams, domains] =
+        [report.false_doubts, report.false_domain_doubts].map(|n| f64::from(n) / lost);
+    println!("false doubts a lost packet: upstreams {upstreams:.2}, domains {domains:.3}");
+    assert!(upstreams <= 1.0, "{upstreams}");
+    // Two in a row, with no answer of the domain in between.
+    assert!(domains <= 0.1, "{domains}");
+}
+
 #[test]
 fn refusals_cost_callers_who_come_back_after_an_outage_next_to_nothing() {
     let scene = Scene {
--- a/crates/currantgate-placement/tests/load/world.rs
+++ b/crates/currantgate-placement/tests/load/world.rs
@@ -5,7 +5,9 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use currantgate_placement::{Demand, Key, Placement, PlacementSettings, Priority, Refusal, Target};
+use currantgate_placement::{
+    Demand, Doubt, Doubted, Key, Placement, PlacementSettings, Priority, Refusal, Target,
+};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp, LogNormal};
@@ -45,6 +47,8 @@
     pub(crate) slow: usize,
     /// Whether the upstreams of one domain answer nothing in the middle third.
     pub(crate) loses_domain: bool,
+    /// The share of first packets that are lost on the way.
+    pub(crate) loss: f64,
     /// How many times a caller asks again after a refusal.
     pub(crate) retries: u32,
     pub(crate) seed: u64,
@@ -94,6 +98,12 @@
     pub(crate) by_second: Vec<Outcome>,
     /// All requests, by the domain of the entry that took the first try.
     pub(crate) by_domain: [Outcome; DOMAINS],
+    /// First packets that were lost on the way.
+    pub(crate) lost: u32,
+    /// Upstreams that were doubted although they answer, at one entry each.
+    pub(crate) false_doubts: u32,
+    /// Failure domains that were doubted although they are in reach.
+    pub(crate) false_domain_doubts: u32,
     /// The most flows that were at one cold upstream.
     pub(crate) most_at_cold: usize,
 }
@@ -359,7 +369,9 @@
             Err(Refusal::NoUpstream) => unreachable!("there are upstreams"),
         }
         request.sent_ms = now_ms;
-        if self.is_dark(now_ms, request.key) {
+        let is_lost = self.scene.loss > 0.0 && self.rng.random_bool(self.scene.loss);
+        self.report.lost += u32::from(is_lost);
+        if is_lost || self.is_dark(now_ms, request.key) {
             return self.repeat(request, copies);
         }
         if self.places() {
@@ -381,7 +393,10 @@
                 let placement = &mut self.entries[request.entry];
                 if let Some(before) = tried {
                     placement.unanswered(now, before, request.priority(), sent);
+                    let doubts = placement.take_doubts();
+                    self.count_doubts(now_ms, &doubts);
                 }
+                let placement = &mut self.entries[request.entry];
                 let demand = Demand {
                     service: "booking",
                     priority: request.priority(),
@@ -394,6 +409,17 @@
         }
     }
 
+    fn count_doubts(&mut self, now_ms: f64, doubts: &[Doubt]) {
+        for doubt in doubts.iter().filter(|doubt| doubt.until.is_some()) {
+            match doubt.of {
+                Doubted::Upstream(key) if self.is_dark(now_ms, key) => {}
+                Doubted::Upstream(_) => self.report.false_doubts += 1,
+                Doubted::Domain(_) if self.scene.loses_domain => {}
+                Doubted::Domain(_) => self.report.false_domain_doubts += 1,
+            }
+        }
+    }
+
     fn is_in_outage(&self, ms: f64) -> bool {
         let (from, to) = self.scene.outage_ms;
         (from..to).contains(&ms)
