--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -4,10 +4,13 @@
 //! The bounds are the stated targets: within 5 % of one global queue at 60 %
 //! and 90 % load, and 90 % of capacity at twice the load.
 
-#[path = "../../tests/load/world.rs"]
+#[path = "../../tests/load/world/mod.rs"]
 mod world;
 
+mod plot;
+
 use std::hint::black_box;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use currantgate_placement::{Demand, Placement, PlacementSettings, Priority, Target};
@@ -51,6 +54,36 @@
     }
 }
 
+/// Where the plot of the burst goes.
+const PLOT: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../target/placement-burst.svg"
+);
+
+fn thrice_as_much() -> Scene {
+    Scene {
+        burst: 3.0,
+        ..small_site(0.6)
+    }
+}
+
+fn plot_burst() {
+    let named = [
+        ("hash", Policy::Hash),
+        ("least load", Policy::LeastLoad),
+        ("least load with refusals", Policy::Admission),
+        ("one queue", Policy::OneQueue),
+    ];
+    let reports = named.map(|(name, policy)| (name, play(&thrice_as_much(), policy)));
+    let lines: Vec<_> = reports
+        .iter()
+        .map(|(name, report)| (*name, report))
+        .collect();
+    let title = "8 entries, 60 % load, thrice as much for a third of the time";
+    plot::plot(Path::new(PLOT), title, &lines).expect("the plot can be written");
+    println!("the burst second by second: target/placement-burst.svg");
+}
+
 fn play(scene: &Scene, policy: Policy) -> Report {
     World::new(scene.clone(), policy).play()
 }
@@ -131,15 +164,13 @@
         ),
         (
             "8 entries, 60 %, thrice as much for a third",
-            Scene {
-                burst: 3.0,
-                ..small_site(0.6)
-            },
+            thrice_as_much(),
         ),
     ];
     for (name, scene) in &shown {
         compare(name, scene);
     }
+    plot_burst();
     let overload = play(&small_site(2.0), Policy::Admission);
     let goodput = 2.0 * overload.all().share_served();
     println!("goodput at twice the load: {goodput:.3} of capacity (at least {MIN_GOODPUT})");
--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::recent::Recent;
-use crate::{Demand, PlacementSettings, Priority, Shortage};
+use crate::{AdmissionSettings, Demand, Priority, Shortage};
 
 /// Stands for the time of a flow that its upstream refused, which tells nothing
 /// of how long others are open.
@@ -24,14 +24,14 @@
 impl Pace {
     /// Tells whether more come than are worked off, beyond what chance makes of
     /// equal numbers.
-    fn grows(&self, settings: &PlacementSettings) -> bool {
+    fn grows(&self, settings: &AdmissionSettings) -> bool {
         let by_chance = (self.asked + self.ended).sqrt();
         self.asked > self.ended + settings.growth_over_chance * by_chance
     }
 
     /// Returns how long flows are usually open, given what was usual before: it
     /// follows a faster pace at once and a slower one little by little.
-    fn drift(&self, usual: Duration, settings: &PlacementSettings) -> Duration {
+    fn drift(&self, usual: Duration, settings: &AdmissionSettings) -> Duration {
         if self.open_for <= usual {
             return self.open_for;
         }
@@ -69,7 +69,7 @@
         pace: &Pace,
         bound: Duration,
         usual: Duration,
-        settings: &PlacementSettings,
+        settings: &AdmissionSettings,
     ) -> bool {
         let was_limited = self.limited_until.is_some_and(|until| now < until);
         let is_overloaded = if was_limited {
@@ -153,7 +153,7 @@
         &mut self,
         now: Instant,
         demand: &Demand<'_>,
-        settings: &PlacementSettings,
+        settings: &AdmissionSettings,
     ) -> Option<Shortage> {
         self.asked.push(now, (), settings.max_samples);
         self.refresh(now, settings);
@@ -178,7 +178,7 @@
     }
 
     /// Works out the pace anew when it is due.
-    fn refresh(&mut self, now: Instant, settings: &PlacementSettings) {
+    fn refresh(&mut self, now: Instant, settings: &AdmissionSettings) {
         if now < *self.stale_at.get_or_insert(now + settings.pace_window) {
             return;
         }
@@ -194,7 +194,7 @@
         });
     }
 
-    fn measure(&self, now: Instant, settings: &PlacementSettings) -> Option<Pace> {
+    fn measure(&self, now: Instant, settings: &AdmissionSettings) -> Option<Pace> {
         if self.ended.len() < settings.min_samples {
             return None;
         }
@@ -223,7 +223,7 @@
 }
 
 /// Returns how long flows should be open at most.
-fn bound(latency_target: Duration, usual: Duration, settings: &PlacementSettings) -> Duration {
+fn bound(latency_target: Duration, usual: Duration, settings: &AdmissionSettings) -> Duration {
     let slow = usual.mul_f64(settings.late_over_usual);
     slow.max(latency_target.mul_f64(settings.late_over_target))
 }
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/design/placement.md`.
 
 mod admission;
+mod admission_settings;
 mod candidate;
 mod demand;
 mod domain;
@@ -19,6 +20,7 @@
 mod suspicion;
 mod target;
 
+pub use admission_settings::AdmissionSettings;
 pub use demand::{Demand, Priority};
 pub use doubt::{Doubt, Doubted};
 pub use placement::Placement;
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -91,7 +91,9 @@
             .or_else(|| self.choose(now, demand.service, &[]))
             .ok_or(Refusal::NoUpstream)?;
         let service = &mut self.services[demand.service];
-        let shortage = service.admission.shortage(now, demand, &self.settings);
+        let shortage = service
+            .admission
+            .shortage(now, demand, &self.settings.admission);
         if let Some(shortage) = shortage.filter(|_| demand.may_refuse) {
             return Err(Refusal::Overloaded(shortage));
         }
@@ -209,7 +211,7 @@
     /// Notes that a flow has ended that was answered, and how long it took from
     /// its first packet.
     pub fn ended(&mut self, now: Instant, key: Key, priority: Priority, took: Duration) {
-        let most = self.settings.max_samples;
+        let most = self.settings.admission.max_samples;
         let usual = self.admission(key).and_then(|admission| {
             admission.ended(now, priority, took, most);
             admission.open_for()
--- a/crates/currantgate-placement/src/settings.rs
+++ b/crates/currantgate-placement/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::AdmissionSettings;
+
 /// Settings of [`crate::Placement`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -28,55 +30,8 @@
     pub suspect_for: Duration,
     /// The most times that the time of avoidance is doubled.
     pub max_doublings: u32,
-    /// A service answers late when half of its flows are open for longer than
-    /// this part of the latency target: the other half of the target is for
-    /// requests that take longer than most.
-    pub late_over_target: f64,
-    /// It doesn't while they are open for less than this many times the usual,
-    /// whatever the target is: callers may keep flows open on purpose.
-    pub late_over_usual: f64,
-    /// A flow that ends within this part of the usual time was refused by its
-    /// upstream: of works that spread by half, one in five hundred is as short.
-    pub cut_short_below_usual: f64,
-    /// How many standard deviations more must be asked for than end to count as
-    /// more than chance: two, exceeded by chance once in forty times.
-    pub growth_over_chance: f64,
-    /// For how long more must be asked for than is worked off in time before
-    /// flows are refused: callers who come back together after an outage are
-    /// all there within half a window.
-    pub overloaded_for: Duration,
-    /// For how long flows must be open too long before flows are refused although
-    /// no growth shows: upstreams that refuse what they can't hold hide it, and
-    /// what gathers in an outage of a second and a half is worked off by then.
-    pub late_for: Duration,
-    /// How far back flows count: a few times the latency targets of 120
-    /// to 500 ms, so that a burst shows within one of them.
-    pub pace_window: Duration,
-    /// After how long the pace is worked out anew: a tenth of the window.
-    pub pace_refresh: Duration,
-    /// What a new pace weighs in the usual one, at each refresh: the usual one
-    /// follows within a quarter of a minute.
-    pub usual_part: f64,
-    /// The same while the pace is far beyond the usual one, which follows within
-    /// three minutes: longer than a burst, and in time for callers who keep
-    /// flows open from now on.
-    pub usual_part_when_late: f64,
-    /// By what part the most that a service was seen to work off fades at each
-    /// refresh: to a half within two seconds, longer than chance or refusals
-    /// hold it down.
-    pub capacity_fade: f64,
-    /// How many flows an entry may have open at an overloaded service beyond what
-    /// it is seen to work off: with the users' 90 flows a second and entry, they
-    /// wait for the other half of the way from the usual time to the bound.
-    pub spare_flows: u32,
-    /// The fewest ended flows that tell a pace: with fewer a median says little.
-    pub min_samples: usize,
-    /// The most flows of each kind that are kept, which bounds memory to 32 bytes
-    /// each.
-    pub max_samples: usize,
-    /// For how long flows are refused after a service was last seen overloaded:
-    /// a window, so that the limit itself does not end it at once.
-    pub limit_for: Duration,
+    /// Which new flows a service has room for.
+    pub admission: AdmissionSettings,
 }
 
 impl Default for PlacementSettings {
@@ -90,21 +45,7 @@
             max_slowness: 8.0,
             suspect_for: Duration::from_millis(500),
             max_doublings: 4,
-            late_over_target: 0.5,
-            late_over_usual: 2.0,
-            cut_short_below_usual: 0.25,
-            growth_over_chance: 1.5,
-            overloaded_for: Duration::from_millis(350),
-            late_for: Duration::from_millis(1_500),
-            pace_window: Duration::from_secs(1),
-            pace_refresh: Duration::from_millis(50),
-            usual_part: 0.003,
-            usual_part_when_late: 0.0003,
-            capacity_fade: 0.017,
-            spare_flows: 3,
-            min_samples: 8,
-            max_samples: 256,
-            limit_for: Duration::from_millis(500),
+            admission: AdmissionSettings::default(),
         }
     }
 }
--- a/crates/currantgate-placement/tests/load/world.rs
+++ b/crates/currantgate-placement/tests/load/world/mod.rs
@@ -6,161 +6,21 @@
 use std::time::{Duration, Instant};
 
 use currantgate_placement::{
-    Demand, Doubt, Doubted, Key, Placement, PlacementSettings, Priority, Refusal, Target,
+    Demand, Doubt, Doubted, Key, Placement, PlacementSettings, Refusal, Target,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp, LogNormal};
 
-/// How new flows are placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Policy {
-    /// A hash of the flow: any upstream, whatever its load.
-    Hash,
-    /// Each entry by the flows that it sees itself, without refusing any.
-    LeastLoad,
-    /// This crate: least load, and refusals by priority under overload.
-    Admission,
-    /// One queue for all slots, which no placement can better.
-    OneQueue,
-}
-
-/// What is played.
-#[derive(Clone, Debug)]
-pub(crate) struct Scene {
-    pub(crate) entries: usize,
-    pub(crate) upstreams: usize,
-    pub(crate) slots: u32,
-    /// Requests that wait at an upstream; further ones are refused there.
-    pub(crate) queue: usize,
-    /// Offered work over the work that all slots can do.
-    pub(crate) load: f64,
-    /// What the load is multiplied by in the middle third.
-    pub(crate) burst: f64,
-    /// Nothing is served in this time; first packets are repeated.
-    pub(crate) outage_ms: (f64, f64),
-    /// How many upstreams are twice as slow for the first quarter and say so.
-    pub(crate) cold: usize,
-    /// How many upstreams answer nothing, and don't say so.
-    pub(crate) dark: usize,
-    /// How many upstreams are four times as slow all the time, and don't say so.
-    pub(crate) slow: usize,
-    /// Whether the upstreams of one domain answer nothing in the middle third.
-    pub(crate) loses_domain: bool,
-    /// The share of first packets that are lost on the way.
-    pub(crate) loss: f64,
-    /// How many times a caller asks again after a refusal.
-    pub(crate) retries: u32,
-    pub(crate) seed: u64,
-}
-
-/// What callers of one kind of request got.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Outcome {
-    pub(crate) asked: u32,
-    pub(crate) in_aim: u32,
-    /// Answered before the caller gave up.
-    pub(crate) served: u32,
-    /// Refused by an entry, counted by tries.
-    pub(crate) refused: u32,
-    /// Refused by an upstream, counted by tries.
-    pub(crate) shed: u32,
-}
-
-impl Outcome {
-    pub(crate) fn share_in_aim(&self) -> f64 {
-        f64::from(self.in_aim) / f64::from(self.asked.max(1))
-    }
-
-    pub(crate) fn share_served(&self) -> f64 {
-        f64::from(self.served) / f64::from(self.asked.max(1))
-    }
-
-    fn add(self, other: Self) -> Self {
-        Self {
-            asked: self.asked + other.asked,
-            in_aim: self.in_aim + other.in_aim,
-            served: self.served + other.served,
-            refused: self.refused + other.refused,
-            shed: self.shed + other.shed,
-        }
-    }
-}
-
-/// What all callers got.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Report {
-    /// Requests that may run more than once.
-    pub(crate) safe: Outcome,
-    /// Requests that may run once at most.
-    pub(crate) unsafe_: Outcome,
-    /// All requests, by the second in which they began.
-    pub(crate) by_second: Vec<Outcome>,
-    /// All requests, by the domain of the entry that took the first try.
-    pub(crate) by_domain: [Outcome; DOMAINS],
-    /// First packets that were lost on the way.
-    pub(crate) lost: u32,
-    /// Upstreams that were doubted although they answer, at one entry each.
-    pub(crate) false_doubts: u32,
-    /// Failure domains that were doubted although they are in reach.
-    pub(crate) false_domain_doubts: u32,
-    /// The most flows that were at one cold upstream.
-    pub(crate) most_at_cold: usize,
-}
-
-impl Report {
-    pub(crate) fn all(&self) -> Outcome {
-        self.safe.add(self.unsafe_)
-    }
-
-    /// Returns the share in aim of the domain that was served worst.
-    pub(crate) fn worst_domain(&self) -> f64 {
-        let shares = self.by_domain.iter().map(Outcome::share_in_aim);
-        shares.fold(1.0, f64::min)
-    }
-
-    /// Returns the share in aim of the worst of the full seconds.
-    pub(crate) fn worst_second(&self) -> f64 {
-        let full = self
-            .by_second
-            .split_last()
-            .map_or(&[][..], |(_, full)| full);
-        let shares = full.iter().map(Outcome::share_in_aim);
-        shares.fold(1.0, f64::min)
-    }
-}
-
-/// A kind of request: the users' availability checks and bookings.
-#[derive(Clone, Copy, Debug)]
-struct Kind {
-    work_ms: f64,
-    aim_ms: f64,
-    patience_ms: f64,
-    is_idempotent: bool,
-}
+mod report;
+mod request;
+mod scene;
 
-const SAFE: Kind = Kind {
-    work_ms: 55.0,
-    aim_ms: 250.0,
-    patience_ms: 1_500.0,
-    is_idempotent: true,
-};
-
-const UNSAFE: Kind = Kind {
-    work_ms: 72.0,
-    aim_ms: 300.0,
-    patience_ms: 2_000.0,
-    is_idempotent: false,
-};
+pub(crate) use report::Report;
+pub(crate) use scene::{Policy, Scene};
 
-/// The share of requests that may run once at most: 83 of 375 a second.
-const UNSAFE_SHARE: f64 = 0.22;
-
-/// The mean work of all requests.
-const WORK_MS: f64 = (1.0 - UNSAFE_SHARE) * SAFE.work_ms + UNSAFE_SHARE * UNSAFE.work_ms;
-
-/// The spread of the work of a kind, over its mean.
-const WORK_SPREAD: f64 = 0.5;
+use report::Outcome;
+use request::{Kind, Request, SAFE, UNSAFE, UNSAFE_SHARE, WORK_MS, WORK_SPREAD};
 
 /// After how long a caller repeats a first packet that is not answered, and
 /// when it gives the try up.
@@ -181,31 +41,6 @@
 /// How many requests are played.
 const REQUESTS: u32 = 40_000;
 
-#[derive(Clone, Copy, Debug)]
-struct Request {
-    kind: Kind,
-    begun_ms: f64,
-    work_ms: f64,
-    entry: usize,
-    /// The domain of the entry that took the first try.
-    domain: usize,
-    key: Key,
-    retries: u32,
-    /// When the caller sent this try's first packet, and this copy of it.
-    try_ms: f64,
-    sent_ms: f64,
-    is_cold: bool,
-}
-
-impl Request {
-    fn priority(&self) -> Priority {
-        Priority {
-            is_idempotent: self.kind.is_idempotent,
-            level: 1,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Upstream {
     busy: u32,
@@ -253,8 +88,9 @@
                 ..PlacementSettings::default()
             };
             if policy != Policy::Admission {
-                settings.overloaded_for = Duration::from_secs(24 * 60 * 60);
-                settings.late_for = settings.overloaded_for;
+                let never = Duration::from_secs(24 * 60 * 60);
+                settings.admission.overloaded_for = never;
+                settings.admission.late_for = never;
             }
             let mut placement = Placement::new(settings);
             placement.set_targets((0..scene.upstreams).map(|n| target(n, entry)));
--- /dev/null
+++ b/crates/currantgate-placement/tests/load/world/scene.rs
@@ -0,0 +1,43 @@
+//! What is played.
+
+/// How new flows are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// A hash of the flow: any upstream, whatever its load.
+    Hash,
+    /// Each entry by the flows that it sees itself, without refusing any.
+    LeastLoad,
+    /// This crate: least load, and refusals by priority under overload.
+    Admission,
+    /// One queue for all slots, which no placement can better.
+    OneQueue,
+}
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub(crate) struct Scene {
+    pub(crate) entries: usize,
+    pub(crate) upstreams: usize,
+    pub(crate) slots: u32,
+    /// Requests that wait at an upstream; further ones are refused there.
+    pub(crate) queue: usize,
+    /// Offered work over the work that all slots can do.
+    pub(crate) load: f64,
+    /// What the load is multiplied by in the middle third.
+    pub(crate) burst: f64,
+    /// Nothing is served in this time; first packets are repeated.
+    pub(crate) outage_ms: (f64, f64),
+    /// How many upstreams are twice as slow for the first quarter and say so.
+    pub(crate) cold: usize,
+    /// How many upstreams answer nothing, and don't say so.
+    pub(crate) dark: usize,
+    /// How many upstreams are four times as slow all the time, and don't say so.
+    pub(crate) slow: usize,
+    /// Whether the upstreams of one domain answer nothing in the middle third.
+    pub(crate) loses_domain: bool,
+    /// The share of first packets that are lost on the way.
+    pub(crate) loss: f64,
+    /// How many times a caller asks again after a refusal.
+    pub(crate) retries: u32,
+    pub(crate) seed: u64,
+}
