--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -145,10 +145,10 @@
     /// Returns why there is no room for one more flow, if there is none.
     ///
     /// A service is overloaded when its flows are open for longer than they
-    /// should be and more are asked for than end; a queue that only has to
-    /// drain, as after an outage, is none. Then as many are let in as the
-    /// service works off within the time that they should take (Little's law),
-    /// those of higher priority first.
+    /// should be, and more are asked for than end or it lasts: a queue that only
+    /// has to drain, as after an outage, is no overload. Then as many are let in
+    /// as the service works off within the time that they should take (Little's
+    /// law), those of higher priority first.
     pub(crate) fn shortage(
         &mut self,
         now: Instant,
@@ -202,11 +202,7 @@
         let short = usual.mul_f64(settings.cut_short_below_usual);
         // What ends far too early was refused: that is no sign of speed.
         let counted = |open_for| {
-            if open_for < short {
-                Duration::MAX
-            } else {
-                open_for
-            }
+            if open_for < short { REFUSED } else { open_for }
         };
         let mut open_for: Vec<Duration> = self.ended.events().map(counted).collect();
         let worked_on = open_for.iter().filter(|time| **time < REFUSED).count();
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -16,8 +16,8 @@
 use tracing::debug_span;
 
 use super::call::{Envelope, NodeStatus, Reply};
-use super::daemon::FleetView;
-use super::led::Led;
+use super::daemon::{Extension, FleetView};
+use super::leader_log::LeaderLog;
 use super::metrics::ControlMetrics;
 use super::peer::Peer;
 use super::publishing::Publishing;
@@ -46,7 +46,7 @@
     committed: watch::Sender<Option<Arc<Change>>>,
     fleet: Option<FleetView>,
     /// What was last logged of the leader and the voters.
-    led: Led,
+    leader_log: LeaderLog,
     next_request: RequestId,
     pub(super) wake: Rc<Notify>,
 }
@@ -59,7 +59,7 @@
         writes: Writes,
         publishing: Rc<RefCell<Publishing>>,
         metrics: ControlMetrics,
-        (check, fleet): (FileCheck, Option<FleetView>),
+        extension: &Extension,
     ) -> Self {
         let (committed, _) = watch::channel(replica.read(Instant::now()).change);
         Self {
@@ -73,11 +73,11 @@
             heard_from: IndexMap::new(),
             waiting: IndexMap::new(),
             metrics,
-            check,
+            check: Rc::clone(&extension.check),
             plan: None,
             committed,
-            fleet,
-            led: Led::default(),
+            fleet: extension.fleet.clone(),
+            leader_log: LeaderLog::default(),
             next_request: 0,
             wake: Rc::new(Notify::new()),
         }
@@ -303,7 +303,7 @@
         let reach = self.publishing.borrow().reach();
         let status = self.replica.status(now);
         self.metrics.show(&status, &reach);
-        self.led.tell(&status);
+        self.leader_log.tell(&status);
         self.wake.notify_one();
     }
 
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -125,7 +125,7 @@
             writes,
             Rc::clone(&publishing),
             metrics.clone(),
-            (extension.check, extension.fleet),
+            &extension,
         );
         let core = Rc::new(RefCell::new(core));
         let (failed_tx, failed) = watch::channel(false);
--- a/crates/currantgate/src/control/led.rs
+++ b/crates/currantgate/src/control/leader_log.rs
@@ -4,13 +4,13 @@
 
 /// What was last logged of the leader and the voters.
 #[derive(Debug, Default, PartialEq, Eq)]
-pub(super) struct Led {
+pub(super) struct LeaderLog {
     term: Term,
     leader: Option<VoterId>,
     voters: Vec<VoterId>,
 }
 
-impl Led {
+impl LeaderLog {
     /// Logs what is new of who leads and who votes.
     pub(super) fn tell(&mut self, status: &Status) {
         let is_same = self.term == status.term
--- a/crates/currantgate/src/control/mod.rs
+++ b/crates/currantgate/src/control/mod.rs
@@ -10,7 +10,7 @@
 mod fan_out;
 mod follow;
 mod handle;
-mod led;
+mod leader_log;
 mod metrics;
 mod peer;
 mod publishing;
