--- a/crates/currantgate-placement/tests/load/world/scene.rs
+++ b/crates/currantgate-placement/tests/load/world/scene.rs
@@ -41,3 +41,36 @@
     pub(crate) retries: u32,
     pub(crate) seed: u64,
 }
+
+impl Scene {
+    /// Returns the users' bookings: 14 upstreams with 3 slots behind 8 entries.
+    pub(crate) fn booking(load: f64) -> Self {
+        Self {
+            entries: 8,
+            upstreams: 14,
+            slots: 3,
+            queue: 12,
+            load,
+            burst: 1.0,
+            outage_ms: (0.0, 0.0),
+            cold: 0,
+            dark: 0,
+            slow: 0,
+            loses_domain: false,
+            loss: 0.0,
+            retries: 2,
+            seed: 7,
+        }
+    }
+
+    /// Returns the same after it has grown: 120 upstreams with 2 slots behind 73
+    /// entries.
+    pub(crate) fn grown(load: f64) -> Self {
+        Self {
+            entries: 73,
+            upstreams: 120,
+            slots: 2,
+            ..Self::booking(load)
+        }
+    }
+}
