Attempts to connect overlap, and an entry without feeds tries often

Ruled out: a shorter timeout, as a slow VM takes that long to answer.

Change: another attempt each 40 ms beside the hanging ones, of which the first to end counts; a process without any feed waits 40 ms between its tries for 5 s, later as before.

--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -57,8 +57,8 @@
     PUBLISHER_HEARTBEAT_INTERVAL, PUBLISHER_TIMEOUT,
 };
 pub use transport::{
-    Client, FrameReader, FrameWriter, IncomingStream, MAX_MESSAGE_BYTES, Secret, Server,
-    ServerSettings, TransportError,
+    Client, FrameReader, FrameWriter, IncomingStream, MAX_MESSAGE_BYTES, ReconnectBackoff, Secret,
+    Server, ServerSettings, TransportError, first_to_end,
 };
 pub use voter_change::{ReplaceAnswer, ReplaceRequest, VoterChange};
 pub use voter_planner::{VoterPlanner, VoterPlannerSettings};
--- a/crates/currantgate-control/src/transport/client.rs
+++ b/crates/currantgate-control/src/transport/client.rs
@@ -9,13 +9,17 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{FrameReader, FrameWriter, Secret, TransportError};
+use super::{FrameReader, FrameWriter, Secret, TransportError, first_to_end};
 
 /// The timeout for establishing a connection. It allows for many round trips,
 /// and is below the second after which the operating system resends a lost SYN
 /// packet, so that a new attempt reaches a VM that has just restarted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The interval at which another attempt is made while the earlier ones hang.
+/// With [`CONNECT_TIMEOUT`] at most 8 descriptors are in use for one connection.
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(40);
+
 /// The flow-control window of a stream in bytes.
 const WINDOW_BYTES: u32 = 1 << 20;
 
@@ -35,7 +39,7 @@
     /// Returns an error when the connection fails or is not established in time.
     pub async fn connect(address: SocketAddr, secret: Secret) -> Result<Self, TransportError> {
         let connecting = async {
-            let stream = TcpStream::connect(address).await?;
+            let stream = first_to_end(ATTEMPT_INTERVAL, || TcpStream::connect(address)).await?;
             stream.set_nodelay(true)?;
             let handshake = h2::client::Builder::new()
                 .initial_window_size(WINDOW_BYTES)
--- a/crates/currantgate-control/src/transport/mod.rs
+++ b/crates/currantgate-control/src/transport/mod.rs
@@ -6,11 +6,15 @@
 //! protocols on top tolerate late and duplicate messages. See
 //! `docs/design/control.md`.
 
+mod attempts;
+mod backoff;
 mod client;
 mod error;
 mod frame;
 mod server;
 
+pub use attempts::first_to_end;
+pub use backoff::ReconnectBackoff;
 pub use client::Client;
 pub use error::TransportError;
 pub use frame::{FrameReader, FrameWriter, MAX_MESSAGE_BYTES, Secret};
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use currantgate_control::{Client, Revision, Secret, TransportError};
+use currantgate_control::{Client, ReconnectBackoff, Revision, Secret, TransportError};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::links::FeedEvent;
 use super::message::{FEED_PATH, FeedHello, FeedMessage, FeedRequest};
@@ -18,38 +18,34 @@
 /// Interval of the heartbeats that a listener sends.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// First backoff before a feed is reopened. It doubles up to [`MAX_BACKOFF`], so
-/// that a lost VM costs little and one that has returned is found soon.
-const MIN_BACKOFF: Duration = Duration::from_millis(50);
-
-/// Longest backoff before a feed is reopened.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// What the tasks of all feeds of a process share.
+#[derive(Debug)]
+pub(super) struct FeedShared {
+    /// Secret that authenticates messages.
+    pub(super) secret: Secret,
+    /// The first message on each feed.
+    pub(super) hello: FeedHello,
+    /// Revision that the process holds, which the heartbeats report.
+    pub(super) revision: Cell<Revision>,
+    /// Time since which the process has had no feed; nothing while it has one.
+    pub(super) isolated_since: Cell<Option<std::time::Instant>>,
+}
 
 /// Keeps a feed open, and reopens it when it is lost. Returns when `requests` is
 /// closed.
 pub(super) async fn run_feed(
     address: SocketAddr,
-    secret: Secret,
-    hello: FeedHello,
-    revision: Rc<Cell<Revision>>,
+    shared: Rc<FeedShared>,
     mut requests: mpsc::Receiver<FeedRequest>,
     events: mpsc::UnboundedSender<FeedEvent>,
 ) {
-    let mut backoff = MIN_BACKOFF;
+    let mut backoff = ReconnectBackoff::default();
     loop {
         let mut was_connected = false;
-        let result = run_connection(
-            address,
-            secret,
-            &hello,
-            &revision,
-            &mut requests,
-            &events,
-            &mut was_connected,
-        )
-        .await;
+        let result =
+            run_connection(address, &shared, &mut requests, &events, &mut was_connected).await;
         if was_connected {
-            backoff = MIN_BACKOFF;
+            backoff.reset();
             if events.send(FeedEvent::Disconnected(address)).is_err() {
                 return;
             }
@@ -61,8 +57,9 @@
             }
             Err(e) => log::debug!("opening the feed from {address} failed: {e}"),
         }
-        sleep(backoff).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
+        let now = Instant::now().into_std();
+        let retry_at = backoff.next_attempt(now, shared.isolated_since.get());
+        sleep_until(retry_at.into()).await;
     }
 }
 
@@ -70,17 +67,15 @@
 /// `was_connected` on the first message.
 async fn run_connection(
     address: SocketAddr,
-    secret: Secret,
-    hello: &FeedHello,
-    revision: &Cell<Revision>,
+    shared: &FeedShared,
     requests: &mut mpsc::Receiver<FeedRequest>,
     events: &mpsc::UnboundedSender<FeedEvent>,
     was_connected: &mut bool,
 ) -> Result<(), TransportError> {
-    let client = Client::connect(address, secret).await?;
+    let client = Client::connect(address, shared.secret).await?;
     let opened = timeout(SILENCE_TIMEOUT, client.open(FEED_PATH)).await;
     let (mut writer, mut reader) = opened.map_err(|_| TransportError::Timeout)??;
-    writer.send(hello).await?;
+    writer.send(&shared.hello).await?;
     let mut deadline = Instant::now() + SILENCE_TIMEOUT;
     let mut heartbeat_due = Instant::now() + HEARTBEAT_INTERVAL;
     loop {
@@ -102,7 +97,7 @@
             () = sleep_until(heartbeat_due) => {
                 heartbeat_due = Instant::now() + HEARTBEAT_INTERVAL;
                 FeedRequest::Heartbeat {
-                    revision: revision.get(),
+                    revision: shared.revision.get(),
                 }
             }
             () = sleep_until(deadline) => return Err(TransportError::Timeout),
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-use super::client::run_feed;
+use super::client::{FeedShared, run_feed};
 use super::message::{FeedHello, FeedMessage, FeedRequest};
 use super::revision_tracker::UpdateRequest;
 
@@ -54,12 +54,12 @@
 
 /// The feeds that a process receives, one from each known control VM.
 pub(crate) struct FeedLinks {
-    settings: FeedLinksSettings,
+    shared: Rc<FeedShared>,
+    /// The process's own address if it is a control VM.
+    own: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     links: IndexMap<SocketAddr, Link>,
     events_tx: mpsc::UnboundedSender<FeedEvent>,
-    /// Revision that the process holds, which the heartbeats report.
-    revision: Rc<Cell<Revision>>,
 }
 
 impl FeedLinks {
@@ -70,11 +70,16 @@
     ) -> (Self, mpsc::UnboundedReceiver<FeedEvent>) {
         let (events_tx, events) = mpsc::unbounded_channel();
         let mut links = Self {
-            settings,
+            shared: Rc::new(FeedShared {
+                secret: settings.secret,
+                hello: settings.hello,
+                revision: Cell::default(),
+                isolated_since: Cell::new(Some(Instant::now())),
+            }),
+            own: settings.own,
             seeds: Vec::new(),
             links: IndexMap::new(),
             events_tx,
-            revision: Rc::default(),
         };
         links.set_seeds(seeds);
         (links, events)
@@ -82,7 +87,7 @@
 
     /// Sets the revision that the heartbeats report.
     pub(crate) fn set_revision(&self, revision: Revision) {
-        self.revision.set(revision);
+        self.shared.revision.set(revision);
     }
 
     /// Replaces the control VMs that the settings list.
@@ -101,7 +106,7 @@
     }
 
     fn track_one(&mut self, address: SocketAddr) {
-        if Some(address) == self.settings.own {
+        if Some(address) == self.own {
             return;
         }
         let now = Instant::now();
@@ -110,12 +115,9 @@
             return;
         }
         let (requests, rx) = mpsc::channel(MAX_QUEUED_REQUESTS);
-        let settings = &self.settings;
         let task = actix_rt::spawn(run_feed(
             address,
-            settings.secret,
-            settings.hello.clone(),
-            Rc::clone(&self.revision),
+            Rc::clone(&self.shared),
             rx,
             self.events_tx.clone(),
         ));
@@ -143,6 +145,14 @@
         if let Some(link) = self.links.get_mut(&address) {
             link.is_connected = is_connected;
         }
+        let is_isolated = self.links.values().all(|link| !link.is_connected);
+        let since = self
+            .shared
+            .isolated_since
+            .get()
+            .unwrap_or_else(Instant::now);
+        let since = is_isolated.then_some(since);
+        self.shared.isolated_since.set(since);
     }
 
     /// Removes control VMs that are neither connected nor listed any more.
