Entries share what they observe of upstreams

One of 294 entries sees 10 flows a second over 480 upstreams, each of them less than once in ten seconds, and its window of a second mostly holds too few flows to tell what is usual. So slow upstreams keep their full share (0.936 of it in the simulation).

Change: entries report sums of the flows that ended at each upstream to one control VM of their failure domain, which merges them with their age and answers with the upstreams that are slow (currantgate-observation). An entry avoids these, but for one flow in twenty. What is usual comes from the last 32 flows where the window holds too few.

Tests: tests/load plays it with 73 and 294 entries and fails without: slow upstreams get 0.055 to 0.081 of their share after two seconds (0.662 to 0.936 alone, target 0.1), requests in target 0.991 and 0.981 (0.924 and 0.908). At 90 % load without slow upstreams nothing changes (0.972).

--- /dev/null
+++ b/crates/currantgate-observation/src/observation.rs
@@ -0,0 +1,31 @@
+//! What entries report of upstreams, and what they are told in return.
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies an upstream; all entries derive the same key of the same upstream.
+pub type UpstreamKey = u32;
+
+/// Flows that ended at an upstream since its entry's last report.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Observation {
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// Number of flows.
+    pub flows: u16,
+    /// Sum over these flows of how many times longer they lasted than is usual at
+    /// their service. A flow that was refused, failed or not answered counts as one
+    /// that lasted very long.
+    pub slowness_sum: f32,
+    /// Sum of their durations divided by the upstream's slots, in milliseconds: the
+    /// time for which they alone would have filled all slots.
+    pub busy_ms: u32,
+}
+
+/// An upstream that many flows of several entries found slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowUpstream {
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// How many times longer than usual flows last there, rounded.
+    pub slowness: u8,
+}
--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -23,6 +23,9 @@
 /// Least part of the capacity that is served at twice the load.
 const MIN_GOODPUT: f64 = 0.9;
 
+/// Most of its equal share that a slow upstream of a large site may get.
+const MAX_SLOW_SHARE: f64 = 0.1;
+
 /// Longest time of a choice: a tenth of the time per flow when 540,000 flows a second
 /// at 5,700 entries take 1 % of a core each.
 const MAX_PER_CHOICE: Duration = Duration::from_micros(10);
@@ -79,6 +82,40 @@
     shares[3] - shares[2]
 }
 
+/// Prints what slow upstreams of large sites get and cost, without and with shared
+/// observations. Returns the largest share that slow ones get with them.
+fn compare_slow() -> f64 {
+    println!(
+        "{:<44} {:>21} {:>21}",
+        "alone, shared", "slow ones' share", "in target"
+    );
+    let scenarios = [
+        ("73 entries, 30 %, 24 of 120 slow", 24, Scenario::grown(0.3)),
+        (
+            "294 entries, 17 %, 96 of 480 slow",
+            96,
+            Scenario::large(0.17),
+        ),
+        ("294 entries, 17 %, 8 of 480 slow", 8, Scenario::large(0.17)),
+    ];
+    let mut highest = 0.0_f64;
+    for (name, slow_upstreams, scenario) in scenarios {
+        let scenario = Scenario {
+            slow_upstreams,
+            ..scenario
+        };
+        let [own, shared] = [Policy::Admission, Policy::Shared].map(|p| simulate(&scenario, p));
+        let shares = [&own, &shared].map(|r| r.relative_share(0..slow_upstreams));
+        let in_target = [&own, &shared].map(|r| r.all().share_in_target());
+        println!(
+            "{name:<44} {:>10.3} {:>10.3} {:>10.3} {:>10.3}",
+            shares[0], shares[1], in_target[0], in_target[1]
+        );
+        highest = highest.max(shares[1]);
+    }
+    highest
+}
+
 fn main() {
     println!(
         "{:<44} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
@@ -138,6 +175,7 @@
     for (name, scenario) in &shown {
         compare(name, scenario);
     }
+    let slow_share = compare_slow();
     plot_burst();
     let overload = simulate(&Scenario::booking(2.0), Policy::Admission);
     let goodput = 2.0 * overload.all().share_served();
@@ -145,6 +183,10 @@
     let per_choice = time_choices();
     println!("a choice among 120 upstreams: {per_choice:?} (at most {MAX_PER_CHOICE:?})");
     assert!(failed.is_empty(), "too far below one queue: {failed:?}");
+    assert!(
+        slow_share <= MAX_SLOW_SHARE,
+        "slow upstreams get {slow_share} of their share"
+    );
     assert!(goodput >= MIN_GOODPUT, "goodput is {goodput}");
     assert!(
         per_choice <= MAX_PER_CHOICE,
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -31,6 +31,8 @@
     /// Time of the last answer to a first packet.
     last_answer: Option<Instant>,
     slowness: Slowness,
+    /// Slowness that the fleet observes; 1 when it is not slow.
+    pub(crate) fleet_slowness: f64,
 }
 
 impl Candidate {
@@ -44,13 +46,19 @@
             suspicion: Suspicion::default(),
             last_answer: None,
             slowness: Slowness::default(),
+            fleet_slowness: 1.0,
         }
     }
 
     /// Returns the load that one more flow would cause, in flows per slot. It is
     /// weighted by the upstream's speed and includes the penalty for another failure
-    /// domain.
-    pub(crate) fn load_with_one_more(&self, now: Instant, settings: &PlacementSettings) -> f64 {
+    /// domain. What the fleet observes counts unless the flow is a probe.
+    pub(crate) fn load_with_one_more(
+        &self,
+        now: Instant,
+        is_probe: bool,
+        settings: &PlacementSettings,
+    ) -> f64 {
         let is_cold = now < self.target.warm_at;
         let speed = if is_cold {
             settings.cold_speed_factor
@@ -63,18 +71,19 @@
         } else {
             settings.remote_domain_penalty
         };
-        f64::from(self.flows + 1) * self.slowness.factor(now, settings) / capacity + penalty
+        let fleet_slowness = if is_probe { 1.0 } else { self.fleet_slowness };
+        let slowness = self.slowness.factor(now, settings).max(fleet_slowness);
+        f64::from(self.flows + 1) * slowness / capacity + penalty
     }
 
-    /// Records the ratio of an ended flow's duration to the service's reference
-    /// duration.
-    pub(crate) fn record_duration(
+    /// Records the slowness of an ended flow.
+    pub(crate) fn record_slowness(
         &mut self,
         now: Instant,
-        duration_ratio: f64,
+        slowness: f64,
         settings: &PlacementSettings,
     ) {
-        self.slowness.record(now, duration_ratio, settings);
+        self.slowness.record(now, slowness, settings);
     }
 
     /// Records an answer to a first packet; tells whether it ends a suspicion.
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -10,7 +10,7 @@
 mod candidate;
 mod domain;
 mod placement;
-
+mod recent_durations;
 mod refusal;
 mod request;
 mod service;
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -3,14 +3,15 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
+use currantgate_observation::{Observation, ObservationLog, SlowUpstream};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use crate::admission::Admission;
 use crate::candidate::{Candidate, Health};
 use crate::domain::Domain;
 use crate::service::Service;
+use crate::slowness::flow_slowness;
 use crate::{
     Placed, PlacementRequest, PlacementSettings, Priority, Refusal, Suspect, SuspicionChange,
     Target, TargetKey,
@@ -32,6 +33,10 @@
     domains: IndexMap<Box<str>, Domain>,
     /// Suspicions that started or ended and were not taken yet.
     suspicion_changes: Vec<SuspicionChange>,
+    /// Flows that ended and were not reported to the fleet yet.
+    observations: ObservationLog,
+    /// Upstreams that the fleet observes as slow.
+    fleet_slowness: IndexMap<TargetKey, f64>,
 }
 
 impl Placement {
@@ -45,6 +50,8 @@
             services: IndexMap::new(),
             domains: IndexMap::new(),
             suspicion_changes: Vec::new(),
+            observations: ObservationLog::default(),
+            fleet_slowness: IndexMap::new(),
         }
     }
 
@@ -73,7 +80,9 @@
                     candidate.is_eligible = true;
                 }
                 None => {
-                    let candidate = Candidate::new(target, domain);
+                    let mut candidate = Candidate::new(target, domain);
+                    let slowness = self.fleet_slowness.get(&candidate.target.key);
+                    candidate.fleet_slowness = slowness.copied().unwrap_or(1.0);
                     self.candidates.insert(candidate.target.key, candidate);
                 }
             }
@@ -85,6 +94,21 @@
         });
     }
 
+    /// Replaces the upstreams that the fleet observes as slow.
+    pub fn set_fleet_slowness(&mut self, slow: &[SlowUpstream]) {
+        let slow = slow.iter().map(|s| (s.key, f64::from(s.slowness)));
+        self.fleet_slowness = slow.collect();
+        for (key, candidate) in &mut self.candidates {
+            let slowness = self.fleet_slowness.get(key);
+            candidate.fleet_slowness = slowness.copied().unwrap_or(1.0);
+        }
+    }
+
+    /// Returns and removes what was observed of upstreams since the last call.
+    pub fn take_observations(&mut self) -> Vec<Observation> {
+        self.observations.take()
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
@@ -131,13 +155,18 @@
         tried: &[TargetKey],
     ) -> Option<(TargetKey, Rank)> {
         let keys = &self.services.get(service)?.keys;
+        let is_probe =
+            !self.fleet_slowness.is_empty() && self.rng.random_bool(self.settings.probe_share);
         let mut best: Option<Rank> = None;
         let mut chosen = None;
         let mut ties = 0;
         for key in keys.iter().filter(|key| !tried.contains(key)) {
             let candidate = &self.candidates[key];
             let health = self.health(now, candidate);
-            let rank = (health, candidate.load_with_one_more(now, &self.settings));
+            let rank = (
+                health,
+                candidate.load_with_one_more(now, is_probe, &self.settings),
+            );
             if best.is_some_and(|best| rank > best) {
                 continue;
             }
@@ -222,6 +251,8 @@
         if let Some(candidate) = self.candidates.get_mut(&key)
             && !candidate.has_answered_since(sent)
         {
+            let slowness = self.settings.max_slowness;
+            self.observations.record(key, slowness, Duration::ZERO);
             let domain = candidate.domain;
             let until = candidate.suspicion.raise(now, &self.settings);
             if until.is_some() {
@@ -251,30 +282,35 @@
         duration: Duration,
     ) {
         let max_samples = self.settings.admission.max_samples;
-        let reference = self.admission(key).and_then(|admission| {
+        let reference = self.service(key).and_then(|service| {
+            let admission = &mut service.admission;
             admission.record_end(now, priority, duration, max_samples);
-            admission.reference_duration()
+            service.recent_durations.push(duration);
+            let reference = service.admission.reference_duration();
+            reference.or_else(|| service.recent_durations.median())
         });
         if let (Some(reference), Some(candidate)) = (reference, self.candidates.get_mut(&key)) {
             let duration_ratio = duration.as_secs_f64() / reference.as_secs_f64().max(f64::EPSILON);
-            candidate.record_duration(now, duration_ratio, &self.settings);
+            let slowness = flow_slowness(duration_ratio, &self.settings);
+            candidate.record_slowness(now, slowness, &self.settings);
+            let busy = duration / candidate.target.slots.max(1);
+            self.observations.record(key, slowness, busy);
         }
         self.remove_flow(key);
     }
 
     /// Removes an answered flow whose end this entry did not see.
     pub fn release(&mut self, key: TargetKey, priority: Priority) {
-        if let Some(admission) = self.admission(key) {
-            admission.record_cancel(priority);
+        if let Some(service) = self.service(key) {
+            service.admission.record_cancel(priority);
         }
         self.remove_flow(key);
     }
 
-    /// Returns the admission control of an upstream's service.
-    fn admission(&mut self, key: TargetKey) -> Option<&mut Admission> {
-        let service = &self.candidates.get(&key)?.target.service;
-        let service = self.services.get_mut(service)?;
-        Some(&mut service.admission)
+    /// Returns the state of an upstream's service.
+    fn service(&mut self, key: TargetKey) -> Option<&mut Service> {
+        let name = &self.candidates.get(&key)?.target.service;
+        self.services.get_mut(name)
     }
 
     /// Counts a flow as closed, and drops an upstream that was removed and has no
--- /dev/null
+++ b/crates/currantgate-placement/src/recent_durations.rs
@@ -0,0 +1,39 @@
+//! Durations of the last flows of a service.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Number of durations that are kept.
+const MAX_DURATIONS: usize = 32;
+
+/// Fewest durations whose median is used.
+const MIN_DURATIONS: usize = 8;
+
+/// Durations of the last flows of a service, however long ago they ended.
+///
+/// An entry of a large fleet ends so few flows that the window of admission control
+/// seldom holds enough of them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecentDurations {
+    durations: VecDeque<Duration>,
+}
+
+impl RecentDurations {
+    /// Adds the duration of a flow that has ended.
+    pub(crate) fn push(&mut self, duration: Duration) {
+        if self.durations.len() >= MAX_DURATIONS {
+            self.durations.pop_front();
+        }
+        self.durations.push_back(duration);
+    }
+
+    /// Returns the median; nothing while there are too few durations.
+    pub(crate) fn median(&self) -> Option<Duration> {
+        if self.durations.len() < MIN_DURATIONS {
+            return None;
+        }
+        let mut durations: Vec<_> = self.durations.iter().copied().collect();
+        let middle = durations.len() / 2;
+        Some(*durations.select_nth_unstable(middle).1)
+    }
+}
--- a/crates/currantgate-placement/src/settings.rs
+++ b/crates/currantgate-placement/src/settings.rs
@@ -24,6 +24,9 @@
     /// Decrease of the slowness per second: an upstream that was four times as slow
     /// is tried again within eight seconds.
     pub slowness_decay_per_second: f64,
+    /// Share of the flows that are placed without regard to what other entries
+    /// observe, so that the fleet notices when a slow upstream has recovered.
+    pub probe_share: f64,
     /// Time for which an upstream is avoided after an unanswered first packet; it
     /// doubles with each consecutive one. It is about the time after which a caller
     /// retransmits a first packet.
@@ -43,6 +46,7 @@
             slowness_weight: 0.1,
             slowness_decay_per_second: 0.4,
             max_slowness: 8.0,
+            probe_share: 0.05,
             base_suspicion_time: Duration::from_millis(500),
             max_suspicion_doublings: 4,
             admission: AdmissionSettings::default(),
--- a/crates/currantgate-placement/src/slowness.rs
+++ b/crates/currantgate-placement/src/slowness.rs
@@ -25,22 +25,8 @@
         1.0 + (self.excess - decay).max(0.0)
     }
 
-    /// Records the ratio of an ended flow's duration to the reference duration.
-    ///
-    /// A flow that ended far too early was refused or failed and counts as slow:
-    /// otherwise an upstream that fails at once would attract all flows.
-    pub(crate) fn record(
-        &mut self,
-        now: Instant,
-        duration_ratio: f64,
-        settings: &PlacementSettings,
-    ) {
-        let has_failed = duration_ratio < settings.admission.refused_baseline_factor;
-        let sample = if has_failed {
-            settings.max_slowness
-        } else {
-            duration_ratio.min(settings.max_slowness)
-        };
+    /// Records the slowness of an ended flow, as [`flow_slowness`] returns it.
+    pub(crate) fn record(&mut self, now: Instant, sample: f64, settings: &PlacementSettings) {
         let before = self.factor(now, settings);
         let weight = settings.slowness_weight;
         let after = before * (1.0 - weight) + sample * weight;
@@ -48,3 +34,16 @@
         self.updated_at = Some(now);
     }
 }
+
+/// Returns the slowness that an ended flow counts with, from the ratio of its duration
+/// to the reference duration.
+///
+/// A flow that ended far too early was refused or failed and counts as slow: otherwise
+/// an upstream that fails at once would attract all flows.
+pub(crate) fn flow_slowness(duration_ratio: f64, settings: &PlacementSettings) -> f64 {
+    if duration_ratio < settings.admission.refused_baseline_factor {
+        settings.max_slowness
+    } else {
+        duration_ratio.min(settings.max_slowness)
+    }
+}
--- a/crates/currantgate-placement/tests/load/main.rs
+++ b/crates/currantgate-placement/tests/load/main.rs
@@ -112,3 +112,43 @@
         report.max_flows_at_cold
     );
 }
+
+/// An entry of a large site sees an upstream once in many seconds. Without what the
+/// others observe, a slow one keeps its full share.
+#[rstest]
+#[case::grown_slow(Scenario { slow_upstreams: 24, ..Scenario::grown(0.3) })]
+#[case::large_slow(Scenario { slow_upstreams: 96, ..Scenario::large(0.17) })]
+#[case::large_few_slow(Scenario { slow_upstreams: 8, ..Scenario::large(0.17) })]
+fn a_large_fleet_avoids_slow_upstreams_within_two_seconds(#[case] scenario: Scenario) {
+    let slow = 0..scenario.slow_upstreams;
+    let healthy = scenario.slow_upstreams..scenario.upstreams;
+    let [own, shared] = [Policy::Admission, Policy::Shared].map(|p| simulate(&scenario, p));
+    let shares = [&own, &shared].map(|r| r.relative_share(slow.clone()));
+    let in_target = [&own, &shared].map(|r| r.all().share_in_target());
+    println!("share of slow upstreams {shares:.3?}, requests in target {in_target:.4?}");
+    assert!(
+        shares[1] <= 0.1,
+        "slow upstreams get {shares:?} of their share"
+    );
+    assert!(in_target[1] >= in_target[0], "{in_target:?}");
+    let expected = scenario.upstreams as f64 / healthy.len() as f64;
+    let healthy = shared.relative_share(healthy);
+    assert!(
+        (healthy / expected - 1.0).abs() <= 0.05,
+        "{healthy} of {expected}"
+    );
+}
+
+/// Requests that fail at once look fast to an entry that judges by load alone.
+#[rstest]
+#[case::booking(Scenario::booking(0.9))]
+#[case::grown(Scenario::grown(0.9))]
+#[case::large(Scenario::large(0.6))]
+#[case::lossy(Scenario { packet_loss: 0.01, ..Scenario::large(0.17) })]
+#[case::cold(Scenario { cold_upstreams: 4, ..Scenario::booking(0.6) })]
+fn shared_observations_harm_no_healthy_upstream(#[case] scenario: Scenario) {
+    let [own, shared] =
+        [Policy::Admission, Policy::Shared].map(|p| simulate(&scenario, p).all().share_in_target());
+    println!("in target {own:.4}, with shared observations {shared:.4}");
+    assert!(shared >= own - 0.002, "{shared} is below {own}");
+}
--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -5,6 +5,7 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
+use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream};
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, Suspect, SuspicionChange, Target,
     TargetKey,
@@ -46,6 +47,14 @@
 /// Round trip time between two failure domains, in milliseconds.
 const CROSS_DOMAIN_RTT_MS: f64 = 2.8;
 
+/// Interval at which entries report what they observed and are told what all have, in
+/// milliseconds.
+const REPORT_INTERVAL_MS: f64 = 500.0;
+
+/// Time until which entries learn which upstreams are slow, in milliseconds: what
+/// they observe takes half of a second to reach a control VM and as much to return.
+const LEARNING_TIME_MS: f64 = 2_000.0;
+
 /// Number of simulated requests.
 const REQUESTS: u32 = 40_000;
 
@@ -67,6 +76,8 @@
     },
     /// An upstream completes a request.
     Done(Request),
+    /// Entries exchange what they observe.
+    Report,
 }
 
 /// Simulates a scenario with one policy of placement.
@@ -81,6 +92,10 @@
     duration_ms: f64,
     rng: ChaCha8Rng,
     entries: Vec<Placement>,
+    /// Merged observations of the entries of each domain.
+    fleets: [FleetObservations; DOMAINS],
+    /// Slow upstreams that entries are told next, by domain.
+    slow: [Vec<SlowUpstream>; DOMAINS],
     upstreams: Vec<Upstream>,
     /// Time of each event in microseconds, and its index in `pending_events`.
     events: BinaryHeap<Reverse<(u64, u64)>>,
@@ -112,7 +127,7 @@
                 seed: rng.random(),
                 ..PlacementSettings::default()
             };
-            if policy != Policy::Admission {
+            if !matches!(policy, Policy::Admission | Policy::Shared) {
                 let never = Duration::from_secs(24 * 60 * 60);
                 settings.admission.overload_after_growth = never;
                 settings.admission.overload_after_late = never;
@@ -133,16 +148,26 @@
             duration_ms,
             rng,
             entries,
+            fleets: std::array::from_fn(|_| {
+                FleetObservations::new(start, FleetSettings::default())
+            }),
+            slow: Default::default(),
             upstreams: (0..upstreams).map(|_| Upstream::default()).collect(),
             events: BinaryHeap::new(),
             pending_events: Vec::new(),
-            report: Report::default(),
+            report: Report {
+                placed: vec![0; upstreams],
+                ..Report::default()
+            },
             scenario,
         }
     }
 
     fn run(mut self) -> Report {
         self.schedule_arrivals();
+        if self.policy == Policy::Shared {
+            self.schedule(0.0, Event::Report);
+        }
         while let Some(Reverse((micros, index))) = self.events.pop() {
             let now_ms = micros as f64 / 1_000.0;
             match self.pending_events[index as usize].take() {
@@ -151,6 +176,7 @@
                     retransmissions,
                 }) => self.attempt(now_ms, request, retransmissions),
                 Some(Event::Done(request)) => self.finish(now_ms, request),
+                Some(Event::Report) => self.exchange_observations(now_ms),
                 None => {}
             }
         }
@@ -226,9 +252,29 @@
         self.start + millis(ms)
     }
 
+    /// Merges what the entries of each domain have observed, and tells them what was
+    /// known at the last time.
+    fn exchange_observations(&mut self, now_ms: f64) {
+        let now = self.at(now_ms);
+        for (n, placement) in self.entries.iter_mut().enumerate() {
+            let observations = placement.take_observations();
+            self.fleets[n % DOMAINS].record(now, n as u64, &observations);
+            placement.set_fleet_slowness(&self.slow[n % DOMAINS]);
+        }
+        for (slow, fleet) in self.slow.iter_mut().zip(&mut self.fleets) {
+            *slow = fleet.slow_upstreams(now).to_vec();
+        }
+        if now_ms < self.duration_ms {
+            self.schedule(now_ms + REPORT_INTERVAL_MS, Event::Report);
+        }
+    }
+
     /// Tells whether the policy places flows with [`Placement`].
     fn uses_placement(&self) -> bool {
-        matches!(self.policy, Policy::LeastLoad | Policy::Admission)
+        matches!(
+            self.policy,
+            Policy::LeastLoad | Policy::Admission | Policy::Shared
+        )
     }
 
     /// Sends a first packet, or retransmits it when the one before was not answered.
@@ -245,6 +291,9 @@
             Err(Refusal::NoUpstream) => unreachable!("there are upstreams"),
         }
         request.sent_ms = now_ms;
+        if request.started_ms >= LEARNING_TIME_MS {
+            self.report.placed[request.key as usize] += 1;
+        }
         let is_lost =
             self.scenario.packet_loss > 0.0 && self.rng.random_bool(self.scenario.packet_loss);
         self.report.lost += u32::from(is_lost);
@@ -268,7 +317,7 @@
         match self.policy {
             Policy::OneQueue => Ok(0),
             Policy::Hash => Ok(self.rng.random_range(0..self.scenario.upstreams) as TargetKey),
-            Policy::LeastLoad | Policy::Admission => {
+            Policy::LeastLoad | Policy::Admission | Policy::Shared => {
                 let (now, sent) = (self.at(now_ms), self.at(request.sent_ms));
                 let was_placed = retransmissions > 0 && !self.is_in_outage(request.sent_ms);
                 let tried = was_placed.then_some(request.key);
--- a/crates/currantgate-placement/tests/load/simulation/report.rs
+++ b/crates/currantgate-placement/tests/load/simulation/report.rs
@@ -1,5 +1,7 @@
 //! Outcomes of the simulated requests.
 
+use std::ops::Range;
+
 use super::DOMAINS;
 
 /// Outcome of a group of requests.
@@ -58,6 +60,9 @@
     pub(crate) false_domain_suspicions: u32,
     /// Most flows that one upstream had at a time while it was warming up.
     pub(crate) max_flows_at_cold: usize,
+    /// First packets by the upstream that they were sent to, without those of the
+    /// first seconds in which nothing has been observed yet.
+    pub(crate) placed: Vec<u32>,
 }
 
 impl Report {
@@ -65,6 +70,13 @@
         self.idempotent.add(self.non_idempotent)
     }
 
+    /// Returns the placed flows of the upstreams in `range`, relative to an equal share.
+    pub(crate) fn relative_share(&self, range: Range<usize>) -> f64 {
+        let fair = range.len() as f64 / self.placed.len() as f64;
+        let placed: u32 = self.placed[range].iter().sum();
+        f64::from(placed) / f64::from(self.placed.iter().sum::<u32>()) / fair
+    }
+
     /// Returns the lowest share within the latency target of any domain.
     pub(crate) fn worst_domain(&self) -> f64 {
         let shares = self.by_domain.iter().map(Outcome::share_in_target);
--- a/crates/currantgate-placement/tests/load/simulation/scenario.rs
+++ b/crates/currantgate-placement/tests/load/simulation/scenario.rs
@@ -9,6 +9,8 @@
     LeastLoad,
     /// Least load with admission control by priority, as in this crate.
     Admission,
+    /// The same, with what the entries of each domain observe merged and shared.
+    Shared,
     /// One queue for all slots, which is the upper bound of any placement.
     OneQueue,
 }
@@ -74,4 +76,14 @@
             ..Self::booking(load)
         }
     }
+
+    /// Returns the users' largest site: 480 upstreams with 2 slots behind 294 entries.
+    pub(crate) fn large(load: f64) -> Self {
+        Self {
+            entries: 294,
+            upstreams: 480,
+            slots: 2,
+            ..Self::booking(load)
+        }
+    }
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -3,6 +3,7 @@
 use std::hash::Hasher as _;
 use std::time::{Duration, Instant};
 
+use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
 };
@@ -212,6 +213,16 @@
         self.placement.take_suspicion_changes()
     }
 
+    /// Returns and removes what was observed of upstreams since the last call.
+    pub fn take_observations(&mut self) -> Vec<Observation> {
+        self.placement.take_observations()
+    }
+
+    /// Replaces the upstreams that are slow by what all entries observe.
+    pub fn set_slow_upstreams(&mut self, slow: &[SlowUpstream]) {
+        self.placement.set_fleet_slowness(slow);
+    }
+
     /// Returns the id of the upstream with the given token.
     pub fn upstream_id(&self, token: Token) -> Option<&str> {
         self.tokens.id(token)
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -91,7 +91,11 @@
                 continue;
             }
             request = requests.recv() => match request {
-                Some(request) => request,
+                Some(request) => {
+                    // Each request tells what a heartbeat would.
+                    heartbeat_due = Instant::now() + HEARTBEAT_INTERVAL;
+                    request
+                }
                 None => return Ok(()),
             },
             () = sleep_until(heartbeat_due) => {
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -7,6 +7,7 @@
 
 use actix_rt::task::JoinHandle;
 use currantgate_control::{Revision, Secret};
+use currantgate_observation::{Observation, choose_collector};
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
@@ -166,6 +167,27 @@
         });
     }
 
+    /// Returns the control VM that merges observations for this process, if a feed is
+    /// open.
+    pub(crate) fn collector(&self) -> Option<SocketAddr> {
+        let connected = self.links.iter().filter(|(_, link)| link.is_connected);
+        let connected = connected.map(|(address, _)| *address);
+        choose_collector(&self.shared.hello.domain, connected)
+    }
+
+    /// Reports observations to a control VM. A report that can't be queued is dropped:
+    /// the next one tells as much.
+    pub(crate) fn report_observations(&self, to: SocketAddr, observations: Vec<Observation>) {
+        let request = FeedRequest::Observations {
+            revision: self.shared.revision.get(),
+            observations,
+        };
+        let link = self.links.get(&to);
+        if link.is_none_or(|link| link.requests.try_send(request).is_err()) {
+            log::debug!("a report of observations to {to} is dropped");
+        }
+    }
+
     /// Requests a newer change. A request that can't be queued is dropped, and
     /// sent again after its timeout.
     pub(crate) fn request_update(&self, update: UpdateRequest) {
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use currantgate_control::{Revision, RevisionId, VoterId};
+use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_registry::Record;
 use serde::{Deserialize, Serialize};
 
@@ -36,13 +37,21 @@
         /// Revision that the listener holds, from which the update may be made.
         base: RevisionId,
     },
+    /// Keeps the feed open, and reports what the entry has observed of upstreams. The
+    /// control VM answers with [`FeedMessage::SlowUpstreams`].
+    Observations {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// Flows that have ended since the last report.
+        observations: Vec<Observation>,
+    },
 }
 
 impl FeedRequest {
     /// Returns the revision that the listener holds.
     pub(crate) fn held_revision(&self) -> Revision {
         match self {
-            Self::Heartbeat { revision } => *revision,
+            Self::Heartbeat { revision } | Self::Observations { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
@@ -72,4 +81,7 @@
     Upstreams(Vec<Record>),
     /// A requested update, as [`currantgate_control::Update::pack`] returns it.
     Update(Arc<[u8]>),
+    /// All upstreams that are slow by what entries have observed, sent on each change
+    /// to those that report observations.
+    SlowUpstreams(Vec<SlowUpstream>),
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use currantgate_control::{
-    Change, FrameWriter, IncomingStream, RecentChanges, RevisionId, TransportError, Update,
+    Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
+    Update,
 };
+use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream};
 use currantgate_registry::{ChangeNumber, Record, UpstreamRegistry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -52,6 +54,8 @@
     controls: RefCell<IndexMap<SocketAddr, Instant>>,
     own_address: Cell<Option<SocketAddr>>,
     listeners: RefCell<Listeners>,
+    /// What the entries that report here have observed.
+    observations: RefCell<FleetObservations>,
 }
 
 impl FeedSource {
@@ -65,6 +69,10 @@
             controls: RefCell::new(IndexMap::new()),
             own_address: Cell::new(None),
             listeners: RefCell::default(),
+            observations: RefCell::new(FleetObservations::new(
+                std::time::Instant::now(),
+                FleetSettings::default(),
+            )),
         }
     }
 
@@ -85,6 +93,13 @@
         listeners.status(Instant::now(), &self.registry.borrow())
     }
 
+    /// Returns the upstreams that are slow by what entries have observed.
+    pub(crate) fn slow_upstreams(&self) -> Vec<SlowUpstream> {
+        let mut observations = self.observations.borrow_mut();
+        let now = std::time::Instant::now();
+        observations.slow_upstreams(now).to_vec()
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
@@ -192,6 +207,9 @@
     last_heartbeat: Heartbeat,
     /// Number of the newest change of upstreams that has been sent.
     sent_change: ChangeNumber,
+    /// Slow upstreams as they were sent last; nothing while the listener has not
+    /// reported any observations.
+    sent_slow: Option<Vec<SlowUpstream>>,
     heartbeat_due: Instant,
     listener_deadline: Instant,
 }
@@ -217,6 +235,7 @@
             reader,
             last_heartbeat: Heartbeat::default(),
             sent_change: 0,
+            sent_slow: None,
             heartbeat_due: now,
             listener_deadline: now + LISTENER_TIMEOUT,
         })
@@ -235,7 +254,7 @@
                     let revision = request.held_revision();
                     self.source.listeners.borrow_mut().record_message(now, self.id, revision);
                     self.source.record_listener(&self.hello);
-                    self.handle_request(&request).await?;
+                    self.handle_request(request).await?;
                 }
                 _ = changed.changed() => {}
                 () = sleep_until(self.heartbeat_due) => {}
@@ -244,21 +263,52 @@
         }
     }
 
-    /// Sends the update that a request asks for. Requests for a revision that is
-    /// not held here are ignored.
-    async fn handle_request(&mut self, request: &FeedRequest) -> Result<(), TransportError> {
-        let FeedRequest::Update { min_revision, base } = request else {
-            return Ok(());
-        };
-        if self.source.changes.borrow().newest().revision < *min_revision {
+    async fn handle_request(&mut self, request: FeedRequest) -> Result<(), TransportError> {
+        match request {
+            FeedRequest::Heartbeat { .. } => Ok(()),
+            FeedRequest::Update { min_revision, base } => {
+                self.send_update(min_revision, base).await
+            }
+            FeedRequest::Observations { observations, .. } => {
+                let now = std::time::Instant::now();
+                let mut merged = self.source.observations.borrow_mut();
+                merged.record(now, self.id, &observations);
+                self.sent_slow.get_or_insert_default();
+                Ok(())
+            }
+        }
+    }
+
+    /// Sends the requested update. Requests for a revision that is not held here are
+    /// ignored.
+    async fn send_update(
+        &mut self,
+        min_revision: Revision,
+        base: RevisionId,
+    ) -> Result<(), TransportError> {
+        if self.source.changes.borrow().newest().revision < min_revision {
             return Ok(());
         }
-        match self.source.update_from(*base) {
+        match self.source.update_from(base) {
             Some(packed) => self.send(&FeedMessage::Update(packed)).await,
             None => Ok(()),
         }
     }
 
+    /// Sends the slow upstreams if they have changed, to a listener that reports what
+    /// it observes.
+    async fn send_slow_upstreams(&mut self) -> Result<(), TransportError> {
+        let Some(sent) = &mut self.sent_slow else {
+            return Ok(());
+        };
+        let slow = self.source.slow_upstreams();
+        if *sent == slow {
+            return Ok(());
+        }
+        sent.clone_from(&slow);
+        self.send(&FeedMessage::SlowUpstreams(slow)).await
+    }
+
     /// Sends the upstreams that have changed, and a heartbeat if the state has
     /// changed or a heartbeat is due. Control VMs are sent no upstreams.
     async fn send_changes(&mut self) -> Result<(), TransportError> {
@@ -268,6 +318,7 @@
             let mut listeners = self.source.listeners.borrow_mut();
             listeners.record_sent(self.id, self.sent_change);
         }
+        self.send_slow_upstreams().await?;
         let heartbeat = self.source.heartbeat();
         let now = Instant::now();
         if heartbeat != self.last_heartbeat || now >= self.heartbeat_due {
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -347,6 +347,7 @@
         source.registry.borrow_mut().expire(Instant::now());
         publish_upstream_changes(&source, before);
         metrics.set_state(source.registry.borrow().iter(), source.open_feeds());
+        metrics.set_slow_upstreams(source.slow_upstreams().len());
     }
 }
 
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -25,6 +25,7 @@
 pub(super) struct NodeMetrics {
     reports: Family<Outcome, Counter>,
     upstreams: Family<State, Gauge>,
+    slow_upstreams: Gauge,
     feeds: Gauge,
     commit_seconds: Histogram,
 }
@@ -34,6 +35,7 @@
         Self {
             reports: Family::default(),
             upstreams: Family::default(),
+            slow_upstreams: Gauge::default(),
             feeds: Gauge::default(),
             // From 1 ms, a round trip, to 8 s, longer than the longest outage.
             commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -51,6 +53,11 @@
             "Upstreams that report here, by state",
             self.upstreams.clone(),
         );
+        registry.register(
+            "upstreams_slow",
+            "Upstreams that the entries which report here observe as slow",
+            self.slow_upstreams.clone(),
+        );
         registry.register("feeds", "Feeds that are open", self.feeds.clone());
         registry.register(
             "commit_seconds",
@@ -68,6 +75,11 @@
         self.commit_seconds.observe(seconds);
     }
 
+    pub(super) fn set_slow_upstreams(&self, count: usize) {
+        self.slow_upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_state<'a>(&self, records: impl Iterator<Item = &'a Record>, feeds: usize) {
         let mut counts = [("ready", 0), ("silent", 0), ("draining", 0), ("gone", 0)];
         for label in records.map(state_label) {
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -56,7 +56,8 @@
                 self.handle_heartbeat(from, &heartbeat);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
-            FeedEvent::Message(_, FeedMessage::Upstreams(_)) | FeedEvent::Connected(_) => {}
+            FeedEvent::Message(_, FeedMessage::Upstreams(_) | FeedMessage::SlowUpstreams(_))
+            | FeedEvent::Connected(_) => {}
             FeedEvent::Disconnected(from) => self.revisions.remove(from),
         }
     }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -32,6 +32,10 @@
 /// little less than the time that a control VM has to answer a request.
 const ROUTES_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the entry reports what it observed of upstreams: often enough
+/// that a slow one is avoided within two seconds, at 100 bytes a report of ten flows.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -88,6 +92,7 @@
             refresh_timer: ViewRefreshTimer::new(Instant::now()),
             routed_upstreams: 0,
             links,
+            collector: None,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -149,6 +154,8 @@
     /// Number of upstreams in the view that the router was last updated from.
     routed_upstreams: usize,
     links: FeedLinks,
+    /// Control VM to which observations are reported.
+    collector: Option<SocketAddr>,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -161,6 +168,7 @@
         mut seeds: watch::Receiver<Vec<SocketAddr>>,
     ) {
         let mut flow_interval = actix_rt::time::interval(FLOW_EXPIRY_INTERVAL);
+        let mut observation_interval = actix_rt::time::interval(OBSERVATION_INTERVAL);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         loop {
             tokio::select! {
@@ -184,6 +192,7 @@
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
+                _ = observation_interval.tick() => self.report_observations(),
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
                     self.links.remove_unlisted();
@@ -216,6 +225,30 @@
                 self.view.apply(now, from, records);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
+            FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
+                if self.collector == Some(from) {
+                    self.routing.set_slow_upstreams(now, &slow);
+                }
+            }
+        }
+    }
+
+    /// Reports what was observed of upstreams since the last call. What another
+    /// control VM has merged no longer counts once it is not the one that is reported
+    /// to, as it is told no more. The first report may be empty: the control VM answers
+    /// it with what it has merged.
+    fn report_observations(&mut self) {
+        let collector = self.links.collector();
+        let is_first = collector != self.collector;
+        if is_first {
+            self.collector = collector;
+            self.routing.set_slow_upstreams(Instant::now(), &[]);
+        }
+        let observations = self.routing.router.take_observations();
+        if let Some(collector) = collector
+            && (is_first || !observations.is_empty())
+        {
+            self.links.report_observations(collector, observations);
         }
     }
 
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -4,6 +4,7 @@
 
 use currantgate_control::Revision;
 use currantgate_log::{RateLimit, RateLimiter};
+use currantgate_observation::SlowUpstream;
 use currantgate_placement::{Suspect, SuspicionChange};
 use currantgate_registry::{Availability, Upstream};
 use currantgate_token::{
@@ -22,6 +23,7 @@
     expired: RateLimiter,
     malformed: RateLimiter,
     suspicion_changes: RateLimiter,
+    slow_upstreams: RateLimiter,
     /// The last logged availability of each upstream.
     availabilities: IndexMap<Box<str>, Availability>,
     /// Revision of the routes that decisions are based on.
@@ -40,6 +42,7 @@
             expired: limiter(),
             malformed: limiter(),
             suspicion_changes: limiter(),
+            slow_upstreams: limiter(),
             availabilities: IndexMap::new(),
             revision: 0,
             view_at: now,
@@ -196,6 +199,26 @@
         }
     }
 
+    /// Logs the upstreams that are avoided as slow.
+    pub(super) fn log_slow_upstreams(
+        &mut self,
+        now: Instant,
+        slow: &[SlowUpstream],
+        router: &TokenRouter,
+    ) {
+        let Some(left_out) = self.slow_upstreams.try_acquire(now) else {
+            return;
+        };
+        let ids = slow.iter().filter_map(|slow| router.upstream_id(slow.key));
+        let upstreams: Vec<_> = ids.collect();
+        log::info!(
+            event = "slow",
+            upstreams = upstreams.join(","),
+            left_out = left_out;
+            "slow upstreams as observed by the entries of the domain"
+        );
+    }
+
     /// Logs a datagram that can't be parsed as a packet.
     pub(super) fn log_malformed(&mut self, now: Instant, len: usize, reason: MalformedPacket) {
         if let Some(left_out) = self.malformed.try_acquire(now) {
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -27,6 +27,7 @@
     failed_sends: Counter,
     flows: Gauge,
     upstreams: Gauge,
+    slow_upstreams: Gauge,
     revision: Gauge,
     feeds: Gauge,
     routes_current: Gauge,
@@ -41,6 +42,7 @@
             failed_sends: Counter::default(),
             flows: Gauge::default(),
             upstreams: Gauge::default(),
+            slow_upstreams: Gauge::default(),
             revision: Gauge::default(),
             feeds: Gauge::default(),
             routes_current: Gauge::default(),
@@ -80,6 +82,11 @@
             "Upstreams that packets can reach, also those that take no new flows",
             self.upstreams.clone(),
         );
+        registry.register(
+            "upstreams_slow",
+            "Upstreams that are avoided, as the entries of the domain observe them as slow",
+            self.slow_upstreams.clone(),
+        );
         registry.register(
             "routes_revision",
             "The revision of the routes in force here",
@@ -142,6 +149,11 @@
         self.routes_current.set(i64::from(routes_current));
     }
 
+    pub(super) fn set_slow_upstreams(&self, count: usize) {
+        self.slow_upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_state(&self, flows: usize, upstreams: usize, revision: u64) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.upstreams
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use currantgate_observation::SlowUpstream;
 use currantgate_token::{Decision, FlowId, TokenRouter};
 
 use super::decision_log::DecisionLog;
@@ -43,6 +44,13 @@
         (flow, decision)
     }
 
+    /// Replaces the upstreams that are slow by what all entries observe.
+    pub(super) fn set_slow_upstreams(&mut self, now: Instant, slow: &[SlowUpstream]) {
+        self.router.set_slow_upstreams(slow);
+        self.metrics.set_slow_upstreams(slow.len());
+        self.decisions.log_slow_upstreams(now, slow, &self.router);
+    }
+
     fn log_suspicion_changes(&mut self, now: Instant) {
         for change in self.router.take_suspicion_changes() {
             self.decisions
