An entry is one reporter however often its feed breaks

Found while reading: an entry was counted by its feed, so that one with a flapping link could count as the two entries that must find an upstream slow; it is counted by its name now. And a cold upstream, which is slower for its first seconds as all know, was measured against warm ones; its flows count by its expected speed. Test: the id of an entry; the load tests are as before to the digit.

--- a/crates/currantgate-observation/src/fleet.rs
+++ b/crates/currantgate-observation/src/fleet.rs
@@ -1,16 +1,25 @@
 //! Observations of many entries, merged.
 
+use std::hash::{Hash as _, Hasher as _};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use siphasher::sip::SipHasher13;
 
 use crate::threshold::Threshold;
 use crate::upstream_record::UpstreamRecord;
 use crate::{FleetSettings, Observation, SlowUpstream, UpstreamKey};
 
-/// Identifies an entry among those that report to one control VM.
+/// Identifies an entry, the same whenever it connects.
 pub type ReporterId = u64;
 
+/// Returns the id of the entry with the given name.
+pub fn reporter_id(name: &str) -> ReporterId {
+    let mut hasher = SipHasher13::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Observations of many entries, merged with their age.
 ///
 /// It answers the load of large fleets, in which an upstream gets some flows a second
--- a/crates/currantgate-observation/src/lib.rs
+++ b/crates/currantgate-observation/src/lib.rs
@@ -17,7 +17,7 @@
 mod upstream_record;
 
 pub use collector::choose_collector;
-pub use fleet::{FleetObservations, ReporterId};
+pub use fleet::{FleetObservations, ReporterId, reporter_id};
 pub use observation::{Observation, SlowUpstream, UpstreamKey};
 pub use observation_log::ObservationLog;
 pub use settings::FleetSettings;
--- a/crates/currantgate-observation/tests/collector.rs
+++ b/crates/currantgate-observation/tests/collector.rs
@@ -1,8 +1,9 @@
-//! The choice of the control VM that merges a domain's observations.
+//! The choice of the control VM that merges a domain's observations, and the ids of
+//! the entries that report to it.
 
 use std::net::SocketAddr;
 
-use currantgate_observation::choose_collector;
+use currantgate_observation::{choose_collector, reporter_id};
 
 fn addresses(last: std::ops::Range<u8>) -> Vec<SocketAddr> {
     last.map(|n| SocketAddr::from(([10, 0, 0, n], 7720)))
@@ -47,3 +48,9 @@
         assert!(before == after || before == addresses(0..1).first().copied());
     }
 }
+
+#[test]
+fn an_entry_keeps_its_id_over_connections() {
+    assert_eq!(reporter_id("entry-a-1"), reporter_id("entry-a-1"));
+    assert_ne!(reporter_id("entry-a-1"), reporter_id("entry-a-2"));
+}
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Returns the speed relative to that of a warm upstream.
+    pub(crate) fn speed(&self, now: Instant, settings: &PlacementSettings) -> f64 {
+        if now < self.target.warm_at {
+            settings.cold_speed_factor
+        } else {
+            1.0
+        }
+    }
+
     /// Returns the load that one more flow would cause, in flows per slot. It is
     /// weighted by the upstream's speed and includes the penalty for another failure
     /// domain. What the fleet observes counts unless the flow is a probe.
@@ -59,13 +68,7 @@
         is_probe: bool,
         settings: &PlacementSettings,
     ) -> f64 {
-        let is_cold = now < self.target.warm_at;
-        let speed = if is_cold {
-            settings.cold_speed_factor
-        } else {
-            1.0
-        };
-        let capacity = f64::from(self.target.slots.max(1)) * speed;
+        let capacity = f64::from(self.target.slots.max(1)) * self.speed(now, settings);
         let penalty = if self.target.is_local {
             0.0
         } else {
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -293,6 +293,8 @@
             let duration_ratio = duration.as_secs_f64() / reference.as_secs_f64().max(f64::EPSILON);
             let slowness = flow_slowness(duration_ratio, &self.settings);
             candidate.record_slowness(now, slowness, &self.settings);
+            // The fleet's threshold is for upstreams at their full speed.
+            let slowness = slowness * candidate.speed(now, &self.settings);
             let busy = duration / candidate.target.slots.max(1);
             self.observations.record(key, slowness, busy);
         }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -10,7 +10,7 @@
     Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
     Update,
 };
-use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream};
+use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, reporter_id};
 use currantgate_registry::{ChangeNumber, Record, UpstreamRegistry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -272,7 +272,8 @@
             FeedRequest::Observations { observations, .. } => {
                 let now = std::time::Instant::now();
                 let mut merged = self.source.observations.borrow_mut();
-                merged.record(now, self.id, &observations);
+                // Not the feed's id: an entry whose feed breaks often is still one.
+                merged.record(now, reporter_id(&self.hello.name), &observations);
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
