What entries are told of slow upstreams are changes

Reports hold 32 upstreams at most now (420 bytes, twice a second) and feeds carry what has changed, 6 bytes an upstream. None of the users' sites reports more than 18.

--- a/crates/currantgate-observation/src/lib.rs
+++ b/crates/currantgate-observation/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use collector::choose_collector;
 pub use fleet::{FleetObservations, ReporterId, reporter_id};
-pub use observation::{Observation, SlowUpstream, UpstreamKey};
+pub use observation::{NORMAL_SLOWNESS, Observation, SlowUpstream, UpstreamKey, slowness_changes};
 pub use observation_log::ObservationLog;
 pub use settings::FleetSettings;
--- a/crates/currantgate-observation/src/observation.rs
+++ b/crates/currantgate-observation/src/observation.rs
@@ -21,11 +21,28 @@
     pub busy_ms: u32,
 }
 
-/// An upstream that many flows of several entries found slow.
+/// The slowness of an upstream by many flows of several entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlowUpstream {
     /// The upstream.
     pub key: UpstreamKey,
-    /// How many times longer than usual flows last there, rounded.
+    /// How many times longer than usual flows last there, rounded;
+    /// [`NORMAL_SLOWNESS`] for an upstream that is no longer slow.
     pub slowness: u8,
 }
+
+/// Slowness of an upstream that is not slow.
+pub const NORMAL_SLOWNESS: u8 = 1;
+
+/// Returns what an entry that was told `before` must be told to know `after`. Both are
+/// sorted by key.
+pub fn slowness_changes(before: &[SlowUpstream], after: &[SlowUpstream]) -> Vec<SlowUpstream> {
+    let is_listed = |list: &[SlowUpstream], key| list.binary_search_by_key(&key, |s| s.key).is_ok();
+    let recovered = before.iter().filter(|slow| !is_listed(after, slow.key));
+    let recovered = recovered.map(|slow| SlowUpstream {
+        key: slow.key,
+        slowness: NORMAL_SLOWNESS,
+    });
+    let changed = after.iter().filter(|slow| !before.contains(slow)).copied();
+    recovered.chain(changed).collect()
+}
--- a/crates/currantgate-observation/src/observation_log.rs
+++ b/crates/currantgate-observation/src/observation_log.rs
@@ -6,8 +6,8 @@
 
 use crate::{Observation, UpstreamKey};
 
-/// Most upstreams in one report, which bounds it to about 640 bytes.
-const MAX_REPORTED: usize = 64;
+/// Most upstreams in one report, which bounds it to 420 bytes.
+const MAX_REPORTED: usize = 32;
 
 /// Observations of one entry since its last report.
 #[derive(Clone, Debug, Default)]
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -3,7 +3,7 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
-use currantgate_observation::{Observation, ObservationLog, SlowUpstream};
+use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -82,7 +82,7 @@
                 None => {
                     let mut candidate = Candidate::new(target, domain);
                     let slowness = self.fleet_slowness.get(&candidate.target.key);
-                    candidate.fleet_slowness = slowness.copied().unwrap_or(1.0);
+                    candidate.fleet_slowness = slowness.copied().unwrap_or(NORMAL_SLOWNESS.into());
                     self.candidates.insert(candidate.target.key, candidate);
                 }
             }
@@ -94,16 +94,34 @@
         });
     }
 
-    /// Replaces the upstreams that the fleet observes as slow.
-    pub fn set_fleet_slowness(&mut self, slow: &[SlowUpstream]) {
-        let slow = slow.iter().map(|s| (s.key, f64::from(s.slowness)));
-        self.fleet_slowness = slow.collect();
-        for (key, candidate) in &mut self.candidates {
-            let slowness = self.fleet_slowness.get(key);
-            candidate.fleet_slowness = slowness.copied().unwrap_or(1.0);
+    /// Applies changes of what the fleet observes of upstreams.
+    pub fn update_fleet_slowness(&mut self, changes: &[SlowUpstream]) {
+        for change in changes {
+            let slowness = f64::from(change.slowness);
+            if change.slowness > NORMAL_SLOWNESS {
+                self.fleet_slowness.insert(change.key, slowness);
+            } else {
+                self.fleet_slowness.swap_remove(&change.key);
+            }
+            if let Some(candidate) = self.candidates.get_mut(&change.key) {
+                candidate.fleet_slowness = slowness;
+            }
+        }
+    }
+
+    /// Forgets what the fleet observes of upstreams.
+    pub fn clear_fleet_slowness(&mut self) {
+        self.fleet_slowness.clear();
+        for candidate in self.candidates.values_mut() {
+            candidate.fleet_slowness = f64::from(NORMAL_SLOWNESS);
         }
     }
 
+    /// Returns the upstreams that the fleet observes as slow.
+    pub fn fleet_slow(&self) -> impl ExactSizeIterator<Item = TargetKey> {
+        self.fleet_slowness.keys().copied()
+    }
+
     /// Returns and removes what was observed of upstreams since the last call.
     pub fn take_observations(&mut self) -> Vec<Observation> {
         self.observations.take()
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -218,9 +218,19 @@
         self.placement.take_observations()
     }
 
-    /// Replaces the upstreams that are slow by what all entries observe.
-    pub fn set_slow_upstreams(&mut self, slow: &[SlowUpstream]) {
-        self.placement.set_fleet_slowness(slow);
+    /// Applies changes of what all entries observe of upstreams.
+    pub fn update_slow_upstreams(&mut self, changes: &[SlowUpstream]) {
+        self.placement.update_fleet_slowness(changes);
+    }
+
+    /// Forgets what all entries observe of upstreams.
+    pub fn clear_slow_upstreams(&mut self) {
+        self.placement.clear_fleet_slowness();
+    }
+
+    /// Returns the upstreams that are slow by what all entries observe.
+    pub fn slow_upstreams(&self) -> impl ExactSizeIterator<Item = Token> {
+        self.placement.fleet_slow()
     }
 
     /// Returns the id of the upstream with the given token.
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -81,7 +81,7 @@
     Upstreams(Vec<Record>),
     /// A requested update, as [`currantgate_control::Update::pack`] returns it.
     Update(Arc<[u8]>),
-    /// All upstreams that are slow by what entries have observed, sent on each change
-    /// to those that report observations.
+    /// Changes of which upstreams are slow by what entries have observed, for those that
+    /// report observations. The first such message on a feed lists all.
     SlowUpstreams(Vec<SlowUpstream>),
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -10,7 +10,9 @@
     Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
     Update,
 };
-use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, reporter_id};
+use currantgate_observation::{
+    FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
+};
 use currantgate_registry::{ChangeNumber, Record, UpstreamRegistry};
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -207,8 +209,8 @@
     last_heartbeat: Heartbeat,
     /// Number of the newest change of upstreams that has been sent.
     sent_change: ChangeNumber,
-    /// Slow upstreams as they were sent last; nothing while the listener has not
-    /// reported any observations.
+    /// Slow upstreams as the listener knows them; nothing while it has not reported
+    /// any observations.
     sent_slow: Option<Vec<SlowUpstream>>,
     heartbeat_due: Instant,
     listener_deadline: Instant,
@@ -296,18 +298,18 @@
         }
     }
 
-    /// Sends the slow upstreams if they have changed, to a listener that reports what
-    /// it observes.
+    /// Sends changes of the slow upstreams to a listener that reports what it observes.
     async fn send_slow_upstreams(&mut self) -> Result<(), TransportError> {
         let Some(sent) = &mut self.sent_slow else {
             return Ok(());
         };
         let slow = self.source.slow_upstreams();
-        if *sent == slow {
+        let changes = slowness_changes(sent, &slow);
+        if changes.is_empty() {
             return Ok(());
         }
-        sent.clone_from(&slow);
-        self.send(&FeedMessage::SlowUpstreams(slow)).await
+        *sent = slow;
+        self.send(&FeedMessage::SlowUpstreams(changes)).await
     }
 
     /// Sends the upstreams that have changed, and a heartbeat if the state has
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -33,7 +33,7 @@
 const ROUTES_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which the entry reports what it observed of upstreams: often enough
-/// that a slow one is avoided within two seconds, at 100 bytes a report of ten flows.
+/// that a slow one is avoided within two seconds, at 420 bytes a report at most.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time for which packets are still forwarded once the entry reports that it is
@@ -214,6 +214,11 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                // The next feed starts with all slow upstreams.
+                if self.collector == Some(from) {
+                    self.collector = None;
+                    self.routing.clear_slow_upstreams(now);
+                }
             }
             FeedEvent::Message(from, FeedMessage::Heartbeat(heartbeat)) => {
                 self.routing.decisions.view_at = now;
@@ -227,7 +232,7 @@
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
                 if self.collector == Some(from) {
-                    self.routing.set_slow_upstreams(now, &slow);
+                    self.routing.update_slow_upstreams(now, &slow);
                 }
             }
         }
@@ -242,7 +247,7 @@
         let is_first = collector != self.collector;
         if is_first {
             self.collector = collector;
-            self.routing.set_slow_upstreams(Instant::now(), &[]);
+            self.routing.clear_slow_upstreams(Instant::now());
         }
         let observations = self.routing.router.take_observations();
         if let Some(collector) = collector
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -4,7 +4,6 @@
 
 use currantgate_control::Revision;
 use currantgate_log::{RateLimit, RateLimiter};
-use currantgate_observation::SlowUpstream;
 use currantgate_placement::{Suspect, SuspicionChange};
 use currantgate_registry::{Availability, Upstream};
 use currantgate_token::{
@@ -200,17 +199,12 @@
     }
 
     /// Logs the upstreams that are avoided as slow.
-    pub(super) fn log_slow_upstreams(
-        &mut self,
-        now: Instant,
-        slow: &[SlowUpstream],
-        router: &TokenRouter,
-    ) {
+    pub(super) fn log_slow_upstreams(&mut self, now: Instant, router: &TokenRouter) {
         let Some(left_out) = self.slow_upstreams.try_acquire(now) else {
             return;
         };
-        let ids = slow.iter().filter_map(|slow| router.upstream_id(slow.key));
-        let upstreams: Vec<_> = ids.collect();
+        let slow = router.slow_upstreams();
+        let upstreams: Vec<_> = slow.filter_map(|token| router.upstream_id(token)).collect();
         log::info!(
             event = "slow",
             upstreams = upstreams.join(","),
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -44,11 +44,24 @@
         (flow, decision)
     }
 
-    /// Replaces the upstreams that are slow by what all entries observe.
-    pub(super) fn set_slow_upstreams(&mut self, now: Instant, slow: &[SlowUpstream]) {
-        self.router.set_slow_upstreams(slow);
-        self.metrics.set_slow_upstreams(slow.len());
-        self.decisions.log_slow_upstreams(now, slow, &self.router);
+    /// Applies changes of what all entries observe of upstreams.
+    pub(super) fn update_slow_upstreams(&mut self, now: Instant, changes: &[SlowUpstream]) {
+        self.router.update_slow_upstreams(changes);
+        self.publish_slow_upstreams(now);
+    }
+
+    /// Forgets what all entries observe of upstreams.
+    pub(super) fn clear_slow_upstreams(&mut self, now: Instant) {
+        if self.router.slow_upstreams().len() > 0 {
+            self.router.clear_slow_upstreams();
+            self.publish_slow_upstreams(now);
+        }
+    }
+
+    fn publish_slow_upstreams(&mut self, now: Instant) {
+        let count = self.router.slow_upstreams().len();
+        self.metrics.set_slow_upstreams(count);
+        self.decisions.log_slow_upstreams(now, &self.router);
     }
 
     fn log_suspicion_changes(&mut self, now: Instant) {
