--- a/crates/currantgate-observation/src/fleet.rs
+++ b/crates/currantgate-observation/src/fleet.rs
@@ -1,9 +1,11 @@
 //! Observations of many entries, merged.
 
 use std::hash::{Hash as _, Hasher as _};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use indexmap::map::Entry;
 use siphasher::sip::SipHasher13;
 
 use crate::threshold::Threshold;
@@ -22,18 +24,18 @@
 
 /// Observations of many entries, merged with their age.
 ///
-/// It answers the load of large fleets, in which an upstream gets some flows a second
-/// of all entries together but one a minute of each: an upstream that is slow, fails
-/// what it accepts or answers no first packets is found by all of them within its
-/// first few flows. An entry that sees others as slow alone, as its own link is bad
-/// or it is cut off, changes nothing.
+/// It is for the load of large fleets, in which an upstream gets a few flows a second
+/// from all entries together but about one a minute from each. An upstream that is
+/// slow, fails requests or does not answer first packets is detected within its first
+/// few flows. Observations of a single entry are not sufficient, as its own link may be
+/// bad or it may be cut off.
 #[derive(Clone, Debug)]
 pub struct FleetObservations {
     settings: FleetSettings,
     upstreams: IndexMap<UpstreamKey, UpstreamRecord>,
     updated_at: Instant,
-    /// Slow upstreams at the last update.
-    slow: Vec<SlowUpstream>,
+    /// Slow upstreams at the last update, replaced only when they change.
+    slow: Rc<[SlowUpstream]>,
 }
 
 impl FleetObservations {
@@ -43,7 +45,7 @@
             settings,
             upstreams: IndexMap::new(),
             updated_at: now,
-            slow: Vec::new(),
+            slow: Rc::default(),
         }
     }
 
@@ -55,25 +57,26 @@
             if observation.flows == 0 || !observation.slowness_sum.is_finite() {
                 continue;
             }
-            let is_known = self.upstreams.contains_key(&observation.key);
-            if !is_known && self.upstreams.len() >= self.settings.max_upstreams {
-                continue;
-            }
-            let record = self.upstreams.entry(observation.key);
-            let record = record.or_insert_with(|| UpstreamRecord::new(now, &self.settings));
+            let is_full = self.upstreams.len() >= self.settings.max_upstreams;
+            let record = match self.upstreams.entry(observation.key) {
+                Entry::Vacant(_) if is_full => continue,
+                entry => entry.or_insert_with(|| UpstreamRecord::new(now, &self.settings)),
+            };
             record.add(now, reporter, observation, &self.settings);
         }
     }
 
     /// Merges the reports since the last update when the next one is due, and returns
     /// the slow upstreams by key. Those without recent flows are forgotten.
-    pub fn slow_upstreams(&mut self, now: Instant) -> &[SlowUpstream] {
+    ///
+    /// While nothing has changed, the same allocation is returned.
+    pub fn slow_upstreams(&mut self, now: Instant) -> Rc<[SlowUpstream]> {
         if now >= self.updated_at + self.settings.update_interval {
             let period = now - self.updated_at;
             self.updated_at = now;
             self.update(now, period);
         }
-        &self.slow
+        Rc::clone(&self.slow)
     }
 
     fn update(&mut self, now: Instant, period: Duration) {
@@ -99,16 +102,20 @@
             key,
             slowness: slowness.round().clamp(2.0, 255.0) as u8,
         });
-        self.slow = listed.collect();
+        let listed: Rc<[_]> = listed.collect();
+        if listed != self.slow {
+            self.slow = listed;
+        }
     }
 
     /// Returns the share of slots in use since the last update, as a mean weighted by
     /// the upstreams' flows.
     fn load(&self, period: Duration) -> f64 {
-        let records = self.upstreams.values();
-        let pending: Vec<_> = records.map(|record| record.pending()).collect();
-        let flows: f64 = pending.iter().map(|pending| pending.flows).sum();
-        let busy = pending.iter().map(|p| p.occupancy(period) * p.flows);
-        busy.sum::<f64>() / flows.max(1.0)
+        let pending = self.upstreams.values().map(UpstreamRecord::pending);
+        let (flows, weighted) = pending.fold((0.0, 0.0), |(flows, weighted), pending| {
+            let occupancy = pending.occupancy(period);
+            (flows + pending.flows, weighted + occupancy * pending.flows)
+        });
+        weighted / f64::max(flows, 1.0)
     }
 }
--- a/crates/currantgate-observation/src/observation.rs
+++ b/crates/currantgate-observation/src/observation.rs
@@ -21,7 +21,7 @@
     pub busy_ms: u32,
 }
 
-/// The slowness of an upstream by many flows of several entries.
+/// The slowness of an upstream, from many flows of several entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlowUpstream {
     /// The upstream.
@@ -34,15 +34,21 @@
 /// Slowness of an upstream that is not slow.
 pub const NORMAL_SLOWNESS: u8 = 1;
 
-/// Returns what an entry that was told `before` must be told to know `after`. Both are
-/// sorted by key.
+/// Returns the changes from the list `before` to the list `after`. Both are sorted by
+/// key.
 pub fn slowness_changes(before: &[SlowUpstream], after: &[SlowUpstream]) -> Vec<SlowUpstream> {
-    let is_listed = |list: &[SlowUpstream], key| list.binary_search_by_key(&key, |s| s.key).is_ok();
-    let recovered = before.iter().filter(|slow| !is_listed(after, slow.key));
+    let recovered = before.iter().filter(|slow| find(after, slow.key).is_none());
     let recovered = recovered.map(|slow| SlowUpstream {
         key: slow.key,
         slowness: NORMAL_SLOWNESS,
     });
-    let changed = after.iter().filter(|slow| !before.contains(slow)).copied();
-    recovered.chain(changed).collect()
+    let changed = after
+        .iter()
+        .filter(|slow| find(before, slow.key) != Some(slow));
+    recovered.chain(changed.copied()).collect()
+}
+
+fn find(list: &[SlowUpstream], key: UpstreamKey) -> Option<&SlowUpstream> {
+    let index = list.binary_search_by_key(&key, |slow| slow.key).ok()?;
+    list.get(index)
 }
--- a/crates/currantgate-observation/src/observation_log.rs
+++ b/crates/currantgate-observation/src/observation_log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::map::Entry;
 
 use crate::{Observation, UpstreamKey};
 
@@ -22,15 +23,16 @@
     /// Flows at further upstreams are not recorded once a report is full: an entry
     /// with so many flows learns most by itself.
     pub fn record(&mut self, key: UpstreamKey, slowness: f64, busy: Duration) {
-        if self.observations.len() >= MAX_REPORTED && !self.observations.contains_key(&key) {
-            return;
-        }
-        let observation = self.observations.entry(key).or_insert(Observation {
-            key,
-            flows: 0,
-            slowness_sum: 0.0,
-            busy_ms: 0,
-        });
+        let is_full = self.observations.len() >= MAX_REPORTED;
+        let observation = match self.observations.entry(key) {
+            Entry::Vacant(_) if is_full => return,
+            entry => entry.or_insert(Observation {
+                key,
+                flows: 0,
+                slowness_sum: 0.0,
+                busy_ms: 0,
+            }),
+        };
         observation.flows = observation.flows.saturating_add(1);
         observation.slowness_sum += slowness as f32;
         let busy_ms = u32::try_from(busy.as_millis()).unwrap_or(u32::MAX);
--- a/crates/currantgate-observation/src/threshold.rs
+++ b/crates/currantgate-observation/src/threshold.rs
@@ -14,8 +14,8 @@
 impl Threshold {
     /// Derives the threshold from the slowness of all upstreams.
     ///
-    /// `load` is the share of slots in use at the upstreams of most flows. Medians tell
-    /// the usual spread even while up to half of the upstreams are slow.
+    /// `load` is the mean share of slots in use, weighted by flows. Medians represent the
+    /// usual spread even while up to half of the upstreams are slow.
     pub(crate) fn new(slownesses: &[f64], load: f64, settings: &FleetSettings) -> Self {
         let usual = median(slownesses.to_vec());
         let deviations = slownesses.iter().map(|slowness| (slowness - usual).abs());
--- a/crates/currantgate-observation/src/upstream_record.rs
+++ b/crates/currantgate-observation/src/upstream_record.rs
@@ -82,9 +82,9 @@
     /// Merges the observations of the time since the last update, of length `period`,
     /// into the mean.
     ///
-    /// The part of their slowness that a queue explains is left out: by Little's law
-    /// the sum of their durations tells how many flows were open at a time, and with
-    /// more of them than slots each one waits for others, however fast the upstream is.
+    /// Slowness due to a queue is left out: by Little's law the sum of the durations
+    /// gives the number of open flows, and with more of them than slots each one waits
+    /// for others, however fast the upstream is.
     pub(crate) fn update(&mut self, now: Instant, period: Duration, settings: &FleetSettings) {
         let pending = std::mem::take(&mut self.pending);
         let flows = pending.flows;
--- a/crates/currantgate-observation/tests/fleet.rs
+++ b/crates/currantgate-observation/tests/fleet.rs
@@ -245,7 +245,7 @@
             }
             let slow = fleet.observations.slow_upstreams(fleet.now);
             prop_assert!(slow.len() <= 5);
-            for upstream in slow {
+            for upstream in slow.iter() {
                 let by = found.iter().filter(|(key, _)| *key == upstream.key).count();
                 prop_assert!(by >= 2, "{upstream:?} was found by {by}");
             }
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -81,8 +81,9 @@
                 }
                 None => {
                     let mut candidate = Candidate::new(target, domain);
-                    let slowness = self.fleet_slowness.get(&candidate.target.key);
-                    candidate.fleet_slowness = slowness.copied().unwrap_or(NORMAL_SLOWNESS.into());
+                    if let Some(slowness) = self.fleet_slowness.get(&candidate.target.key) {
+                        candidate.fleet_slowness = *slowness;
+                    }
                     self.candidates.insert(candidate.target.key, candidate);
                 }
             }
@@ -303,7 +304,7 @@
         let reference = self.service(key).and_then(|service| {
             let admission = &mut service.admission;
             admission.record_end(now, priority, duration, max_samples);
-            service.recent_durations.push(duration);
+            service.recent_durations.push(now, duration);
             let reference = service.admission.reference_duration();
             reference.or_else(|| service.recent_durations.median())
         });
--- a/crates/currantgate-placement/src/recent_durations.rs
+++ b/crates/currantgate-placement/src/recent_durations.rs
@@ -1,7 +1,8 @@
 //! Durations of the last flows of a service.
 
-use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use crate::sliding_window::SlidingWindow;
 
 /// Number of durations that are kept.
 const MAX_DURATIONS: usize = 32;
@@ -15,16 +16,13 @@
 /// seldom holds enough of them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecentDurations {
-    durations: VecDeque<Duration>,
+    durations: SlidingWindow<Duration>,
 }
 
 impl RecentDurations {
     /// Adds the duration of a flow that has ended.
-    pub(crate) fn push(&mut self, duration: Duration) {
-        if self.durations.len() >= MAX_DURATIONS {
-            self.durations.pop_front();
-        }
-        self.durations.push_back(duration);
+    pub(crate) fn push(&mut self, now: Instant, duration: Duration) {
+        self.durations.push(now, duration, MAX_DURATIONS);
     }
 
     /// Returns the median; nothing while there are too few durations.
@@ -32,7 +30,7 @@
         if self.durations.len() < MIN_DURATIONS {
             return None;
         }
-        let mut durations: Vec<_> = self.durations.iter().copied().collect();
+        let mut durations: Vec<_> = self.durations.events().collect();
         let middle = durations.len() / 2;
         Some(*durations.select_nth_unstable(middle).1)
     }
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -92,7 +92,7 @@
             }
             request = requests.recv() => match request {
                 Some(request) => {
-                    // Each request tells what a heartbeat would.
+                    // Each request also serves as a heartbeat.
                     heartbeat_due = Instant::now() + HEARTBEAT_INTERVAL;
                     request
                 }
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -147,13 +147,8 @@
             link.is_connected = is_connected;
         }
         let is_isolated = self.links.values().all(|link| !link.is_connected);
-        let since = self
-            .shared
-            .isolated_since
-            .get()
-            .unwrap_or_else(Instant::now);
-        let since = is_isolated.then_some(since);
-        self.shared.isolated_since.set(since);
+        let since = &self.shared.isolated_since;
+        since.set(is_isolated.then(|| since.get().unwrap_or_else(Instant::now)));
     }
 
     /// Removes control VMs that are neither connected nor listed any more.
@@ -175,19 +170,23 @@
         choose_collector(&self.shared.hello.domain, connected)
     }
 
-    /// Reports observations to a control VM. A report that can't be queued is dropped:
-    /// the next one tells as much.
+    /// Reports observations to a control VM. A report that can't be queued is dropped.
     pub(crate) fn report_observations(&self, to: SocketAddr, observations: Vec<Observation>) {
         let request = FeedRequest::Observations {
             revision: self.shared.revision.get(),
             observations,
         };
-        let link = self.links.get(&to);
-        if link.is_none_or(|link| link.requests.try_send(request).is_err()) {
+        if !self.queue(to, request) {
             log::debug!("a report of observations to {to} is dropped");
         }
     }
 
+    /// Queues a request for the feed of a control VM; returns whether there was room.
+    fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
+        let link = self.links.get(&to);
+        link.is_some_and(|link| link.requests.try_send(request).is_ok())
+    }
+
     /// Requests a newer change. A request that can't be queued is dropped, and
     /// sent again after its timeout.
     pub(crate) fn request_update(&self, update: UpdateRequest) {
@@ -195,8 +194,7 @@
             min_revision: update.revision,
             base: update.base,
         };
-        let link = self.links.get(&update.to);
-        if link.is_none_or(|link| link.requests.try_send(request).is_err()) {
+        if !self.queue(update.to, request) {
             log::debug!(
                 "a request to {} for revision {} is dropped",
                 update.to,
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -96,10 +96,9 @@
     }
 
     /// Returns the upstreams that are slow by what entries have observed.
-    pub(crate) fn slow_upstreams(&self) -> Vec<SlowUpstream> {
+    pub(crate) fn slow_upstreams(&self) -> Rc<[SlowUpstream]> {
         let mut observations = self.observations.borrow_mut();
-        let now = std::time::Instant::now();
-        observations.slow_upstreams(now).to_vec()
+        observations.slow_upstreams(std::time::Instant::now())
     }
 
     /// Wakes all feeds.
@@ -211,7 +210,7 @@
     sent_change: ChangeNumber,
     /// Slow upstreams as the listener knows them; nothing while it has not reported
     /// any observations.
-    sent_slow: Option<Vec<SlowUpstream>>,
+    sent_slow: Option<Rc<[SlowUpstream]>>,
     heartbeat_due: Instant,
     listener_deadline: Instant,
 }
@@ -304,11 +303,15 @@
             return Ok(());
         };
         let slow = self.source.slow_upstreams();
+        // Every change of an upstream wakes all feeds; this list rarely changes.
+        if Rc::ptr_eq(sent, &slow) {
+            return Ok(());
+        }
         let changes = slowness_changes(sent, &slow);
+        *sent = slow;
         if changes.is_empty() {
             return Ok(());
         }
-        *sent = slow;
         self.send(&FeedMessage::SlowUpstreams(changes)).await
     }
 
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -238,10 +238,11 @@
         }
     }
 
-    /// Reports what was observed of upstreams since the last call. What another
-    /// control VM has merged no longer counts once it is not the one that is reported
-    /// to, as it is told no more. The first report may be empty: the control VM answers
-    /// it with what it has merged.
+    /// Reports what was observed of upstreams since the last call.
+    ///
+    /// When the collector changes, the slow upstreams are cleared, as the previous one
+    /// sends no more changes. The first report to a collector is sent even if it is
+    /// empty, because the collector sends its slow upstreams only to reporters.
     fn report_observations(&mut self) {
         let collector = self.links.collector();
         let is_first = collector != self.collector;
