--- /dev/null
+++ b/crates/currantgate-capacity/src/shares.rs
@@ -0,0 +1,20 @@
+//! How an entry divides its new flows.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+
+use crate::Priority;
+
+/// How an entry divides its new flows of a service, and how many of them fit.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceShares {
+    /// Weights of the failure domains for new flows of this entry; they add up to 1.
+    pub domains: IndexMap<Box<str>, f64>,
+    /// Flows a second that the fleet's upstreams can complete.
+    pub fleet_capacity: f64,
+    /// Part of the fleet's demand that arrives at this entry, from 0 to 1.
+    pub own_share: f64,
+    /// Part of each class's new flows that the fleet has slots for, from 0 to 1.
+    pub admitted: BTreeMap<Priority, f64>,
+}
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -22,9 +22,10 @@
 mod target;
 
 pub use admission_settings::AdmissionSettings;
+pub use currantgate_capacity::{Priority, ServiceShares};
 pub use placement::Placement;
 pub use refusal::{Overload, Refusal};
-pub use request::{PlacementRequest, Priority};
+pub use request::PlacementRequest;
 pub use settings::PlacementSettings;
 pub use suspicion_change::{Suspect, SuspicionChange};
 pub use target::{Placed, Target, TargetKey};
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -13,8 +13,8 @@
 use crate::service::Service;
 use crate::slowness::flow_slowness;
 use crate::{
-    Placed, PlacementRequest, PlacementSettings, Priority, Refusal, Suspect, SuspicionChange,
-    Target, TargetKey,
+    Placed, PlacementRequest, PlacementSettings, Priority, Refusal, ServiceShares, Suspect,
+    SuspicionChange, Target, TargetKey,
 };
 
 /// Most suspicion changes kept until they are taken; the oldest are dropped first.
@@ -128,6 +128,14 @@
         self.observations.take()
     }
 
+    /// Sets how new flows of a service are divided among failure domains. Without
+    /// shares, the entry decides by its own flows alone.
+    pub fn set_shares(&mut self, service: &str, shares: Option<ServiceShares>) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.shares = shares;
+        }
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
--- a/crates/currantgate-placement/src/request.rs
+++ b/crates/currantgate-placement/src/request.rs
@@ -2,17 +2,7 @@
 
 use std::time::Duration;
 
-use crate::TargetKey;
-
-/// Priority of a flow under overload; smaller values are admitted first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Priority {
-    /// Whether the flow's requests are idempotent. Their callers can retry after any
-    /// outcome, so that other requests are admitted first.
-    pub is_idempotent: bool,
-    /// Level set by the operator; 0 is the highest.
-    pub level: u32,
-}
+use crate::{Priority, TargetKey};
 
 /// A request to place a new flow.
 #[derive(Clone, Copy, Debug)]
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_registry::Record;
+use currantgate_warmup::{Permit, PermitRequest};
 use serde::{Deserialize, Serialize};
 
 /// The path of feeds.
@@ -45,13 +47,33 @@
         /// Flows that have ended since the last report.
         observations: Vec<Observation>,
     },
+    /// Requests permits for cold upstreams. The control VM answers with
+    /// [`FeedMessage::WarmupPermits`].
+    WarmupPermits {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// Number of the request, which the answer repeats.
+        request: u32,
+        /// Permits that the entry could use.
+        wanted: Vec<PermitRequest>,
+    },
+    /// Reports the demand of the entry's callers to the control VM that merges it.
+    Demand {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// Demand since the last report.
+        demand: Vec<ServiceDemand>,
+    },
 }
 
 impl FeedRequest {
     /// Returns the revision that the listener holds.
     pub(crate) fn held_revision(&self) -> Revision {
         match self {
-            Self::Heartbeat { revision } | Self::Observations { revision, .. } => *revision,
+            Self::Heartbeat { revision }
+            | Self::Observations { revision, .. }
+            | Self::WarmupPermits { revision, .. }
+            | Self::Demand { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
@@ -84,4 +106,38 @@
     /// Changes of which upstreams are slow by what entries have observed, for those that
     /// report observations. The first such message on a feed lists all.
     SlowUpstreams(Vec<SlowUpstream>),
+    /// The evacuated failure domains, whole. Sent when the feed opens and on each
+    /// change, once an order was accepted.
+    Evacuations(EvacuationState),
+    /// Permits for cold upstreams, as requested.
+    WarmupPermits {
+        /// Number of the request.
+        request: u32,
+        /// Time to wait before the next request, in milliseconds.
+        pace_ms: u16,
+        /// Permits that are granted.
+        permits: Vec<Permit>,
+    },
+    /// Demand of a failure domain whose reports are merged at this control VM.
+    Demand(DomainDemand),
+}
+
+/// The evacuated failure domains.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EvacuationState {
+    /// Log index of the last order. A receiver ignores a lower one than it holds.
+    pub(crate) revision: u64,
+    /// Domains whose upstreams get no new flows.
+    pub(crate) evacuated: Vec<Box<str>>,
+    /// Domains whose evacuation has ended a short time ago.
+    pub(crate) returned: Vec<ReturnedDomain>,
+}
+
+/// A failure domain whose evacuation has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReturnedDomain {
+    /// Name of the domain.
+    pub(crate) domain: Box<str>,
+    /// Time since the control VM learned of the end, in milliseconds.
+    pub(crate) ms_ago: u32,
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -278,6 +278,7 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
+            FeedRequest::WarmupPermits { .. } | FeedRequest::Demand { .. } => Ok(()),
         }
     }
 
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -56,7 +56,14 @@
                 self.handle_heartbeat(from, &heartbeat);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
-            FeedEvent::Message(_, FeedMessage::Upstreams(_) | FeedMessage::SlowUpstreams(_))
+            FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
+            FeedEvent::Message(
+                _,
+                FeedMessage::Upstreams(_)
+                | FeedMessage::SlowUpstreams(_)
+                | FeedMessage::WarmupPermits { .. }
+                | FeedMessage::Demand(_),
+            )
             | FeedEvent::Connected(_) => {}
             FeedEvent::Disconnected(from) => self.revisions.remove(from),
         }
--- a/crates/currantgate/src/node/settings.rs
+++ b/crates/currantgate/src/node/settings.rs
@@ -27,6 +27,9 @@
     pub tolerated_failures: usize,
     /// Interval at which upstreams report.
     pub report_interval: Duration,
+    /// Failure domains of the site, of which operators may evacuate any. When empty,
+    /// all names are accepted.
+    pub domains: Vec<Box<str>>,
     /// Secret that authenticates messages.
     pub key: ControlKey,
 }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -235,6 +235,9 @@
                     self.routing.update_slow_upstreams(now, &slow);
                 }
             }
+            FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
+            FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
+            FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
         }
     }
 
--- a/crates/currantgate/src/token_entry/settings.rs
+++ b/crates/currantgate/src/token_entry/settings.rs
@@ -6,6 +6,7 @@
 use currantgate_placement::PlacementSettings;
 use currantgate_registry::ViewSettings;
 use currantgate_token::TokenSettings;
+use currantgate_warmup::WarmupLimit;
 
 /// Settings of a [`crate::TokenEntry`].
 #[derive(Clone, Debug)]
@@ -26,4 +27,8 @@
     pub placement: PlacementSettings,
     /// Settings of the view of the upstreams that control VMs report.
     pub view: ViewSettings,
+    /// Limit of the new flows of cold upstreams; `None` if there is none.
+    pub warmup_limit: Option<WarmupLimit>,
+    /// Whether entries share their demand, and divide it among failure domains.
+    pub is_demand_shared: bool,
 }
