Count flows that last far too long against their upstream before they end

An upstream that takes requests and never answers ends no flow: nothing was learnt until callers had given up, and nothing was reported then. Where demand is shared, a flow that lasts eight times as long as is usual, and longer than its latency target, is now reported like a failed one. Not measured yet.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -309,13 +309,12 @@
         duration: Duration,
     ) {
         let max_samples = self.settings.admission.max_samples;
-        let reference = self.service(key).and_then(|service| {
+        if let Some(service) = self.service(key) {
             let admission = &mut service.admission;
             admission.record_end(now, priority, duration, max_samples);
             service.recent_durations.push(now, duration);
-            let reference = service.admission.reference_duration();
-            reference.or_else(|| service.recent_durations.median())
-        });
+        }
+        let reference = self.reference_duration(key);
         if let (Some(reference), Some(candidate)) = (reference, self.candidates.get_mut(&key)) {
             let duration_ratio = duration.as_secs_f64() / reference.as_secs_f64().max(f64::EPSILON);
             let slowness = flow_slowness(duration_ratio, &self.settings);
@@ -328,6 +327,24 @@
         self.remove_flow(key);
     }
 
+    /// Returns the usual duration of flows at the service of an upstream, once enough have
+    /// ended.
+    pub fn reference_duration(&mut self, key: TargetKey) -> Option<Duration> {
+        let service = self.service(key)?;
+        let reference = service.admission.reference_duration();
+        reference.or_else(|| service.recent_durations.median())
+    }
+
+    /// Records that an answered flow lasts far longer than usual. It counts like a failed
+    /// one, as its caller is not served in time whenever it ends.
+    pub fn record_overdue(&mut self, now: Instant, key: TargetKey) {
+        let slowness = self.settings.max_slowness;
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            candidate.record_slowness(now, slowness, &self.settings);
+            self.observations.record(key, slowness, Duration::ZERO);
+        }
+    }
+
     /// Removes an answered flow whose end this entry did not see.
     pub fn release(&mut self, key: TargetKey, priority: Priority) {
         if let Some(service) = self.service(key) {
--- a/crates/currantgate-token/src/flow_table.rs
+++ b/crates/currantgate-token/src/flow_table.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ahash::RandomState;
 use currantgate_placement::Priority;
@@ -26,6 +26,8 @@
     pub(crate) priority: Priority,
     /// Time at which the first packet was forwarded to this upstream.
     pub(crate) sent: Instant,
+    /// Time within which an answer is of full value to the caller.
+    pub(crate) latency_target: Duration,
     /// Time at which the caller has given up.
     pub(crate) deadline: Instant,
 }
@@ -43,6 +45,8 @@
     opening: FlowMap,
     established: FlowMap,
     deadlines: BinaryHeap<Reverse<(Instant, FlowId)>>,
+    /// Times at which established flows become overdue, where that is tracked.
+    overdue_times: BinaryHeap<Reverse<(Instant, FlowId)>>,
 }
 
 impl FlowTable {
@@ -74,6 +78,26 @@
         Some(record)
     }
 
+    /// Sets the time at which an established flow becomes overdue.
+    pub(crate) fn track_overdue(&mut self, flow: FlowId, overdue_at: Instant) {
+        self.overdue_times.push(Reverse((overdue_at, flow)));
+    }
+
+    /// Returns the record of an established flow that has become overdue since the last
+    /// call, if there is one.
+    pub(crate) fn pop_overdue(&mut self, now: Instant) -> Option<FlowRecord> {
+        while let Some(Reverse((overdue_at, flow))) = self.overdue_times.peek().copied() {
+            if overdue_at > now {
+                return None;
+            }
+            self.overdue_times.pop();
+            if let Some(record) = self.established.get(&flow) {
+                return Some(*record);
+            }
+        }
+        None
+    }
+
     /// Removes a flow and returns its record.
     pub(crate) fn remove(&mut self, flow: &FlowId) -> Option<FlowRecord> {
         let opening = self.opening.swap_remove(flow);
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -121,6 +121,7 @@
                     token: placed.key,
                     priority,
                     sent: now,
+                    latency_target: route.latency_target,
                     deadline,
                 };
                 self.forward_first(packet.flow, record)
@@ -173,6 +174,7 @@
         if let Some(record) = self.flows.establish(&packet.flow) {
             self.handshake_time = Some(now.saturating_duration_since(record.sent));
             self.placement.record_answer(now, record.token);
+            self.track_overdue(packet.flow, &record);
         }
         if packet.is_last
             && let Some(record) = self.flows.remove(&packet.flow)
@@ -183,6 +185,25 @@
         }
     }
 
+    /// Sets the time at which a flow becomes overdue, if its service's usual duration is
+    /// known.
+    fn track_overdue(&mut self, flow: FlowId, record: &FlowRecord) {
+        let Some(factor) = self.settings.overdue_factor else {
+            return;
+        };
+        if let Some(usual) = self.placement.reference_duration(record.token) {
+            let limit = usual.mul_f64(factor).max(record.latency_target);
+            self.flows.track_overdue(flow, record.sent + limit);
+        }
+    }
+
+    /// Counts flows that have become overdue against their upstreams, before they end.
+    pub fn record_overdue(&mut self, now: Instant) {
+        while let Some(record) = self.flows.pop_overdue(now) {
+            self.placement.record_overdue(now, record.token);
+        }
+    }
+
     /// Removes and returns a flow whose caller has given up, if there is one.
     pub fn pop_expired(&mut self, now: Instant) -> Option<ExpiredFlow> {
         let (flow, state, record) = self.flows.pop_expired(now)?;
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -10,6 +10,7 @@
 };
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed};
+use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
@@ -61,12 +62,20 @@
 
 impl Entry {
     fn new(upstreams: impl IntoIterator<Item = u8>, seed: u64) -> Self {
+        Self::with_settings(TokenSettings::default(), upstreams, seed)
+    }
+
+    fn with_settings(
+        settings: TokenSettings,
+        upstreams: impl IntoIterator<Item = u8>,
+        seed: u64,
+    ) -> Self {
         let now = Instant::now();
         let placement = PlacementSettings {
             seed,
             ..PlacementSettings::default()
         };
-        let mut router = TokenRouter::new(TokenSettings::default(), placement);
+        let mut router = TokenRouter::new(settings, placement);
         router.set_routes(RouteTable::new([(SERVICE, route(&[("booking", 1)]))]));
         router.set_routes_current(true);
         router.set_upstreams_complete(true);
@@ -296,6 +305,47 @@
     );
 }
 
+/// An upstream that takes requests and never answers would otherwise be reported only
+/// once its callers have given up.
+#[rstest]
+#[case::tracked(Some(8.0), 1)]
+#[case::not_tracked(None, 0)]
+fn a_flow_that_lasts_too_long_is_reported_once_before_it_ends(
+    #[case] overdue_factor: Option<f64>,
+    #[case] reports: usize,
+) {
+    let settings = TokenSettings {
+        overdue_factor,
+        ..TokenSettings::default()
+    };
+    let mut entry = Entry::with_settings(settings, 1..=2, 1);
+    for n in 0..20 {
+        let chosen = entry.open_flow(n);
+        entry.send_later(n, chosen.token, false);
+        entry.now += Duration::from_millis(20);
+        entry.send_later(n, chosen.token, true);
+    }
+    let chosen = entry.open_flow(100);
+    entry.send_later(100, chosen.token, false);
+    entry.router.take_observations();
+
+    // The flow is overdue after eight times 20 ms, which is above its target of 150 ms.
+    entry.now += Duration::from_millis(155);
+    entry.router.record_overdue(entry.now);
+    assert_eq!(entry.router.take_observations(), []);
+    entry.now += Duration::from_millis(10);
+    entry.router.record_overdue(entry.now);
+    let reported = entry.router.take_observations();
+    assert_eq!(reported.len(), reports);
+    for observation in reported {
+        assert_eq!(observation.key, chosen.token);
+        assert!(observation.slowness_sum >= 8.0);
+    }
+    entry.now += Duration::from_millis(500);
+    entry.router.record_overdue(entry.now);
+    assert_eq!(entry.router.take_observations(), []);
+}
+
 #[test]
 fn a_flow_expires_after_its_callers_timeout() {
     let mut entry = Entry::new(1..=2, 1);
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -79,6 +79,7 @@
 
     /// Removes flows whose callers have given up.
     pub(super) fn expire_flows(&mut self, now: Instant) {
+        self.router.record_overdue(now);
         while let Some(expired) = self.router.pop_expired(now) {
             self.metrics.count_expired(expired.was_answered);
             self.decisions.log_expired(now, &expired, &self.router);
