--- a/crates/currantgate-control/benches/control/fleet.rs
+++ b/crates/currantgate-control/benches/control/fleet.rs
@@ -261,7 +261,10 @@
                 }
             }
             Output::Applied { .. } => self.answered = Some(self.now),
-            Output::Replaced { .. } | Output::ReadDone { .. } => {}
+            Output::Replaced { .. }
+            | Output::ReadDone { .. }
+            | Output::Ordered { .. }
+            | Output::Evacuated(_) => {}
         }
     }
 
--- a/crates/currantgate-control/src/entry.rs
+++ b/crates/currantgate-control/src/entry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, Index, Members, Term};
+use crate::{Change, EvacuationOrder, Index, Members, Term};
 
 /// The effect of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     Change(Arc<Change>),
     /// Replaces the set of voters as soon as the entry is appended.
     Members(Members),
+    /// Executes an order on a failure domain when the entry is committed.
+    Evacuation(EvacuationOrder),
 }
 
 /// One entry of the replicated log.
@@ -36,6 +38,7 @@
         const FIXED_BYTES: usize = 128;
         match &self.command {
             Command::Change(change) => FIXED_BYTES + change.text.len(),
+            Command::Evacuation(order) => FIXED_BYTES + order.domain.len(),
             Command::Noop | Command::Members(_) => FIXED_BYTES,
         }
     }
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod digest;
 mod distribution;
 mod entry;
+mod evacuation;
 mod id;
 mod members;
 mod message;
@@ -24,6 +25,7 @@
 mod settings;
 mod site_state;
 mod snapshot;
+mod snapshot_format;
 mod status;
 mod storage;
 mod timing;
@@ -41,6 +43,7 @@
     SubscriberSettings, Update,
 };
 pub use entry::{Command, Entry};
+pub use evacuation::{EvacuationAction, EvacuationAnswer, EvacuationOrder, Evacuations};
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
 pub use members::Members;
 pub use message::{AppendOutcome, Message};
--- a/crates/currantgate-control/src/output.rs
+++ b/crates/currantgate-control/src/output.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use crate::{
-    ApplyAnswer, Batch, BatchId, Change, Message, ReadAnswer, ReplaceAnswer, RequestId, VoterId,
+    ApplyAnswer, Batch, BatchId, Change, EvacuationAnswer, Evacuations, Message, ReadAnswer,
+    ReplaceAnswer, RequestId, VoterId,
 };
 
 /// An output of a replica, which its owner carries out.
@@ -46,4 +47,13 @@
     },
     /// Distribute a committed change to entries and relays.
     Committed(Arc<Change>),
+    /// Answer an order to evacuate a failure domain, or to end that.
+    Ordered {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: EvacuationAnswer,
+    },
+    /// Distribute the evacuations after a committed order or a snapshot.
+    Evacuated(Arc<Evacuations>),
 }
--- a/crates/currantgate-control/src/replica/commit.rs
+++ b/crates/currantgate-control/src/replica/commit.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use super::Replica;
-use super::role::Role;
-use crate::{ApplyAnswer, Change, Command, Index, Output, Snapshot};
+use super::role::{ProposalKind, Role};
+use crate::{ApplyAnswer, Change, Command, EvacuationAnswer, Evacuations, Index, Output, Snapshot};
 
 impl Replica {
     /// Commits the entries that a quorum has synced, if this replica leads.
@@ -38,8 +38,10 @@
         while self.commit < index.min(self.log.last_index()) {
             self.commit += 1;
             let command = self.log.get(self.commit).map(|e| e.command.clone());
-            if let Some(Command::Change(change)) = command {
-                self.accept(change);
+            match command {
+                Some(Command::Change(change)) => self.accept(change),
+                Some(Command::Evacuation(order)) => self.execute_order(&order),
+                Some(Command::Noop | Command::Members(_)) | None => {}
             }
             self.answer_pending();
         }
@@ -53,12 +55,15 @@
         self.outputs.push_back(Output::Committed(change));
     }
 
-    /// Outputs the change in force after a snapshot has replaced the state.
+    /// Outputs the change and the evacuations in force after a snapshot has replaced the state.
     pub(super) fn output_current(&mut self) {
         if let Some(change) = self.state.current() {
             let change = Arc::clone(change);
             self.outputs.push_back(Output::Committed(change));
         }
+        if self.evacuations.has_orders() {
+            self.output_evacuations();
+        }
     }
 
     fn answer_pending(&mut self) {
@@ -66,11 +71,20 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let Some((_, request)) = leader.pending.take_if(|(index, _)| *index == commit) else {
+        let Some(pending) = leader.pending.take_if(|p| p.index == commit) else {
             return;
         };
-        let answer = ApplyAnswer::Accepted(self.state.current_id().revision);
-        self.outputs.push_back(Output::Applied { request, answer });
+        let request = pending.request;
+        match pending.kind {
+            ProposalKind::Change => {
+                let revision = self.state.current_id().revision;
+                self.answer_apply(request, ApplyAnswer::Accepted(revision));
+            }
+            ProposalKind::Evacuation => {
+                let revision = self.evacuations.revision();
+                self.answer_order(request, EvacuationAnswer::Accepted(revision));
+            }
+        }
     }
 
     /// Replaces the committed entries by a snapshot once their number or size
@@ -90,6 +104,7 @@
             last_term,
             members: self.log.members_at(self.commit),
             state: self.state.clone(),
+            evacuations: Evacuations::clone(&self.evacuations),
         };
         self.install_in_log(snapshot);
     }
--- /dev/null
+++ b/crates/currantgate-control/src/replica/evacuation.rs
@@ -0,0 +1,63 @@
+//! Orders to evacuate failure domains.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::Replica;
+use super::role::{Proposal, ProposalKind, Role};
+use crate::{Command, Entry, EvacuationAnswer, EvacuationOrder, Evacuations, Output, RequestId};
+
+impl Replica {
+    /// Requests the execution of an order. The answer is an [`Output::Ordered`].
+    pub fn order_evacuation(&mut self, now: Instant, id: RequestId, order: EvacuationOrder) {
+        self.propose(now, id, Proposal::Evacuation(order));
+    }
+
+    /// Drops an order that is not in the log yet, and returns whether there was one.
+    /// It is called when the order's sender has given up: if the order were executed
+    /// later, it could undo a newer one.
+    pub fn cancel_order(&mut self, id: RequestId) -> bool {
+        let Role::Leader(leader) = &mut self.role else {
+            return false;
+        };
+        let is_cancelled = |(queued, proposal): &(RequestId, Proposal)| {
+            *queued == id && proposal.kind() == ProposalKind::Evacuation
+        };
+        let position = leader.queued.iter().position(is_cancelled);
+        position.is_some_and(|position| leader.queued.remove(position).is_some())
+    }
+
+    /// Returns the committed evacuations that this replica knows of.
+    pub fn evacuations(&self) -> &Arc<Evacuations> {
+        &self.evacuations
+    }
+
+    /// Returns whether the log has orders, committed or not.
+    pub fn has_orders(&self) -> bool {
+        let is_order = |entry: &Entry| matches!(entry.command, Command::Evacuation(_));
+        self.evacuations.has_orders() || self.log.entries().iter().any(is_order)
+    }
+
+    /// Returns whether all that was acknowledged before the current term is in force
+    /// on this replica: it is in contact with a quorum and has committed an entry of
+    /// the term. After a restart, acknowledged entries may not be known as committed
+    /// until then.
+    pub fn is_caught_up(&self, now: Instant) -> bool {
+        self.is_in_quorum(now) && self.log.term(self.commit) == Some(self.hard_state.term)
+    }
+
+    /// Executes the order in the entry that was committed last.
+    pub(super) fn execute_order(&mut self, order: &EvacuationOrder) {
+        Arc::make_mut(&mut self.evacuations).execute(self.commit, order);
+        self.output_evacuations();
+    }
+
+    pub(super) fn output_evacuations(&mut self) {
+        let evacuations = Arc::clone(&self.evacuations);
+        self.outputs.push_back(Output::Evacuated(evacuations));
+    }
+
+    pub(super) fn answer_order(&mut self, request: RequestId, answer: EvacuationAnswer) {
+        self.outputs.push_back(Output::Ordered { request, answer });
+    }
+}
--- a/crates/currantgate-control/src/replica/follower.rs
+++ b/crates/currantgate-control/src/replica/follower.rs
@@ -1,10 +1,11 @@
 //! The follower: entries and snapshots from the leader.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::Replica;
 use super::role::Role;
-use crate::codec;
+use crate::snapshot_format;
 use crate::{
     AppendOutcome, Entry, HardState, Index, MIN_ELECTION_TIMEOUT, Message, Snapshot, Term, VoterId,
 };
@@ -170,7 +171,7 @@
             log::warn!("discarding a snapshot with a wrong digest; the leader will send it again");
             return false;
         }
-        let decoded = codec::decode::<Snapshot>(&incoming.bytes);
+        let decoded = snapshot_format::decode_snapshot(&incoming.bytes);
         let index_matches = |s: &Snapshot| s.last_index == incoming.last_index;
         let Some(snapshot) = decoded.ok().filter(index_matches) else {
             log::warn!(
@@ -180,6 +181,7 @@
         };
         self.commit = snapshot.last_index;
         self.state = snapshot.state.clone();
+        self.evacuations = Arc::new(snapshot.evacuations.clone());
         self.install_in_log(snapshot);
         if !self.hard_state.joined {
             self.set_hard_state(HardState {
--- a/crates/currantgate-control/src/replica/leader.rs
+++ b/crates/currantgate-control/src/replica/leader.rs
@@ -8,8 +8,8 @@
 
 use super::Replica;
 use super::role::{Leader, Role};
-use crate::codec;
 use crate::progress::{Progress, Transfer};
+use crate::snapshot_format;
 use crate::{
     AppendOutcome, Command, Entry, HEARTBEAT_INTERVAL, Index, MIN_ELECTION_TIMEOUT, Message, Term,
     VoterId,
@@ -256,7 +256,7 @@
 }
 
 fn start_transfer(snapshot: &crate::Snapshot) -> Transfer {
-    let bytes: Arc<[u8]> = codec::encode(snapshot).into();
+    let bytes: Arc<[u8]> = snapshot_format::encode_snapshot(snapshot).into();
     Transfer {
         last_index: snapshot.last_index,
         digest: *blake3::hash(&bytes).as_bytes(),
--- a/crates/currantgate-control/src/replica/mod.rs
+++ b/crates/currantgate-control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 
 mod commit;
 mod election;
+mod evacuation;
 mod follower;
 mod leader;
 mod lease;
@@ -14,6 +15,7 @@
 mod role;
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Instant;
 
 use rand::SeedableRng as _;
@@ -21,7 +23,7 @@
 
 use crate::raft_log::RaftLog;
 use crate::{
-    Entry, HardState, Index, MIN_ELECTION_TIMEOUT, Message, Output, RecoveredState,
+    Entry, Evacuations, HardState, Index, MIN_ELECTION_TIMEOUT, Message, Output, RecoveredState,
     ReplicaSettings, SiteState, VoterId,
 };
 use follower::IncomingSnapshot;
@@ -38,6 +40,7 @@
     log: RaftLog,
     commit: Index,
     state: SiteState,
+    evacuations: Arc<Evacuations>,
     role: Role,
     incoming: Option<IncomingSnapshot>,
     /// The instant before which the replica grants no vote.
@@ -59,6 +62,7 @@
         let known_commit = recovered.commit;
         let commit = recovered.snapshot.last_index;
         let state = recovered.snapshot.state.clone();
+        let evacuations = Arc::new(recovered.snapshot.evacuations.clone());
         let log = RaftLog::new(recovered.snapshot, recovered.entries);
         let known_commit = known_commit.min(log.last_index());
         let mut replica = Self {
@@ -70,6 +74,7 @@
             log,
             commit,
             state,
+            evacuations,
             role: Role::Follower { leader: None },
             incoming: None,
             no_votes_until: now + MIN_ELECTION_TIMEOUT,
--- a/crates/currantgate-control/src/replica/operator.rs
+++ b/crates/currantgate-control/src/replica/operator.rs
@@ -4,12 +4,14 @@
 use std::time::Instant;
 
 use super::Replica;
-use super::role::{Leader, Proposal, ReplaceStage, Replacement, Role};
+use super::role::{
+    Leader, PendingProposal, Proposal, ProposalKind, ReplaceStage, Replacement, Role,
+};
 use crate::{
-    ApplyAnswer, ApplyRequest, Command, Members, Output, ReadAnswer, RefuseReason, ReplaceAnswer,
-    ReplaceRequest, RequestId, RoleName, Status, VersionedRequest, VoterChange, VoterId,
+    ApplyAnswer, ApplyRequest, Command, EvacuationAnswer, Members, Output, ReadAnswer,
+    RefuseReason, ReplaceAnswer, ReplaceRequest, RequestId, RoleName, Status, VersionedRequest,
+    VoterChange, VoterId,
 };
-use std::sync::Arc;
 
 /// The maximum number of changes that wait while another is replicated.
 const MAX_QUEUED_CHANGES: usize = 64;
@@ -26,9 +28,9 @@
         self.propose(now, id, Proposal::Versioned(request));
     }
 
-    fn propose(&mut self, now: Instant, id: RequestId, request: Proposal) {
+    pub(super) fn propose(&mut self, now: Instant, id: RequestId, request: Proposal) {
         if let Err(reason) = self.check_writable(now, &request) {
-            self.answer_apply(id, ApplyAnswer::Refused(reason));
+            self.refuse_proposal(id, request.kind(), reason);
             return;
         }
         if let Role::Leader(leader) = &mut self.role {
@@ -37,6 +39,13 @@
         self.propose_queued(now);
     }
 
+    fn refuse_proposal(&mut self, id: RequestId, kind: ProposalKind, reason: RefuseReason) {
+        match kind {
+            ProposalKind::Change => self.answer_apply(id, ApplyAnswer::Refused(reason)),
+            ProposalKind::Evacuation => self.answer_order(id, EvacuationAnswer::Refused(reason)),
+        }
+    }
+
     fn check_writable(&self, now: Instant, request: &Proposal) -> Result<(), RefuseReason> {
         let Role::Leader(leader) = &self.role else {
             let leader = self.leader_id();
@@ -54,8 +63,8 @@
         Ok(())
     }
 
-    /// Appends the next queued change to the log, or answers those that can't be
-    /// accepted. Only one change is replicated at a time, so that each is
+    /// Appends the next queued proposal to the log, or answers those that can't be
+    /// accepted. Only one is replicated at a time, so that each is
     /// checked against a committed state.
     pub(super) fn propose_queued(&mut self, now: Instant) {
         loop {
@@ -69,17 +78,21 @@
                 return;
             };
             let has_lease = self.has_lease(now);
-            match request.prepare_change(&self.state) {
+            match request.prepare_command(&self.state) {
                 // Without the lease another leader may have accepted a change, so
                 // the conflict reported here may be out of date.
                 Err(ApplyAnswer::Conflict(_)) if !has_lease => {
                     self.answer_apply(id, ApplyAnswer::Refused(RefuseReason::NoLease));
                 }
                 Err(answer) => self.answer_apply(id, answer),
-                Ok(change) => {
-                    let index = self.append_command(Command::Change(Arc::new(change)));
+                Ok(command) => {
+                    let index = self.append_command(command);
                     if let Role::Leader(leader) = &mut self.role {
-                        leader.pending = Some((index, id));
+                        leader.pending = Some(PendingProposal {
+                            index,
+                            request: id,
+                            kind: request.kind(),
+                        });
                     }
                     self.send_to_all(now);
                     return;
@@ -88,7 +101,7 @@
         }
     }
 
-    fn answer_apply(&mut self, request: RequestId, answer: ApplyAnswer) {
+    pub(super) fn answer_apply(&mut self, request: RequestId, answer: ApplyAnswer) {
         self.outputs.push_back(Output::Applied { request, answer });
     }
 
@@ -248,16 +261,20 @@
 
     /// Answers the open requests of a leader that has stepped down.
     pub(super) fn answer_open_requests(&mut self, former: Leader, leader: Option<VoterId>) {
-        if let Some((_, id)) = former.pending {
-            self.answer_apply(id, ApplyAnswer::Unknown);
+        if let Some(pending) = former.pending {
+            match pending.kind {
+                ProposalKind::Change => self.answer_apply(pending.request, ApplyAnswer::Unknown),
+                ProposalKind::Evacuation => {
+                    self.answer_order(pending.request, EvacuationAnswer::Unknown);
+                }
+            }
         }
         for (id, _) in former.reads {
             let reason = RefuseReason::NotLeader { leader };
             self.answer_read(id, Err(reason));
         }
-        for (id, _) in former.queued {
-            let reason = RefuseReason::NotLeader { leader };
-            self.answer_apply(id, ApplyAnswer::Refused(reason));
+        for (id, proposal) in former.queued {
+            self.refuse_proposal(id, proposal.kind(), RefuseReason::NotLeader { leader });
         }
         if let Some(replacement) = former.replacement {
             self.answer_replace(replacement.request_id, ReplaceAnswer::Unknown);
--- a/crates/currantgate-control/src/replica/role.rs
+++ b/crates/currantgate-control/src/replica/role.rs
@@ -1,14 +1,15 @@
 //! The roles of a replica and their state.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 
 use crate::progress::Progress;
 use crate::{
-    ApplyAnswer, ApplyRequest, Change, Index, RequestId, SiteState, VersionedRequest, VoterChange,
-    VoterId,
+    ApplyAnswer, ApplyRequest, Command, EvacuationOrder, Index, RequestId, SiteState,
+    VersionedRequest, VoterChange, VoterId,
 };
 
 /// The role of a replica, with its state.
@@ -35,23 +36,40 @@
     /// The instant at which the leader steps down unless a quorum acknowledges
     /// a message before.
     pub(super) quorum_deadline: Instant,
-    /// Accepted requests whose changes are not in the log yet.
+    /// Accepted requests whose proposals are not in the log yet.
     pub(super) queued: VecDeque<(RequestId, Proposal)>,
-    /// The index of the change that is being replicated, and its request.
-    pub(super) pending: Option<(Index, RequestId)>,
+    /// The proposal that is being replicated.
+    pub(super) pending: Option<PendingProposal>,
     pub(super) replacement: Option<Replacement>,
     /// Reads, each with its time of arrival, that wait until a quorum has
     /// acknowledged a message sent at that time or later.
     pub(super) reads: Vec<(RequestId, Instant)>,
 }
 
-/// A request to change the site file.
+/// A proposal that is being replicated.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingProposal {
+    pub(super) index: Index,
+    pub(super) request: RequestId,
+    pub(super) kind: ProposalKind,
+}
+
+/// The kind of a proposal, which decides the type of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProposalKind {
+    Change,
+    Evacuation,
+}
+
+/// A request to change the site file or the evacuations.
 #[derive(Debug)]
 pub(super) enum Proposal {
     /// A change to a given base revision.
     OnBase(ApplyRequest),
     /// A file with its own version.
     Versioned(VersionedRequest),
+    /// An order on a failure domain.
+    Evacuation(EvacuationOrder),
 }
 
 impl Proposal {
@@ -59,15 +77,27 @@
         match self {
             Self::OnBase(request) => request.text.len(),
             Self::Versioned(request) => request.text.len(),
+            Self::Evacuation(order) => order.domain.len(),
         }
     }
 
-    pub(super) fn prepare_change(&self, state: &SiteState) -> Result<Change, ApplyAnswer> {
+    pub(super) fn kind(&self) -> ProposalKind {
         match self {
-            Self::OnBase(request) => state.prepare_change(request),
-            Self::Versioned(request) => state.prepare_versioned_change(request),
+            Self::OnBase(_) | Self::Versioned(_) => ProposalKind::Change,
+            Self::Evacuation(_) => ProposalKind::Evacuation,
         }
     }
+
+    /// Returns the command to append to the log. An order is appended even if it
+    /// changes nothing: only its commit proves that this leader is not outdated.
+    pub(super) fn prepare_command(&self, state: &SiteState) -> Result<Command, ApplyAnswer> {
+        let change = match self {
+            Self::OnBase(request) => state.prepare_change(request)?,
+            Self::Versioned(request) => state.prepare_versioned_change(request)?,
+            Self::Evacuation(order) => return Ok(Command::Evacuation(order.clone())),
+        };
+        Ok(Command::Change(Arc::new(change)))
+    }
 }
 
 /// A change of the voters in progress.
--- a/crates/currantgate-control/src/snapshot.rs
+++ b/crates/currantgate-control/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Index, Members, SiteState, Term};
+use crate::{Evacuations, Index, Members, SiteState, Term};
 
 /// The committed state at an index of the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,9 @@
     pub members: Members,
     /// The accepted site file and the latest accepted changes.
     pub state: SiteState,
+    /// The evacuated failure domains. Earlier builds don't have this field, so it is
+    /// the last one.
+    pub evacuations: Evacuations,
 }
 
 impl Snapshot {
--- a/crates/currantgate-control/src/storage/journal.rs
+++ b/crates/currantgate-control/src/storage/journal.rs
@@ -5,7 +5,7 @@
 use super::frame::{self, Parsed};
 use super::whole_file::{error_in, replace_bytes};
 use super::{Disk, StorageError};
-use crate::{Batch, HardState, Members, RecoveredState, Snapshot, codec};
+use crate::{Batch, HardState, Members, RecoveredState, Snapshot, snapshot_format};
 
 /// The name of the journal file.
 const JOURNAL: &str = "journal";
@@ -114,7 +114,7 @@
     /// Returns an error when the batch can't be written or synced. The journal
     /// must then be repaired before the next write.
     pub fn write(&mut self, batch: &Batch) -> Result<(), StorageError> {
-        let frame = frame::encode(&codec::encode(batch));
+        let frame = frame::encode(&snapshot_format::encode_batch(batch));
         if batch.snapshot.is_some() {
             return self.replace(&frame).map_err(error_in(JOURNAL));
         }
@@ -173,7 +173,7 @@
                     file: JOURNAL.into(),
                     offset: offset as u64,
                 };
-                let batch: Batch = codec::decode(payload).map_err(|_| error())?;
+                let batch = snapshot_format::decode_batch(payload).map_err(|_| error())?;
                 recovered.replay(batch);
                 if !recovered.is_consistent() {
                     return Err(error());
--- a/crates/currantgate-control/tests/common/checks.rs
+++ b/crates/currantgate-control/tests/common/checks.rs
@@ -1,10 +1,10 @@
 //! Invariants that must hold at every step.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Change, Command, Entry, Freshness, Index, LocalRead, Message,
-    Revision, RevisionId,
+    ApplyAnswer, ApplyRequest, Change, Command, Entry, EvacuationAction, EvacuationAnswer,
+    EvacuationOrder, Evacuations, Freshness, Index, LocalRead, Message, Revision, RevisionId, Term,
 };
 
 /// All that was committed and answered, to check the invariants against.
@@ -20,6 +20,10 @@
     pub present_reads: usize,
     /// Whether files have their own versions, which need not be consecutive.
     pub versioned: bool,
+    /// The accepted orders by revision, each with the term of its leader.
+    accepted_orders: BTreeMap<Index, Term>,
+    /// The evacuations at each revision.
+    evacuations: HashMap<Index, Evacuations>,
     /// The number of requests with an unknown outcome.
     pub unknown_answers: usize,
 }
@@ -139,6 +143,40 @@
         }
     }
 
+    /// Checks that the evacuations at a revision are the same on all VMs.
+    pub fn committed_evacuations(&mut self, evacuations: &Evacuations) {
+        let revision = evacuations.revision();
+        let known = self.evacuations.entry(revision);
+        let known = known.or_insert(evacuations.clone());
+        assert_eq!(known, evacuations, "evacuations {revision} have two values");
+    }
+
+    /// Checks that an accepted order is in force at its revision, and that no other
+    /// order has the same one.
+    pub fn order_answer(&mut self, order: &EvacuationOrder, answer: EvacuationAnswer, term: Term) {
+        let EvacuationAnswer::Accepted(revision) = answer else {
+            return;
+        };
+        let is_evacuated = self.evacuations[&revision].contains(&order.domain);
+        assert_eq!(is_evacuated, order.action == EvacuationAction::Start);
+        let earlier = self.accepted_orders.insert(revision, term);
+        assert_eq!(earlier, None, "two orders have revision {revision}");
+    }
+
+    /// Returns the revision of the newest order that was acknowledged in a term before
+    /// the given one, or 0 if there is none.
+    pub fn newest_acknowledged_before(&self, term: Term) -> Index {
+        let orders = self.accepted_orders.iter().rev();
+        let mut earlier = orders.filter(|(_, acknowledged)| **acknowledged < term);
+        earlier.next().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Returns the evacuations after the newest order that was committed anywhere.
+    pub fn newest_evacuations(&self) -> Evacuations {
+        let newest = self.evacuations.values().max_by_key(|e| e.revision());
+        newest.cloned().unwrap_or_default()
+    }
+
     pub fn newest(&self) -> RevisionId {
         self.revisions
             .get(&self.newest)
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Batch, BatchId, Journal, Members, Message, Output, ReadAnswer,
-    ReplaceAnswer, ReplaceRequest, Replica, ReplicaSettings, RequestId, Revision, RevisionId,
-    VersionedRequest, VoterChange, VoterId,
+    ApplyAnswer, ApplyRequest, Batch, BatchId, EvacuationAction, EvacuationAnswer, EvacuationOrder,
+    Journal, Members, Message, Output, ReadAnswer, ReplaceAnswer, ReplaceRequest, Replica,
+    ReplicaSettings, RequestId, Revision, RevisionId, VersionedRequest, VoterChange, VoterId,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -71,6 +71,9 @@
     pub delay_ms: u64,
     requests: HashMap<RequestId, ApplyRequest>,
     pub answers: HashMap<RequestId, ApplyAnswer>,
+    orders: HashMap<RequestId, EvacuationOrder>,
+    /// The answers to orders on failure domains.
+    pub order_answers: HashMap<RequestId, EvacuationAnswer>,
     pub replaced: HashMap<RequestId, ReplaceAnswer>,
     /// The answers to confirmed reads.
     pub reads: HashMap<RequestId, ReadAnswer>,
@@ -95,6 +98,8 @@
             delay_ms: 10,
             requests: HashMap::new(),
             answers: HashMap::new(),
+            orders: HashMap::new(),
+            order_answers: HashMap::new(),
             replaced: HashMap::new(),
             reads: HashMap::new(),
             next_request: 0,
@@ -268,6 +273,40 @@
         })
     }
 
+    /// Sends an order on a failure domain.
+    pub fn order(&mut self, to: VoterId, domain: &str, action: EvacuationAction) -> RequestId {
+        let order = EvacuationOrder {
+            domain: domain.into(),
+            action,
+        };
+        self.orders.insert(self.next_request + 1, order.clone());
+        self.with_replica(to, |replica, now, id| {
+            replica.order_evacuation(now, id, order);
+        })
+    }
+
+    /// Gives up an order, as when its sender closes the connection.
+    pub fn cancel_order(&mut self, at: VoterId, id: RequestId) -> bool {
+        let mut cancelled = false;
+        self.with_replica(at, |replica, _, _| cancelled = replica.cancel_order(id));
+        cancelled
+    }
+
+    /// Returns whether all VMs are running and know the newest evacuations.
+    pub fn all_evacuations_current(&self) -> bool {
+        let newest = self.checks.newest_evacuations();
+        self.ids().into_iter().all(|id| {
+            self.replica(id)
+                .is_some_and(|replica| **replica.evacuations() == newest)
+        })
+    }
+
+    /// Returns whether a VM is caught up with what was acknowledged.
+    pub fn is_caught_up(&self, id: VoterId) -> bool {
+        let now = self.local_time(id);
+        self.replica(id).is_some_and(|r| r.is_caught_up(now))
+    }
+
     /// Requests a read that a quorum confirms.
     pub fn read_confirmed(&mut self, at: VoterId) -> RequestId {
         self.with_replica(at, |replica, now, id| replica.read_confirmed(now, id))
@@ -434,6 +473,14 @@
                 self.reads.insert(request, answer);
             }
             Output::Committed(change) => self.checks.committed_change(&change),
+            Output::Ordered { request, answer } => {
+                let order = self.orders[&request].clone();
+                let term = self.replica(id).unwrap().status(self.start).term;
+                self.checks.order_answer(&order, answer, term);
+                let earlier = self.order_answers.insert(request, answer);
+                assert_eq!(earlier, None, "answered twice");
+            }
+            Output::Evacuated(evacuations) => self.checks.committed_evacuations(&evacuations),
         }
     }
 
@@ -475,6 +522,19 @@
         running.checked = running.checked.max(commit);
     }
 
+    /// Checks that a VM which considers itself caught up holds every order that was
+    /// acknowledged before its term.
+    fn check_caught_up(&self, id: VoterId) {
+        if !self.is_caught_up(id) {
+            return;
+        }
+        let replica = self.replica(id).unwrap();
+        let term = replica.status(self.local_time(id)).term;
+        let required = self.checks.newest_acknowledged_before(term);
+        let held = replica.evacuations().revision();
+        assert!(held >= required, "{id} holds {held}, not {required}");
+    }
+
     fn check_leases(&self) {
         let leases = self.ids().into_iter().filter(|id| {
             self.replica(*id)
@@ -490,6 +550,7 @@
             if let Some(read) = read {
                 self.checks.read(&read);
             }
+            self.check_caught_up(id);
         }
     }
 }
--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use common::net::{Net, address};
-use currantgate_control::{ApplyAnswer, Digest, ReplaceAnswer, RevisionId, VoterChange, VoterId};
+use currantgate_control::{
+    ApplyAnswer, Digest, EvacuationAction, ReplaceAnswer, RevisionId, VoterChange, VoterId,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed};
 use rand::{RngExt, SeedableRng};
@@ -155,6 +157,9 @@
             if self.rng.random_range(0..8) == 0 {
                 self.send_random_request();
             }
+            if self.rng.random_range(0..16) == 0 {
+                self.send_random_order();
+            }
         }
     }
 
@@ -183,6 +188,18 @@
         }
     }
 
+    /// Sends an order on one of three failure domains; some are given up at once.
+    fn send_random_order(&mut self) {
+        let to = self.target();
+        let domain = ["a", "b", "c"][self.rng.random_range(0..3)];
+        let actions = [EvacuationAction::Start, EvacuationAction::Finish];
+        let action = actions[self.rng.random_range(0..2)];
+        let id = self.net.order(to, domain, action);
+        if self.rng.random_range(0..4) == 0 {
+            self.net.cancel_order(to, id);
+        }
+    }
+
     fn apply(&mut self, to: VoterId, base: RevisionId) {
         let text = format!("{}.{}", base.revision, self.rng.random_range(0..9));
         self.net.apply(to, base, &text);
@@ -305,6 +322,8 @@
             digest: Digest::of("end"),
         };
         assert!(self.net.all_at(end), "all voters have the last change");
+        let is_current = self.net.all_evacuations_current();
+        assert!(is_current, "all voters have the same evacuations");
         for (request, revision) in self.net.checks.accepted.clone() {
             let id = self.net.apply(leader, request.base, &request.text);
             let answer = &self.net.answers[&id];
--- a/crates/currantgate-control/tests/storage.rs
+++ b/crates/currantgate-control/tests/storage.rs
@@ -6,8 +6,8 @@
 
 use common::fake_disk::FakeDisk;
 use currantgate_control::{
-    Batch, Change, Command, DataDirectory, Digest, Disk, Entry, HardState, Journal, Members,
-    RecoveredState, RevisionId, SiteState, Snapshot, StorageError,
+    Batch, Change, Command, DataDirectory, Digest, Disk, Entry, Evacuations, HardState, Journal,
+    Members, RecoveredState, RevisionId, SiteState, Snapshot, StorageError,
 };
 
 fn entry(index: u64) -> Entry {
@@ -53,6 +53,7 @@
                 last_term: 1,
                 members: Members::default(),
                 state: SiteState::default(),
+                evacuations: Evacuations::default(),
             };
             batches.push(Batch {
                 snapshot: Some(snapshot),
--- a/crates/currantgate/src/control/call.rs
+++ b/crates/currantgate/src/control/call.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, LocalRead, Message, ReadAnswer, ReplaceAnswer, ReplaceRequest,
-    Revision, RevisionId, RolloutStatus, Status, VoterId,
+    ApplyAnswer, ApplyRequest, EvacuationOrder, LocalRead, Message, ReadAnswer, ReplaceAnswer,
+    ReplaceRequest, Revision, RevisionId, RolloutStatus, Status, VoterId,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::feed::FleetStatus;
+use super::evacuation::EvacuationReply;
+use crate::feed::{EvacuationStatus, FleetStatus};
 
 /// Path of streams between control VMs.
 pub(super) const PEER_PATH: &str = "/v1/peer";
@@ -40,6 +41,10 @@
     FindRevision(Revision),
     Status,
     Replace(ReplaceRequest),
+    /// Executes an order on a failure domain.
+    Evacuate(EvacuationOrder),
+    /// Returns the status of the evacuations.
+    Evacuations,
 }
 
 /// The answer to a [`Call`].
@@ -57,6 +62,8 @@
     Replace(ReplaceAnswer),
     /// This VM is not a voter and does not serve such requests.
     NotAVoter,
+    Evacuation(EvacuationReply),
+    Evacuations(EvacuationStatus),
 }
 
 /// The status of one control or fan-out VM.
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -6,12 +6,15 @@
 
 use currantgate_config::ControlServers;
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Client, FrameReader, FrameWriter, Freshness, LocalRead,
-    RefuseReason, ReplaceAnswer, ReplaceRequest, Revision, RevisionId, Secret, TransportError,
+    ApplyAnswer, ApplyRequest, Client, EvacuationAnswer, EvacuationOrder, FrameReader, FrameWriter,
+    Freshness, LocalRead, RefuseReason, ReplaceAnswer, ReplaceRequest, Revision, RevisionId,
+    Secret, TransportError,
 };
 
 use super::ClientError;
 use super::call::{CALL_PATH, Call, NodeStatus, Reply};
+use super::evacuation::EvacuationReply;
+use crate::feed::EvacuationStatus;
 
 /// Time within which a control VM must reply to a change.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -98,6 +101,38 @@
         self.change(&call, deadline).await.map(|_| ())
     }
 
+    /// Has an order on a failure domain executed, and retries until `deadline` while the
+    /// outcome is unknown: orders are idempotent. Returns the log index of the order.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError::OutcomeUnknown`] if the order may have been accepted or may
+    /// be later, and any other error if it was not and will not be.
+    pub async fn order_evacuation(
+        &self,
+        order: EvacuationOrder,
+        deadline: Instant,
+    ) -> Result<Revision, ClientError> {
+        let call = Call::Evacuate(order);
+        let outcome = self.change(&call, deadline).await?;
+        Ok(outcome.revision)
+    }
+
+    /// Returns the status of the evacuations on each control VM, or why it was not
+    /// received.
+    pub async fn evacuations(&self) -> Vec<(SocketAddr, Result<EvacuationStatus, ClientError>)> {
+        let mut found = Vec::new();
+        for server in &self.servers {
+            let status = match self.request(*server, &Call::Evacuations).await {
+                Ok(Reply::Evacuations(status)) => Ok(status),
+                Ok(_) => Ok(EvacuationStatus::default()),
+                Err(e) => Err(e),
+            };
+            found.push((*server, status));
+        }
+        found
+    }
+
     /// Sends a change to one control VM after the other until one decides or `deadline`
     /// passes.
     async fn change(&self, call: &Call, deadline: Instant) -> Result<ApplyOutcome, ClientError> {
@@ -295,8 +330,31 @@
             Attempt::Unknown
         }
         Reply::NotAVoter => Attempt::Failed("it is not a voter".into()),
-        Reply::Read(_) | Reply::Confirmed(_) | Reply::FoundRevision(_) | Reply::Status(_) => {
-            Attempt::Failed("its reply does not match the request".into())
+        Reply::Evacuation(reply) => classify_order(reply),
+        Reply::Read(_)
+        | Reply::Confirmed(_)
+        | Reply::FoundRevision(_)
+        | Reply::Status(_)
+        | Reply::Evacuations(_) => Attempt::Failed("its reply does not match the request".into()),
+    }
+}
+
+/// Returns what the reply says of the outcome of an order.
+fn classify_order(reply: EvacuationReply) -> Attempt {
+    match reply {
+        EvacuationReply::Decided(EvacuationAnswer::Accepted(revision)) => {
+            Attempt::Done(Ok(ApplyOutcome {
+                revision,
+                is_duplicate: false,
+            }))
+        }
+        EvacuationReply::Decided(EvacuationAnswer::Refused(reason)) => {
+            Attempt::Failed(reason.to_string().into())
+        }
+        EvacuationReply::Decided(EvacuationAnswer::Unknown) => Attempt::Unknown,
+        EvacuationReply::UnknownDomain(problem) => {
+            Attempt::Done(Err(ClientError::UnknownDomain(problem)))
         }
+        EvacuationReply::Unsupported => Attempt::Failed("it feeds no entries".into()),
     }
 }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -8,15 +8,16 @@
 
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Change, Output, ReplaceRequest, Replica, RequestId, Revision,
-    Secret, StorageError, VersionedRequest, VoterId, VoterPlanner,
+    ApplyAnswer, ApplyRequest, Change, EvacuationOrder, Output, ReplaceRequest, Replica, RequestId,
+    Revision, Secret, StorageError, VersionedRequest, VoterId, VoterPlanner,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::debug_span;
 
 use super::call::{Envelope, NodeStatus, Reply};
-use super::daemon::{Extension, FleetStatusSource};
+use super::daemon::{EvacuationStatusSource, Extension, FleetStatusSource};
+use super::evacuation::{EvacuationReply, LocalEvacuations};
 use super::leader_log::LeaderLog;
 use super::metrics::ControlMetrics;
 use super::peer::Peer;
@@ -46,6 +47,9 @@
     planner: Option<VoterPlanner>,
     committed: watch::Sender<Option<Arc<Change>>>,
     fleet: Option<FleetStatusSource>,
+    domains: Option<Vec<Box<str>>>,
+    evacuation_status: Option<EvacuationStatusSource>,
+    evacuations: watch::Sender<LocalEvacuations>,
     leader_log: LeaderLog,
     next_request: RequestId,
     /// Notified when the next deadline may have changed.
@@ -62,7 +66,9 @@
         metrics: ControlMetrics,
         extension: &Extension,
     ) -> Self {
-        let (committed, _) = watch::channel(replica.read(Instant::now()).change);
+        let now = Instant::now();
+        let (committed, _) = watch::channel(replica.read(now).change);
+        let (evacuations, _) = watch::channel(LocalEvacuations::of(&replica, now));
         Self {
             replica,
             writes,
@@ -78,6 +84,9 @@
             planner: None,
             committed,
             fleet: extension.fleet.clone(),
+            domains: extension.domains.clone(),
+            evacuation_status: extension.evacuations.clone(),
+            evacuations,
             leader_log: LeaderLog::default(),
             next_request: 0,
             wake: Rc::new(Notify::new()),
@@ -166,6 +175,47 @@
         self.committed.subscribe()
     }
 
+    /// Returns a receiver of the committed evacuations.
+    pub(super) fn evacuations(&self) -> watch::Receiver<LocalEvacuations> {
+        self.evacuations.subscribe()
+    }
+
+    /// Returns the status of the evacuations.
+    pub(super) fn evacuation_status(&self) -> Reply {
+        let status = self.evacuation_status.as_ref().map(|status| status());
+        Reply::Evacuations(status.unwrap_or_default())
+    }
+
+    /// Checks that a failure domain exists and that this VM can have it evacuated.
+    pub(super) fn check_domain(&self, domain: &str) -> Result<(), EvacuationReply> {
+        let Some(domains) = &self.domains else {
+            return Err(EvacuationReply::Unsupported);
+        };
+        let is_known = domains.is_empty() || domains.iter().any(|known| **known == *domain);
+        if domain.is_empty() || !is_known {
+            let problem = format!("there is no failure domain `{domain}`");
+            return Err(EvacuationReply::UnknownDomain(problem.into()));
+        }
+        Ok(())
+    }
+
+    /// Proposes an order; returns its id with the receiver of the reply.
+    pub(super) fn order_evacuation(
+        &mut self,
+        order: EvacuationOrder,
+    ) -> (RequestId, oneshot::Receiver<Reply>) {
+        let reply = self.submit(|replica, now, id| replica.order_evacuation(now, id, order));
+        (self.next_request, reply)
+    }
+
+    /// Cancels an order that is not in the log yet.
+    pub(super) fn cancel_order(&mut self, id: RequestId) {
+        self.pending.swap_remove(&id);
+        if self.replica.cancel_order(id) {
+            log::info!(event = "evacuation"; "order is dropped: its sender has given up");
+        }
+    }
+
     /// Gives up leadership, so that another voter is elected soon.
     pub(super) fn step_down(&mut self) {
         let now = Instant::now();
@@ -311,6 +361,19 @@
                 Output::ReadDone { request, answer } => {
                     self.send_reply(request, Reply::Confirmed(answer));
                 }
+                Output::Ordered { request, answer } => {
+                    let reply = EvacuationReply::Decided(answer);
+                    self.send_reply(request, Reply::Evacuation(reply));
+                }
+                Output::Evacuated(evacuations) => {
+                    let domains: Vec<_> = evacuations.iter().map(|(domain, _)| domain).collect();
+                    log::info!(
+                        event = "evacuation",
+                        revision = evacuations.revision(),
+                        domains:? = domains;
+                        "evacuations are committed"
+                    );
+                }
                 Output::Committed(change) => {
                     let revision = change.revision_id();
                     log::info!(event = "revision", revision = revision.revision; "revision accepted");
@@ -325,6 +388,12 @@
         let status = self.replica.status(now);
         self.metrics.update(&status, &rollout);
         self.leader_log.log_changes(&status);
+        let evacuations = LocalEvacuations::of(&self.replica, now);
+        self.evacuations.send_if_modified(|held| {
+            let is_changed = *held != evacuations;
+            *held = evacuations;
+            is_changed
+        });
         self.wake.notify_one();
     }
 
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -25,7 +25,7 @@
 use super::publishing::{Publishing, run_publisher_timers};
 use super::writer::{self, Confirmations};
 use crate::entry::announcement_server;
-use crate::feed::FleetStatus;
+use crate::feed::{EvacuationStatus, FleetStatus};
 
 /// How a control VM obtains its state when it starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +47,9 @@
 /// Source of the status of the fleet that a control VM serves.
 pub(crate) type FleetStatusSource = Rc<dyn Fn() -> FleetStatus>;
 
+/// Source of the status of the evacuations that a control VM serves.
+pub(crate) type EvacuationStatusSource = Rc<dyn Fn() -> EvacuationStatus>;
+
 /// The parts that a program adds to a control VM.
 pub(crate) struct Extension {
     /// Validates a site file before it is proposed.
@@ -55,6 +58,11 @@
     pub(crate) serve: Option<StreamHandler>,
     /// Returns the status of the fleet, for operators.
     pub(crate) fleet: Option<FleetStatusSource>,
+    /// The failure domains that may be evacuated, where empty means all; `None` on a VM
+    /// that feeds no entries.
+    pub(crate) domains: Option<Vec<Box<str>>>,
+    /// Returns the status of the evacuations, for operators.
+    pub(crate) evacuations: Option<EvacuationStatusSource>,
 }
 
 /// Validates a site file in the format of this crate.
@@ -92,6 +100,8 @@
             check: Rc::new(check_site),
             serve: None,
             fleet: None,
+            domains: None,
+            evacuations: None,
         };
         Self::run(settings, opened, (address, listener), extension)
     }
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -93,6 +93,8 @@
     TooLarge,
     /// the voters can't be changed so: the lost VM is no voter or is the leader, or the new id is in use
     WrongMembers,
+    /// {0}, and nothing was done
+    UnknownDomain(Box<str>),
     /// {server}: {source}
     Transport {
         /// The control VM.
--- /dev/null
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -0,0 +1,92 @@
+//! Orders to evacuate failure domains, from their receipt to the answer.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use currantgate_control::{EvacuationAnswer, EvacuationOrder, Evacuations, Replica, RequestId};
+use serde::{Deserialize, Serialize};
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+use super::call::Reply;
+use super::core::Core;
+
+/// Time within which an order is answered. Callers give up after a second, and take an
+/// answer that says that the outcome is unknown as a reason to try another VM.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The answer to an order on a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationReply {
+    /// The decision of the control VMs.
+    Decided(EvacuationAnswer),
+    /// The domain does not exist, as the text says, and nothing was done.
+    UnknownDomain(Box<str>),
+    /// This VM feeds no entries, so that nothing could carry out the order.
+    Unsupported,
+}
+
+/// The evacuations on one control VM.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LocalEvacuations {
+    /// The committed evacuations that the VM knows of.
+    pub(crate) evacuations: Arc<Evacuations>,
+    /// Whether the VM knows all orders that were acknowledged before the current term.
+    pub(crate) is_caught_up: bool,
+    /// Whether the VM's log has orders, committed or not.
+    pub(crate) has_orders: bool,
+}
+
+impl LocalEvacuations {
+    pub(super) fn of(replica: &Replica, now: Instant) -> Self {
+        Self {
+            evacuations: Arc::clone(replica.evacuations()),
+            is_caught_up: replica.is_caught_up(now),
+            has_orders: replica.has_orders(),
+        }
+    }
+}
+
+/// An order whose sender waits for the answer. When dropped, the order is cancelled
+/// unless it is in the log already.
+struct OpenOrder<'a> {
+    core: &'a RefCell<Core>,
+    id: RequestId,
+}
+
+impl Drop for OpenOrder<'_> {
+    fn drop(&mut self) {
+        // The VM stops when the state is in use here, and then answers nothing.
+        if let Ok(mut core) = self.core.try_borrow_mut() {
+            core.cancel_order(self.id);
+        }
+    }
+}
+
+/// Has an order executed and returns the answer. The sender's task drops the future when
+/// the connection ends.
+pub(super) async fn execute_order(core: &RefCell<Core>, order: EvacuationOrder) -> EvacuationReply {
+    let checked = core.borrow().check_domain(&order.domain);
+    if let Err(refusal) = checked {
+        return refusal;
+    }
+    // After this VM was frozen, the order may be one that its sender has given up, with
+    // the end of the connection right behind it. The runtime reads the sockets before it
+    // continues here, so that the connection's task drops this future in that case.
+    yield_now().await;
+    let (id, reply) = core.borrow_mut().order_evacuation(order.clone());
+    let open = OpenOrder { core, id };
+    let answer = match timeout(ORDER_TIMEOUT, reply).await {
+        Ok(Ok(Reply::Evacuation(EvacuationReply::Decided(answer)))) => answer,
+        _ => EvacuationAnswer::Unknown,
+    };
+    drop(open);
+    log::info!(
+        event = "evacuation",
+        domain = &*order.domain,
+        action:% = order.action;
+        "order is answered: {answer:?}"
+    );
+    EvacuationReply::Decided(answer)
+}
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -129,7 +129,11 @@
                 subscribers: self.publishing.borrow().subscribers(),
                 fleet: None,
             })),
-            Call::Apply(_) | Call::FindRevision(_) | Call::Replace(_) => Reply::NotAVoter,
+            Call::Apply(_)
+            | Call::FindRevision(_)
+            | Call::Replace(_)
+            | Call::Evacuate(_)
+            | Call::Evacuations => Reply::NotAVoter,
         }
     }
 }
--- a/crates/currantgate/src/control/handle.rs
+++ b/crates/currantgate/src/control/handle.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 
 use currantgate_control::{
-    ApplyAnswer, Change, ReadAnswer, RefuseReason, VersionedRequest, VoterId, VoterPlanner,
+    ApplyAnswer, Change, EvacuationOrder, ReadAnswer, RefuseReason, VersionedRequest, VoterId,
+    VoterPlanner,
 };
 use tokio::sync::watch;
 
 use super::call::Reply;
 use super::core::Core;
+use super::evacuation::{EvacuationReply, LocalEvacuations, execute_order};
 
 /// The answer to a file that carries its own version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +45,16 @@
         }
     }
 
+    /// Has an order on a failure domain executed.
+    pub async fn order_evacuation(&self, order: EvacuationOrder) -> EvacuationReply {
+        execute_order(&self.core, order).await
+    }
+
+    /// Returns a receiver of the committed evacuations.
+    pub(crate) fn evacuations(&self) -> watch::Receiver<LocalEvacuations> {
+        self.core.borrow().evacuations()
+    }
+
     /// Reads the accepted file with confirmation by a quorum.
     ///
     /// # Errors
--- a/crates/currantgate/src/control/incoming_streams.rs
+++ b/crates/currantgate/src/control/incoming_streams.rs
@@ -8,6 +8,7 @@
 use super::call::{CALL_PATH, Call, PEER_PATH, Reply, SUBSCRIBE_PATH};
 use super::core::Core;
 use super::daemon::StreamHandler;
+use super::evacuation::execute_order;
 use super::peer::serve_peer;
 use super::publishing::{Publishing, serve_subscriber};
 
@@ -59,6 +60,10 @@
         Call::Read => return Some(core.borrow().read()),
         Call::FindRevision(revision) => return Some(core.borrow().find_revision(revision)),
         Call::Status => return Some(core.borrow().status()),
+        Call::Evacuations => return Some(core.borrow().evacuation_status()),
+        Call::Evacuate(order) => {
+            return Some(Reply::Evacuation(execute_order(core, order).await));
+        }
         Call::Apply(request) => core.borrow_mut().apply(request),
         Call::Replace(request) => core.borrow_mut().replace(request),
     };
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -87,8 +87,18 @@
                     // The receiver is closed only when the process stops.
                     let _ = events.send(FeedEvent::Connected(address));
                 }
+                let confirmed = match &message {
+                    FeedMessage::Evacuations(state) => Some(state.revision),
+                    _ => None,
+                };
                 let _ = events.send(FeedEvent::Message(address, message));
-                continue;
+                let Some(evacuations) = confirmed else {
+                    continue;
+                };
+                FeedRequest::Evacuations {
+                    revision: shared.revision.get(),
+                    evacuations,
+                }
             }
             request = requests.recv() => match request {
                 Some(request) => {
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::message::FeedHello;
-use super::status::{FleetStatus, ListenerStatus, ServiceStatus};
+use super::status::{EvacuationListener, FleetStatus, ListenerStatus, ServiceStatus};
 
 /// Id of one feed of a control VM.
 pub(super) type FeedId = u64;
@@ -17,6 +17,8 @@
     revision: Revision,
     last_message: Instant,
     sent_change: ChangeNumber,
+    /// Revision of the evacuations that it has confirmed.
+    evacuations: u64,
 }
 
 /// The processes that receive a feed, with their last message and what they have
@@ -35,6 +37,7 @@
             revision: 0,
             last_message: now,
             sent_change: 0,
+            evacuations: 0,
         };
         self.feeds.insert(self.last_id, listener);
         self.last_id
@@ -57,6 +60,24 @@
         }
     }
 
+    pub(super) fn record_evacuations(&mut self, id: FeedId, revision: u64) {
+        if let Some(listener) = self.feeds.get_mut(&id) {
+            listener.evacuations = revision;
+        }
+    }
+
+    /// Returns what each listener holds of the evacuations.
+    pub(super) fn evacuations(&self) -> Vec<EvacuationListener> {
+        let listeners = self.feeds.values().map(|listener| EvacuationListener {
+            name: listener.hello.name.clone(),
+            is_control: listener.hello.control.is_some(),
+            revision: listener.evacuations,
+        });
+        let mut listeners: Vec<_> = listeners.collect();
+        listeners.sort_by(|a, b| a.name.cmp(&b.name));
+        listeners
+    }
+
     /// Returns the status of the listeners and of the upstreams for operators.
     pub(super) fn status(&self, now: Instant, registry: &UpstreamRegistry) -> FleetStatus {
         let newest = registry.last_change();
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -64,6 +64,13 @@
         /// Demand since the last report.
         demand: Vec<ServiceDemand>,
     },
+    /// Confirms the receipt of [`FeedMessage::Evacuations`].
+    Evacuations {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// Revision of the evacuations.
+        evacuations: u64,
+    },
 }
 
 impl FeedRequest {
@@ -73,7 +80,8 @@
             Self::Heartbeat { revision }
             | Self::Observations { revision, .. }
             | Self::WarmupPermits { revision, .. }
-            | Self::Demand { revision, .. } => *revision,
+            | Self::Demand { revision, .. }
+            | Self::Evacuations { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -7,6 +7,7 @@
 //! `docs/design/platform.md`.
 
 mod client;
+mod evacuations;
 mod links;
 mod listeners;
 mod message;
@@ -15,7 +16,10 @@
 mod status;
 
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
-pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
 pub(crate) use revision_tracker::RevisionTracker;
 pub(crate) use server::{FeedSource, serve_feed};
-pub use status::{FleetStatus, ListenerStatus, ServiceStatus};
+pub use status::{
+    EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
+    ServiceStatus,
+};
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -18,9 +18,10 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use super::evacuations::PublishedEvacuations;
 use super::listeners::{FeedId, Listeners};
-use super::message::{FeedHello, FeedMessage, FeedRequest, Heartbeat};
-use super::status::FleetStatus;
+use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
+use super::status::{EvacuationStatus, FleetStatus};
 use crate::control::ControlHandle;
 
 /// Interval of the heartbeats on a feed. A listener reopens the feed after three
@@ -56,6 +57,7 @@
     controls: RefCell<IndexMap<SocketAddr, Instant>>,
     own_address: Cell<Option<SocketAddr>>,
     listeners: RefCell<Listeners>,
+    evacuations: RefCell<PublishedEvacuations>,
     /// What the entries that report here have observed.
     observations: RefCell<FleetObservations>,
 }
@@ -71,6 +73,7 @@
             controls: RefCell::new(IndexMap::new()),
             own_address: Cell::new(None),
             listeners: RefCell::default(),
+            evacuations: RefCell::default(),
             observations: RefCell::new(FleetObservations::new(
                 std::time::Instant::now(),
                 FleetSettings::default(),
@@ -101,6 +104,37 @@
         observations.slow_upstreams(std::time::Instant::now())
     }
 
+    /// Returns the evacuations that are published.
+    pub(crate) fn evacuations(&self) -> &RefCell<PublishedEvacuations> {
+        &self.evacuations
+    }
+
+    /// Returns the status of the evacuations for operators.
+    pub(crate) fn evacuation_status(&self) -> EvacuationStatus {
+        let evacuations = self.evacuations.borrow();
+        EvacuationStatus {
+            revision: evacuations.revision(),
+            evacuated: evacuations.evacuated(std::time::Instant::now()),
+            listeners: self.listeners.borrow().evacuations(),
+        }
+    }
+
+    /// Returns the evacuations if they have changed since change `sent`, which is updated.
+    fn take_unsent_evacuations(&self, sent: &mut u64) -> Option<EvacuationState> {
+        let evacuations = self.evacuations.borrow();
+        let change = evacuations.change();
+        if std::mem::replace(sent, change) == change {
+            return None;
+        }
+        evacuations.state(std::time::Instant::now())
+    }
+
+    /// Returns whether entries get no upstreams yet.
+    fn holds_upstreams(&self) -> bool {
+        let evacuations = self.evacuations.borrow();
+        evacuations.holds_upstreams(std::time::Instant::now())
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
@@ -128,7 +162,8 @@
         let handle = handle.as_ref();
         Heartbeat {
             revision: self.changes.borrow().newest().revision,
-            is_in_quorum: handle.is_some_and(ControlHandle::is_in_quorum),
+            is_in_quorum: !self.holds_upstreams()
+                && handle.is_some_and(ControlHandle::is_in_quorum),
             leader: handle.and_then(|h| h.leader()).map(|(_, address)| address),
             controls: self.controls(),
         }
@@ -206,6 +241,8 @@
     writer: FrameWriter,
     reader: currantgate_control::FrameReader,
     last_heartbeat: Heartbeat,
+    /// Number of the newest change of the evacuations that has been sent.
+    sent_evacuations: u64,
     /// Number of the newest change of upstreams that has been sent.
     sent_change: ChangeNumber,
     /// Slow upstreams as the listener knows them; nothing while it has not reported
@@ -235,6 +272,7 @@
             writer,
             reader,
             last_heartbeat: Heartbeat::default(),
+            sent_evacuations: 0,
             sent_change: 0,
             sent_slow: None,
             heartbeat_due: now,
@@ -278,6 +316,11 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
+            FeedRequest::Evacuations { evacuations, .. } => {
+                let mut listeners = self.source.listeners.borrow_mut();
+                listeners.record_evacuations(self.id, evacuations);
+                Ok(())
+            }
             FeedRequest::WarmupPermits { .. } | FeedRequest::Demand { .. } => Ok(()),
         }
     }
@@ -319,7 +362,14 @@
     /// Sends the upstreams that have changed, and a heartbeat if the state has
     /// changed or a heartbeat is due. Control VMs are sent no upstreams.
     async fn send_changes(&mut self) -> Result<(), TransportError> {
-        if self.hello.control.is_none() {
+        // Before the upstreams, so that an entry places no flow without them.
+        let evacuations = self
+            .source
+            .take_unsent_evacuations(&mut self.sent_evacuations);
+        if let Some(evacuations) = evacuations {
+            self.send(&FeedMessage::Evacuations(evacuations)).await?;
+        }
+        if self.hello.control.is_none() && !self.source.holds_upstreams() {
             let records = self.take_unsent_upstreams();
             self.send_upstreams(&records).await?;
             let mut listeners = self.source.listeners.borrow_mut();
--- a/crates/currantgate/src/feed/status.rs
+++ b/crates/currantgate/src/feed/status.rs
@@ -42,3 +42,35 @@
     /// Number of upstreams that have stopped reporting here.
     pub silent: u32,
 }
+
+/// The evacuations that a control VM publishes to its listeners.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// Log index of the last order; 0 if there was none.
+    pub revision: u64,
+    /// The evacuated failure domains.
+    pub evacuated: Vec<EvacuatedDomain>,
+    /// The listeners of this VM, sorted by name.
+    pub listeners: Vec<EvacuationListener>,
+}
+
+/// An evacuated failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedDomain {
+    /// Name of the domain.
+    pub domain: Box<str>,
+    /// Time since the control VM learned of the start, in milliseconds; nothing if that
+    /// was before the VM's own start.
+    pub since_ms: Option<u64>,
+}
+
+/// What a listener holds of the evacuations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationListener {
+    /// Name of the VM.
+    pub name: Box<str>,
+    /// Whether it is a control VM.
+    pub is_control: bool,
+    /// Revision of the evacuations that the VM has confirmed to this one; 0 if none.
+    pub revision: u64,
+}
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -35,11 +35,14 @@
 
 pub use control::{
     AcceptedRevision, ApplyOutcome, ClientError, Control, ControlClient, ControlError,
-    ControlHandle, ControlStart, FanOut, FileCheck, NodeStatus, ServerRead, Subscription,
-    SubscriptionSettings, VersionedAnswer,
+    ControlHandle, ControlStart, EvacuationReply, FanOut, FileCheck, NodeStatus, ServerRead,
+    Subscription, SubscriptionSettings, VersionedAnswer,
 };
 pub use entry::{Entry, EntryError, EntrySockets};
-pub use feed::{FleetStatus, ListenerStatus, ServiceStatus};
+pub use feed::{
+    EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
+    ServiceStatus,
+};
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -8,8 +8,8 @@
 use actix_rt::task::JoinHandle;
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    Change, DataDirectory, IncomingStream, Journal, Members, RecoveredState, ValueFile,
-    VersionedRequest, VoterId, VoterPlanner, VoterPlannerSettings,
+    Change, DataDirectory, EvacuationOrder, IncomingStream, Journal, Members, RecoveredState,
+    ValueFile, VersionedRequest, VoterId, VoterPlanner, VoterPlannerSettings,
 };
 use currantgate_registry::{
     ChangeNumber, Record, RegistrySettings, Report, UpstreamRegistry as Upstreams,
@@ -18,11 +18,15 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
+use super::evacuations::{
+    self, ADOPTED_EVACUATIONS_FILE, AdoptedEvacuations, AdoptedEvacuationsFile,
+};
 use super::metrics::NodeMetrics;
 use super::peer_feeds::{ADOPTED_FILE, LeaderHint, PeerFeeds};
 use super::{NodeError, NodeSettings, identity, persistence};
 use crate::control::{
-    Control, ControlHandle, Extension, FileCheck, VersionedAnswer, to_async_listener,
+    Control, ControlHandle, EvacuationReply, Extension, FileCheck, VersionedAnswer,
+    to_async_listener,
 };
 use crate::feed::{
     FEED_PATH, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedSource, RevisionTracker,
@@ -78,9 +82,11 @@
             &control_settings(settings, id),
             opened,
             (own, listener),
-            feed_extension(check, &source),
+            feed_extension(settings, check, &source),
         )?;
         let handle = control.handle();
+        let local = handle.evacuations().borrow().clone();
+        evacuations::restore(&source, &mut files.evacuations, &local);
         let planner = VoterPlannerSettings {
             target: settings.voters(),
             ..VoterPlannerSettings::default()
@@ -96,6 +102,7 @@
             handle: handle.clone(),
             revisions: RevisionTracker::default(),
             adopted: persistence::spawn_writer(files.adopted, ADOPTED_FILE),
+            evacuations: AdoptedEvacuations::new(files.evacuations),
             leader_hint: Rc::clone(&leader_hint),
         };
         let metrics = NodeMetrics::default();
@@ -107,6 +114,10 @@
                 upstreams,
             )),
             actix_rt::spawn(publish_commits(Rc::clone(&source), handle.clone())),
+            actix_rt::spawn(evacuations::publish_commits(
+                Rc::clone(&source),
+                handle.clone(),
+            )),
             actix_rt::spawn(peer_feeds.run(events, seeds)),
         ];
         log::info!(
@@ -154,6 +165,12 @@
         answer
     }
 
+    /// Has an order on a failure domain executed. The order is given up when the future
+    /// is dropped before the order is in the log.
+    pub async fn order_evacuation(&self, order: EvacuationOrder) -> EvacuationReply {
+        self.handle.order_evacuation(order).await
+    }
+
     /// Returns the accepted configuration, as confirmed by a quorum.
     ///
     /// # Errors
@@ -212,6 +229,7 @@
 struct StateFiles {
     upstreams: ValueFile<DataDirectory, Vec<Record>>,
     adopted: ValueFile<DataDirectory, Change>,
+    evacuations: AdoptedEvacuationsFile,
 }
 
 impl StateFiles {
@@ -219,6 +237,7 @@
         Self {
             upstreams: ValueFile::new(directory.share(), persistence::UPSTREAMS_FILE),
             adopted: ValueFile::new(directory.share(), ADOPTED_FILE),
+            evacuations: ValueFile::new(directory.share(), ADOPTED_EVACUATIONS_FILE),
         }
     }
 }
@@ -239,11 +258,12 @@
 
 /// Returns the node's extension of a control VM: the validation of files, and the
 /// feeds.
-fn feed_extension(check: FileCheck, source: &Rc<FeedSource>) -> Extension {
+fn feed_extension(settings: &NodeSettings, check: FileCheck, source: &Rc<FeedSource>) -> Extension {
     let source = Rc::clone(source);
     // A weak reference, as the source holds the control VM, which holds this
     // closure.
     let fleet = Rc::downgrade(&source);
+    let evacuations = fleet.clone();
     let serve = move |incoming: IncomingStream| {
         let source = Rc::clone(&source);
         async move {
@@ -264,6 +284,13 @@
                 .map(|source| source.fleet())
                 .unwrap_or_default()
         })),
+        domains: Some(settings.domains.clone()),
+        evacuations: Some(Rc::new(move || {
+            evacuations
+                .upgrade()
+                .map(|source| source.evacuation_status())
+                .unwrap_or_default()
+        })),
     }
 }
 
@@ -348,6 +375,8 @@
         publish_upstream_changes(&source, before);
         metrics.set_state(source.registry.borrow().iter(), source.open_feeds());
         metrics.set_slow_upstreams(source.slow_upstreams().len());
+        let evacuations = source.evacuation_status();
+        metrics.set_evacuations(evacuations.evacuated.len(), evacuations.revision);
     }
 }
 
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -27,6 +27,8 @@
     upstreams: Family<State, Gauge>,
     slow_upstreams: Gauge,
     feeds: Gauge,
+    evacuated_domains: Gauge,
+    evacuations_revision: Gauge,
     commit_seconds: Histogram,
 }
 
@@ -37,6 +39,8 @@
             upstreams: Family::default(),
             slow_upstreams: Gauge::default(),
             feeds: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuations_revision: Gauge::default(),
             // From 1 ms, a round trip, to 8 s, longer than the longest outage.
             commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
         }
@@ -59,6 +63,16 @@
             self.slow_upstreams.clone(),
         );
         registry.register("feeds", "Feeds that are open", self.feeds.clone());
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose upstreams get no new flows by an operator's order",
+            self.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuations_revision",
+            "Log index of the last such order that is published here",
+            self.evacuations_revision.clone(),
+        );
         registry.register(
             "commit_seconds",
             "Time from a change to its answer",
@@ -80,6 +94,13 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_evacuations(&self, domains: usize, revision: u64) {
+        self.evacuated_domains
+            .set(i64::try_from(domains).unwrap_or(i64::MAX));
+        self.evacuations_revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_state<'a>(&self, records: impl Iterator<Item = &'a Record>, feeds: usize) {
         let mut counts = [("ready", 0), ("silent", 0), ("draining", 0), ("gone", 0)];
         for label in records.map(state_label) {
--- a/crates/currantgate/src/node/mod.rs
+++ b/crates/currantgate/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod error;
+mod evacuations;
 mod identity;
 mod metrics;
 mod peer_feeds;
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -10,6 +10,7 @@
 use currantgate_control::Change;
 use tokio::sync::{mpsc, watch};
 
+use super::evacuations::AdoptedEvacuations;
 use crate::control::ControlHandle;
 use crate::feed::{FeedEvent, FeedLinks, FeedMessage, FeedSource, Heartbeat, RevisionTracker};
 
@@ -27,6 +28,7 @@
     pub(super) handle: ControlHandle,
     pub(super) revisions: RevisionTracker,
     pub(super) adopted: SyncSender<Change>,
+    pub(super) evacuations: AdoptedEvacuations,
     pub(super) leader_hint: LeaderHint,
 }
 
@@ -56,7 +58,9 @@
                 self.handle_heartbeat(from, &heartbeat);
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.adopt(from, &packed),
-            FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
+            FeedEvent::Message(_, FeedMessage::Evacuations(state)) => {
+                self.evacuations.adopt(&self.source, state);
+            }
             FeedEvent::Message(
                 _,
                 FeedMessage::Upstreams(_)
@@ -71,6 +75,7 @@
 
     fn handle_heartbeat(&mut self, from: SocketAddr, heartbeat: &Heartbeat) {
         self.source.record_control(from);
+        self.evacuations.save();
         if !heartbeat.is_in_quorum {
             return;
         }
@@ -81,6 +86,10 @@
         // Voters receive changes by the replicated log.
         if !self.handle.is_in_quorum() {
             self.request_newest();
+            // The evacuations came before the heartbeat on the same feed.
+            if self.source.evacuations().borrow_mut().confirm() {
+                self.source.notify();
+            }
         }
     }
 
