Orders wait 20 ms for the end of an abandoned connection

A start that was delayed in the sockets of a frozen VM or by a broken link must not evacuate a domain again after a finish. Its end of connection follows within a round trip, so an order is proposed 20 ms after its receipt, and hyper drops it when the connection ends before. Tests run the calls on real control nodes; without the wait the case of the new connection fails.

--- a/crates/currantgate/src/control/evacuation.rs
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -6,8 +6,7 @@
 
 use currantgate_control::{EvacuationAnswer, EvacuationOrder, Evacuations, Replica, RequestId};
 use serde::{Deserialize, Serialize};
-use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::call::Reply;
 use super::core::Core;
@@ -16,6 +15,12 @@
 /// answer that says that the outcome is unknown as a reason to try another VM.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between the receipt of an order and its proposal. An order that was delayed, in the
+/// sockets of a frozen VM or by a broken link, may be one that its sender has given up. The
+/// end of the connection then comes with the order, or a round trip after it when TCP sends
+/// both again; callers are 3 ms away.
+const GIVE_UP_WAIT: Duration = Duration::from_millis(20);
+
 /// The answer to an order on a failure domain.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EvacuationReply {
@@ -71,10 +76,8 @@
     if let Err(refusal) = checked {
         return refusal;
     }
-    // After this VM was frozen, the order may be one that its sender has given up, with
-    // the end of the connection right behind it. The runtime reads the sockets before it
-    // continues here, so that the connection's task drops this future in that case.
-    yield_now().await;
+    // The connection's task drops this future when it reads the end of the connection.
+    sleep(GIVE_UP_WAIT).await;
     let (id, reply) = core.borrow_mut().order_evacuation(order.clone());
     let open = OpenOrder { core, id };
     let answer = match timeout(ORDER_TIMEOUT, reply).await {
