Commands to evacuate a domain, and its status

The load that they must carry is printed as unknown until control VMs merge the demand that entries report. currantgate status lists the evacuated domains, since when, and which listeners have not confirmed the newest state. Both use new calls, so that older control VMs still answer the status.

Changed test: control.rs also checks that control VMs which feed no entries refuse an order.

cargo test -p currantgate-cli -p currantgate-platform: all passed.

--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod demo;
 pub(crate) mod diff;
 pub(crate) mod entry;
+pub(crate) mod evacuate;
 pub(crate) mod explain;
 mod operator;
 pub(crate) mod relay;
--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use clap::{ArgMatches, Command};
-use currantgate::{ClientError, FleetStatus, NodeStatus};
+use currantgate::{ClientError, EvacuationStatus, FleetStatus, NodeStatus};
 use currantgate_control::{Freshness, RolloutStatus};
 use serde_json::{Value, json};
 
@@ -23,12 +23,17 @@
 /// Runs the `status` subcommand.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
-    let statuses = operator::run(client.status());
+    let (statuses, evacuations) =
+        operator::run(async { (client.status().await, client.evacuations().await) });
     if matches.get_flag("json") {
-        let answers: Vec<_> = statuses.iter().map(to_json).collect();
+        let mut answers: Vec<_> = statuses.iter().map(to_json).collect();
+        for (answer, (_, evacuations)) in answers.iter_mut().zip(&evacuations) {
+            answer["evacuations"] = json!(evacuations.as_ref().ok());
+        }
         println!("{}", Value::from(answers));
     } else {
         print_table(&statuses);
+        print_evacuations(&evacuations);
     }
     let is_present = statuses.iter().any(|(_, status)| {
         let consensus = status.as_ref().ok().and_then(|s| s.consensus.as_ref());
@@ -124,6 +129,44 @@
     }
 }
 
+/// Prints the evacuations on each control VM, unless there never were any.
+fn print_evacuations(evacuations: &[(SocketAddr, Result<EvacuationStatus, ClientError>)]) {
+    let known = evacuations.iter().filter_map(|(server, status)| {
+        let status = status.as_ref().ok().filter(|status| status.revision > 0);
+        status.map(|status| (server, status))
+    });
+    for (server, status) in known {
+        println!();
+        println!(
+            "{:<21} {:<20} {:>12}",
+            format!("evacuated, {}", status.revision),
+            "domain",
+            "since s"
+        );
+        for domain in &status.evacuated {
+            // The control VM has no record of the time before its own start.
+            let since = domain.since_ms.map(|ms| (ms / 1_000).to_string());
+            println!(
+                "{:<21} {:<20} {:>12}",
+                server.to_string(),
+                domain.domain,
+                since.unwrap_or_else(|| "its start".into())
+            );
+        }
+        let lagging = status
+            .listeners
+            .iter()
+            .filter(|l| l.revision < status.revision);
+        let lagging: Vec<_> = lagging.map(|listener| &*listener.name).collect();
+        println!(
+            "held by {} of {} listeners; not by: {}",
+            status.listeners.len() - lagging.len(),
+            status.listeners.len(),
+            lagging.join(", ")
+        );
+    }
+}
+
 fn print_row(server: SocketAddr, status: &NodeStatus) {
     let digest = status.accepted.digest.to_string();
     let (id, role, term, state) = match &status.consensus {
--- a/crates/currantgate-cli/src/main.rs
+++ b/crates/currantgate-cli/src/main.rs
@@ -40,6 +40,7 @@
         Some(("show", sub)) => cmd::show::execute(sub),
         Some(("explain", sub)) => cmd::explain::execute(sub),
         Some(("status", sub)) => cmd::status::execute(sub),
+        Some(("evacuate", sub)) => cmd::evacuate::execute(sub),
         Some(("replace", sub)) => cmd::replace::execute(sub),
         Some(("completions", sub)) => cmd::completions::execute(sub, make_command()),
         _ => unreachable!("clap accepts no other subcommand"),
@@ -66,6 +67,7 @@
         .subcommand(cmd::show::make_subcommand())
         .subcommand(cmd::explain::make_subcommand())
         .subcommand(cmd::status::make_subcommand())
+        .subcommand(cmd::evacuate::make_subcommand())
         .subcommand(cmd::replace::make_subcommand())
         .subcommand(cmd::completions::make_subcommand())
 }
--- a/crates/currantgate-cli/tests/control.rs
+++ b/crates/currantgate-cli/tests/control.rs
@@ -223,6 +223,10 @@
     site.voters[leader].restart();
     site.wait_for("all at revision 2", |status| all_are_at(status, 2));
 
+    // Nothing here would carry out the order, so it must not be accepted.
+    let evacuated = site.run(&["evacuate", "start", "riga-1"]);
+    assert_eq!(exit_code(&evacuated), 1, "{evacuated:?}");
+
     let resent = site.apply(&second, "1");
     assert_eq!(exit_code(&resent), 0, "{resent:?}");
     let conflict = site.apply(SITE, "1");
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -355,6 +355,6 @@
         EvacuationReply::UnknownDomain(problem) => {
             Attempt::Done(Err(ClientError::UnknownDomain(problem)))
         }
-        EvacuationReply::Unsupported => Attempt::Failed("it feeds no entries".into()),
+        EvacuationReply::Unsupported => Attempt::Done(Err(ClientError::FeedsNoEntries)),
     }
 }
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -95,6 +95,8 @@
     WrongMembers,
     /// {0}, and nothing was done
     UnknownDomain(Box<str>),
+    /// these control VMs feed no entries, so that nothing would carry out the order
+    FeedsNoEntries,
     /// {server}: {source}
     Transport {
         /// The control VM.
--- a/crates/currantgate/src/feed/evacuations.rs
+++ b/crates/currantgate/src/feed/evacuations.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::message::{EvacuationState, ReturnedDomain};
-use super::status::EvacuatedDomain;
+use super::status::{EvacuatedDomain, EvacuationStatus};
 
 /// Time for which the end of an evacuation is published: longer than upstreams are cold.
 const RETURNED_TIME: Duration = Duration::from_secs(60);
@@ -121,11 +121,10 @@
         if self.revision == 0 {
             return None;
         }
-        let is_recent = |ended: Instant| now < ended + RETURNED_TIME;
-        let returned = self.returned.iter().filter(|(_, at)| is_recent(**at));
+        let returned = self.recently_returned(now);
         let returned = returned.map(|(domain, ended)| ReturnedDomain {
             domain: domain.clone(),
-            ms_ago: elapsed_ms(now, *ended).try_into().unwrap_or(u32::MAX),
+            ms_ago: elapsed_ms(now, ended).try_into().unwrap_or(u32::MAX),
         });
         Some(EvacuationState {
             revision: self.revision,
@@ -134,14 +133,34 @@
         })
     }
 
-    /// Returns the evacuated domains for operators.
-    pub(crate) fn evacuated(&self, now: Instant) -> Vec<EvacuatedDomain> {
-        let domains = self.evacuated.iter();
-        let domains = domains.map(|(domain, since)| EvacuatedDomain {
-            domain: domain.clone(),
+    /// Returns the number of evacuated domains.
+    pub(crate) fn count(&self) -> usize {
+        self.evacuated.len()
+    }
+
+    /// Returns the state for operators, without listeners and upstreams.
+    pub(crate) fn status(&self, now: Instant) -> EvacuationStatus {
+        let status = |domain: &str, since: Option<Instant>| EvacuatedDomain {
+            domain: domain.into(),
             since_ms: since.map(|since| elapsed_ms(now, since)),
-        });
-        domains.collect()
+        };
+        let evacuated = self.evacuated.iter();
+        let returned = self.recently_returned(now);
+        EvacuationStatus {
+            revision: self.revision,
+            evacuated: evacuated
+                .map(|(name, since)| status(name, *since))
+                .collect(),
+            returned: returned
+                .map(|(name, ended)| status(name, Some(ended)))
+                .collect(),
+            ..EvacuationStatus::default()
+        }
+    }
+
+    fn recently_returned(&self, now: Instant) -> impl Iterator<Item = (&Box<str>, Instant)> {
+        let returned = self.returned.iter().map(|(name, ended)| (name, *ended));
+        returned.filter(move |(_, ended)| now < *ended + RETURNED_TIME)
     }
 }
 
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::message::FeedHello;
-use super::status::{EvacuationListener, FleetStatus, ListenerStatus, ServiceStatus};
+use super::status::{EvacuationListener, FleetStatus, ListenerStatus, ServiceSlots, ServiceStatus};
 
 /// Id of one feed of a control VM.
 pub(super) type FeedId = u64;
@@ -132,3 +132,21 @@
     services.sort_unstable_keys();
     services.into_values().collect()
 }
+
+/// Sums the slots of the upstreams that take new flows, by service and failure domain.
+pub(super) fn count_slots<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<ServiceSlots> {
+    let mut sums: IndexMap<(&str, &str), u32> = IndexMap::new();
+    for Record { report, is_silent } in records {
+        if report.state == UpstreamState::Ready && !is_silent {
+            *sums.entry((&report.service, &report.domain)).or_default() += report.slots;
+        }
+    }
+    sums.sort_unstable_keys();
+    let slots = sums.into_iter();
+    let slots = slots.map(|((service, domain), slots)| ServiceSlots {
+        service: service.into(),
+        domain: domain.into(),
+        slots,
+    });
+    slots.collect()
+}
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -21,5 +21,5 @@
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{
     EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
-    ServiceStatus,
+    ServiceLoad, ServiceSlots, ServiceStatus,
 };
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::evacuations::PublishedEvacuations;
-use super::listeners::{FeedId, Listeners};
+use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
 use super::status::{EvacuationStatus, FleetStatus};
 use crate::control::ControlHandle;
@@ -113,9 +113,9 @@
     pub(crate) fn evacuation_status(&self) -> EvacuationStatus {
         let evacuations = self.evacuations.borrow();
         EvacuationStatus {
-            revision: evacuations.revision(),
-            evacuated: evacuations.evacuated(std::time::Instant::now()),
             listeners: self.listeners.borrow().evacuations(),
+            slots: count_slots(self.registry.borrow().iter()),
+            ..evacuations.status(std::time::Instant::now())
         }
     }
 
--- a/crates/currantgate/src/feed/status.rs
+++ b/crates/currantgate/src/feed/status.rs
@@ -44,23 +44,49 @@
 }
 
 /// The evacuations that a control VM publishes to its listeners.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EvacuationStatus {
     /// Log index of the last order; 0 if there was none.
     pub revision: u64,
     /// The evacuated failure domains.
     pub evacuated: Vec<EvacuatedDomain>,
+    /// The domains whose evacuation has ended within the last minute.
+    pub returned: Vec<EvacuatedDomain>,
     /// The listeners of this VM, sorted by name.
     pub listeners: Vec<EvacuationListener>,
+    /// Slots of the upstreams that take new flows and report here, by service and domain.
+    pub slots: Vec<ServiceSlots>,
+    /// Load of the callers whose demand is merged here; empty where entries report none.
+    pub load: Vec<ServiceLoad>,
+}
+
+/// Slots of a service's upstreams in one failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSlots {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Name of the failure domain.
+    pub domain: Box<str>,
+    /// Number of slots.
+    pub slots: u32,
+}
+
+/// Load of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Average number of slots that its flows occupy.
+    pub busy_slots: f32,
 }
 
-/// An evacuated failure domain.
+/// A failure domain that is evacuated, or was a short time ago.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuatedDomain {
     /// Name of the domain.
     pub domain: Box<str>,
-    /// Time since the control VM learned of the start, in milliseconds; nothing if that
-    /// was before the VM's own start.
+    /// Time since the control VM learned of the start or end, in milliseconds; nothing if
+    /// that was before the VM's own start.
     pub since_ms: Option<u64>,
 }
 
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -41,7 +41,7 @@
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use feed::{
     EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
-    ServiceStatus,
+    ServiceLoad, ServiceSlots, ServiceStatus,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -375,8 +375,8 @@
         publish_upstream_changes(&source, before);
         metrics.set_state(source.registry.borrow().iter(), source.open_feeds());
         metrics.set_slow_upstreams(source.slow_upstreams().len());
-        let evacuations = source.evacuation_status();
-        metrics.set_evacuations(evacuations.evacuated.len(), evacuations.revision);
+        let evacuations = source.evacuations().borrow();
+        metrics.set_evacuations(evacuations.count(), evacuations.revision());
     }
 }
 
