Entries that held orders get upstreams from a restarted control VM at once

A control VM that has restarted with orders withheld upstreams from all entries until it was caught up. An entry that ran meanwhile has the orders, and would have lost its upstreams 4 s after all control VMs restarted without a quorum. It now reports the evacuations that it holds, and whether it ever had contact with a quorum, when a feed opens.

--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -27,10 +27,42 @@
     pub(super) hello: FeedHello,
     /// Revision that the process holds, which the heartbeats report.
     pub(super) revision: Cell<Revision>,
+    /// Highest revision of the evacuations that the process has received.
+    pub(super) evacuations: Cell<u64>,
+    /// Whether a control VM in contact with a quorum has sent a heartbeat.
+    pub(super) had_quorum: Cell<bool>,
     /// Time since which the process has had no feed; nothing while it has one.
     pub(super) isolated_since: Cell<Option<std::time::Instant>>,
 }
 
+impl FeedShared {
+    /// Records what a message says of evacuations, and returns whether to report what the
+    /// process holds of them.
+    fn record_message(&self, message: &FeedMessage) -> bool {
+        match message {
+            FeedMessage::Evacuations(state) => {
+                let held = self.evacuations.get();
+                self.evacuations.set(held.max(state.revision));
+                true
+            }
+            FeedMessage::Heartbeat(heartbeat) => {
+                let had_quorum = self.had_quorum.get();
+                self.had_quorum.set(had_quorum || heartbeat.is_in_quorum);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn evacuations_report(&self) -> FeedRequest {
+        FeedRequest::Evacuations {
+            revision: self.revision.get(),
+            evacuations: self.evacuations.get(),
+            had_quorum: self.had_quorum.get(),
+        }
+    }
+}
+
 /// Keeps a feed open, and reopens it when it is lost. Returns when `requests` is
 /// closed.
 pub(super) async fn run_feed(
@@ -76,6 +108,9 @@
     let opened = timeout(SILENCE_TIMEOUT, client.open(FEED_PATH)).await;
     let (mut writer, mut reader) = opened.map_err(|_| TransportError::Timeout)??;
     writer.send(&shared.hello).await?;
+    if shared.evacuations.get() > 0 {
+        writer.send(&shared.evacuations_report()).await?;
+    }
     let mut deadline = Instant::now() + SILENCE_TIMEOUT;
     let mut heartbeat_due = Instant::now() + HEARTBEAT_INTERVAL;
     loop {
@@ -87,18 +122,12 @@
                     // The receiver is closed only when the process stops.
                     let _ = events.send(FeedEvent::Connected(address));
                 }
-                let confirmed = match &message {
-                    FeedMessage::Evacuations(state) => Some(state.revision),
-                    _ => None,
-                };
+                let is_answered = shared.record_message(&message);
                 let _ = events.send(FeedEvent::Message(address, message));
-                let Some(evacuations) = confirmed else {
+                if !is_answered {
                     continue;
-                };
-                FeedRequest::Evacuations {
-                    revision: shared.revision.get(),
-                    evacuations,
                 }
+                shared.evacuations_report()
             }
             request = requests.recv() => match request {
                 Some(request) => {
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -75,6 +75,8 @@
                 secret: settings.secret,
                 hello: settings.hello,
                 revision: Cell::default(),
+                evacuations: Cell::new(0),
+                had_quorum: Cell::new(false),
                 isolated_since: Cell::new(Some(Instant::now())),
             }),
             own: settings.own,
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -64,12 +64,15 @@
         /// Demand since the last report.
         demand: Vec<ServiceDemand>,
     },
-    /// Confirms the receipt of [`FeedMessage::Evacuations`].
+    /// Reports the evacuations that the listener holds: when the feed opens, and in answer to
+    /// [`FeedMessage::Evacuations`]. Not sent before the listener has received that once.
     Evacuations {
         /// Revision that the listener holds.
         revision: Revision,
-        /// Revision of the evacuations.
+        /// Highest revision of the evacuations that the listener has received.
         evacuations: u64,
+        /// Whether the listener has had a feed from a VM in contact with a quorum.
+        had_quorum: bool,
     },
 }
 
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -243,6 +243,9 @@
     last_heartbeat: Heartbeat,
     /// Number of the newest change of the evacuations that has been sent.
     sent_evacuations: u64,
+    /// Whether the listener held evacuations before this feed, so that it gets upstreams
+    /// although orders may be missing here.
+    needs_no_hold: bool,
     /// Number of the newest change of upstreams that has been sent.
     sent_change: ChangeNumber,
     /// Slow upstreams as the listener knows them; nothing while it has not reported
@@ -273,6 +276,7 @@
             reader,
             last_heartbeat: Heartbeat::default(),
             sent_evacuations: 0,
+            needs_no_hold: false,
             sent_change: 0,
             sent_slow: None,
             heartbeat_due: now,
@@ -316,7 +320,12 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
-            FeedRequest::Evacuations { evacuations, .. } => {
+            FeedRequest::Evacuations {
+                evacuations,
+                had_quorum,
+                ..
+            } => {
+                self.needs_no_hold |= had_quorum;
                 let mut listeners = self.source.listeners.borrow_mut();
                 listeners.record_evacuations(self.id, evacuations);
                 Ok(())
@@ -369,7 +378,8 @@
         if let Some(evacuations) = evacuations {
             self.send(&FeedMessage::Evacuations(evacuations)).await?;
         }
-        if self.hello.control.is_none() && !self.source.holds_upstreams() {
+        let is_held = self.source.holds_upstreams() && !self.needs_no_hold;
+        if self.hello.control.is_none() && !is_held {
             let records = self.take_unsent_upstreams();
             self.send_upstreams(&records).await?;
             let mut listeners = self.source.listeners.borrow_mut();
