--- a/crates/currantgate-control/src/evacuation/mod.rs
+++ b/crates/currantgate-control/src/evacuation/mod.rs
@@ -4,7 +4,9 @@
 mod answer;
 mod evacuations;
 mod order;
+mod published;
 
 pub use answer::EvacuationAnswer;
 pub use evacuations::Evacuations;
 pub use order::{EvacuationAction, EvacuationOrder};
+pub use published::PublishedEvacuations;
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -43,7 +43,9 @@
     SubscriberSettings, Update,
 };
 pub use entry::{Command, Entry};
-pub use evacuation::{EvacuationAction, EvacuationAnswer, EvacuationOrder, Evacuations};
+pub use evacuation::{
+    EvacuationAction, EvacuationAnswer, EvacuationOrder, Evacuations, PublishedEvacuations,
+};
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
 pub use members::Members;
 pub use message::{AppendOutcome, Message};
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -7,7 +7,7 @@
 //! `docs/design/platform.md`.
 
 mod client;
-mod evacuations;
+pub(crate) mod evacuations;
 mod links;
 mod listeners;
 mod message;
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use currantgate_control::{
-    Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
-    Update,
+    Change, FrameWriter, IncomingStream, PublishedEvacuations, RecentChanges, Revision, RevisionId,
+    TransportError, Update,
 };
 use currantgate_observation::{
     FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::evacuations::PublishedEvacuations;
+use super::evacuations;
 use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
 use super::status::{EvacuationStatus, FleetStatus};
@@ -115,7 +115,7 @@
         EvacuationStatus {
             listeners: self.listeners.borrow().evacuations(),
             slots: count_slots(self.registry.borrow().iter()),
-            ..evacuations.status(std::time::Instant::now())
+            ..evacuations::to_status(&evacuations, std::time::Instant::now())
         }
     }
 
@@ -126,7 +126,7 @@
         if std::mem::replace(sent, change) == change {
             return None;
         }
-        evacuations.state(std::time::Instant::now())
+        evacuations::to_message(&evacuations, std::time::Instant::now())
     }
 
     /// Returns whether entries get no upstreams yet.
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -376,7 +376,7 @@
         metrics.set_state(source.registry.borrow().iter(), source.open_feeds());
         metrics.set_slow_upstreams(source.slow_upstreams().len());
         let evacuations = source.evacuations().borrow();
-        metrics.set_evacuations(evacuations.count(), evacuations.revision());
+        metrics.set_evacuations(evacuations.evacuated().len(), evacuations.revision());
     }
 }
 
--- a/crates/currantgate/src/node/evacuations.rs
+++ b/crates/currantgate/src/node/evacuations.rs
@@ -9,7 +9,7 @@
 
 use super::persistence;
 use crate::control::{ControlHandle, LocalEvacuations};
-use crate::feed::{EvacuationState, FeedSource};
+use crate::feed::{EvacuationState, FeedSource, evacuations};
 
 /// The file of the newest evacuations that a VM has adopted from another one. A VM
 /// without a vote has no other record of them.
@@ -82,7 +82,7 @@
         let now = Instant::now();
         let mut published = source.evacuations().borrow_mut();
         let change = published.change();
-        let is_newer = published.adopt(now, &state);
+        let is_newer = evacuations::adopt(&mut published, now, &state);
         let is_changed = published.change() != change;
         drop(published);
         if is_changed {
