--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -93,6 +93,10 @@
     TooLarge,
     /// the voters can't be changed so: the lost VM is no voter or is the leader, or the new id is in use
     WrongMembers,
+    /// {0}, and nothing was done
+    UnknownDomain(Box<str>),
+    /// these control VMs feed no entries, so that nothing would carry out the order
+    FeedsNoEntries,
     /// {server}: {source}
     Transport {
         /// The control VM.
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -64,6 +64,16 @@
         /// Demand since the last report.
         demand: Vec<ServiceDemand>,
     },
+    /// Reports the evacuations that the listener holds: when the feed opens, and in answer to
+    /// [`FeedMessage::Evacuations`]. Not sent before the listener has received that once.
+    Evacuations {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// Highest revision of the evacuations that the listener has received.
+        evacuations: u64,
+        /// Whether the listener has had a feed from a VM in contact with a quorum.
+        had_quorum: bool,
+    },
 }
 
 impl FeedRequest {
@@ -73,7 +83,8 @@
             Self::Heartbeat { revision }
             | Self::Observations { revision, .. }
             | Self::WarmupPermits { revision, .. }
-            | Self::Demand { revision, .. } => *revision,
+            | Self::Demand { revision, .. }
+            | Self::Evacuations { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
