Entries place no new flows in evacuated failure domains

Cause: control VMs will send the evacuated domains on their feeds, and entries ignored the message.

Change: EvacuationView holds the state with the highest revision for as long as the process runs, so that no feed or reconnect takes an entry back to an older one. A newer state is applied at once, without waiting for the refresh of the upstreams. Upstreams of an evacuated domain keep their tokens, so that open flows still reach them, and get no placement target. A log line, metrics and a field of `placed` show the evacuation.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -358,4 +358,11 @@
     pub fn open_flows(&self, key: TargetKey) -> u32 {
         self.candidates.get(&key).map_or(0, |c| c.flows)
     }
+
+    /// Returns the number of flows that this entry has open in a failure domain.
+    pub fn open_flows_in(&self, domain: &str) -> u32 {
+        let in_domain = self.candidates.values();
+        let in_domain = in_domain.filter(|c| &*c.target.domain == domain);
+        in_domain.map(|c| c.flows).sum()
+    }
 }
--- a/crates/currantgate-registry/src/lib.rs
+++ b/crates/currantgate-registry/src/lib.rs
@@ -5,7 +5,9 @@
 //! keeps the newest report of each upstream that one control VM has received. An entry
 //! subscribes to all control VMs, and [`UpstreamView`] merges their records by the
 //! version of the reports, so that it needs no quorum. See `docs/design/platform.md`.
+//! [`EvacuationView`] keeps which failure domains are evacuated.
 
+mod evacuations;
 mod record;
 mod registry;
 mod report;
@@ -13,6 +15,7 @@
 mod view;
 mod view_refresh;
 
+pub use evacuations::{EvacuationChange, EvacuationUpdate, EvacuationView};
 pub use record::Record;
 pub use registry::{ChangeNumber, UpstreamRegistry};
 pub use report::{Report, ReportVersion, UpstreamId, UpstreamState};
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -30,6 +30,9 @@
     pub placed: Option<Placed>,
     /// Token of the upstream that left an earlier copy unanswered.
     pub unanswered_by: Option<Token>,
+    /// Whether the flow was placed in another failure domain because the entry's own is
+    /// evacuated.
+    pub is_displaced: bool,
 }
 
 /// A flow whose record was removed because its caller has given up.
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -7,6 +7,7 @@
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
 };
+use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
@@ -28,6 +29,11 @@
     /// Whether the list of upstreams had the time to become complete.
     upstreams_complete: bool,
     flows: FlowTable,
+    /// Failure domains whose upstreams get no new flows.
+    evacuated: IndexSet<Box<str>>,
+    /// Services that would have upstreams in the entry's own domain if that were not
+    /// evacuated.
+    displaced_services: IndexSet<Box<str>>,
     /// Duration of the last completed handshake that was not taken yet.
     handshake_time: Option<Duration>,
 }
@@ -43,6 +49,8 @@
             routes_current: false,
             upstreams_complete: false,
             flows: FlowTable::default(),
+            evacuated: IndexSet::new(),
+            displaced_services: IndexSet::new(),
             handshake_time: None,
         }
     }
@@ -64,14 +72,32 @@
         self.upstreams_complete = complete;
     }
 
+    /// Sets the failure domains whose upstreams get no new flows. It takes effect with the
+    /// next [`Self::set_upstreams`].
+    pub fn set_evacuated(&mut self, domains: impl IntoIterator<Item = Box<str>>) {
+        self.evacuated = domains.into_iter().collect();
+    }
+
     /// Replaces all upstreams. Those that may get new flows come with a placement
     /// target, whose key is set to the upstream's token.
+    ///
+    /// Upstreams of evacuated domains still get the packets of their open flows.
     pub fn set_upstreams(&mut self, upstreams: Vec<(TokenUpstream, Option<Target>)>) {
         let listed = upstreams.iter().map(|(upstream, _)| upstream.clone());
         let tokens = self.tokens.replace(listed.collect());
+        let evacuated = &self.evacuated;
+        let displaced_services = &mut self.displaced_services;
+        displaced_services.clear();
         let targets = upstreams.into_iter().filter_map(|(upstream, target)| {
             let key = *tokens.get(&upstream.id)?;
-            target.map(|target| Target { key, ..target })
+            let target = target?;
+            if !evacuated.contains(&target.domain) {
+                return Some(Target { key, ..target });
+            }
+            if target.is_local {
+                displaced_services.insert(target.service);
+            }
+            None
         });
         self.placement.set_targets(targets);
     }
@@ -115,6 +141,7 @@
             tried: unanswered_by.as_slice(),
         };
         let placed = self.placement.place(now, &request);
+        let is_displaced = placed.is_ok() && self.displaced_services.contains(service);
         let decision = match placed {
             Ok(placed) => {
                 let record = FlowRecord {
@@ -137,6 +164,7 @@
             decision,
             placed: placed.ok(),
             unanswered_by,
+            is_displaced,
         }
     }
 
@@ -238,6 +266,11 @@
         self.tokens.id(token)
     }
 
+    /// Returns the number of flows with a record whose upstream is in a failure domain.
+    pub fn open_flows_in(&self, domain: &str) -> u32 {
+        self.placement.open_flows_in(domain)
+    }
+
     /// Returns the number of flows that have a record, opening or established.
     pub fn tracked_flows(&self) -> usize {
         self.flows.len()
@@ -260,5 +293,6 @@
         decision,
         placed: None,
         unanswered_by: None,
+        is_displaced: false,
     }
 }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -581,3 +581,72 @@
         }
     }
 }
+
+/// Passes upstreams 1 to 4 to the router, of which the even ones are in the remote domain
+/// `b` and the others in the entry's domain `a`.
+fn set_two_domains(entry: &mut Entry, evacuated: &[&str]) {
+    entry
+        .router
+        .set_evacuated(evacuated.iter().map(|domain| (*domain).into()));
+    let listed = (1..=4).map(|n| {
+        let (token_upstream, target) = upstream(n, entry.now);
+        let target = target.map(|target| Target {
+            domain: if n.is_multiple_of(2) { "b" } else { "a" }.into(),
+            is_local: !n.is_multiple_of(2),
+            ..target
+        });
+        (token_upstream, target)
+    });
+    entry.router.set_upstreams(listed.collect());
+}
+
+fn is_in_b(hop: NextHop) -> bool {
+    hop.address.ip().octets()[3].is_multiple_of(2)
+}
+
+/// Guards against new flows at an evacuated domain, and against open flows that are cut
+/// by its evacuation.
+#[test]
+fn an_evacuated_domain_keeps_its_flows_and_gets_no_new_ones() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &[]);
+    let open: Vec<_> = (0..20).map(|n| entry.open_flow(n)).collect();
+    let in_a = open.iter().filter(|hop| !is_in_b(**hop)).count();
+    set_two_domains(&mut entry, &["a"]);
+    assert_eq!(entry.router.open_flows_in("a") as usize, in_a);
+    for (n, hop) in (0..).zip(&open) {
+        assert_eq!(
+            entry.send_later(n, hop.token, false),
+            Decision::Forward(*hop)
+        );
+    }
+    for n in 100..200 {
+        let packet = FirstPacket {
+            flow: flow(n),
+            retransmissions: 0,
+        };
+        let decided = entry.router.route_first(entry.now, packet);
+        assert!(is_in_b(hop(decided.decision)));
+        assert!(decided.is_displaced, "the log must show the evacuation");
+    }
+}
+
+/// Guards against flows that wait for a timeout when no domain is left, and against
+/// domains that return together when only one evacuation is finished.
+#[test]
+fn flows_are_refused_without_a_domain_and_return_in_steps() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &["a", "b"]);
+    for n in 0..10 {
+        assert_eq!(
+            entry.send_first(n, 0),
+            Decision::Reset(ResetReason::NoUpstream)
+        );
+    }
+    set_two_domains(&mut entry, &["a"]);
+    let hops: Vec<_> = (10..30).map(|n| entry.open_flow(n)).collect();
+    assert!(hops.into_iter().all(is_in_b));
+    set_two_domains(&mut entry, &[]);
+    let hops: Vec<_> = (30..50).map(|n| entry.open_flow(n)).collect();
+    assert!(!hops.into_iter().all(is_in_b));
+}
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
-use currantgate_registry::Record;
+use currantgate_registry::{EvacuationUpdate, Record};
 use currantgate_warmup::{Permit, PermitRequest};
 use serde::{Deserialize, Serialize};
 
@@ -133,6 +134,21 @@
     pub(crate) returned: Vec<ReturnedDomain>,
 }
 
+impl EvacuationState {
+    /// Returns the state as input of an [`EvacuationView`].
+    ///
+    /// [`EvacuationView`]: currantgate_registry::EvacuationView
+    pub(crate) fn into_update(self) -> EvacuationUpdate {
+        let returned = self.returned.into_iter();
+        let returned = returned.map(|r| (r.domain, Duration::from_millis(r.ms_ago.into())));
+        EvacuationUpdate {
+            revision: self.revision,
+            evacuated: self.evacuated,
+            returned: returned.collect(),
+        }
+    }
+}
+
 /// A failure domain whose evacuation has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReturnedDomain {
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -15,7 +15,7 @@
 mod status;
 
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
-pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
 pub(crate) use revision_tracker::RevisionTracker;
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{FleetStatus, ListenerStatus, ServiceStatus};
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -8,7 +8,9 @@
 
 use actix_rt::task::JoinHandle;
 use currantgate_placement::Target;
-use currantgate_registry::{Availability, Upstream, UpstreamView, ViewRefreshTimer};
+use currantgate_registry::{
+    Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
+};
 use currantgate_token::{TokenRouter, TokenUpstream};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
@@ -21,7 +23,8 @@
 use super::routing::Routing;
 use super::settings::TokenEntrySettings;
 use crate::feed::{
-    FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, RevisionTracker,
+    EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
+    RevisionTracker,
 };
 
 /// Interval at which flows whose callers have given up are expired, a small part
@@ -84,10 +87,11 @@
             routing: Routing {
                 router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
                 metrics: metrics.clone(),
-                decisions: DecisionLog::new(Instant::now()),
+                decisions: DecisionLog::new(Instant::now(), settings.domain.clone()),
             },
             packets,
             view: UpstreamView::new(settings.view.clone()),
+            evacuations: EvacuationView::default(),
             revisions: RevisionTracker::default(),
             refresh_timer: ViewRefreshTimer::new(Instant::now()),
             routed_upstreams: 0,
@@ -149,6 +153,7 @@
     routing: Routing,
     packets: PacketSocket<F>,
     view: UpstreamView,
+    evacuations: EvacuationView,
     revisions: RevisionTracker,
     refresh_timer: ViewRefreshTimer,
     /// Number of upstreams in the view that the router was last updated from.
@@ -235,12 +240,27 @@
                     self.routing.update_slow_upstreams(now, &slow);
                 }
             }
-            FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
+            FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
+                self.apply_evacuations(now, from, state);
+            }
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
             FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
         }
     }
 
+    /// Applies a newer state of the evacuated domains at once, as control VMs have
+    /// acknowledged the order already.
+    fn apply_evacuations(&mut self, now: Instant, from: SocketAddr, state: EvacuationState) {
+        let Some(change) = self.evacuations.apply(now, state.into_update()) else {
+            return;
+        };
+        let decisions = &self.routing.decisions;
+        decisions.log_evacuation_change(from, &change, &self.evacuations);
+        let evacuated = self.evacuations.evacuated().cloned();
+        self.routing.router.set_evacuated(evacuated);
+        self.update_upstreams(now);
+    }
+
     /// Reports what was observed of upstreams since the last call.
     ///
     /// When the collector changes, the slow upstreams are cleared, as the previous one
@@ -348,6 +368,11 @@
             count,
             self.revisions.revision(),
         );
+        let evacuated = self.evacuations.evacuated();
+        let open_flows = evacuated.map(|domain| self.routing.router.open_flows_in(domain));
+        self.routing
+            .metrics
+            .set_evacuations(&self.evacuations, open_flows.sum());
     }
 }
 
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -1,11 +1,12 @@
 //! The log of a token entry's decisions about flows.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use currantgate_control::Revision;
 use currantgate_log::{RateLimit, RateLimiter};
 use currantgate_placement::{Suspect, SuspicionChange};
-use currantgate_registry::{Availability, Upstream};
+use currantgate_registry::{Availability, EvacuationChange, EvacuationView, Upstream};
 use currantgate_token::{
     Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowId, ResetReason, Token, TokenRouter,
 };
@@ -25,6 +26,8 @@
     slow_upstreams: RateLimiter,
     /// The last logged availability of each upstream.
     availabilities: IndexMap<Box<str>, Availability>,
+    /// Failure domain of the entry.
+    domain: Box<str>,
     /// Revision of the routes that decisions are based on.
     pub(super) revision: Revision,
     /// When the last message about upstreams or the revision was received.
@@ -32,7 +35,7 @@
 }
 
 impl DecisionLog {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant, domain: Box<str>) -> Self {
         let limiter = || RateLimiter::new(RateLimit::default(), now);
         Self {
             placed: limiter(),
@@ -43,6 +46,7 @@
             suspicion_changes: limiter(),
             slow_upstreams: limiter(),
             availabilities: IndexMap::new(),
+            domain,
             revision: 0,
             view_at: now,
         }
@@ -85,6 +89,7 @@
             flows = placed.flows,
             load = placed.load,
             is_doubtful = placed.is_unhealthy,
+            evacuated = if decided.is_displaced { &*self.domain } else { "" },
             revision = self.revision,
             view_age_ms = self.view_age_ms(now),
             left_out = left_out;
@@ -213,6 +218,25 @@
         );
     }
 
+    /// Logs that the evacuated failure domains have changed.
+    pub(super) fn log_evacuation_change(
+        &self,
+        from: SocketAddr,
+        change: &EvacuationChange,
+        held: &EvacuationView,
+    ) {
+        let evacuated: Vec<_> = held.evacuated().map(|domain| &**domain).collect();
+        log::info!(
+            event = "evacuation",
+            evacuated = evacuated.join(","),
+            started = change.started.join(","),
+            finished = change.finished.join(","),
+            evacuation_revision = held.revision(),
+            from:% = from;
+            "evacuated failure domains have changed"
+        );
+    }
+
     /// Logs a datagram that can't be parsed as a packet.
     pub(super) fn log_malformed(&mut self, now: Instant, len: usize, reason: MalformedPacket) {
         if let Some(left_out) = self.malformed.try_acquire(now) {
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use currantgate_registry::EvacuationView;
 use currantgate_token::{Decision, DropReason, ResetReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -29,6 +30,9 @@
     upstreams: Gauge,
     slow_upstreams: Gauge,
     revision: Gauge,
+    evacuation_revision: Gauge,
+    evacuated_domains: Gauge,
+    evacuated_flows: Gauge,
     feeds: Gauge,
     routes_current: Gauge,
     handshake_seconds: Histogram,
@@ -44,6 +48,9 @@
             upstreams: Gauge::default(),
             slow_upstreams: Gauge::default(),
             revision: Gauge::default(),
+            evacuation_revision: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_flows: Gauge::default(),
             feeds: Gauge::default(),
             routes_current: Gauge::default(),
             // From 1 ms, a round trip within a domain, to 4 s, after which callers
@@ -97,6 +104,21 @@
             "1 while a control VM in contact with a quorum holds nothing newer",
             self.routes_current.clone(),
         );
+        registry.register(
+            "evacuation_revision",
+            "The revision of the evacuation orders in force here",
+            self.evacuation_revision.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose upstreams get no new flows",
+            self.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuated_flows_open",
+            "Flows that this entry opened and that have not ended, in evacuated failure domains",
+            self.evacuated_flows.clone(),
+        );
         registry.register("feeds_open", "Control VMs in reach", self.feeds.clone());
         registry.register(
             "handshake_seconds",
@@ -154,6 +176,14 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_evacuations(&self, evacuations: &EvacuationView, open_flows: u32) {
+        let revision = i64::try_from(evacuations.revision()).unwrap_or(i64::MAX);
+        self.evacuation_revision.set(revision);
+        let domains = i64::try_from(evacuations.evacuated().len()).unwrap_or(i64::MAX);
+        self.evacuated_domains.set(domains);
+        self.evacuated_flows.set(open_flows.into());
+    }
+
     pub(super) fn set_state(&self, flows: usize, upstreams: usize, revision: u64) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.upstreams
