Send a longer warm-up of an upstream to entries at once

Cause: a report counted as a change only when its remaining warm-up became zero or ceased to be zero, so that an upstream that became cold again, or stayed cold for longer, was taken for warm by entries when the first warm-up had passed.

Change: the registry keeps the end of the warm-up that listeners have been sent, and treats a later end as a change. A tolerance of 100 ms against this end, not against the previous report, keeps late reports from being sent to all entries.

Measured: `cargo test -p currantgate-registry` passes, 38 tests.

--- a/crates/currantgate-registry/src/registry.rs
+++ b/crates/currantgate-registry/src/registry.rs
@@ -1,7 +1,7 @@
 //! The upstreams that report to one control VM.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -10,12 +10,18 @@
 /// Number of a change, by which each listener gets the changes that it lacks.
 pub type ChangeNumber = u64;
 
+/// Time by which the end of a warm-up may move without a new record. Reports arrive with
+/// varying delays; entries add a margin for it.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// An upstream in the registry.
 #[derive(Debug)]
 struct RegisteredUpstream {
     record: Record,
     /// Time at which the last report or departure was received.
     received_at: Instant,
+    /// End of the warm-up by the record that listeners have been sent.
+    warm_at: Instant,
     /// Number of the last change of the record.
     change: ChangeNumber,
 }
@@ -63,13 +69,20 @@
         // A gap in the sequence means that reports went to another control VM in between,
         // so that listeners must be informed that the upstream reports here again.
         let is_consecutive = report.version.sequence == known.version.sequence.wrapping_add(1);
-        let is_change =
-            upstream.record.is_silent || !is_consecutive || !is_equivalent(known, &report);
+        // Of a shorter warm-up, entries are informed when it has ended.
+        let warm_at = now + report.warmup_remaining;
+        let is_longer_cold =
+            !report.warmup_remaining.is_zero() && warm_at > upstream.warm_at + WARMUP_TOLERANCE;
+        let is_change = upstream.record.is_silent
+            || !is_consecutive
+            || is_longer_cold
+            || !is_equivalent(known, &report);
         upstream.record = Record {
             report,
             is_silent: false,
         };
         if is_change {
+            upstream.warm_at = warm_at;
             let id = upstream.record.report.id.clone();
             self.record_change(&id);
         }
@@ -182,12 +195,14 @@
     /// Adds an upstream that is not known yet.
     fn insert(&mut self, now: Instant, report: Report) {
         let id = report.id.clone();
+        let warm_at = now + report.warmup_remaining;
         let upstream = RegisteredUpstream {
             record: Record {
                 report,
                 is_silent: false,
             },
             received_at: now,
+            warm_at,
             change: 0,
         };
         self.upstreams.insert(id.clone(), upstream);
--- a/crates/currantgate-registry/tests/registry.rs
+++ b/crates/currantgate-registry/tests/registry.rs
@@ -128,3 +128,46 @@
     assert!(!registry.apply_report(now, report("b", 1, 1)));
     assert_eq!(registry.len(), 1);
 }
+
+/// Guards against entries that take an upstream for warm while it is cold: it becomes cold
+/// again, or stays cold for longer, without a restart. Reports that only count down must
+/// not be sent, as each would go to every entry.
+#[rstest]
+#[case::counts_down(9_000, 1_000, 8_000, false)]
+#[case::arrives_a_little_late(9_000, 1_050, 8_000, false)]
+#[case::does_not_advance(9_000, 1_000, 9_000, true)]
+#[case::starts_again(9_000, 1_000, 20_000, true)]
+#[case::cold_again(0, 1_000, 9_000, true)]
+#[case::warm(1_000, 1_000, 0, true)]
+fn a_longer_warm_up_is_a_change(
+    #[case] before_ms: u64,
+    #[case] elapsed_ms: u64,
+    #[case] after_ms: u64,
+    #[case] is_change: bool,
+) {
+    let (mut registry, now) = registry();
+    let mut cold = report("a", 1, 1);
+    cold.warmup_remaining = Duration::from_millis(before_ms);
+    registry.apply_report(now, cold);
+    let seen_change = registry.last_change();
+    let mut cold = report("a", 1, 2);
+    cold.warmup_remaining = Duration::from_millis(after_ms);
+    registry.apply_report(now + Duration::from_millis(elapsed_ms), cold);
+    assert_eq!(registry.last_change() > seen_change, is_change);
+}
+
+/// Guards against a warm-up that grows by less than the tolerance with each report.
+#[test]
+fn a_warm_up_that_grows_slowly_is_a_change() {
+    let (mut registry, now) = registry();
+    let mut cold = report("a", 1, 1);
+    cold.warmup_remaining = Duration::from_secs(10);
+    registry.apply_report(now, cold.clone());
+    let seen_change = registry.last_change();
+    for n in 1..=3 {
+        cold.version.sequence += 1;
+        cold.warmup_remaining -= Duration::from_millis(950);
+        registry.apply_report(now + n * Duration::from_secs(1), cold.clone());
+    }
+    assert!(registry.last_change() > seen_change);
+}
