Permits that limit the new flows of cold upstreams

Cause: no limit applies to the new flows of a cold upstream over all entries.

Change: PermitIssuer grants permits, each for one flow and valid for 250 ms from the entry's request. PermitHolder decides how many an entry requests, from its recent rate of new flows, and reports which were used. A request names all cold upstreams of a service with one number of flows, so that an entry gets no more than it can place.

--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -8,7 +8,7 @@
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_registry::{EvacuationUpdate, Record};
-use currantgate_warmup::{Permit, PermitRequest};
+use currantgate_warmup::{Permit, PermitsRequest, RequestNumber};
 use serde::{Deserialize, Serialize};
 
 /// The path of feeds.
@@ -53,10 +53,8 @@
     WarmupPermits {
         /// Revision that the listener holds.
         revision: Revision,
-        /// Number of the request, which the answer repeats.
-        request: u32,
-        /// Permits that the entry could use.
-        wanted: Vec<PermitRequest>,
+        /// The request, whose number the answer repeats.
+        request: PermitsRequest,
     },
     /// Reports the demand of the entry's callers to the control VM that merges it.
     Demand {
@@ -113,7 +111,7 @@
     /// Permits for cold upstreams, as requested.
     WarmupPermits {
         /// Number of the request.
-        request: u32,
+        request: RequestNumber,
         /// Time to wait before the next request, in milliseconds.
         pace_ms: u16,
         /// Permits that are granted.
