Limit the new flows of cold upstreams by permits of the leader

Cause: the crate for permits was not in use.

Change: control VMs answer requests for permits while they hold the leader's lease, with a new issuer in each term and after a suspension. An entry requests permits from the leader that heartbeats name, only while upstreams are cold whose service has both cold-start-s and cold-per-s. Such an upstream is skipped by placement without a permit, also as a last resort. With a permit it counts as a warm one and comes first among equals, as its permit would expire otherwise. All upstreams of a domain count as cold for cold-start-s after its evacuation has ended. Flows for which only cold upstreams are left are refused with a reason of their own.

--- a/crates/currantgate-control/src/replica/lease.rs
+++ b/crates/currantgate-control/src/replica/lease.rs
@@ -4,7 +4,7 @@
 
 use super::Replica;
 use super::role::Role;
-use crate::{Freshness, LEASE_DURATION, LocalRead, Revision, RevisionId};
+use crate::{Freshness, LEASE_DURATION, LocalRead, Revision, RevisionId, Term};
 
 impl Replica {
     /// Returns the instant at which the leader's lease ends, or `None` if the
@@ -40,6 +40,12 @@
         self.lease_deadline(now).is_some_and(|end| now < end)
     }
 
+    /// Returns the term in which the replica holds the lease at `now`, or `None` if it does
+    /// not hold the lease.
+    pub fn lease_term(&self, now: Instant) -> Option<Term> {
+        self.has_lease(now).then_some(self.hard_state.term)
+    }
+
     /// Returns whether the accepted change of this replica is the latest one.
     pub fn freshness(&self, now: Instant) -> Freshness {
         let Role::Leader(leader) = &self.role else {
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::permits::PERMIT_PREFERENCE;
 use crate::slowness::Slowness;
 use crate::suspicion::Suspicion;
 use crate::{PlacementSettings, Target};
@@ -68,14 +69,40 @@
         is_probe: bool,
         settings: &PlacementSettings,
     ) -> f64 {
-        let capacity = f64::from(self.target.slots.max(1)) * self.speed(now, settings);
+        let speed = self.speed(now, settings);
+        let slowness = self.observed_slowness(now, is_probe, settings);
+        self.load_at(speed, slowness, settings)
+    }
+
+    /// Returns the load that one more flow would cause at a cold upstream with a permit.
+    ///
+    /// It counts as a warm one: permits keep its load low, and would expire unused if any
+    /// idle warm upstream came before it.
+    pub(crate) fn load_with_permit(
+        &self,
+        now: Instant,
+        is_probe: bool,
+        settings: &PlacementSettings,
+    ) -> f64 {
+        let slowness = self.observed_slowness(now, is_probe, settings);
+        let beyond_cold = (slowness * settings.cold_speed_factor).max(1.0);
+        self.load_at(1.0, beyond_cold, settings) - PERMIT_PREFERENCE
+    }
+
+    /// Returns the slowness that this entry or, unless the flow is a probe, the fleet
+    /// observes.
+    fn observed_slowness(&self, now: Instant, is_probe: bool, settings: &PlacementSettings) -> f64 {
+        let fleet_slowness = if is_probe { 1.0 } else { self.fleet_slowness };
+        self.slowness.factor(now, settings).max(fleet_slowness)
+    }
+
+    fn load_at(&self, speed: f64, slowness: f64, settings: &PlacementSettings) -> f64 {
+        let capacity = f64::from(self.target.slots.max(1)) * speed;
         let penalty = if self.target.is_local {
             0.0
         } else {
             settings.remote_domain_penalty
         };
-        let fleet_slowness = if is_probe { 1.0 } else { self.fleet_slowness };
-        let slowness = self.slowness.factor(now, settings).max(fleet_slowness);
         f64::from(self.flows + 1) * slowness / capacity + penalty
     }
 
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission_settings;
 mod candidate;
 mod domain;
+mod permits;
 mod placement;
 mod recent_durations;
 mod refusal;
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -10,6 +10,7 @@
 
 use crate::candidate::{Candidate, Health};
 use crate::domain::Domain;
+use crate::permits::Permits;
 use crate::service::Service;
 use crate::slowness::flow_slowness;
 use crate::{
@@ -37,6 +38,8 @@
     observations: ObservationLog,
     /// Upstreams that the fleet observes as slow.
     fleet_slowness: IndexMap<TargetKey, f64>,
+    /// Cold upstreams that get new flows only with a permit.
+    permits: Permits,
 }
 
 impl Placement {
@@ -52,6 +55,7 @@
             suspicion_changes: Vec::new(),
             observations: ObservationLog::default(),
             fleet_slowness: IndexMap::new(),
+            permits: Permits::default(),
         }
     }
 
@@ -136,6 +140,17 @@
         }
     }
 
+    /// Sets which upstreams get new flows only with a permit while they are cold.
+    pub fn set_limited(&mut self, keys: impl IntoIterator<Item = TargetKey>) {
+        self.permits.limited = keys.into_iter().collect();
+    }
+
+    /// Sets which of the limited upstreams the next flow may be placed on.
+    pub fn set_permitted(&mut self, keys: impl IntoIterator<Item = TargetKey>) {
+        self.permits.permitted.clear();
+        self.permits.permitted.extend(keys);
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
@@ -151,7 +166,7 @@
         let (chosen, (health, load)) = self
             .choose(now, request.service, request.tried)
             .or_else(|| self.choose(now, request.service, &[]))
-            .ok_or(Refusal::NoUpstream)?;
+            .ok_or_else(|| self.refusal(request.service))?;
         let service = &mut self.services[request.service];
         let overload = service
             .admission
@@ -174,6 +189,14 @@
         })
     }
 
+    /// Returns why no upstream of a service can be chosen.
+    fn refusal(&self, service: &str) -> Refusal {
+        match self.services.get(service) {
+            Some(service) if !service.keys.is_empty() => Refusal::OnlyCold,
+            _ => Refusal::NoUpstream,
+        }
+    }
+
     /// Returns the best upstream of a service outside of `tried`, and its rank.
     fn choose(
         &mut self,
@@ -189,11 +212,17 @@
         let mut ties = 0;
         for key in keys.iter().filter(|key| !tried.contains(key)) {
             let candidate = &self.candidates[key];
+            let needs_permit = self.permits.needs_permit(now, &candidate.target);
+            if needs_permit && !self.permits.permitted.contains(key) {
+                continue;
+            }
             let health = self.health(now, candidate);
-            let rank = (
-                health,
-                candidate.load_with_one_more(now, is_probe, &self.settings),
-            );
+            let load = if needs_permit {
+                candidate.load_with_permit(now, is_probe, &self.settings)
+            } else {
+                candidate.load_with_one_more(now, is_probe, &self.settings)
+            };
+            let rank = (health, load);
             if best.is_some_and(|best| rank > best) {
                 continue;
             }
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -66,6 +66,8 @@
     NoRoute,
     /// no upstream of the service is known
     NoUpstream,
+    /// all upstreams of the service are cold and have as many new flows as they bear
+    OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
 }
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -13,13 +13,16 @@
 mod packet;
 mod route;
 mod router;
+mod service_warmup;
 mod settings;
 mod upstreams;
+mod warmup;
 
 pub use decision::{Decision, DropReason, ExpiredFlow, FirstPacketDecision, NextHop, ResetReason};
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
 pub use route::{Route, RouteTable};
 pub use router::TokenRouter;
+pub use service_warmup::ServiceWarmup;
 pub use settings::TokenSettings;
 pub use upstreams::TokenUpstream;
--- a/crates/currantgate-token/src/route.rs
+++ b/crates/currantgate-token/src/route.rs
@@ -6,6 +6,8 @@
 use currantgate_placement::Priority;
 use indexmap::IndexMap;
 
+use crate::ServiceWarmup;
+
 /// Services and request settings for one address and port.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -22,9 +24,10 @@
 }
 
 /// All routes of one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     routes: IndexMap<SocketAddrV4, Route>,
+    warmups: IndexMap<Box<str>, ServiceWarmup>,
 }
 
 impl RouteTable {
@@ -32,9 +35,24 @@
     pub fn new(routes: impl IntoIterator<Item = (SocketAddrV4, Route)>) -> Self {
         Self {
             routes: routes.into_iter().collect(),
+            warmups: IndexMap::new(),
         }
     }
 
+    /// Sets the warm-up of services whose upstreams get few new flows while they are cold.
+    pub fn with_warmups(
+        mut self,
+        warmups: impl IntoIterator<Item = (Box<str>, ServiceWarmup)>,
+    ) -> Self {
+        self.warmups = warmups.into_iter().collect();
+        self
+    }
+
+    /// Returns the warm-up of a service, if the new flows of its cold upstreams are limited.
+    pub fn warmup(&self, service: &str) -> Option<&ServiceWarmup> {
+        self.warmups.get(service)
+    }
+
     /// Returns the route of an address and port.
     pub fn get(&self, address: &SocketAddrV4) -> Option<&Route> {
         self.routes.get(address)
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -7,14 +7,16 @@
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
 };
+use currantgate_warmup::{PermitHolder, WarmupLimit};
 use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
 use crate::upstreams::TokenMap;
+use crate::warmup::Warmup;
 use crate::{
     Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowId, LaterPacket,
-    ResetReason, RouteTable, Token, TokenSettings, TokenUpstream,
+    ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
 };
 
 /// Decides for each packet to which upstream it goes, or why it goes to none.
@@ -34,6 +36,8 @@
     /// Services that would have upstreams in the entry's own domain if that were not
     /// evacuated.
     displaced_services: IndexSet<Box<str>>,
+    /// Cold upstreams and the permits for them, where their new flows are limited.
+    warmup: Option<Warmup>,
     /// Duration of the last completed handshake that was not taken yet.
     handshake_time: Option<Duration>,
 }
@@ -51,10 +55,23 @@
             flows: FlowTable::default(),
             evacuated: IndexSet::new(),
             displaced_services: IndexSet::new(),
+            warmup: None,
             handshake_time: None,
         }
     }
 
+    /// Limits the new flows of cold upstreams whose service has a warm-up: each needs a
+    /// permit. `seed` differs between entries.
+    pub fn limit_cold_upstreams(&mut self, now: Instant, limit: WarmupLimit, seed: u64) {
+        self.warmup = Some(Warmup::new(now, limit, seed));
+    }
+
+    /// Returns the warm-up of a service if the new flows of its cold upstreams are limited.
+    pub fn limited_warmup(&self, service: &str) -> Option<&ServiceWarmup> {
+        self.warmup.as_ref()?;
+        self.routes.warmup(service)
+    }
+
     /// Replaces the routes. Open flows are not affected.
     pub fn set_routes(&mut self, routes: RouteTable) {
         self.routes = routes;
@@ -99,9 +116,31 @@
             }
             None
         });
+        let targets: Vec<_> = targets.collect();
+        if let Some(warmup) = &mut self.warmup {
+            warmup.set_targets(&targets, &self.routes);
+            self.placement.set_limited(warmup.limited());
+        }
         self.placement.set_targets(targets);
     }
 
+    /// Updates which upstreams are cold, after [`Self::set_upstreams`] and as time passes.
+    pub fn update_cold_upstreams(&mut self, now: Instant) {
+        if let Some(warmup) = &mut self.warmup {
+            warmup.update_cold(now);
+        }
+    }
+
+    /// Returns the number of cold upstreams whose new flows are limited.
+    pub fn cold_upstreams(&self) -> usize {
+        self.warmup.as_ref().map_or(0, |warmup| warmup.cold_count)
+    }
+
+    /// Returns the permits for cold upstreams, where their new flows are limited.
+    pub fn permits(&mut self) -> Option<&mut PermitHolder> {
+        self.warmup.as_mut().map(|warmup| &mut warmup.holder)
+    }
+
     /// Decides about the first packet of a flow, or a retransmission of it.
     ///
     /// A duplicate within `duplicate_window`, and any copy for an established flow,
@@ -140,7 +179,15 @@
             may_refuse: packet.retransmissions == 0 && tracked.is_none(),
             tried: unanswered_by.as_slice(),
         };
+        if let Some(warmup) = &mut self.warmup {
+            warmup.holder.record_flow(now, service);
+            self.placement.set_permitted(warmup.holder.permitted(now));
+        }
         let placed = self.placement.place(now, &request);
+        if let (Some(warmup), Ok(placed)) = (&mut self.warmup, &placed) {
+            // Of no effect at warm upstreams, for which there are no permits.
+            warmup.holder.try_use(now, placed.key);
+        }
         let is_displaced = placed.is_ok() && self.displaced_services.contains(service);
         let decision = match placed {
             Ok(placed) => {
@@ -152,10 +199,11 @@
                 };
                 self.forward_first(packet.flow, record)
             }
-            Err(Refusal::NoUpstream) if !self.upstreams_complete => {
+            Err(Refusal::NoUpstream | Refusal::OnlyCold) if !self.upstreams_complete => {
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
+            Err(Refusal::OnlyCold) => Decision::Reset(ResetReason::OnlyCold),
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
             }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -9,7 +9,7 @@
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, Change, Output, ReplaceRequest, Replica, RequestId, Revision,
-    Secret, StorageError, VersionedRequest, VoterId, VoterPlanner,
+    Secret, StorageError, Term, VersionedRequest, VoterId, VoterPlanner,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -161,6 +161,11 @@
         self.replica.is_in_quorum(Instant::now())
     }
 
+    /// Returns the term in which this VM holds the leader's lease, if it does.
+    pub(super) fn lease_term(&self) -> Option<Term> {
+        self.replica.lease_term(Instant::now())
+    }
+
     /// Returns a receiver of the newest committed change.
     pub(super) fn committed(&self) -> watch::Receiver<Option<Arc<Change>>> {
         self.committed.subscribe()
--- a/crates/currantgate/src/control/handle.rs
+++ b/crates/currantgate/src/control/handle.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use currantgate_control::{
-    ApplyAnswer, Change, ReadAnswer, RefuseReason, VersionedRequest, VoterId, VoterPlanner,
+    ApplyAnswer, Change, ReadAnswer, RefuseReason, Term, VersionedRequest, VoterId, VoterPlanner,
 };
 use tokio::sync::watch;
 
@@ -66,6 +66,12 @@
         self.core.borrow().is_in_quorum()
     }
 
+    /// Returns the term in which this VM holds the leader's lease, if it does. No other VM
+    /// holds it at the same time, and none in an earlier term does so later.
+    pub fn lease_term(&self) -> Option<Term> {
+        self.core.borrow().lease_term()
+    }
+
     /// Returns a receiver of the newest committed change.
     pub fn committed(&self) -> watch::Receiver<Option<Arc<Change>>> {
         self.core.borrow().committed()
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -8,6 +8,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_control::{Revision, Secret};
 use currantgate_observation::{Observation, choose_collector};
+use currantgate_warmup::PermitsRequest;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
@@ -181,6 +182,18 @@
         }
     }
 
+    /// Requests permits for cold upstreams from the leader. A request that can't be queued
+    /// is dropped, and another one is sent later.
+    pub(crate) fn request_permits(&self, to: SocketAddr, request: PermitsRequest) {
+        let request = FeedRequest::WarmupPermits {
+            revision: self.shared.revision.get(),
+            request,
+        };
+        if !self.queue(to, request) {
+            log::debug!("a request for permits to {to} is dropped");
+        }
+    }
+
     /// Queues a request for the feed of a control VM; returns whether there was room.
     fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
         let link = self.links.get(&to);
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod listeners;
 mod message;
+mod permits;
 mod revision_tracker;
 mod server;
 mod status;
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -14,12 +14,14 @@
     FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
 };
 use currantgate_registry::{ChangeNumber, Record, UpstreamRegistry};
+use currantgate_warmup::{PermitsAnswer, PermitsRequest};
 use indexmap::IndexMap;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::listeners::{FeedId, Listeners};
 use super::message::{FeedHello, FeedMessage, FeedRequest, Heartbeat};
+use super::permits::LeaderPermits;
 use super::status::FleetStatus;
 use crate::control::ControlHandle;
 
@@ -58,6 +60,8 @@
     listeners: RefCell<Listeners>,
     /// What the entries that report here have observed.
     observations: RefCell<FleetObservations>,
+    /// Permits for cold upstreams, issued while this VM holds the leader's lease.
+    permits: RefCell<LeaderPermits>,
 }
 
 impl FeedSource {
@@ -75,6 +79,7 @@
                 std::time::Instant::now(),
                 FleetSettings::default(),
             )),
+            permits: RefCell::new(LeaderPermits::new()),
         }
     }
 
@@ -126,6 +131,9 @@
     fn heartbeat(&self) -> Heartbeat {
         let handle = self.handle.borrow();
         let handle = handle.as_ref();
+        let lease_term = handle.and_then(ControlHandle::lease_term);
+        let mut permits = self.permits.borrow_mut();
+        permits.update(std::time::Instant::now(), lease_term);
         Heartbeat {
             revision: self.changes.borrow().newest().revision,
             is_in_quorum: handle.is_some_and(ControlHandle::is_in_quorum),
@@ -134,6 +142,14 @@
         }
     }
 
+    /// Returns permits for cold upstreams if this VM holds the leader's lease.
+    fn issue_permits(&self, feed: FeedId, request: &PermitsRequest) -> Option<PermitsAnswer> {
+        let handle = self.handle.borrow();
+        let lease_term = handle.as_ref().and_then(ControlHandle::lease_term);
+        let mut permits = self.permits.borrow_mut();
+        permits.answer(std::time::Instant::now(), lease_term, feed, request)
+    }
+
     /// Publishes a change that is in force. One that is not newer is ignored.
     pub(crate) fn publish(&self, change: Arc<Change>) {
         if self.changes.borrow_mut().publish(change) {
@@ -278,10 +294,25 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
-            FeedRequest::WarmupPermits { .. } | FeedRequest::Demand { .. } => Ok(()),
+            FeedRequest::WarmupPermits { request, .. } => self.send_permits(&request).await,
+            FeedRequest::Demand { .. } => Ok(()),
         }
     }
 
+    /// Sends permits for cold upstreams if this VM holds the leader's lease.
+    async fn send_permits(&mut self, request: &PermitsRequest) -> Result<(), TransportError> {
+        let Some(answer) = self.source.issue_permits(self.id, request) else {
+            return Ok(());
+        };
+        let pace_ms = u16::try_from(answer.pace.as_millis()).unwrap_or(u16::MAX);
+        self.send(&FeedMessage::WarmupPermits {
+            request: request.number,
+            pace_ms,
+            permits: answer.permits,
+        })
+        .await
+    }
+
     /// Sends the requested update. Requests for a revision that is not held here are
     /// ignored.
     async fn send_update(
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -12,6 +12,7 @@
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
 use currantgate_token::{TokenRouter, TokenUpstream};
+use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
@@ -22,6 +23,7 @@
 use super::packet_socket::PacketSocket;
 use super::routing::Routing;
 use super::settings::TokenEntrySettings;
+use super::warm_at::warm_at;
 use crate::feed::{
     EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
     RevisionTracker,
@@ -83,9 +85,14 @@
         let is_ready = Rc::new(Cell::new(false));
         let metrics = TokenEntryMetrics::default();
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
+        let mut router = TokenRouter::new(settings.routing.clone(), settings.placement.clone());
+        if let Some(limit) = settings.warmup_limit {
+            router.limit_cold_upstreams(Instant::now(), limit, settings.placement.seed);
+        }
         let core = Core {
             routing: Routing {
-                router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+                router,
+                suspensions: SuspensionDetector::new(ClockReading::now()),
                 metrics: metrics.clone(),
                 decisions: DecisionLog::new(Instant::now(), settings.domain.clone()),
             },
@@ -97,6 +104,7 @@
             routed_upstreams: 0,
             links,
             collector: None,
+            leader: None,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -161,6 +169,9 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
+    /// it.
+    leader: Option<SocketAddr>,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -176,6 +187,7 @@
         let mut observation_interval = actix_rt::time::interval(OBSERVATION_INTERVAL);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         loop {
+            let permits_due = self.next_permits_request_at();
             tokio::select! {
                 readable = self.packets.readable() => match readable {
                     Ok(()) => self.packets.process_batch(&mut self.routing),
@@ -197,6 +209,7 @@
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
+                () = wait_until(permits_due) => self.request_permits(),
                 _ = observation_interval.tick() => self.report_observations(),
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
@@ -219,6 +232,7 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
                 if self.collector == Some(from) {
                     self.collector = None;
@@ -229,6 +243,9 @@
                 self.routing.decisions.view_at = now;
                 self.revisions
                     .record(from, heartbeat.revision, heartbeat.is_in_quorum);
+                if heartbeat.is_in_quorum && heartbeat.leader.is_some() {
+                    self.leader = heartbeat.leader;
+                }
             }
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
                 self.routing.decisions.view_at = now;
@@ -243,7 +260,20 @@
             FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
                 self.apply_evacuations(now, from, state);
             }
-            FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
+            FeedEvent::Message(
+                _,
+                FeedMessage::WarmupPermits {
+                    request,
+                    pace_ms,
+                    permits,
+                },
+            ) => {
+                self.routing.drop_permits_after_suspension();
+                if let Some(holder) = self.routing.router.permits() {
+                    let pace = Duration::from_millis(pace_ms.into());
+                    holder.receive(Instant::now(), request, pace, &permits);
+                }
+            }
             FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
         }
     }
@@ -261,6 +291,24 @@
         self.update_upstreams(now);
     }
 
+    /// Returns when the next request for permits may be due: nothing while no upstream is
+    /// cold or no leader is known.
+    fn next_permits_request_at(&mut self) -> Option<Instant> {
+        self.leader?;
+        self.routing.router.permits()?.next_request_at()
+    }
+
+    /// Requests permits for cold upstreams from the leader.
+    fn request_permits(&mut self) {
+        self.routing.drop_permits_after_suspension();
+        if let Some(leader) = self.leader
+            && let Some(holder) = self.routing.router.permits()
+            && let Some(request) = holder.next_request(Instant::now())
+        {
+            self.links.request_permits(leader, request);
+        }
+    }
+
     /// Reports what was observed of upstreams since the last call.
     ///
     /// When the collector changes, the slow upstreams are cleared, as the previous one
@@ -299,6 +347,8 @@
                 );
                 self.routing.router.set_routes(routes);
                 self.routing.decisions.revision = change.revision;
+                // Services may limit their cold upstreams from now on.
+                self.update_upstreams(Instant::now());
             }
             // Control VMs validate each file, so their release differs from this one.
             Err(e) => log::error!("revision {} is not applied: {e}", change.revision),
@@ -358,16 +408,26 @@
         self.routing.decisions.log_availability_changes(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
+        let router = &mut self.routing.router;
         let routable = upstreams
             .iter()
-            .filter_map(|upstream| to_routable(upstream, domain, format))
+            .filter_map(|upstream| {
+                let warmup = router.limited_warmup(&upstream.report.service);
+                let returned_at = self.evacuations.returned_at(&upstream.report.domain);
+                let warm_at = warm_at(upstream, warmup, returned_at);
+                to_routable(upstream, warm_at, domain, format)
+            })
             .collect();
-        self.routing.router.set_upstreams(routable);
+        router.set_upstreams(routable);
+        router.update_cold_upstreams(now);
         self.routing.metrics.set_state(
             self.routing.router.tracked_flows(),
             count,
             self.revisions.revision(),
         );
+        self.routing
+            .metrics
+            .set_cold_upstreams(self.routing.router.cold_upstreams());
         let evacuated = self.evacuations.evacuated();
         let open_flows = evacuated.map(|domain| self.routing.router.open_flows_in(domain));
         self.routing
@@ -376,10 +436,19 @@
     }
 }
 
+/// Waits until the given time, or forever if there is none.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => actix_rt::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Converts an upstream for the router, with a target for new flows if it takes
 /// any. Returns `None` if its id can't be encoded in packets.
 fn to_routable<F: WireFormat>(
     upstream: &Upstream,
+    warm_at: Instant,
     domain: &str,
     format: &F,
 ) -> Option<(TokenUpstream, Option<Target>)> {
@@ -403,7 +472,7 @@
         domain: report.domain.clone(),
         is_local: &*report.domain == domain,
         slots: report.slots,
-        warm_at: upstream.warm_at,
+        warm_at,
         is_reporting: upstream.availability == Availability::Ready,
     };
     let takes_flows = upstream.availability != Availability::Closed;
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -103,7 +103,7 @@
         };
         let view_age_ms = self.view_age_ms(now);
         match reason {
-            ResetReason::NoRoute | ResetReason::NoUpstream => log::info!(
+            ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => log::info!(
                 event = "refused",
                 flow:% = flow,
                 revision = self.revision,
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -29,6 +29,7 @@
     flows: Gauge,
     upstreams: Gauge,
     slow_upstreams: Gauge,
+    cold_upstreams: Gauge,
     revision: Gauge,
     evacuation_revision: Gauge,
     evacuated_domains: Gauge,
@@ -47,6 +48,7 @@
             flows: Gauge::default(),
             upstreams: Gauge::default(),
             slow_upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
             revision: Gauge::default(),
             evacuation_revision: Gauge::default(),
             evacuated_domains: Gauge::default(),
@@ -94,6 +96,11 @@
             "Upstreams that are avoided, as the entries of the domain observe them as slow",
             self.slow_upstreams.clone(),
         );
+        registry.register(
+            "upstreams_cold",
+            "Upstreams that get new flows only with a permit, as they are warming up",
+            self.cold_upstreams.clone(),
+        );
         registry.register(
             "routes_revision",
             "The revision of the routes in force here",
@@ -176,6 +183,11 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_cold_upstreams(&self, count: usize) {
+        self.cold_upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_evacuations(&self, evacuations: &EvacuationView, open_flows: u32) {
         let revision = i64::try_from(evacuations.revision()).unwrap_or(i64::MAX);
         self.evacuation_revision.set(revision);
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -9,6 +9,7 @@
 mod packet_socket;
 mod routing;
 mod settings;
+mod warm_at;
 
 pub use daemon::TokenEntry;
 pub use error::TokenEntryError;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -4,6 +4,7 @@
 
 use currantgate_observation::SlowUpstream;
 use currantgate_token::{Decision, FlowId, TokenRouter};
+use currantgate_warmup::{ClockReading, SuspensionDetector};
 
 use super::decision_log::DecisionLog;
 use super::format::{MalformedPacket, Packet};
@@ -15,6 +16,7 @@
     pub(super) router: TokenRouter,
     pub(super) metrics: TokenEntryMetrics,
     pub(super) decisions: DecisionLog,
+    pub(super) suspensions: SuspensionDetector,
 }
 
 impl Routing {
@@ -22,6 +24,7 @@
     pub(super) fn decide(&mut self, now: Instant, packet: Packet) -> (FlowId, Decision) {
         let (flow, decision) = match packet {
             Packet::First(packet) => {
+                let now = self.check_permits(now);
                 let decided = self.router.route_first(now, packet);
                 self.decisions
                     .log_first_packet(now, &packet.flow, &decided, &self.router);
@@ -44,6 +47,28 @@
         (flow, decision)
     }
 
+    /// Drops permits for cold upstreams after a suspension of the VM. Returns the current
+    /// time where there are permits: `now` is that of a batch of packets, in which the
+    /// process may have been stopped.
+    fn check_permits(&mut self, now: Instant) -> Instant {
+        let has_permits = self.router.permits().is_some_and(|p| p.has_permits());
+        if !has_permits {
+            return now;
+        }
+        self.drop_permits_after_suspension();
+        Instant::now()
+    }
+
+    /// Drops permits for cold upstreams if the VM was suspended, as the clock that their
+    /// lifetime is measured by was stopped.
+    pub(super) fn drop_permits_after_suspension(&mut self) {
+        if self.suspensions.detect(ClockReading::now())
+            && let Some(permits) = self.router.permits()
+        {
+            permits.clear(Instant::now());
+        }
+    }
+
     /// Applies changes of what all entries observe of upstreams.
     pub(super) fn update_slow_upstreams(&mut self, now: Instant, changes: &[SlowUpstream]) {
         self.router.update_slow_upstreams(changes);
