--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -136,6 +136,11 @@
         self.warmup.as_ref().map_or(0, |warmup| warmup.cold_count)
     }
 
+    /// Returns the number of permits for cold upstreams that were used.
+    pub fn used_permits(&self) -> u64 {
+        self.warmup.as_ref().map_or(0, |warmup| warmup.used_permits)
+    }
+
     /// Returns the permits for cold upstreams, where their new flows are limited.
     pub fn permits(&mut self) -> Option<&mut PermitHolder> {
         self.warmup.as_mut().map(|warmup| &mut warmup.holder)
@@ -185,8 +190,8 @@
         }
         let placed = self.placement.place(now, &request);
         if let (Some(warmup), Ok(placed)) = (&mut self.warmup, &placed) {
-            // Of no effect at warm upstreams, for which there are no permits.
-            warmup.holder.try_use(now, placed.key);
+            // There are no permits for warm upstreams.
+            warmup.used_permits += u64::from(warmup.holder.try_use(now, placed.key));
         }
         let is_displaced = placed.is_ok() && self.displaced_services.contains(service);
         let decision = match placed {
--- a/crates/currantgate-token/src/service_warmup.rs
+++ b/crates/currantgate-token/src/service_warmup.rs
@@ -1,6 +1,11 @@
 //! The warm-up of a service's upstreams.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Time for which an upstream still counts as cold after its warm-up by this VM's clock.
+/// It covers clocks that differ by 1 % over half a minute, and the tolerance with which
+/// control VMs pass on changes.
+const COLD_MARGIN: Duration = Duration::from_millis(500);
 
 /// What the configuration says about the cold upstreams of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -10,3 +15,20 @@
     /// New flows per second that a cold upstream bears.
     pub flows_per_second: f64,
 }
+
+impl ServiceWarmup {
+    /// Returns when an upstream counts as warm, given the end of the warm-up that it has
+    /// reported, if any, and of the last evacuation of its failure domain.
+    ///
+    /// An upstream that became cold shortly before the end of the evacuation may report
+    /// that up to a report interval later. So all upstreams of the domain count as cold
+    /// until one that started at the end would be warm.
+    pub fn warm_at(
+        &self,
+        reported: Option<Instant>,
+        returned_at: Option<Instant>,
+    ) -> Option<Instant> {
+        let returned = returned_at.map(|at| at + self.duration);
+        reported.max(returned).map(|at| at + COLD_MARGIN)
+    }
+}
--- a/crates/currantgate-token/src/warmup.rs
+++ b/crates/currantgate-token/src/warmup.rs
@@ -9,23 +9,31 @@
 use crate::RouteTable;
 
 /// An upstream that gets new flows only with a permit while it is cold.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct LimitedUpstream {
     key: TargetKey,
-    service: Box<str>,
     is_local: bool,
-    limit: u16,
     warm_at: Instant,
 }
 
+/// The upstreams of a service that limits its cold ones.
+#[derive(Clone, Debug)]
+struct LimitedService {
+    /// Most new flows of each cold upstream in a second from all entries together.
+    limit: u16,
+    upstreams: Vec<LimitedUpstream>,
+}
+
 /// The cold upstreams of an entry, and its permits for them.
 #[derive(Debug)]
 pub(crate) struct Warmup {
     limit: WarmupLimit,
     pub(crate) holder: PermitHolder,
-    limited: Vec<LimitedUpstream>,
+    services: IndexMap<Box<str>, LimitedService>,
     /// Number of upstreams that were cold at the last update.
     pub(crate) cold_count: usize,
+    /// Number of permits that were used.
+    pub(crate) used_permits: u64,
 }
 
 impl Warmup {
@@ -33,31 +41,40 @@
         Self {
             limit,
             holder: PermitHolder::new(now, seed),
-            limited: Vec::new(),
+            services: IndexMap::new(),
             cold_count: 0,
+            used_permits: 0,
         }
     }
 
     /// Replaces the upstreams, of which those of services with a warm-up are limited.
     pub(crate) fn set_targets(&mut self, targets: &[Target], routes: &RouteTable) {
-        self.limited.clear();
+        self.services.clear();
         for target in targets {
-            let Some(warmup) = routes.warmup(&target.service) else {
-                continue;
-            };
-            self.limited.push(LimitedUpstream {
+            let upstream = LimitedUpstream {
                 key: target.key,
-                service: target.service.clone(),
                 is_local: target.is_local,
-                limit: self.limit.flows_per_second(warmup.flows_per_second),
                 warm_at: target.warm_at,
-            });
+            };
+            if let Some(service) = self.services.get_mut(&target.service) {
+                service.upstreams.push(upstream);
+            } else if let Some(warmup) = routes.warmup(&target.service) {
+                let service = LimitedService {
+                    limit: self.limit.flows_per_second(warmup.flows_per_second),
+                    upstreams: vec![upstream],
+                };
+                self.services.insert(target.service.clone(), service);
+            }
         }
     }
 
     /// Returns the upstreams that need a permit while they are cold.
     pub(crate) fn limited(&self) -> impl Iterator<Item = TargetKey> {
-        self.limited.iter().map(|upstream| upstream.key)
+        let upstreams = self
+            .services
+            .values()
+            .flat_map(|service| &service.upstreams);
+        upstreams.map(|upstream| upstream.key)
     }
 
     /// Updates for which upstreams permits are requested.
@@ -66,24 +83,17 @@
     /// for those: the others are the choice of entries in their domains, and permits that
     /// are not used are lost to these for a while.
     pub(crate) fn update_cold(&mut self, now: Instant) {
-        let mut services: IndexMap<&str, Vec<&LimitedUpstream>> = IndexMap::new();
-        for upstream in &self.limited {
-            services
-                .entry(&upstream.service)
-                .or_default()
-                .push(upstream);
-        }
         self.cold_count = 0;
-        let mut cold_services = Vec::new();
-        for (service, upstreams) in services {
-            let has_local = upstreams.iter().any(|upstream| upstream.is_local);
-            let cold = upstreams.iter().filter(|upstream| now < upstream.warm_at);
+        let mut cold_services = Vec::with_capacity(self.services.len());
+        for (name, service) in &self.services {
+            let has_local = service.upstreams.iter().any(|u| u.is_local);
+            let cold = service.upstreams.iter().filter(|u| now < u.warm_at);
             self.cold_count += cold.clone().count();
-            let usable = cold.filter(|upstream| upstream.is_local || !has_local);
+            let usable = cold.filter(|u| u.is_local || !has_local);
             cold_services.push(ColdService {
-                service: service.into(),
-                limit: upstreams.first().map_or(0, |upstream| upstream.limit),
-                keys: usable.map(|upstream| upstream.key).collect(),
+                service: name.clone(),
+                limit: service.limit,
+                keys: usable.map(|u| u.key).collect(),
             });
         }
         self.holder.set_cold(now, cold_services);
--- /dev/null
+++ b/crates/currantgate-token/tests/service_warmup.rs
@@ -0,0 +1,28 @@
+//! The time at which upstreams count as warm.
+
+use std::time::{Duration, Instant};
+
+use currantgate_token::ServiceWarmup;
+
+/// Guards against upstreams of a domain that returns which count as warm although they
+/// have just started, and against a domain's return that shortens a reported warm-up.
+#[test]
+fn upstreams_of_a_returned_domain_count_as_cold() {
+    let warmup = ServiceWarmup {
+        duration: Duration::from_secs(20),
+        flows_per_second: 0.0,
+    };
+    let now = Instant::now();
+    let after = |s| now + Duration::from_secs(s);
+    let margin = Duration::from_secs(1);
+    assert_eq!(warmup.warm_at(None, None), None);
+    let reported = warmup.warm_at(Some(after(30)), None).unwrap();
+    assert!(reported >= after(30) && reported < after(30) + margin);
+    assert_eq!(
+        warmup.warm_at(Some(after(30)), Some(now)),
+        Some(reported),
+        "the reported warm-up ends later"
+    );
+    let returned = warmup.warm_at(None, Some(now)).unwrap();
+    assert!(returned >= after(20) && returned < after(20) + margin);
+}
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -182,14 +182,15 @@
         }
     }
 
-    /// Requests permits for cold upstreams from the leader. A request that can't be queued
-    /// is dropped, and another one is sent later.
+    /// Requests permits for cold upstreams from the leader. A request that can't be sent at
+    /// once is dropped: its permits would have expired when the feed opens.
     pub(crate) fn request_permits(&self, to: SocketAddr, request: PermitsRequest) {
         let request = FeedRequest::WarmupPermits {
             revision: self.shared.revision.get(),
             request,
         };
-        if !self.queue(to, request) {
+        let is_connected = self.links.get(&to).is_some_and(|link| link.is_connected);
+        if !is_connected || !self.queue(to, request) {
             log::debug!("a request for permits to {to} is dropped");
         }
     }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -23,7 +23,6 @@
 use super::packet_socket::PacketSocket;
 use super::routing::Routing;
 use super::settings::TokenEntrySettings;
-use super::warm_at::warm_at;
 use crate::feed::{
     EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
     RevisionTracker,
@@ -412,9 +411,13 @@
         let routable = upstreams
             .iter()
             .filter_map(|upstream| {
-                let warmup = router.limited_warmup(&upstream.report.service);
-                let returned_at = self.evacuations.returned_at(&upstream.report.domain);
-                let warm_at = warm_at(upstream, warmup, returned_at);
+                let report = &upstream.report;
+                let is_cold = !report.warmup_remaining.is_zero();
+                let reported = is_cold.then_some(upstream.warm_at);
+                let returned_at = self.evacuations.returned_at(&report.domain);
+                let warmup = router.limited_warmup(&report.service);
+                let limited = warmup.and_then(|w| w.warm_at(reported, returned_at));
+                let warm_at = limited.unwrap_or(upstream.warm_at);
                 to_routable(upstream, warm_at, domain, format)
             })
             .collect();
@@ -425,9 +428,10 @@
             count,
             self.revisions.revision(),
         );
+        let router = &self.routing.router;
         self.routing
             .metrics
-            .set_cold_upstreams(self.routing.router.cold_upstreams());
+            .set_warmup(router.cold_upstreams(), router.used_permits());
         let evacuated = self.evacuations.evacuated();
         let open_flows = evacuated.map(|domain| self.routing.router.open_flows_in(domain));
         self.routing
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -30,6 +30,7 @@
     upstreams: Gauge,
     slow_upstreams: Gauge,
     cold_upstreams: Gauge,
+    warmup_permits_used: Counter,
     revision: Gauge,
     evacuation_revision: Gauge,
     evacuated_domains: Gauge,
@@ -49,6 +50,7 @@
             upstreams: Gauge::default(),
             slow_upstreams: Gauge::default(),
             cold_upstreams: Gauge::default(),
+            warmup_permits_used: Counter::default(),
             revision: Gauge::default(),
             evacuation_revision: Gauge::default(),
             evacuated_domains: Gauge::default(),
@@ -101,6 +103,11 @@
             "Upstreams that get new flows only with a permit, as they are warming up",
             self.cold_upstreams.clone(),
         );
+        registry.register(
+            "warmup_permits_used",
+            "Flows placed on upstreams that are warming up, each with a permit",
+            self.warmup_permits_used.clone(),
+        );
         registry.register(
             "routes_revision",
             "The revision of the routes in force here",
@@ -183,9 +190,13 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    pub(super) fn set_cold_upstreams(&self, count: usize) {
+    /// Sets the number of cold upstreams, and that of the permits used since the start.
+    pub(super) fn set_warmup(&self, cold_upstreams: usize, used_permits: u64) {
         self.cold_upstreams
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
+            .set(i64::try_from(cold_upstreams).unwrap_or(i64::MAX));
+        let counted = self.warmup_permits_used.get();
+        self.warmup_permits_used
+            .inc_by(used_permits.saturating_sub(counted));
     }
 
     pub(super) fn set_evacuations(&self, evacuations: &EvacuationView, open_flows: u32) {
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -9,7 +9,6 @@
 mod packet_socket;
 mod routing;
 mod settings;
-mod warm_at;
 
 pub use daemon::TokenEntry;
 pub use error::TokenEntryError;
