Drop copies of first packets when only cold upstreams are left

Cause: such a copy was reset, although an upstream may have answered the flow by way of another entry. Permits were requested for upstreams that do not report, which are the last choice, so that they expired unused.

Change: the copy is dropped with a reason of its own, and upstreams that do not report are not named in requests.

Measured: `cargo test -p currantgate-token` passes, 27 tests.

--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -81,4 +81,6 @@
     RoutesOutOfDate,
     /// no upstream of the service is known, and some may not have been told yet
     UpstreamsIncomplete,
+    /// all upstreams of the service are cold, and one may have answered an earlier copy
+    OnlyCold,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -208,6 +208,7 @@
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
+            Err(Refusal::OnlyCold) if !request.may_refuse => Decision::Drop(DropReason::OnlyCold),
             Err(Refusal::OnlyCold) => Decision::Reset(ResetReason::OnlyCold),
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
--- a/crates/currantgate-token/src/warmup.rs
+++ b/crates/currantgate-token/src/warmup.rs
@@ -13,6 +13,7 @@
 struct LimitedUpstream {
     key: TargetKey,
     is_local: bool,
+    is_reporting: bool,
     warm_at: Instant,
 }
 
@@ -54,6 +55,7 @@
             let upstream = LimitedUpstream {
                 key: target.key,
                 is_local: target.is_local,
+                is_reporting: target.is_reporting,
                 warm_at: target.warm_at,
             };
             if let Some(service) = self.services.get_mut(&target.service) {
@@ -81,7 +83,8 @@
     ///
     /// Where a service has upstreams in the entry's own domain, permits are requested only
     /// for those: the others are the choice of entries in their domains, and permits that
-    /// are not used are lost to these for a while.
+    /// are not used are lost to these for a while. So are those for upstreams that do not
+    /// report, which are the last choice.
     pub(crate) fn update_cold(&mut self, now: Instant) {
         self.cold_count = 0;
         let mut cold_services = Vec::with_capacity(self.services.len());
@@ -89,7 +92,7 @@
             let has_local = service.upstreams.iter().any(|u| u.is_local);
             let cold = service.upstreams.iter().filter(|u| now < u.warm_at);
             self.cold_count += cold.clone().count();
-            let usable = cold.filter(|u| u.is_local || !has_local);
+            let usable = cold.filter(|u| u.is_reporting && (u.is_local || !has_local));
             cold_services.push(ColdService {
                 service: name.clone(),
                 limit: service.limit,
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -694,7 +694,8 @@
     assert!(warm.collect::<Vec<_>>().contains(&2), "it is warm by now");
 }
 
-/// Guards against flows that wait for a timeout when only cold upstreams are left.
+/// Guards against flows that wait for a timeout when only cold upstreams are left, and
+/// against the reset of one that an upstream has answered by way of another entry.
 #[test]
 fn a_flow_is_refused_when_only_cold_upstreams_are_left() {
     let mut entry = entry_with_cold(&[1, 2]);
@@ -702,6 +703,7 @@
         entry.send_first(0, 0),
         Decision::Reset(ResetReason::OnlyCold)
     );
+    assert_eq!(entry.send_first(1, 1), Decision::Drop(DropReason::OnlyCold));
 }
 
 /// Guards against permits that expire because idle warm upstreams come first, and against
