--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -30,6 +30,9 @@
     pub placed: Option<Placed>,
     /// Token of the upstream that left an earlier copy unanswered.
     pub unanswered_by: Option<Token>,
+    /// Whether the flow was placed in another failure domain because the entry's own is
+    /// evacuated.
+    pub is_displaced: bool,
 }
 
 /// A flow whose record was removed because its caller has given up.
@@ -63,6 +66,8 @@
     NoRoute,
     /// no upstream of the service is known
     NoUpstream,
+    /// all upstreams of the service are cold and have as many new flows as they bear
+    OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
 }
@@ -76,4 +81,6 @@
     RoutesOutOfDate,
     /// no upstream of the service is known, and some may not have been told yet
     UpstreamsIncomplete,
+    /// all upstreams of the service are cold, and one may have answered an earlier copy
+    OnlyCold,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -7,13 +7,16 @@
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
 };
+use currantgate_warmup::{PermitHolder, WarmupLimit};
+use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
 use crate::upstreams::TokenMap;
+use crate::warmup::Warmup;
 use crate::{
     Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowId, LaterPacket,
-    ResetReason, RouteTable, Token, TokenSettings, TokenUpstream,
+    ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
 };
 
 /// Decides for each packet to which upstream it goes, or why it goes to none.
@@ -28,6 +31,13 @@
     /// Whether the list of upstreams had the time to become complete.
     upstreams_complete: bool,
     flows: FlowTable,
+    /// Failure domains whose upstreams get no new flows.
+    evacuated: IndexSet<Box<str>>,
+    /// Services that would have upstreams in the entry's own domain if that were not
+    /// evacuated.
+    displaced_services: IndexSet<Box<str>>,
+    /// Cold upstreams and the permits for them, where their new flows are limited.
+    warmup: Option<Warmup>,
     /// Duration of the last completed handshake that was not taken yet.
     handshake_time: Option<Duration>,
 }
@@ -43,10 +53,25 @@
             routes_current: false,
             upstreams_complete: false,
             flows: FlowTable::default(),
+            evacuated: IndexSet::new(),
+            displaced_services: IndexSet::new(),
+            warmup: None,
             handshake_time: None,
         }
     }
 
+    /// Limits the new flows of cold upstreams whose service has a warm-up: each needs a
+    /// permit. `seed` differs between entries.
+    pub fn limit_cold_upstreams(&mut self, now: Instant, limit: WarmupLimit, seed: u64) {
+        self.warmup = Some(Warmup::new(now, limit, seed));
+    }
+
+    /// Returns the warm-up of a service if the new flows of its cold upstreams are limited.
+    pub fn limited_warmup(&self, service: &str) -> Option<&ServiceWarmup> {
+        self.warmup.as_ref()?;
+        self.routes.warmup(service)
+    }
+
     /// Replaces the routes. Open flows are not affected.
     pub fn set_routes(&mut self, routes: RouteTable) {
         self.routes = routes;
@@ -64,18 +89,63 @@
         self.upstreams_complete = complete;
     }
 
+    /// Sets the failure domains whose upstreams get no new flows. It takes effect with the
+    /// next [`Self::set_upstreams`].
+    pub fn set_evacuated(&mut self, domains: impl IntoIterator<Item = Box<str>>) {
+        self.evacuated = domains.into_iter().collect();
+    }
+
     /// Replaces all upstreams. Those that may get new flows come with a placement
     /// target, whose key is set to the upstream's token.
+    ///
+    /// Upstreams of evacuated domains still get the packets of their open flows.
     pub fn set_upstreams(&mut self, upstreams: Vec<(TokenUpstream, Option<Target>)>) {
         let listed = upstreams.iter().map(|(upstream, _)| upstream.clone());
         let tokens = self.tokens.replace(listed.collect());
+        let evacuated = &self.evacuated;
+        let displaced_services = &mut self.displaced_services;
+        displaced_services.clear();
         let targets = upstreams.into_iter().filter_map(|(upstream, target)| {
             let key = *tokens.get(&upstream.id)?;
-            target.map(|target| Target { key, ..target })
+            let target = target?;
+            if !evacuated.contains(&target.domain) {
+                return Some(Target { key, ..target });
+            }
+            if target.is_local {
+                displaced_services.insert(target.service);
+            }
+            None
         });
+        let targets: Vec<_> = targets.collect();
+        if let Some(warmup) = &mut self.warmup {
+            warmup.set_targets(&targets, &self.routes);
+            self.placement.set_limited(warmup.limited());
+        }
         self.placement.set_targets(targets);
     }
 
+    /// Updates which upstreams are cold, after [`Self::set_upstreams`] and as time passes.
+    pub fn update_cold_upstreams(&mut self, now: Instant) {
+        if let Some(warmup) = &mut self.warmup {
+            warmup.update_cold(now);
+        }
+    }
+
+    /// Returns the number of cold upstreams whose new flows are limited.
+    pub fn cold_upstreams(&self) -> usize {
+        self.warmup.as_ref().map_or(0, |warmup| warmup.cold_count)
+    }
+
+    /// Returns the number of permits for cold upstreams that were used.
+    pub fn used_permits(&self) -> u64 {
+        self.warmup.as_ref().map_or(0, |warmup| warmup.used_permits)
+    }
+
+    /// Returns the permits for cold upstreams, where their new flows are limited.
+    pub fn permits(&mut self) -> Option<&mut PermitHolder> {
+        self.warmup.as_mut().map(|warmup| &mut warmup.holder)
+    }
+
     /// Decides about the first packet of a flow, or a retransmission of it.
     ///
     /// A duplicate within `duplicate_window`, and any copy for an established flow,
@@ -114,7 +184,16 @@
             may_refuse: packet.retransmissions == 0 && tracked.is_none(),
             tried: unanswered_by.as_slice(),
         };
+        if let Some(warmup) = &mut self.warmup {
+            warmup.holder.record_flow(now, service);
+            self.placement.set_permitted(warmup.holder.permitted(now));
+        }
         let placed = self.placement.place(now, &request);
+        if let (Some(warmup), Ok(placed)) = (&mut self.warmup, &placed) {
+            // There are no permits for warm upstreams.
+            warmup.used_permits += u64::from(warmup.holder.try_use(now, placed.key));
+        }
+        let is_displaced = placed.is_ok() && self.displaced_services.contains(service);
         let decision = match placed {
             Ok(placed) => {
                 let record = FlowRecord {
@@ -126,10 +205,12 @@
                 };
                 self.forward_first(packet.flow, record)
             }
-            Err(Refusal::NoUpstream) if !self.upstreams_complete => {
+            Err(Refusal::NoUpstream | Refusal::OnlyCold) if !self.upstreams_complete => {
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
             Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
+            Err(Refusal::OnlyCold) if !request.may_refuse => Decision::Drop(DropReason::OnlyCold),
+            Err(Refusal::OnlyCold) => Decision::Reset(ResetReason::OnlyCold),
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
             }
@@ -138,6 +219,7 @@
             decision,
             placed: placed.ok(),
             unanswered_by,
+            is_displaced,
         }
     }
 
@@ -259,6 +341,11 @@
         self.tokens.id(token)
     }
 
+    /// Returns the number of flows with a record whose upstream is in a failure domain.
+    pub fn open_flows_in(&self, domain: &str) -> u32 {
+        self.placement.open_flows_in(domain)
+    }
+
     /// Returns the number of flows that have a record, opening or established.
     pub fn tracked_flows(&self) -> usize {
         self.flows.len()
@@ -281,5 +368,6 @@
         decision,
         placed: None,
         unanswered_by: None,
+        is_displaced: false,
     }
 }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -6,8 +6,9 @@
 use currantgate_placement::{PlacementSettings, Target};
 use currantgate_token::{
     Decision, DropReason, FirstPacket, FlowId, LaterPacket, NextHop, ResetReason, Route,
-    RouteTable, TokenRouter, TokenSettings, TokenUpstream,
+    RouteTable, ServiceWarmup, TokenRouter, TokenSettings, TokenUpstream,
 };
+use currantgate_warmup::{Permit, WarmupLimit};
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed};
 use rstest::rstest;
@@ -631,3 +632,146 @@
         }
     }
 }
+
+/// Passes upstreams 1 to 4 to the router, of which the even ones are in the remote domain
+/// `b` and the others in the entry's domain `a`.
+fn set_two_domains(entry: &mut Entry, evacuated: &[&str]) {
+    entry
+        .router
+        .set_evacuated(evacuated.iter().map(|domain| (*domain).into()));
+    let listed = (1..=4).map(|n| {
+        let (token_upstream, target) = upstream(n, entry.now);
+        let target = target.map(|target| Target {
+            domain: if n.is_multiple_of(2) { "b" } else { "a" }.into(),
+            is_local: !n.is_multiple_of(2),
+            ..target
+        });
+        (token_upstream, target)
+    });
+    entry.router.set_upstreams(listed.collect());
+}
+
+fn is_in_b(hop: NextHop) -> bool {
+    hop.address.ip().octets()[3].is_multiple_of(2)
+}
+
+/// Guards against new flows at an evacuated domain, and against open flows that are cut
+/// by its evacuation.
+#[test]
+fn an_evacuated_domain_keeps_its_flows_and_gets_no_new_ones() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &[]);
+    let open: Vec<_> = (0..20).map(|n| entry.open_flow(n)).collect();
+    let in_a = open.iter().filter(|hop| !is_in_b(**hop)).count();
+    set_two_domains(&mut entry, &["a"]);
+    assert_eq!(entry.router.open_flows_in("a") as usize, in_a);
+    for (n, hop) in (0..).zip(&open) {
+        assert_eq!(
+            entry.send_later(n, hop.token, false),
+            Decision::Forward(*hop)
+        );
+    }
+    for n in 100..200 {
+        let packet = FirstPacket {
+            flow: flow(n),
+            retransmissions: 0,
+        };
+        let decided = entry.router.route_first(entry.now, packet);
+        assert!(is_in_b(hop(decided.decision)));
+        assert!(decided.is_displaced, "the log must show the evacuation");
+    }
+}
+
+/// Guards against flows that wait for a timeout when no domain is left, and against
+/// domains that return together when only one evacuation is finished.
+#[test]
+fn flows_are_refused_without_a_domain_and_return_in_steps() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &["a", "b"]);
+    for n in 0..10 {
+        assert_eq!(
+            entry.send_first(n, 0),
+            Decision::Reset(ResetReason::NoUpstream)
+        );
+    }
+    set_two_domains(&mut entry, &["a"]);
+    let hops: Vec<_> = (10..30).map(|n| entry.open_flow(n)).collect();
+    assert!(hops.into_iter().all(is_in_b));
+    set_two_domains(&mut entry, &[]);
+    let hops: Vec<_> = (30..50).map(|n| entry.open_flow(n)).collect();
+    assert!(!hops.into_iter().all(is_in_b));
+}
+
+/// An entry whose upstreams 1 and 2 are cold if they are listed in `cold`, at a limit of 5.
+fn entry_with_cold(cold: &[u8]) -> Entry {
+    let mut entry = Entry::new([], 1);
+    let limit = WarmupLimit {
+        overrun: 1.5,
+        slack: 5.0,
+    };
+    entry.router.limit_cold_upstreams(entry.now, limit, 0);
+    let warmup = ServiceWarmup {
+        duration: Duration::from_secs(30),
+        flows_per_second: 0.0,
+    };
+    let routes = RouteTable::new([(SERVICE, route(&[("booking", 1)]))]);
+    entry
+        .router
+        .set_routes(routes.with_warmups([("booking".into(), warmup)]));
+    let listed = (1..=2).map(|n| {
+        let warm_at = entry.now + Duration::from_secs(if cold.contains(&n) { 30 } else { 0 });
+        let (token_upstream, target) = upstream(n, entry.now);
+        (token_upstream, target.map(|t| Target { warm_at, ..t }))
+    });
+    entry.router.set_upstreams(listed.collect());
+    entry.router.update_cold_upstreams(entry.now);
+    entry
+}
+
+/// Guards against a cold upstream that gets a flow without a permit: as a last resort for a
+/// copy of a first packet, and because warm ones have more load.
+#[test]
+fn a_cold_upstream_gets_no_flow_without_a_permit() {
+    let mut entry = entry_with_cold(&[2]);
+    for n in 0..20 {
+        assert_eq!(entry.open_flow(n).address.ip().octets()[3], 1);
+    }
+    entry.now += Duration::from_millis(200);
+    let copy = hop(entry.send_first(0, 1));
+    assert_eq!(copy.address.ip().octets()[3], 1);
+    entry.now += Duration::from_secs(30);
+    let warm = (20..30).map(|n| entry.open_flow(n).address.ip().octets()[3]);
+    assert!(warm.collect::<Vec<_>>().contains(&2), "it is warm by now");
+}
+
+/// Guards against flows that wait for a timeout when only cold upstreams are left, and
+/// against the reset of one that an upstream has answered by way of another entry.
+#[test]
+fn a_flow_is_refused_when_only_cold_upstreams_are_left() {
+    let mut entry = entry_with_cold(&[1, 2]);
+    assert_eq!(
+        entry.send_first(0, 0),
+        Decision::Reset(ResetReason::OnlyCold)
+    );
+    assert_eq!(entry.send_first(1, 1), Decision::Drop(DropReason::OnlyCold));
+}
+
+/// Guards against permits that expire because idle warm upstreams come first, and against
+/// more flows than there are permits.
+#[test]
+fn a_permit_is_used_for_the_next_flow() {
+    let mut entry = entry_with_cold(&[2]);
+    entry.open_flow(0);
+    let permits = entry.router.permits().unwrap();
+    let request = permits.next_request(entry.now).unwrap();
+    let permit = Permit {
+        key: request.wanted[0].keys[0],
+        count: 1,
+    };
+    assert_eq!(request.wanted[0].limit, 5);
+    permits.receive(entry.now, request.number, Duration::ZERO, &[permit]);
+    let chosen: Vec<_> = (1..10)
+        .map(|n| entry.open_flow(n).address.ip().octets()[3])
+        .collect();
+    assert_eq!(chosen, [2, 1, 1, 1, 1, 1, 1, 1, 1]);
+}
--- a/crates/currantgate/src/control/handle.rs
+++ b/crates/currantgate/src/control/handle.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use currantgate_control::{
-    ApplyAnswer, Change, EvacuationOrder, ReadAnswer, RefuseReason, VersionedRequest, VoterId,
-    VoterPlanner,
+    ApplyAnswer, Change, EvacuationOrder, ReadAnswer, RefuseReason, Term, VersionedRequest,
+    VoterId, VoterPlanner,
 };
 use tokio::sync::watch;
 
@@ -78,6 +78,12 @@
         self.core.borrow().is_in_quorum()
     }
 
+    /// Returns the term in which this VM holds the leader's lease, if it does. No other VM
+    /// holds it at the same time, and none in an earlier term does so later.
+    pub fn lease_term(&self) -> Option<Term> {
+        self.core.borrow().lease_term()
+    }
+
     /// Returns a receiver of the newest committed change.
     pub fn committed(&self) -> watch::Receiver<Option<Arc<Change>>> {
         self.core.borrow().committed()
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -8,6 +8,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_control::{Revision, Secret};
 use currantgate_observation::{Observation, choose_collector};
+use currantgate_warmup::PermitsRequest;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
@@ -183,6 +184,19 @@
         }
     }
 
+    /// Requests permits for cold upstreams from the leader. A request that can't be sent at
+    /// once is dropped: its permits would have expired when the feed opens.
+    pub(crate) fn request_permits(&self, to: SocketAddr, request: PermitsRequest) {
+        let request = FeedRequest::WarmupPermits {
+            revision: self.shared.revision.get(),
+            request,
+        };
+        let is_connected = self.links.get(&to).is_some_and(|link| link.is_connected);
+        if !is_connected || !self.queue(to, request) {
+            log::debug!("a request for permits to {to} is dropped");
+        }
+    }
+
     /// Queues a request for the feed of a control VM; returns whether there was room.
     fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
         let link = self.links.get(&to);
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
-use currantgate_registry::Record;
-use currantgate_warmup::{Permit, PermitRequest};
+use currantgate_registry::{EvacuationUpdate, Record};
+use currantgate_warmup::{Permit, PermitsRequest, RequestNumber};
 use serde::{Deserialize, Serialize};
 
 /// The path of feeds.
@@ -52,10 +53,8 @@
     WarmupPermits {
         /// Revision that the listener holds.
         revision: Revision,
-        /// Number of the request, which the answer repeats.
-        request: u32,
-        /// Permits that the entry could use.
-        wanted: Vec<PermitRequest>,
+        /// The request, whose number the answer repeats.
+        request: PermitsRequest,
     },
     /// Reports the demand of the entry's callers to the control VM that merges it.
     Demand {
@@ -123,7 +122,7 @@
     /// Permits for cold upstreams, as requested.
     WarmupPermits {
         /// Number of the request.
-        request: u32,
+        request: RequestNumber,
         /// Time to wait before the next request, in milliseconds.
         pace_ms: u16,
         /// Permits that are granted.
@@ -144,6 +143,21 @@
     pub(crate) returned: Vec<ReturnedDomain>,
 }
 
+impl EvacuationState {
+    /// Returns the state as input of an [`EvacuationView`].
+    ///
+    /// [`EvacuationView`]: currantgate_registry::EvacuationView
+    pub(crate) fn into_update(self) -> EvacuationUpdate {
+        let returned = self.returned.into_iter();
+        let returned = returned.map(|r| (r.domain, Duration::from_millis(r.ms_ago.into())));
+        EvacuationUpdate {
+            revision: self.revision,
+            evacuated: self.evacuated,
+            returned: returned.collect(),
+        }
+    }
+}
+
 /// A failure domain whose evacuation has ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReturnedDomain {
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -11,6 +11,7 @@
 mod links;
 mod listeners;
 mod message;
+mod permits;
 mod revision_tracker;
 mod server;
 mod status;
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -14,6 +14,7 @@
     FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
 };
 use currantgate_registry::{ChangeNumber, Record, UpstreamRegistry};
+use currantgate_warmup::{PermitsAnswer, PermitsRequest};
 use indexmap::IndexMap;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -21,6 +22,7 @@
 use super::evacuations;
 use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
+use super::permits::LeaderPermits;
 use super::status::{EvacuationStatus, FleetStatus};
 use crate::control::ControlHandle;
 
@@ -60,6 +62,8 @@
     evacuations: RefCell<PublishedEvacuations>,
     /// What the entries that report here have observed.
     observations: RefCell<FleetObservations>,
+    /// Permits for cold upstreams, issued while this VM holds the leader's lease.
+    permits: RefCell<LeaderPermits>,
 }
 
 impl FeedSource {
@@ -78,6 +82,7 @@
                 std::time::Instant::now(),
                 FleetSettings::default(),
             )),
+            permits: RefCell::new(LeaderPermits::new()),
         }
     }
 
@@ -160,6 +165,9 @@
     fn heartbeat(&self) -> Heartbeat {
         let handle = self.handle.borrow();
         let handle = handle.as_ref();
+        let lease_term = handle.and_then(ControlHandle::lease_term);
+        let mut permits = self.permits.borrow_mut();
+        permits.update(std::time::Instant::now(), lease_term);
         Heartbeat {
             revision: self.changes.borrow().newest().revision,
             is_in_quorum: !self.holds_upstreams()
@@ -169,6 +177,14 @@
         }
     }
 
+    /// Returns permits for cold upstreams if this VM holds the leader's lease.
+    fn issue_permits(&self, feed: FeedId, request: &PermitsRequest) -> Option<PermitsAnswer> {
+        let handle = self.handle.borrow();
+        let lease_term = handle.as_ref().and_then(ControlHandle::lease_term);
+        let mut permits = self.permits.borrow_mut();
+        permits.answer(std::time::Instant::now(), lease_term, feed, request)
+    }
+
     /// Publishes a change that is in force. One that is not newer is ignored.
     pub(crate) fn publish(&self, change: Arc<Change>) {
         if self.changes.borrow_mut().publish(change) {
@@ -330,10 +346,25 @@
                 listeners.record_evacuations(self.id, evacuations);
                 Ok(())
             }
-            FeedRequest::WarmupPermits { .. } | FeedRequest::Demand { .. } => Ok(()),
+            FeedRequest::WarmupPermits { request, .. } => self.send_permits(&request).await,
+            FeedRequest::Demand { .. } => Ok(()),
         }
     }
 
+    /// Sends permits for cold upstreams if this VM holds the leader's lease.
+    async fn send_permits(&mut self, request: &PermitsRequest) -> Result<(), TransportError> {
+        let Some(answer) = self.source.issue_permits(self.id, request) else {
+            return Ok(());
+        };
+        let pace_ms = u16::try_from(answer.pace.as_millis()).unwrap_or(u16::MAX);
+        self.send(&FeedMessage::WarmupPermits {
+            request: request.number,
+            pace_ms,
+            permits: answer.permits,
+        })
+        .await
+    }
+
     /// Sends the requested update. Requests for a revision that is not held here are
     /// ignored.
     async fn send_update(
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -8,8 +8,11 @@
 
 use actix_rt::task::JoinHandle;
 use currantgate_placement::Target;
-use currantgate_registry::{Availability, Upstream, UpstreamView, ViewRefreshTimer};
+use currantgate_registry::{
+    Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
+};
 use currantgate_token::{TokenRouter, TokenUpstream};
+use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
@@ -21,7 +24,8 @@
 use super::routing::Routing;
 use super::settings::TokenEntrySettings;
 use crate::feed::{
-    FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, RevisionTracker,
+    EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
+    RevisionTracker,
 };
 
 /// Interval at which flows whose callers have given up are expired, a small part
@@ -80,19 +84,26 @@
         let is_ready = Rc::new(Cell::new(false));
         let metrics = TokenEntryMetrics::default();
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
+        let mut router = TokenRouter::new(settings.routing.clone(), settings.placement.clone());
+        if let Some(limit) = settings.warmup_limit {
+            router.limit_cold_upstreams(Instant::now(), limit, settings.placement.seed);
+        }
         let core = Core {
             routing: Routing {
-                router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+                router,
+                suspensions: SuspensionDetector::new(ClockReading::now()),
                 metrics: metrics.clone(),
-                decisions: DecisionLog::new(Instant::now()),
+                decisions: DecisionLog::new(Instant::now(), settings.domain.clone()),
             },
             packets,
             view: UpstreamView::new(settings.view.clone()),
+            evacuations: EvacuationView::default(),
             revisions: RevisionTracker::default(),
             refresh_timer: ViewRefreshTimer::new(Instant::now()),
             routed_upstreams: 0,
             links,
             collector: None,
+            leader: None,
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -149,6 +160,7 @@
     routing: Routing,
     packets: PacketSocket<F>,
     view: UpstreamView,
+    evacuations: EvacuationView,
     revisions: RevisionTracker,
     refresh_timer: ViewRefreshTimer,
     /// Number of upstreams in the view that the router was last updated from.
@@ -156,6 +168,9 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
+    /// it.
+    leader: Option<SocketAddr>,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -171,6 +186,7 @@
         let mut observation_interval = actix_rt::time::interval(OBSERVATION_INTERVAL);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         loop {
+            let permits_due = self.next_permits_request_at();
             tokio::select! {
                 readable = self.packets.readable() => match readable {
                     Ok(()) => self.packets.process_batch(&mut self.routing),
@@ -192,6 +208,7 @@
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
+                () = wait_until(permits_due) => self.request_permits(),
                 _ = observation_interval.tick() => self.report_observations(),
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
@@ -214,6 +231,7 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
                 if self.collector == Some(from) {
                     self.collector = None;
@@ -224,6 +242,9 @@
                 self.routing.decisions.view_at = now;
                 self.revisions
                     .record(from, heartbeat.revision, heartbeat.is_in_quorum);
+                if heartbeat.is_in_quorum && heartbeat.leader.is_some() {
+                    self.leader = heartbeat.leader;
+                }
             }
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
                 self.routing.decisions.view_at = now;
@@ -235,12 +256,58 @@
                     self.routing.update_slow_upstreams(now, &slow);
                 }
             }
-            FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
-            FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
+            FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
+                self.apply_evacuations(now, from, state);
+            }
+            FeedEvent::Message(
+                _,
+                FeedMessage::WarmupPermits {
+                    request,
+                    pace_ms,
+                    permits,
+                },
+            ) => {
+                self.routing.drop_permits_after_suspension();
+                if let Some(holder) = self.routing.router.permits() {
+                    let pace = Duration::from_millis(pace_ms.into());
+                    holder.receive(Instant::now(), request, pace, &permits);
+                }
+            }
             FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
         }
     }
 
+    /// Applies a newer state of the evacuated domains at once, as control VMs have
+    /// acknowledged the order already.
+    fn apply_evacuations(&mut self, now: Instant, from: SocketAddr, state: EvacuationState) {
+        let Some(change) = self.evacuations.apply(now, state.into_update()) else {
+            return;
+        };
+        let decisions = &self.routing.decisions;
+        decisions.log_evacuation_change(from, &change, &self.evacuations);
+        let evacuated = self.evacuations.evacuated().cloned();
+        self.routing.router.set_evacuated(evacuated);
+        self.update_upstreams(now);
+    }
+
+    /// Returns when the next request for permits may be due: nothing while no upstream is
+    /// cold or no leader is known.
+    fn next_permits_request_at(&mut self) -> Option<Instant> {
+        self.leader?;
+        self.routing.router.permits()?.next_request_at()
+    }
+
+    /// Requests permits for cold upstreams from the leader.
+    fn request_permits(&mut self) {
+        self.routing.drop_permits_after_suspension();
+        if let Some(leader) = self.leader
+            && let Some(holder) = self.routing.router.permits()
+            && let Some(request) = holder.next_request(Instant::now())
+        {
+            self.links.request_permits(leader, request);
+        }
+    }
+
     /// Reports what was observed of upstreams since the last call.
     ///
     /// When the collector changes, the slow upstreams are cleared, as the previous one
@@ -279,6 +346,8 @@
                 );
                 self.routing.router.set_routes(routes);
                 self.routing.decisions.revision = change.revision;
+                // Services may limit their cold upstreams from now on.
+                self.update_upstreams(Instant::now());
             }
             // Control VMs validate each file, so their release differs from this one.
             Err(e) => log::error!("revision {} is not applied: {e}", change.revision),
@@ -338,16 +407,44 @@
         self.routing.decisions.log_availability_changes(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
+        let router = &mut self.routing.router;
         let routable = upstreams
             .iter()
-            .filter_map(|upstream| to_routable(upstream, domain, format))
+            .filter_map(|upstream| {
+                let report = &upstream.report;
+                let is_cold = !report.warmup_remaining.is_zero();
+                let reported = is_cold.then_some(upstream.warm_at);
+                let returned_at = self.evacuations.returned_at(&report.domain);
+                let warmup = router.limited_warmup(&report.service);
+                let limited = warmup.and_then(|w| w.warm_at(reported, returned_at));
+                let warm_at = limited.unwrap_or(upstream.warm_at);
+                to_routable(upstream, warm_at, domain, format)
+            })
             .collect();
-        self.routing.router.set_upstreams(routable);
+        router.set_upstreams(routable);
+        router.update_cold_upstreams(now);
         self.routing.metrics.set_state(
             self.routing.router.tracked_flows(),
             count,
             self.revisions.revision(),
         );
+        let router = &self.routing.router;
+        self.routing
+            .metrics
+            .set_warmup(router.cold_upstreams(), router.used_permits());
+        let evacuated = self.evacuations.evacuated();
+        let open_flows = evacuated.map(|domain| self.routing.router.open_flows_in(domain));
+        self.routing
+            .metrics
+            .set_evacuations(&self.evacuations, open_flows.sum());
+    }
+}
+
+/// Waits until the given time, or forever if there is none.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => actix_rt::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -355,6 +452,7 @@
 /// any. Returns `None` if its id can't be encoded in packets.
 fn to_routable<F: WireFormat>(
     upstream: &Upstream,
+    warm_at: Instant,
     domain: &str,
     format: &F,
 ) -> Option<(TokenUpstream, Option<Target>)> {
@@ -378,7 +476,7 @@
         domain: report.domain.clone(),
         is_local: &*report.domain == domain,
         slots: report.slots,
-        warm_at: upstream.warm_at,
+        warm_at,
         is_reporting: upstream.availability == Availability::Ready,
     };
     let takes_flows = upstream.availability != Availability::Closed;
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use currantgate_registry::EvacuationView;
 use currantgate_token::{Decision, DropReason, ResetReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -28,7 +29,12 @@
     flows: Gauge,
     upstreams: Gauge,
     slow_upstreams: Gauge,
+    cold_upstreams: Gauge,
+    warmup_permits_used: Counter,
     revision: Gauge,
+    evacuation_revision: Gauge,
+    evacuated_domains: Gauge,
+    evacuated_flows: Gauge,
     feeds: Gauge,
     routes_current: Gauge,
     handshake_seconds: Histogram,
@@ -43,7 +49,12 @@
             flows: Gauge::default(),
             upstreams: Gauge::default(),
             slow_upstreams: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            warmup_permits_used: Counter::default(),
             revision: Gauge::default(),
+            evacuation_revision: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_flows: Gauge::default(),
             feeds: Gauge::default(),
             routes_current: Gauge::default(),
             // From 1 ms, a round trip within a domain, to 4 s, after which callers
@@ -87,6 +98,16 @@
             "Upstreams that are avoided, as the entries of the domain observe them as slow",
             self.slow_upstreams.clone(),
         );
+        registry.register(
+            "upstreams_cold",
+            "Upstreams that get new flows only with a permit, as they are warming up",
+            self.cold_upstreams.clone(),
+        );
+        registry.register(
+            "warmup_permits_used",
+            "Flows placed on upstreams that are warming up, each with a permit",
+            self.warmup_permits_used.clone(),
+        );
         registry.register(
             "routes_revision",
             "The revision of the routes in force here",
@@ -97,6 +118,21 @@
             "1 while a control VM in contact with a quorum holds nothing newer",
             self.routes_current.clone(),
         );
+        registry.register(
+            "evacuation_revision",
+            "The revision of the evacuation orders in force here",
+            self.evacuation_revision.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose upstreams get no new flows",
+            self.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuated_flows_open",
+            "Flows that this entry opened and that have not ended, in evacuated failure domains",
+            self.evacuated_flows.clone(),
+        );
         registry.register("feeds_open", "Control VMs in reach", self.feeds.clone());
         registry.register(
             "handshake_seconds",
@@ -154,6 +190,23 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of cold upstreams, and that of the permits used since the start.
+    pub(super) fn set_warmup(&self, cold_upstreams: usize, used_permits: u64) {
+        self.cold_upstreams
+            .set(i64::try_from(cold_upstreams).unwrap_or(i64::MAX));
+        let counted = self.warmup_permits_used.get();
+        self.warmup_permits_used
+            .inc_by(used_permits.saturating_sub(counted));
+    }
+
+    pub(super) fn set_evacuations(&self, evacuations: &EvacuationView, open_flows: u32) {
+        let revision = i64::try_from(evacuations.revision()).unwrap_or(i64::MAX);
+        self.evacuation_revision.set(revision);
+        let domains = i64::try_from(evacuations.evacuated().len()).unwrap_or(i64::MAX);
+        self.evacuated_domains.set(domains);
+        self.evacuated_flows.set(open_flows.into());
+    }
+
     pub(super) fn set_state(&self, flows: usize, upstreams: usize, revision: u64) {
         self.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
         self.upstreams
