--- /dev/null
+++ b/crates/currantgate-capacity/src/collector.rs
@@ -0,0 +1,187 @@
+//! Merges the reports of entries on a control VM.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::{ClassDemand, DemandSettings, DomainDemand, ServiceDemand};
+
+/// Identifies an entry, the same whenever it connects.
+pub type ReporterId = u64;
+
+/// Most services of one report that are kept, which bounds the memory that a faulty
+/// entry can take.
+const MAX_SERVICES: usize = 64;
+
+/// Report of one entry.
+#[derive(Clone, Debug)]
+struct Report {
+    at: Instant,
+    /// Time since the entry's previous report.
+    period: Duration,
+    services: Vec<ServiceDemand>,
+}
+
+/// Reports of one entry within the window.
+#[derive(Clone, Debug)]
+struct Reporter {
+    domain: Box<str>,
+    reports: VecDeque<Report>,
+    /// Time of the last report; the first one has no known period and is not kept.
+    last_report: Instant,
+}
+
+/// Merges the demand that entries report, by their failure domains.
+#[derive(Clone, Debug)]
+pub struct DemandCollector {
+    settings: DemandSettings,
+    reporters: BTreeMap<ReporterId, Reporter>,
+}
+
+impl DemandCollector {
+    /// Returns a collector without reports.
+    pub fn new(settings: DemandSettings) -> Self {
+        Self {
+            settings,
+            reporters: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the report of an entry of a failure domain.
+    ///
+    /// Values that are negative or no numbers are ignored.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        reporter: ReporterId,
+        domain: &str,
+        report: &[ServiceDemand],
+    ) {
+        let Some(known) = self.reporters.get_mut(&reporter) else {
+            self.reporters.insert(
+                reporter,
+                Reporter {
+                    domain: domain.into(),
+                    reports: VecDeque::new(),
+                    last_report: now,
+                },
+            );
+            return;
+        };
+        if &*known.domain != domain {
+            known.domain = domain.into();
+            known.reports.clear();
+        }
+        let period = now.saturating_duration_since(known.last_report);
+        known.last_report = now;
+        let services = report.iter().take(MAX_SERVICES).map(sanitize).collect();
+        known.reports.push_back(Report {
+            at: now,
+            period,
+            services,
+        });
+        evict(known, now, self.settings.window);
+    }
+
+    /// Returns the demand a second of each domain, from the reports within the window.
+    /// An entry without a report in that time drops out.
+    pub fn published(&mut self, now: Instant) -> Vec<DomainDemand> {
+        let window = self.settings.window;
+        self.reporters.retain(|_, reporter| {
+            evict(reporter, now, window);
+            now.saturating_duration_since(reporter.last_report) <= window
+        });
+        let mut domains: IndexMap<&str, DomainDemand> = IndexMap::new();
+        for reporter in self.reporters.values() {
+            let seconds: f32 = reporter
+                .reports
+                .iter()
+                .map(|r| r.period.as_secs_f32())
+                .sum();
+            if seconds <= 0.0 {
+                continue;
+            }
+            let sums = domains
+                .entry(&reporter.domain)
+                .or_insert_with(|| DomainDemand {
+                    domain: reporter.domain.clone(),
+                    entries: 0,
+                    position: None,
+                    services: Vec::new(),
+                });
+            sums.entries = sums.entries.saturating_add(1);
+            for service in reporter.reports.iter().flat_map(|r| &r.services) {
+                add(&mut sums.services, service, 1.0 / seconds);
+            }
+        }
+        domains.into_values().collect()
+    }
+
+    /// Returns the position of an entry among the reporting ones of its domain, from 0,
+    /// by which these divide the upstreams among themselves.
+    pub fn position(&self, reporter: ReporterId) -> Option<u16> {
+        let domain = &self.reporters.get(&reporter)?.domain;
+        let before = self.reporters.range(..reporter);
+        let position = before.filter(|(_, r)| r.domain == *domain).count();
+        u16::try_from(position).ok()
+    }
+}
+
+/// Drops the reports that are older than the window.
+fn evict(reporter: &mut Reporter, now: Instant, window: Duration) {
+    while let Some(report) = reporter.reports.front()
+        && now.saturating_duration_since(report.at) >= window
+    {
+        reporter.reports.pop_front();
+    }
+}
+
+/// Returns a service's report with 0 in place of negative values and non-numbers.
+fn sanitize(service: &ServiceDemand) -> ServiceDemand {
+    let valid = |value: f32| {
+        if value.is_finite() {
+            value.max(0.0)
+        } else {
+            0.0
+        }
+    };
+    let classes = service.classes.iter().map(|class| ClassDemand {
+        arrivals: valid(class.arrivals),
+        ..*class
+    });
+    ServiceDemand {
+        service: service.service.clone(),
+        classes: classes.collect(),
+        completions: valid(service.completions),
+        slot_ms: valid(service.slot_ms),
+    }
+}
+
+/// Adds a service's demand times `factor` to sums.
+fn add(sums: &mut Vec<ServiceDemand>, service: &ServiceDemand, factor: f32) {
+    let index = sums.iter().position(|sum| sum.service == service.service);
+    let index = index.unwrap_or_else(|| {
+        sums.push(ServiceDemand {
+            service: service.service.clone(),
+            classes: Vec::new(),
+            completions: 0.0,
+            slot_ms: 0.0,
+        });
+        sums.len() - 1
+    });
+    let sum = &mut sums[index];
+    sum.completions += service.completions * factor;
+    sum.slot_ms += service.slot_ms * factor;
+    for class in &service.classes {
+        let arrivals = class.arrivals * factor;
+        match sum
+            .classes
+            .iter_mut()
+            .find(|c| c.priority == class.priority)
+        {
+            Some(known) => known.arrivals += arrivals,
+            None => sum.classes.push(ClassDemand { arrivals, ..*class }),
+        }
+    }
+}
--- a/crates/currantgate-capacity/src/demand.rs
+++ b/crates/currantgate-capacity/src/demand.rs
@@ -34,6 +34,9 @@
     pub domain: Box<str>,
     /// Number of entries whose reports are included.
     pub entries: u16,
+    /// Position of the receiving entry among these, from 0; set for the feeds of the
+    /// domain's own entries.
+    pub position: Option<u16>,
     /// Demand by service.
     pub services: Vec<ServiceDemand>,
 }
--- /dev/null
+++ b/crates/currantgate-capacity/src/fleet_demand.rs
@@ -0,0 +1,214 @@
+//! The demand of all failure domains, as an entry knows it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::water_filling::{DomainLoad, divide};
+use crate::{DemandSettings, DomainDemand, Priority, ServiceDemand, ServiceShares};
+
+/// Figures of a domain and the time of their arrival.
+#[derive(Clone, Debug)]
+struct Figures {
+    at: Instant,
+    demand: DomainDemand,
+}
+
+/// What an entry knows itself about a service.
+#[derive(Clone, Debug)]
+pub struct EntryView<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Failure domain of the entry; nothing while it is unknown.
+    pub domain: Option<&'a str>,
+    /// Slots by failure domain, those of slow upstreams at their speed.
+    pub slots: &'a IndexMap<Box<str>, f64>,
+    /// Factor by which the demand of the entry's domain has changed since the published
+    /// figures, as far as its own arrivals show.
+    pub change: f64,
+    /// Arrivals at this entry relative to those at the average entry of its domain.
+    pub relative_demand: f64,
+}
+
+/// Estimated work of a flow in its slot.
+#[derive(Clone, Copy, Debug)]
+struct WorkEstimate {
+    work_ms: f64,
+    updated_at: Instant,
+}
+
+/// The demand of all failure domains, as published by their collectors.
+#[derive(Clone, Debug)]
+pub struct FleetDemand {
+    settings: DemandSettings,
+    domains: IndexMap<Box<str>, Figures>,
+    work: IndexMap<Box<str>, WorkEstimate>,
+}
+
+impl FleetDemand {
+    /// Returns a state without figures.
+    pub fn new(settings: DemandSettings) -> Self {
+        Self {
+            settings,
+            domains: IndexMap::new(),
+            work: IndexMap::new(),
+        }
+    }
+
+    /// Replaces the figures of a domain.
+    pub fn update(&mut self, now: Instant, demand: DomainDemand) {
+        let forget_after = self.settings.forget_after;
+        self.domains
+            .retain(|_, figures| now.saturating_duration_since(figures.at) < forget_after);
+        let domain = demand.domain.clone();
+        self.domains.insert(domain, Figures { at: now, demand });
+    }
+
+    /// Returns the figures of a domain unless they are out of date.
+    pub fn domain(&self, now: Instant, domain: &str) -> Option<&DomainDemand> {
+        let figures = self.domains.get(domain)?;
+        self.is_current(now, figures).then_some(&figures.demand)
+    }
+
+    /// Returns the age of the oldest figures that are not forgotten.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let ages = self.domains.values();
+        ages.map(|figures| now.saturating_duration_since(figures.at))
+            .max()
+    }
+
+    fn is_current(&self, now: Instant, figures: &Figures) -> bool {
+        now.saturating_duration_since(figures.at) < self.settings.max_age
+    }
+
+    /// Returns the shares of a service; nothing without slots, or while the figures of
+    /// the entry's domain are missing or those of any domain are out of date.
+    pub fn shares(&mut self, now: Instant, view: &EntryView<'_>) -> Option<ServiceShares> {
+        let forget_after = self.settings.forget_after;
+        let known = self.domains.values();
+        let mut kept = known.filter(|f| now.saturating_duration_since(f.at) < forget_after);
+        if !kept.all(|figures| self.is_current(now, figures)) {
+            return None;
+        }
+        let slots: f64 = view.slots.values().sum();
+        if slots <= 0.0 {
+            return None;
+        }
+        let own = view.domain.and_then(|domain| self.domain(now, domain));
+        let own_entries = f64::from(own?.entries.max(1));
+        let work_ms = self.update_work(now, view.service, slots)?;
+        let mut classes: BTreeMap<Priority, f64> = BTreeMap::new();
+        let mut loads: IndexMap<&str, DomainLoad> = IndexMap::new();
+        for (domain, slots) in view.slots {
+            loads.entry(domain).or_default().slots = *slots;
+        }
+        let mut own_arrivals = 0.0;
+        for figures in self.domains.values() {
+            let domain = &*figures.demand.domain;
+            let is_own = view.domain == Some(domain);
+            let change = if is_own { view.change } else { 1.0 };
+            let Some(service) = service_demand(&figures.demand, view.service) else {
+                continue;
+            };
+            let mut arrivals = 0.0;
+            for class in &service.classes {
+                let class_arrivals = f64::from(class.arrivals);
+                arrivals += class_arrivals;
+                *classes.entry(class.priority).or_default() += class_arrivals;
+            }
+            if is_own {
+                own_arrivals = arrivals / own_entries * view.relative_demand;
+            }
+            loads.entry(domain).or_default().demand = arrivals * change * work_ms / 1_000.0;
+        }
+        let local = view.domain.and_then(|domain| loads.get_index_of(domain));
+        let list: Vec<DomainLoad> = loads.values().copied().collect();
+        let weights = divide(&list, local.unwrap_or(usize::MAX), self.settings.local_fill)?;
+        let weights = loads
+            .keys()
+            .zip(weights)
+            .filter(|(_, weight)| *weight > 0.0);
+        let fleet_capacity = slots * 1_000.0 / work_ms;
+        let arrivals: f64 = classes.values().sum();
+        // Whether other domains have changed alike is not known yet. If they have not,
+        // the limit of open flows is not reached.
+        for class in classes.values_mut() {
+            *class *= view.change;
+        }
+        Some(ServiceShares {
+            domains: weights
+                .map(|(domain, weight)| ((*domain).into(), weight))
+                .collect(),
+            fleet_capacity,
+            fleet_slots: slots,
+            load: arrivals / fleet_capacity,
+            work_ms,
+            own_share: (own_arrivals / arrivals.max(f64::MIN_POSITIVE)).min(1.0),
+            admitted: admitted(&classes, fleet_capacity),
+        })
+    }
+
+    /// Returns the estimated work of a flow in milliseconds, after moving it towards the
+    /// mean slot time; nothing before any flow has ended.
+    ///
+    /// Slot times include time in queues. So under load a longer one counts little.
+    fn update_work(&mut self, now: Instant, service: &str, slots: f64) -> Option<f64> {
+        let figures = self.domains.values();
+        let all: Vec<_> = figures
+            .filter_map(|figures| service_demand(&figures.demand, service))
+            .collect();
+        let completions: f64 = all.iter().map(|s| f64::from(s.completions)).sum();
+        let slot_ms: f64 = all.iter().map(|s| f64::from(s.slot_ms)).sum();
+        let classes = all.iter().flat_map(|s| &s.classes);
+        let arrivals: f64 = classes.map(|class| f64::from(class.arrivals)).sum();
+        let known = self.work.get_mut(service);
+        if completions <= 0.0 || slot_ms <= 0.0 {
+            return known.map(|known| known.work_ms);
+        }
+        let measured = slot_ms / completions;
+        // Slots can't complete more than they have time for, whatever waits in queues.
+        let most = slots * 1_000.0 / completions;
+        let measured = measured.min(most);
+        let Some(known) = known else {
+            let estimate = WorkEstimate {
+                work_ms: measured,
+                updated_at: now,
+            };
+            self.work.insert(service.into(), estimate);
+            return Some(measured);
+        };
+        let load = arrivals * known.work_ms / 1_000.0 / slots;
+        let is_loaded = load > self.settings.local_fill && measured > known.work_ms;
+        let time_constant = if is_loaded {
+            self.settings.loaded_work_time_constant
+        } else {
+            self.settings.work_time_constant
+        };
+        let elapsed = now.saturating_duration_since(known.updated_at);
+        let weight = 1.0 - (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp();
+        known.work_ms = (known.work_ms + (measured - known.work_ms) * weight).min(most);
+        known.updated_at = now;
+        Some(known.work_ms)
+    }
+}
+
+/// Returns the demand for a service.
+fn service_demand<'a>(demand: &'a DomainDemand, service: &str) -> Option<&'a ServiceDemand> {
+    demand.services.iter().find(|s| &*s.service == service)
+}
+
+/// Returns the part of each class that fits into `capacity`, the highest priority first.
+fn admitted(classes: &BTreeMap<Priority, f64>, capacity: f64) -> BTreeMap<Priority, f64> {
+    let mut free = capacity;
+    let share = |(priority, arrivals): (&Priority, &f64)| {
+        let share = if *arrivals > free {
+            free / arrivals
+        } else {
+            1.0
+        };
+        free = (free - arrivals).max(0.0);
+        (*priority, share)
+    };
+    classes.iter().map(share).collect()
+}
--- a/crates/currantgate-capacity/src/shares.rs
+++ b/crates/currantgate-capacity/src/shares.rs
@@ -13,6 +13,12 @@
     pub domains: IndexMap<Box<str>, f64>,
     /// Flows a second that the fleet's upstreams can complete.
     pub fleet_capacity: f64,
+    /// Slots of the fleet's upstreams, those of slow ones at their speed.
+    pub fleet_slots: f64,
+    /// Demand of the fleet relative to its slots.
+    pub load: f64,
+    /// Estimated work of a flow in its slot, in milliseconds.
+    pub work_ms: f64,
     /// Part of the fleet's demand that arrives at this entry, from 0 to 1.
     pub own_share: f64,
     /// Part of each class's new flows that the fleet has slots for, from 0 to 1.
--- a/crates/currantgate-observation/src/settings.rs
+++ b/crates/currantgate-observation/src/settings.rs
@@ -30,6 +30,9 @@
     pub high_load: f64,
     /// Highest share of the slots in use that this is done for.
     pub max_load: f64,
+    /// Slowness from which an upstream is slow, whatever the others and the load are. Only
+    /// unanswered first packets and failures reach it, as queues are left out.
+    pub dead_slowness: f64,
     /// Share of this excess below which an upstream is no longer slow.
     pub normal_share: f64,
     /// Slowness with which an entry's observation counts as a finding.
@@ -63,6 +66,7 @@
             slow_deviations: 4.0,
             high_load: 0.6,
             max_load: 0.9,
+            dead_slowness: 6.0,
             normal_share: 0.45,
             finding_slowness: 1.8,
             min_reporters: 2,
--- a/crates/currantgate-observation/src/threshold.rs
+++ b/crates/currantgate-observation/src/threshold.rs
@@ -23,9 +23,13 @@
         let load = load.clamp(settings.high_load, settings.max_load);
         let queueing = (1.0 - settings.high_load) / (1.0 - load);
         let excess = (settings.slow_excess * queueing).max(spread);
+        let slow_above = usual + excess;
+        let normal_below = usual + excess * settings.normal_share;
+        // With half of the upstreams dead, the usual slowness is that of dead ones.
+        let dead = settings.dead_slowness;
         Self {
-            slow_above: usual + excess,
-            normal_below: usual + excess * settings.normal_share,
+            slow_above: slow_above.min(dead),
+            normal_below: normal_below.min(dead * settings.normal_share),
         }
     }
 }
--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -116,6 +116,42 @@
     highest
 }
 
+/// Prints the hard loads, without and with the demand of all entries.
+fn compare_demand() {
+    println!(
+        "{:<44} {:>10} {:>10} {:>10} {:>10}",
+        "alone, with demand", "run once", "idempotent", "shed", "goodput"
+    );
+    let scenarios = [
+        ("six times one domain", Scenario::uneven_domain()),
+        (
+            "five times all, eight times one kind",
+            Scenario::hard_burst(),
+        ),
+        ("three times all, half dark", Scenario::half_dark()),
+        (
+            "six times one domain, uneven upstreams",
+            Scenario::uneven_upstreams(),
+        ),
+    ];
+    for (name, scenario) in scenarios {
+        for policy in [Policy::Shared, Policy::Demand] {
+            let report = simulate(&scenario, policy);
+            let kinds = [false, true].map(|kind| {
+                let outcome = report.select(|_, _, k| k == kind);
+                outcome.share_in_target()
+            });
+            let goodput = report.slots_in_target(40..70) / 240.0;
+            println!(
+                "{name:<44} {:>10.3} {:>10.3} {:>10.4} {goodput:>10.3}",
+                kinds[0],
+                kinds[1],
+                report.shed_share(),
+            );
+        }
+    }
+}
+
 fn main() {
     println!(
         "{:<44} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
@@ -176,6 +212,7 @@
         compare(name, scenario);
     }
     let slow_share = compare_slow();
+    compare_demand();
     plot_burst();
     let overload = simulate(&Scenario::booking(2.0), Policy::Admission);
     let goodput = 2.0 * overload.all().share_served();
--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -119,6 +119,12 @@
         self.classes.entry(priority).or_default().open += 1;
     }
 
+    /// Returns the number of open flows of the same or a higher priority.
+    pub(crate) fn competing_flows(&self, priority: Priority) -> u32 {
+        let classes = self.classes.range(..=priority);
+        classes.map(|(_, class)| class.open).sum()
+    }
+
     /// Counts a flow as closed without a sample of its duration.
     pub(crate) fn record_cancel(&mut self, priority: Priority) {
         if let Some(class) = self.classes.get_mut(&priority) {
@@ -173,8 +179,7 @@
         if !class.update_limited(now, &stats, bound, baseline, settings) {
             return None;
         }
-        let competing = self.classes.range(..=request.priority);
-        let competing_flows = competing.map(|(_, class)| class.open).sum();
+        let competing_flows = self.competing_flows(request.priority);
         // `spare_flows` is the same for all entries, so that an entry with few flows
         // gains on those with many.
         let windows = (baseline + bound).as_secs_f64() / 2.0 / settings.sample_window.as_secs_f64();
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -1,6 +1,6 @@
 //! An upstream that may get new flows, as this entry observes it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::slowness::Slowness;
 use crate::suspicion::Suspicion;
@@ -33,6 +33,10 @@
     slowness: Slowness,
     /// Slowness that the fleet observes; 1 when it is not slow.
     pub(crate) fleet_slowness: f64,
+    /// Part of its slots that is reserved for this entry, from 0 to 1.
+    pub(crate) reserved: f64,
+    /// Moving average of the time that handshakes with it take.
+    handshake_time: Duration,
 }
 
 impl Candidate {
@@ -47,6 +51,8 @@
             last_answer: None,
             slowness: Slowness::default(),
             fleet_slowness: 1.0,
+            reserved: 0.0,
+            handshake_time: Duration::ZERO,
         }
     }
 
@@ -79,6 +85,41 @@
         f64::from(self.flows + 1) * slowness / capacity + penalty
     }
 
+    /// Returns the slots that flows of the whole fleet can use, those of a slow upstream
+    /// at its speed.
+    pub(crate) fn usable_slots(&self, now: Instant, settings: &PlacementSettings) -> f64 {
+        let is_dead = self.fleet_slowness >= settings.sharing.dead_slowness;
+        if !self.target.is_reporting || now < self.target.warm_at || is_dead {
+            return 0.0;
+        }
+        f64::from(self.target.slots) / self.fleet_slowness
+    }
+
+    /// Records how long the handshake of a flow took.
+    pub(crate) fn record_handshake_time(&mut self, time: Duration) {
+        self.handshake_time = if self.handshake_time.is_zero() {
+            time
+        } else {
+            // One in ten: the time differs little between the flows of an upstream.
+            (self.handshake_time * 9 + time) / 10
+        };
+    }
+
+    /// Returns the time that a flow of the given duration was in a slot, at the speed of
+    /// a warm upstream that is not slow.
+    ///
+    /// The first packet and the last one each arrive a handshake time before and after
+    /// the upstream works on the request.
+    pub(crate) fn slot_time(
+        &self,
+        now: Instant,
+        duration: Duration,
+        settings: &PlacementSettings,
+    ) -> Duration {
+        let slot_time = duration.saturating_sub(2 * self.handshake_time);
+        slot_time.mul_f64(self.speed(now, settings) / self.fleet_slowness.max(1.0))
+    }
+
     /// Records the slowness of an ended flow.
     pub(crate) fn record_slowness(
         &mut self,
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -7,14 +7,20 @@
 
 mod admission;
 mod admission_settings;
+mod arrival_history;
 mod candidate;
+mod demand_log;
 mod domain;
 mod placement;
 mod recent_durations;
 mod refusal;
 mod request;
+mod reservation;
 mod service;
 mod settings;
+mod share_admission;
+mod sharing;
+mod sharing_settings;
 mod sliding_window;
 mod slowness;
 mod suspicion;
@@ -22,10 +28,13 @@
 mod target;
 
 pub use admission_settings::AdmissionSettings;
-pub use currantgate_capacity::{Priority, ServiceShares};
+pub use currantgate_capacity::{
+    DemandSettings, DomainDemand, Priority, ServiceDemand, ServiceShares,
+};
 pub use placement::Placement;
 pub use refusal::{Overload, Refusal};
 pub use request::PlacementRequest;
 pub use settings::PlacementSettings;
+pub use sharing_settings::SharingSettings;
 pub use suspicion_change::{Suspect, SuspicionChange};
 pub use target::{Placed, Target, TargetKey};
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -3,6 +3,7 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
+use currantgate_capacity::FleetDemand;
 use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
@@ -10,11 +11,13 @@
 
 use crate::candidate::{Candidate, Health};
 use crate::domain::Domain;
+use crate::reservation::reserved_parts;
 use crate::service::Service;
+use crate::share_admission::flow_limit;
 use crate::slowness::flow_slowness;
 use crate::{
-    Placed, PlacementRequest, PlacementSettings, Priority, Refusal, ServiceShares, Suspect,
-    SuspicionChange, Target, TargetKey,
+    DomainDemand, Overload, Placed, PlacementRequest, PlacementSettings, Priority, Refusal,
+    ServiceDemand, ServiceShares, Suspect, SuspicionChange, Target, TargetKey,
 };
 
 /// Most suspicion changes kept until they are taken; the oldest are dropped first.
@@ -37,12 +40,19 @@
     observations: ObservationLog,
     /// Upstreams that the fleet observes as slow.
     fleet_slowness: IndexMap<TargetKey, f64>,
+    /// Demand of all entries, if the settings require decisions by it.
+    fleet_demand: Option<FleetDemand>,
+    /// Failure domain of this entry, once it had an upstream there.
+    own_domain: Option<Box<str>>,
+    /// Position among the reporting entries of the domain, and their number.
+    position: Option<(u16, u16)>,
 }
 
 impl Placement {
     /// Returns a placement without upstreams.
     pub fn new(settings: PlacementSettings) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let fleet_demand = settings.demand.clone().map(FleetDemand::new);
         Self {
             settings,
             rng,
@@ -52,6 +62,9 @@
             suspicion_changes: Vec::new(),
             observations: ObservationLog::default(),
             fleet_slowness: IndexMap::new(),
+            fleet_demand,
+            own_domain: None,
+            position: None,
         }
     }
 
@@ -73,6 +86,9 @@
             let entry = self.domains.entry(target.domain.clone());
             let domain = entry.index();
             entry.or_default();
+            if target.is_local && self.own_domain.as_ref() != Some(&target.domain) {
+                self.own_domain = Some(target.domain.clone());
+            }
             match self.candidates.get_mut(&target.key) {
                 Some(candidate) => {
                     candidate.target = target;
@@ -128,14 +144,149 @@
         self.observations.take()
     }
 
-    /// Sets how new flows of a service are divided among failure domains. Without
-    /// shares, the entry decides by its own flows alone.
-    pub fn set_shares(&mut self, service: &str, shares: Option<ServiceShares>) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.shares = shares;
+    /// Returns and removes the demand that was measured since the last call.
+    pub fn take_demand(&mut self) -> Vec<ServiceDemand> {
+        let services = self.services.iter_mut();
+        services
+            .filter_map(|(name, service)| service.demand_log.take(name))
+            .collect()
+    }
+
+    /// Applies the published demand of a failure domain.
+    pub fn update_demand(&mut self, now: Instant, demand: &DomainDemand) {
+        let Some(fleet) = &mut self.fleet_demand else {
+            return;
+        };
+        fleet.update(now, demand.clone());
+        if self.own_domain.as_ref() != Some(&demand.domain) {
+            return;
+        }
+        for (name, service) in &mut self.services {
+            let settings = &self.settings.sharing;
+            service.sharing.compare(now, name, demand, settings);
+        }
+        self.position = demand.position.map(|position| (position, demand.entries));
+        self.update_reservations(now);
+    }
+
+    /// Computes which slots are reserved for this entry.
+    fn update_reservations(&mut self, now: Instant) {
+        let Some((position, entries)) = self.position else {
+            for candidate in self.candidates.values_mut() {
+                candidate.reserved = 0.0;
+            }
+            return;
+        };
+        for service in self.services.values() {
+            // All entries of the domain have to use the same order.
+            let domain = |key: &TargetKey| self.candidates[key].domain;
+            let mut keys: Vec<_> = service.keys.iter().map(|key| (domain(key), *key)).collect();
+            keys.sort_unstable();
+            for keys in keys.chunk_by(|(a, _), (b, _)| a == b) {
+                let candidates = keys.iter().map(|(_, key)| &self.candidates[key]);
+                let slots: Vec<f64> = candidates
+                    .map(|candidate| candidate.usable_slots(now, &self.settings))
+                    .collect();
+                let parts = reserved_parts(&slots, position, entries);
+                for ((_, key), part) in keys.iter().zip(parts) {
+                    self.candidates[key].reserved = part;
+                }
+            }
         }
     }
 
+    /// Returns how new flows of a service are divided among failure domains; nothing
+    /// while the entry decides by its own flows alone.
+    pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
+        self.services.get(service)?.sharing.shares()
+    }
+
+    /// Counts the arrival of a request, and computes the shares of its service again
+    /// when this is due.
+    fn update_shares(&mut self, now: Instant, request: &PlacementRequest<'_>) {
+        let Some(fleet) = &mut self.fleet_demand else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(request.service) else {
+            return;
+        };
+        // Copies of first packets are no demand; only these may not be refused.
+        if request.may_refuse {
+            service.demand_log.record_arrival(request.priority);
+            service.sharing.record_arrival(now);
+        }
+        if !service.sharing.is_due(now) {
+            return;
+        }
+        let mut slots: IndexMap<Box<str>, f64> = IndexMap::new();
+        service.stuck_flows = 0;
+        for key in &service.keys {
+            let candidate = &self.candidates[key];
+            let usable = candidate.usable_slots(now, &self.settings);
+            // A suspicion of a whole domain ends with any answer. Its slots count, so that
+            // the shares of a single entry don't change that often.
+            if candidate.suspicion.is_active(now) || usable <= 0.0 {
+                service.stuck_flows += candidate.flows;
+            } else {
+                if let Some(sum) = slots.get_mut(&candidate.target.domain) {
+                    *sum += usable;
+                } else {
+                    slots.insert(candidate.target.domain.clone(), usable);
+                }
+            }
+        }
+        service.sharing.update(
+            now,
+            request.service,
+            self.own_domain.as_deref(),
+            &slots,
+            fleet,
+            &self.settings.sharing,
+        );
+    }
+
+    /// Draws the failure domain of a new flow by the shares of its service, and returns
+    /// its index; nothing without shares.
+    fn draw_domain(&mut self, service: &str) -> Option<usize> {
+        let shares = self.services.get(service)?.sharing.shares()?;
+        let mut drawn = self.rng.random_range(0.0..1.0);
+        for (domain, weight) in &shares.domains {
+            drawn -= weight;
+            if drawn < 0.0 {
+                return self.domains.get_index_of(domain);
+            }
+        }
+        let (last, _) = shares.domains.last()?;
+        self.domains.get_index_of(last)
+    }
+
+    /// Returns the overload that prevents the admission of a flow by the shares of its
+    /// service, if any.
+    fn check_shares(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Option<Overload> {
+        let service = self.services.get_mut(request.service)?;
+        let shares = service.sharing.shares()?;
+        let settings = &self.settings.sharing;
+        let admission = &mut service.share_admission;
+        if !request.may_refuse || !admission.may_refuse(now, request, shares, settings) {
+            return None;
+        }
+        let late_factor = self.settings.admission.late_target_factor;
+        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let open = service.admission.competing_flows(request.priority);
+        let competing_flows = open.saturating_sub(service.stuck_flows);
+        // A fractional limit is met on average, as the limits of many entries add up.
+        let flow_limit = (limit + self.rng.random_range(0.0..1.0)) as u32;
+        if competing_flows < flow_limit {
+            return None;
+        }
+        admission.record_refusal();
+        Some(Overload {
+            competing_flows,
+            flow_limit,
+            median_duration: Duration::from_secs_f64(shares.work_ms / 1_000.0),
+        })
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
@@ -148,14 +299,23 @@
         now: Instant,
         request: &PlacementRequest<'_>,
     ) -> Result<Placed, Refusal> {
-        let (chosen, (health, load)) = self
-            .choose(now, request.service, request.tried)
-            .or_else(|| self.choose(now, request.service, &[]))
+        self.update_shares(now, request);
+        let domain = self.draw_domain(request.service);
+        let (chosen, (health, load)) = domain
+            .and_then(|domain| self.choose(now, request.service, request.tried, Some(domain)))
+            .filter(|(_, (health, _))| *health == Health::Healthy)
+            .or_else(|| self.choose(now, request.service, request.tried, None))
+            .or_else(|| self.choose(now, request.service, &[], None))
             .ok_or(Refusal::NoUpstream)?;
         let service = &mut self.services[request.service];
-        let overload = service
+        // Without shares, the entry goes by these statistics, which are kept up to date.
+        let mut overload = service
             .admission
             .check_overload(now, request, &self.settings.admission);
+        if domain.is_some() {
+            overload = self.check_shares(now, request);
+        }
+        let service = &mut self.services[request.service];
         if let Some(overload) = overload.filter(|_| request.may_refuse) {
             return Err(Refusal::Overloaded(overload));
         }
@@ -174,14 +334,17 @@
         })
     }
 
-    /// Returns the best upstream of a service outside of `tried`, and its rank.
+    /// Returns the best upstream of a service outside of `tried`, and its rank. When a
+    /// failure domain is given, it is one of that domain.
     fn choose(
         &mut self,
         now: Instant,
         service: &str,
         tried: &[TargetKey],
+        domain: Option<usize>,
     ) -> Option<(TargetKey, Rank)> {
-        let keys = &self.services.get(service)?.keys;
+        let Service { keys, sharing, .. } = self.services.get(service)?;
+        let is_shared = sharing.shares().is_some() && self.position.is_some();
         let is_probe =
             !self.fleet_slowness.is_empty() && self.rng.random_bool(self.settings.probe_share);
         let mut best: Option<Rank> = None;
@@ -189,11 +352,16 @@
         let mut ties = 0;
         for key in keys.iter().filter(|key| !tried.contains(key)) {
             let candidate = &self.candidates[key];
+            if domain.is_some_and(|domain| domain != candidate.domain) {
+                continue;
+            }
             let health = self.health(now, candidate);
-            let rank = (
-                health,
-                candidate.load_with_one_more(now, is_probe, &self.settings),
-            );
+            let mut load = candidate.load_with_one_more(now, is_probe, &self.settings);
+            if is_shared && !is_probe {
+                let penalty = self.settings.sharing.unreserved_penalty;
+                load += penalty * (1.0 - candidate.reserved) * candidate.fleet_slowness;
+            }
+            let rank = (health, load);
             if best.is_some_and(|best| rank > best) {
                 continue;
             }
@@ -219,6 +387,13 @@
         }
     }
 
+    /// Records how long the handshake of a flow took, of which the answer is recorded, too.
+    pub fn record_handshake_time(&mut self, key: TargetKey, time: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            candidate.record_handshake_time(time);
+        }
+    }
+
     /// Records that an upstream answered the first packet of a flow.
     pub fn record_answer(&mut self, now: Instant, key: TargetKey) {
         self.settle_first_packet(key);
@@ -321,6 +496,16 @@
             let slowness = flow_slowness(duration_ratio, &self.settings);
             candidate.record_slowness(now, slowness, &self.settings);
             // The fleet's threshold is for upstreams at their full speed.
+            if self.fleet_demand.is_some()
+                && duration_ratio >= self.settings.admission.refused_baseline_factor
+            {
+                let slot_time = candidate.slot_time(now, duration, &self.settings);
+                if let Some(service) = self.services.get_mut(&candidate.target.service) {
+                    service.demand_log.record_completion(slot_time);
+                    let settings = &self.settings.sharing;
+                    service.share_admission.record_end(now, slot_time, settings);
+                }
+            }
             let slowness = slowness * candidate.speed(now, &self.settings);
             let busy = duration / candidate.target.slots.max(1);
             self.observations.record(key, slowness, busy);
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -2,9 +2,12 @@
 
 use indexmap::IndexSet;
 
+use crate::TargetKey;
 use crate::admission::Admission;
+use crate::demand_log::DemandLog;
 use crate::recent_durations::RecentDurations;
-use crate::{ServiceShares, TargetKey};
+use crate::share_admission::ShareAdmission;
+use crate::sharing::Sharing;
 
 /// Upstreams of a service that may get new flows, and its admission control.
 #[derive(Debug, Default)]
@@ -12,6 +15,10 @@
     pub(crate) keys: IndexSet<TargetKey>,
     pub(crate) admission: Admission,
     pub(crate) recent_durations: RecentDurations,
-    /// How new flows are divided among failure domains, by the demand of all entries.
-    pub(crate) shares: Option<ServiceShares>,
+    /// Demand that was not reported yet.
+    pub(crate) demand_log: DemandLog,
+    pub(crate) sharing: Sharing,
+    pub(crate) share_admission: ShareAdmission,
+    /// Number of open flows at upstreams whose slots don't count. They take no slots.
+    pub(crate) stuck_flows: u32,
 }
--- a/crates/currantgate-placement/src/settings.rs
+++ b/crates/currantgate-placement/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::AdmissionSettings;
+use crate::{AdmissionSettings, DemandSettings, SharingSettings};
 
 /// Settings of [`crate::Placement`].
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,11 @@
     pub max_suspicion_doublings: u32,
     /// Settings of admission control.
     pub admission: AdmissionSettings,
+    /// Settings of the demand of all entries. Without them, an entry decides by its own
+    /// flows alone.
+    pub demand: Option<DemandSettings>,
+    /// Settings of decisions by the demand of all entries.
+    pub sharing: SharingSettings,
 }
 
 impl Default for PlacementSettings {
@@ -50,6 +55,8 @@
             base_suspicion_time: Duration::from_millis(500),
             max_suspicion_doublings: 4,
             admission: AdmissionSettings::default(),
+            demand: None,
+            sharing: SharingSettings::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/currantgate-placement/src/sharing.rs
@@ -0,0 +1,113 @@
+//! Shares of a service by the demand of all entries.
+
+use std::time::Instant;
+
+use currantgate_capacity::{EntryView, FleetDemand};
+use indexmap::IndexMap;
+
+use crate::arrival_history::ArrivalHistory;
+use crate::{DomainDemand, ServiceShares, SharingSettings};
+
+/// Fewest arrivals that are expected in a period before an entry compares itself with
+/// the others.
+const MIN_EXPECTED_ARRIVALS: f64 = 2.0;
+
+/// Shares of a service, and the entry's own arrivals by which they are extrapolated.
+#[derive(Clone, Debug)]
+pub(crate) struct Sharing {
+    shares: Option<ServiceShares>,
+    next_update: Option<Instant>,
+    arrivals: ArrivalHistory,
+    /// This entry's arrivals a second in the period of the published figures.
+    published_rate: f64,
+    /// Arrivals relative to those at the average entry of the domain.
+    relative_demand: f64,
+}
+
+impl Default for Sharing {
+    fn default() -> Self {
+        Self {
+            shares: None,
+            next_update: None,
+            arrivals: ArrivalHistory::default(),
+            published_rate: 0.0,
+            relative_demand: 1.0,
+        }
+    }
+}
+
+impl Sharing {
+    /// Counts the arrival of a request.
+    pub(crate) fn record_arrival(&mut self, now: Instant) {
+        self.arrivals.record(now);
+    }
+
+    /// Returns the shares of the last update.
+    pub(crate) fn shares(&self) -> Option<&ServiceShares> {
+        self.shares.as_ref()
+    }
+
+    /// Tells whether the shares are to be computed again.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        self.next_update.is_none_or(|at| now >= at)
+    }
+
+    /// Compares the entry's own arrivals with new figures of its domain.
+    pub(crate) fn compare(
+        &mut self,
+        now: Instant,
+        service: &str,
+        demand: &DomainDemand,
+        settings: &SharingSettings,
+    ) {
+        self.next_update = None;
+        let (delay, window) = (settings.figures_delay, settings.figures_window);
+        self.published_rate = self.arrivals.rate(now, delay, window);
+        let services = demand.services.iter();
+        let classes = services
+            .filter(|s| &*s.service == service)
+            .flat_map(|s| &s.classes);
+        let domain_rate: f64 = classes.map(|class| f64::from(class.arrivals)).sum();
+        let average = domain_rate / f64::from(demand.entries.max(1));
+        if average * window.as_secs_f64() >= MIN_EXPECTED_ARRIVALS {
+            let relative = self.published_rate / average;
+            let weight = settings.relative_demand_weight;
+            self.relative_demand += (relative - self.relative_demand) * weight;
+        }
+    }
+
+    /// Computes the shares again. `slots` holds the slots by failure domain.
+    pub(crate) fn update(
+        &mut self,
+        now: Instant,
+        service: &str,
+        domain: Option<&str>,
+        slots: &IndexMap<Box<str>, f64>,
+        fleet: &mut FleetDemand,
+        settings: &SharingSettings,
+    ) {
+        self.next_update = Some(now + settings.update_interval);
+        let view = EntryView {
+            service,
+            domain,
+            slots,
+            change: self.change(now, settings),
+            relative_demand: self.relative_demand,
+        };
+        self.shares = fleet.shares(now, &view);
+    }
+
+    /// Returns the factor by which demand has changed since the published figures, as
+    /// far as the entry's own arrivals differ by more than random variation.
+    fn change(&mut self, now: Instant, settings: &SharingSettings) -> f64 {
+        let window = settings.change_window;
+        let seconds = window.as_secs_f64();
+        let expected = (self.published_rate * seconds).max(1.0);
+        let arrived = self.arrivals.rate(now, std::time::Duration::ZERO, window) * seconds;
+        let difference = arrived - expected;
+        let std_devs = difference.abs() / expected.sqrt();
+        // The weight grows from 0 to 1, so that shares don't jump.
+        let weight = (std_devs - settings.change_std_devs).clamp(0.0, 1.0);
+        1.0 + weight * difference / expected
+    }
+}
--- a/crates/currantgate-placement/tests/load/main.rs
+++ b/crates/currantgate-placement/tests/load/main.rs
@@ -3,6 +3,7 @@
 //!
 //! The bounds are the stated targets, see `docs/design/placement.md`.
 
+mod hard;
 mod simulation;
 
 use std::ops::Range;
--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -5,6 +5,7 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
+use currantgate_capacity::{DemandCollector, DemandSettings, DomainDemand};
 use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, slowness_changes};
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, Suspect, SuspicionChange, Target,
@@ -14,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp, LogNormal};
 
+mod hard_load;
 mod report;
 mod request;
 mod scenario;
@@ -22,10 +24,7 @@
 pub(crate) use scenario::{Policy, Scenario};
 
 use report::Outcome;
-use request::{
-    IDEMPOTENT, MEAN_WORK_MS, NON_IDEMPOTENT, NON_IDEMPOTENT_SHARE, Request, RequestKind,
-    WORK_RELATIVE_STD_DEV,
-};
+use request::{Request, RequestKind, WORK_RELATIVE_STD_DEV};
 
 /// Times after the start of an attempt at which a caller sends its first packet, in
 /// milliseconds: at once, and again while there is no answer.
@@ -34,23 +33,20 @@
 /// Time after which a caller gives up an attempt, in milliseconds.
 const ATTEMPT_TIMEOUT_MS: f64 = 1_400.0;
 
-/// Longest time in an upstream's queue before the request is refused, in milliseconds.
-const MAX_QUEUE_TIME_MS: f64 = 200.0;
-
 /// Mean backoff before a caller's first retry, in milliseconds; it doubles with each.
 const RETRY_BACKOFF_MS: f64 = 100.0;
 
-/// Number of failure domains, as at the users'. Entries and upstreams are assigned to
-/// them in turn.
+/// Most failure domains of a site.
 const DOMAINS: usize = 4;
 
-/// Round trip time between two failure domains, in milliseconds.
-const CROSS_DOMAIN_RTT_MS: f64 = 2.8;
-
 /// Interval at which entries report what they observed and are told what all have, in
 /// milliseconds.
 const REPORT_INTERVAL_MS: f64 = 500.0;
 
+/// Time from the entries' reports until the collectors publish the demand and entries
+/// receive it, in milliseconds: half of the interval of publishing, and the delay.
+const PUBLISH_DELAY_MS: f64 = 255.0;
+
 /// Time until which entries learn which upstreams are slow, in milliseconds: what
 /// they observe takes half of a second to reach a control VM and as much to return.
 const LEARNING_TIME_MS: f64 = 2_000.0;
@@ -82,8 +78,14 @@
     },
     /// An upstream completes a request.
     Done(Request),
+    /// An upstream answers a first packet.
+    Answer(Request),
+    /// The entry sees the end of a flow that was ended at the given time.
+    End(Request),
     /// Entries exchange what they observe.
     Report,
+    /// Entries receive the published demand.
+    Publish,
 }
 
 /// Simulates a scenario with one policy of placement.
@@ -104,6 +106,9 @@
     slow: [Vec<SlowUpstream>; DOMAINS],
     /// Changes of these that entries are told next.
     changes: [Vec<SlowUpstream>; DOMAINS],
+    /// Collectors of the demand of each domain.
+    collectors: Vec<DemandCollector>,
+    has_upstreams_left: bool,
     upstreams: Vec<Upstream>,
     /// Time of each event in microseconds, and its index in `pending_events`.
     events: BinaryHeap<Reverse<(u64, u64)>>,
@@ -115,13 +120,17 @@
     fn new(scenario: Scenario, policy: Policy) -> Self {
         let start = Instant::now();
         let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
-        let duration_ms = f64::from(REQUESTS) / arrivals_per_ms(&scenario);
+        let domains = scenario.site.domains;
+        let duration_ms = scenario.hard.as_ref().map_or_else(
+            || f64::from(REQUESTS) / arrivals_per_ms(&scenario),
+            |hard| hard.duration_ms,
+        );
         let warm_at = start + millis(duration_ms / 4.0);
         let target = |n: usize, entry: usize| Target {
             key: n as TargetKey,
             service: "booking".into(),
-            domain: format!("{}", n % DOMAINS).into(),
-            is_local: n % DOMAINS == entry % DOMAINS,
+            domain: format!("{}", n % domains).into(),
+            is_local: n % domains == entry % domains,
             slots: scenario.slots,
             warm_at: if n < scenario.cold_upstreams {
                 warm_at
@@ -133,9 +142,10 @@
         let entry = |entry| {
             let mut settings = PlacementSettings {
                 seed: rng.random(),
+                demand: (policy == Policy::Demand).then(DemandSettings::default),
                 ..PlacementSettings::default()
             };
-            if !matches!(policy, Policy::Admission | Policy::Shared) {
+            if !matches!(policy, Policy::Admission | Policy::Shared | Policy::Demand) {
                 let never = Duration::from_secs(24 * 60 * 60);
                 settings.admission.overload_after_growth = never;
                 settings.admission.overload_after_late = never;
@@ -161,6 +171,8 @@
             }),
             slow: Default::default(),
             changes: Default::default(),
+            collectors: vec![DemandCollector::new(DemandSettings::default()); domains],
+            has_upstreams_left: false,
             upstreams: (0..upstreams).map(|_| Upstream::default()).collect(),
             events: BinaryHeap::new(),
             pending_events: Vec::new(),
@@ -174,18 +186,25 @@
 
     fn run(mut self) -> Report {
         self.schedule_arrivals();
-        if self.policy == Policy::Shared {
+        if matches!(self.policy, Policy::Shared | Policy::Demand) {
             self.schedule(0.0, Event::Report);
         }
         while let Some(Reverse((micros, index))) = self.events.pop() {
             let now_ms = micros as f64 / 1_000.0;
+            self.remove_leaving(now_ms);
             match self.pending_events[index as usize].take() {
                 Some(Event::Attempt {
                     request,
                     retransmissions,
                 }) => self.attempt(now_ms, request, retransmissions),
                 Some(Event::Done(request)) => self.finish(now_ms, request),
+                Some(Event::Answer(request)) => {
+                    self.record_answer(now_ms, &request);
+                    self.enqueue(now_ms, request);
+                }
+                Some(Event::End(request)) => self.record_end(now_ms, &request),
                 Some(Event::Report) => self.exchange_observations(now_ms),
+                Some(Event::Publish) => self.publish_demand(now_ms),
                 None => {}
             }
         }
@@ -201,24 +220,36 @@
         let mut now_ms = 0.0;
         while now_ms < self.duration_ms {
             let is_burst = self.middle_third().contains(&now_ms);
-            let rate_factor = if is_burst {
-                self.scenario.burst_factor
-            } else {
-                1.0
+            let site = self.scenario.site;
+            let phase = self.scenario.phase(now_ms);
+            let rate_factor = match &phase {
+                Some(phase) => phase.rate_factor(&site),
+                None if is_burst => self.scenario.burst_factor,
+                None => 1.0,
             };
             now_ms += gap.sample(&mut self.rng) / rate_factor;
-            let kind = if self.rng.random_bool(NON_IDEMPOTENT_SHARE) {
-                NON_IDEMPOTENT
+            let non_idempotent_share = match &phase {
+                Some(phase) => phase.non_idempotent_share(&site),
+                None => site.non_idempotent_share,
+            };
+            let kind = if self.rng.random_bool(non_idempotent_share) {
+                site.non_idempotent
             } else {
-                IDEMPOTENT
+                site.idempotent
+            };
+            let entry = match &phase {
+                Some(phase) => {
+                    let domain = phase.draw_domain(&site, self.rng.random_range(0.0..1.0));
+                    self.draw_entry(domain)
+                }
+                None => self.rng.random_range(0..self.scenario.entries),
             };
-            let entry = self.rng.random_range(0..self.scenario.entries);
             let request = Request {
                 kind,
                 started_ms: now_ms,
                 work_ms: kind.work_ms * work_factor.sample(&mut self.rng),
                 entry,
-                domain: entry % DOMAINS,
+                domain: entry % site.domains,
                 key: 0,
                 retries: 0,
                 attempt_ms: now_ms,
@@ -236,6 +267,13 @@
         }
     }
 
+    /// Returns an entry of a domain.
+    fn draw_entry(&mut self, domain: usize) -> usize {
+        let domains = self.scenario.site.domains;
+        let count = (self.scenario.entries - domain).div_ceil(domains);
+        self.rng.random_range(0..count) * domains + domain
+    }
+
     /// Updates the outcomes that a request counts in.
     fn record(&mut self, request: &Request, update: impl Fn(&mut Outcome)) {
         let second = (request.started_ms / 1_000.0) as usize;
@@ -244,6 +282,8 @@
         }
         update(&mut self.report.by_second[second]);
         update(&mut self.report.by_domain[request.domain]);
+        let group = (second, request.domain, request.kind.is_idempotent);
+        update(self.report.groups.entry(group).or_default());
         update(if request.kind.is_idempotent {
             &mut self.report.idempotent
         } else {
@@ -267,8 +307,11 @@
         let now = self.at(now_ms);
         for (n, placement) in self.entries.iter_mut().enumerate() {
             let observations = placement.take_observations();
-            self.fleets[n % DOMAINS].record(now, n as u64, &observations);
-            placement.update_fleet_slowness(&self.changes[n % DOMAINS]);
+            let domain = n % self.scenario.site.domains;
+            self.fleets[domain].record(now, n as u64, &observations);
+            placement.update_fleet_slowness(&self.changes[domain]);
+            let demand = placement.take_demand();
+            self.collectors[domain].record(now, n as u64, &format!("{domain}"), &demand);
         }
         for (n, fleet) in self.fleets.iter_mut().enumerate() {
             let slow = fleet.slow_upstreams(now).to_vec();
@@ -277,6 +320,52 @@
         }
         if now_ms < self.duration_ms {
             self.schedule(now_ms + REPORT_INTERVAL_MS, Event::Report);
+            if self.policy == Policy::Demand {
+                self.schedule(now_ms + PUBLISH_DELAY_MS, Event::Publish);
+            }
+        }
+    }
+
+    /// Tells the entries the demand of all domains.
+    fn publish_demand(&mut self, now_ms: f64) {
+        let now = self.at(now_ms);
+        for domain in 0..self.collectors.len() {
+            for demand in self.collectors[domain].published(now) {
+                for (n, placement) in self.entries.iter_mut().enumerate() {
+                    let collector = &self.collectors[domain];
+                    let is_own = n % self.scenario.site.domains == domain;
+                    let position = is_own.then(|| collector.position(n as u64)).flatten();
+                    let demand = DomainDemand {
+                        position,
+                        ..demand.clone()
+                    };
+                    placement.update_demand(now, &demand);
+                }
+            }
+        }
+    }
+
+    /// Removes the upstreams that leave at the start of the disturbance.
+    fn remove_leaving(&mut self, now_ms: f64) {
+        let leaving = self.scenario.leaving_upstreams;
+        if self.has_upstreams_left || leaving == 0 || !self.scenario.is_disturbed(now_ms) {
+            return;
+        }
+        self.has_upstreams_left = true;
+        let domains = self.scenario.site.domains;
+        let remaining = self.scenario.upstreams - leaving;
+        let slots = self.scenario.slots;
+        let start = self.start;
+        for (entry, placement) in self.entries.iter_mut().enumerate() {
+            placement.set_targets((0..remaining).map(|n| Target {
+                key: n as TargetKey,
+                service: "booking".into(),
+                domain: format!("{}", n % domains).into(),
+                is_local: n % domains == entry % domains,
+                slots,
+                warm_at: start,
+                is_reporting: true,
+            }));
         }
     }
 
@@ -284,12 +373,13 @@
     fn uses_placement(&self) -> bool {
         matches!(
             self.policy,
-            Policy::LeastLoad | Policy::Admission | Policy::Shared
+            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand
         )
     }
 
     /// Sends a first packet, or retransmits it when the one before was not answered.
     fn attempt(&mut self, now_ms: f64, mut request: Request, retransmissions: usize) {
+        self.report.attempts += u32::from(retransmissions == 0);
         if self.is_in_outage(now_ms) {
             return self.retransmit(request, retransmissions);
         }
@@ -311,11 +401,32 @@
         if is_lost || self.is_unresponsive(now_ms, request.key) {
             return self.retransmit(request, retransmissions);
         }
+        let delay_ms = self.handshake_ms(&request);
+        if delay_ms > 0.0 {
+            return self.schedule(now_ms + delay_ms, Event::Answer(request));
+        }
+        self.record_answer(now_ms, &request);
+        self.enqueue(now_ms, request);
+    }
+
+    /// Returns the time from a flow's first packet to the caller's next one, as the entry
+    /// sees it; 0 where the delay to callers is not simulated.
+    fn handshake_ms(&self, request: &Request) -> f64 {
+        let site = &self.scenario.site;
+        if site.caller_delay_ms <= 0.0 {
+            return 0.0;
+        }
+        2.0 * site.caller_delay_ms + self.cross_domain_rtt_ms(request) / 2.0
+    }
+
+    /// Records the answer to a first packet at the entry.
+    fn record_answer(&mut self, now_ms: f64, request: &Request) {
         if self.uses_placement() {
             let now = self.at(now_ms);
-            self.entries[request.entry].record_answer(now, request.key);
+            let placement = &mut self.entries[request.entry];
+            placement.record_handshake_time(request.key, millis(now_ms - request.sent_ms));
+            placement.record_answer(now, request.key);
         }
-        self.enqueue(now_ms, request);
     }
 
     /// Returns the upstream that the policy chooses for a first packet.
@@ -328,7 +439,7 @@
         match self.policy {
             Policy::OneQueue => Ok(0),
             Policy::Hash => Ok(self.rng.random_range(0..self.scenario.upstreams) as TargetKey),
-            Policy::LeastLoad | Policy::Admission | Policy::Shared => {
+            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand => {
                 let (now, sent) = (self.at(now_ms), self.at(request.sent_ms));
                 let was_placed = retransmissions > 0 && !self.is_in_outage(request.sent_ms);
                 let tried = was_placed.then_some(request.key);
@@ -391,7 +502,9 @@
     /// Schedules a retry after a backoff, unless retries or time have run out.
     fn retry(&mut self, now_ms: f64, mut request: Request) {
         let pause = RETRY_BACKOFF_MS * f64::from(1 << request.retries);
-        let at_ms = now_ms + pause * self.rng.random_range(0.5..1.5);
+        let at_ms = now_ms
+            + 2.0 * self.scenario.site.caller_delay_ms
+            + pause * self.rng.random_range(0.5..1.5);
         let is_late = at_ms > request.started_ms + request.kind.caller_timeout_ms;
         if request.retries >= self.scenario.max_retries || is_late {
             return;
@@ -399,7 +512,11 @@
         request.retries += 1;
         request.attempt_ms = at_ms;
         request.sent_ms = at_ms;
-        request.entry = self.rng.random_range(0..self.scenario.entries);
+        request.entry = if self.scenario.hard.is_some() {
+            self.draw_entry(request.domain)
+        } else {
+            self.rng.random_range(0..self.scenario.entries)
+        };
         self.schedule(
             at_ms,
             Event::Attempt {
@@ -463,11 +580,12 @@
     fn is_unresponsive(&self, now_ms: f64, key: TargetKey) -> bool {
         let key = key as usize;
         let is_domain_down = self.scenario.domain_outage
-            && key.is_multiple_of(DOMAINS)
+            && key.is_multiple_of(self.scenario.site.domains)
             && self.middle_third().contains(&now_ms);
         self.policy != Policy::OneQueue
             && (is_domain_down
-                || key >= self.scenario.upstreams - self.scenario.unresponsive_upstreams)
+                || (self.scenario.is_disturbed(now_ms)
+                    && key >= self.scenario.upstreams - self.scenario.unresponsive_upstreams))
     }
 
     fn middle_third(&self) -> Range<f64> {
@@ -476,6 +594,7 @@
 
     fn start_work(&mut self, now_ms: f64, request: Request) {
         let is_slow = self.policy != Policy::OneQueue
+            && self.scenario.is_disturbed(now_ms)
             && (request.key as usize) < self.scenario.slow_upstreams;
         let warmup_slowdown = if request.is_cold { 2.0 } else { 1.0 };
         let slowdown = if is_slow { 4.0 } else { warmup_slowdown };
@@ -483,15 +602,22 @@
         self.schedule(done_ms, Event::Done(request));
     }
 
-    /// Completes a request, and starts the next one of the queue that is not too old.
-    fn finish(&mut self, now_ms: f64, request: Request) {
-        let is_local = request.key as usize % DOMAINS == request.entry % DOMAINS;
-        let rtt_ms = if is_local || self.policy == Policy::OneQueue {
+    /// Returns the round trip time between the entry and the upstream of a request.
+    fn cross_domain_rtt_ms(&self, request: &Request) -> f64 {
+        let domains = self.scenario.site.domains;
+        let is_local = request.key as usize % domains == request.entry % domains;
+        if is_local || self.policy == Policy::OneQueue {
             0.0
         } else {
-            CROSS_DOMAIN_RTT_MS
-        };
-        let took_ms = now_ms + rtt_ms - request.started_ms;
+            self.scenario.site.cross_domain_rtt_ms
+        }
+    }
+
+    /// Completes a request, and starts the next one of the queue that is not too old.
+    fn finish(&mut self, now_ms: f64, request: Request) {
+        let rtt_ms = self.cross_domain_rtt_ms(&request);
+        let caller_rtt_ms = 2.0 * self.scenario.site.caller_delay_ms;
+        let took_ms = now_ms + rtt_ms + caller_rtt_ms - request.started_ms;
         let RequestKind {
             latency_target_ms,
             caller_timeout_ms,
@@ -501,9 +627,12 @@
             outcome.in_target += u32::from(took_ms <= latency_target_ms);
             outcome.served += u32::from(took_ms <= caller_timeout_ms);
         });
+        if took_ms <= latency_target_ms {
+            self.report.add_work(now_ms, request.work_ms);
+        }
         self.end_flow(now_ms, &request);
         while let Some(next) = self.upstreams[request.key as usize].waiting.pop_front() {
-            if now_ms - next.sent_ms <= MAX_QUEUE_TIME_MS {
+            if now_ms - next.sent_ms <= self.scenario.site.max_queue_time_ms {
                 return self.start_work(now_ms, next);
             }
             self.shed(now_ms, next);
@@ -521,6 +650,15 @@
     /// Ends the flow of a request at its upstream and entry.
     fn end_flow(&mut self, now_ms: f64, request: &Request) {
         self.upstreams[request.key as usize].flows -= 1;
+        let delay_ms = 2.0 * self.scenario.site.caller_delay_ms;
+        if delay_ms > 0.0 {
+            return self.schedule(now_ms + delay_ms, Event::End(*request));
+        }
+        self.record_end(now_ms, request);
+    }
+
+    /// Records the end of a flow at its entry.
+    fn record_end(&mut self, now_ms: f64, request: &Request) {
         if self.uses_placement() {
             let now = self.at(now_ms);
             let duration = millis(now_ms - request.sent_ms);
@@ -532,8 +670,13 @@
 
 /// Returns the rate of arrivals at the scenario's load, outside of a burst.
 fn arrivals_per_ms(scenario: &Scenario) -> f64 {
-    let slots = scenario.slots * (scenario.upstreams - scenario.unresponsive_upstreams) as u32;
-    scenario.load * f64::from(slots) / MEAN_WORK_MS
+    let responsive = if scenario.hard.is_some() {
+        scenario.upstreams
+    } else {
+        scenario.upstreams - scenario.unresponsive_upstreams
+    };
+    let slots = scenario.slots * responsive as u32;
+    scenario.load * f64::from(slots) / scenario.site.mean_work_ms()
 }
 
 fn millis(ms: f64) -> Duration {
--- a/crates/currantgate-placement/tests/load/simulation/report.rs
+++ b/crates/currantgate-placement/tests/load/simulation/report.rs
@@ -1,5 +1,6 @@
 //! Outcomes of the simulated requests.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 use super::DOMAINS;
@@ -30,7 +31,7 @@
         f64::from(self.served) / f64::from(self.requested.max(1))
     }
 
-    fn add(self, other: Self) -> Self {
+    pub(crate) fn add(self, other: Self) -> Self {
         Self {
             requested: self.requested + other.requested,
             in_target: self.in_target + other.in_target,
@@ -52,6 +53,14 @@
     pub(crate) by_second: Vec<Outcome>,
     /// All requests, by the domain of the entry that got the first attempt.
     pub(crate) by_domain: [Outcome; DOMAINS],
+    /// All requests by the second in which they started, the domain of their callers,
+    /// and whether they are idempotent.
+    pub(crate) groups: BTreeMap<(usize, usize, bool), Outcome>,
+    /// Work of the requests answered in target, in milliseconds, by the tenth of a
+    /// second in which it was done.
+    pub(crate) work_in_target_ms: Vec<f64>,
+    /// Flows that callers opened, those of retries included.
+    pub(crate) attempts: u32,
     /// First packets lost on the network.
     pub(crate) lost: u32,
     /// Suspicions, at single entries, of upstreams that do answer.
@@ -70,6 +79,36 @@
         self.idempotent.add(self.non_idempotent)
     }
 
+    /// Returns the outcome of the groups for which `is_included` holds.
+    pub(crate) fn select(&self, is_included: impl Fn(usize, usize, bool) -> bool) -> Outcome {
+        let groups = self.groups.iter();
+        let included = groups.filter(|((second, domain, is_idempotent), _)| {
+            is_included(*second, *domain, *is_idempotent)
+        });
+        included.fold(Outcome::default(), |sum, (_, outcome)| sum.add(*outcome))
+    }
+
+    /// Returns the part of all flows that upstreams shed.
+    pub(crate) fn shed_share(&self) -> f64 {
+        f64::from(self.all().shed) / f64::from(self.attempts.max(1))
+    }
+
+    /// Adds the work of a request that was answered in target.
+    pub(super) fn add_work(&mut self, now_ms: f64, work_ms: f64) {
+        let tenth = (now_ms / 100.0) as usize;
+        if self.work_in_target_ms.len() <= tenth {
+            self.work_in_target_ms.resize(tenth + 1, 0.0);
+        }
+        self.work_in_target_ms[tenth] += work_ms;
+    }
+
+    /// Returns the mean number of slots that did work in target in a range of tenths of
+    /// a second.
+    pub(crate) fn slots_in_target(&self, tenths: Range<usize>) -> f64 {
+        let duration_ms = 100.0 * tenths.len() as f64;
+        self.work_in_target_ms[tenths].iter().sum::<f64>() / duration_ms
+    }
+
     /// Returns the placed flows of the upstreams in `range`, relative to an equal share.
     pub(crate) fn relative_share(&self, range: Range<usize>) -> f64 {
         let fair = range.len() as f64 / self.placed.len() as f64;
--- a/crates/currantgate-placement/tests/load/simulation/request.rs
+++ b/crates/currantgate-placement/tests/load/simulation/request.rs
@@ -4,7 +4,7 @@
 
 /// A kind of request; times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RequestKind {
+pub(crate) struct RequestKind {
     /// Mean work time.
     pub(super) work_ms: f64,
     pub(super) latency_target_ms: f64,
@@ -32,10 +32,6 @@
 /// Share of requests that are not idempotent: 83 of 375 a second.
 pub(super) const NON_IDEMPOTENT_SHARE: f64 = 0.22;
 
-/// Mean work time of all requests, in milliseconds.
-pub(super) const MEAN_WORK_MS: f64 = (1.0 - NON_IDEMPOTENT_SHARE) * IDEMPOTENT.work_ms
-    + NON_IDEMPOTENT_SHARE * NON_IDEMPOTENT.work_ms;
-
 /// Standard deviation of the work time of a kind, relative to its mean.
 pub(super) const WORK_RELATIVE_STD_DEV: f64 = 0.5;
 
--- a/crates/currantgate-placement/tests/load/simulation/scenario.rs
+++ b/crates/currantgate-placement/tests/load/simulation/scenario.rs
@@ -1,5 +1,13 @@
 //! Simulated scenarios.
 
+use super::DOMAINS;
+use super::hard_load::{HardLoad, Phase};
+use super::request::{IDEMPOTENT, NON_IDEMPOTENT, NON_IDEMPOTENT_SHARE, RequestKind};
+
+/// Time at which the hard loads start, in milliseconds: entries know the usual load by
+/// then.
+const HARD_START_MS: f64 = 3_000.0;
+
 /// Policy by which new flows are placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Policy {
@@ -11,13 +19,78 @@
     Admission,
     /// The same, with what the entries of each domain observe merged and shared.
     Shared,
+    /// The same, with the demand of all domains published to all entries.
+    Demand,
     /// One queue for all slots, which is the upper bound of any placement.
     OneQueue,
 }
 
+/// Domains, delays and kinds of requests of a site; times are in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Site {
+    /// Number of failure domains. Entries and upstreams are assigned to them in turn.
+    pub(crate) domains: usize,
+    /// Round trip time between two failure domains.
+    pub(crate) cross_domain_rtt_ms: f64,
+    /// One-way delay to callers; 0 where it is not simulated.
+    pub(crate) caller_delay_ms: f64,
+    /// Longest time in an upstream's queue before the request is refused.
+    pub(crate) max_queue_time_ms: f64,
+    pub(crate) idempotent: RequestKind,
+    pub(crate) non_idempotent: RequestKind,
+    pub(crate) non_idempotent_share: f64,
+}
+
+impl Site {
+    /// The users' first sites.
+    const BOOKING: Self = Self {
+        domains: 4,
+        cross_domain_rtt_ms: 2.8,
+        caller_delay_ms: 0.0,
+        max_queue_time_ms: 200.0,
+        idempotent: IDEMPOTENT,
+        non_idempotent: NON_IDEMPOTENT,
+        non_idempotent_share: NON_IDEMPOTENT_SHARE,
+    };
+
+    /// The site of the hard loads, see `docs/design/hard-load.md`. Its upstreams shed
+    /// requests after about 100 ms in their queues.
+    const HARD: Self = Self {
+        domains: 3,
+        cross_domain_rtt_ms: 1.0,
+        caller_delay_ms: 3.0,
+        max_queue_time_ms: 100.0,
+        idempotent: RequestKind {
+            work_ms: 30.0,
+            latency_target_ms: 500.0,
+            ..IDEMPOTENT
+        },
+        non_idempotent: RequestKind {
+            work_ms: 39.0,
+            latency_target_ms: 600.0,
+            ..NON_IDEMPOTENT
+        },
+        non_idempotent_share: 1.0 / 3.0,
+    };
+
+    /// Returns the mean work time of all requests.
+    pub(crate) fn mean_work_ms(&self) -> f64 {
+        (1.0 - self.non_idempotent_share) * self.idempotent.work_ms
+            + self.non_idempotent_share * self.non_idempotent.work_ms
+    }
+}
+
 /// A simulated site and its load.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
+    pub(crate) site: Site,
+    /// Load that changes by domains and kinds of requests; if there is one, callers stay
+    /// with the entries of their domain.
+    pub(crate) hard: Option<HardLoad>,
+    /// Time from which upstreams are slow or unresponsive or have left, in milliseconds.
+    pub(crate) disturbed_from_ms: f64,
+    /// Upstreams, from the last one back, that leave at that time.
+    pub(crate) leaving_upstreams: usize,
     pub(crate) entries: usize,
     pub(crate) upstreams: usize,
     pub(crate) slots: u32,
@@ -52,6 +125,10 @@
     /// Returns the users' booking service: 14 upstreams with 3 slots behind 8 entries.
     pub(crate) fn booking(load: f64) -> Self {
         Self {
+            site: Site::BOOKING,
+            hard: None,
+            disturbed_from_ms: 0.0,
+            leaving_upstreams: 0,
             entries: 8,
             upstreams: 14,
             slots: 3,
@@ -89,4 +166,80 @@
             ..Self::booking(load)
         }
     }
+
+    /// Returns six times the callers of one domain for 6 s.
+    pub(crate) fn uneven_domain() -> Self {
+        let phase = Phase {
+            domains: [6.0, 1.0, 1.0, 1.0],
+            ..Phase::usual(HARD_START_MS..9_000.0)
+        };
+        Self::hard(10_500.0, &[phase])
+    }
+
+    /// Returns five times all callers, and then eight times the idempotent requests.
+    pub(crate) fn hard_burst() -> Self {
+        let callers = Phase {
+            domains: [5.0; DOMAINS],
+            ..Phase::usual(HARD_START_MS..7_000.0)
+        };
+        let kind = Phase {
+            idempotent: 8.0,
+            ..Phase::usual(9_000.0..13_000.0)
+        };
+        Self::hard(14_500.0, &[callers, kind])
+    }
+
+    /// Returns three times all callers while half of the upstreams are unresponsive.
+    pub(crate) fn half_dark() -> Self {
+        let phase = Phase {
+            domains: [3.0; DOMAINS],
+            ..Phase::usual(HARD_START_MS..9_000.0)
+        };
+        Self {
+            unresponsive_upstreams: 60,
+            disturbed_from_ms: HARD_START_MS,
+            ..Self::hard(10_500.0, &[phase])
+        }
+    }
+
+    /// Returns the uneven domain while three in ten upstreams leave and four in ten of
+    /// the others are four times as slow.
+    pub(crate) fn uneven_upstreams() -> Self {
+        Self {
+            leaving_upstreams: 36,
+            slow_upstreams: 34,
+            disturbed_from_ms: HARD_START_MS,
+            ..Self::uneven_domain()
+        }
+    }
+
+    /// Returns the site of the hard loads: 120 upstreams with 2 slots behind 76 entries,
+    /// which is under a quarter of its capacity outside of the phases.
+    fn hard(duration_ms: f64, phases: &[Phase]) -> Self {
+        let hard = HardLoad {
+            duration_ms,
+            phases: phases.to_vec(),
+        };
+        Self {
+            site: Site::HARD,
+            hard: Some(hard),
+            entries: 76,
+            upstreams: 120,
+            slots: 2,
+            queue_limit: 8,
+            ..Self::booking(0.245)
+        }
+    }
+
+    /// Returns the phase of the load at a time, if the load has phases.
+    pub(super) fn phase(&self, now_ms: f64) -> Option<Phase> {
+        let hard = self.hard.as_ref()?;
+        let phase = hard.phases.iter().find(|p| p.ms.contains(&now_ms));
+        Some(phase.cloned().unwrap_or(Phase::usual(0.0..f64::MAX)))
+    }
+
+    /// Tells whether upstreams are slow or unresponsive at a time.
+    pub(super) fn is_disturbed(&self, now_ms: f64) -> bool {
+        now_ms >= self.disturbed_from_ms
+    }
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -171,7 +171,10 @@
     /// upstream has answered the first one.
     fn update_record(&mut self, now: Instant, packet: LaterPacket) {
         if let Some(record) = self.flows.establish(&packet.flow) {
-            self.handshake_time = Some(now.saturating_duration_since(record.sent));
+            let handshake_time = now.saturating_duration_since(record.sent);
+            self.handshake_time = Some(handshake_time);
+            self.placement
+                .record_handshake_time(record.token, handshake_time);
             self.placement.record_answer(now, record.token);
         }
         if packet.is_last
