Compare an entry's arrivals only with a period that it knows

An entry that had just started compared its arrivals with a period that lay in part before its first one. It took the difference for a burst, moved its flows to other domains and refused some.

--- a/crates/currantgate-placement/src/sharing.rs
+++ b/crates/currantgate-placement/src/sharing.rs
@@ -1,6 +1,6 @@
 //! Shares of a service by the demand of all entries.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_capacity::{EntryView, FleetDemand};
 use indexmap::IndexMap;
@@ -18,8 +18,9 @@
     shares: Option<ServiceShares>,
     next_update: Option<Instant>,
     arrivals: ArrivalHistory,
-    /// This entry's arrivals a second in the period of the published figures.
-    published_rate: f64,
+    /// This entry's arrivals a second in the period of the published figures, if it knows
+    /// that period.
+    published_rate: Option<f64>,
     /// Arrivals relative to those at the average entry of the domain.
     relative_demand: f64,
 }
@@ -30,7 +31,7 @@
             shares: None,
             next_update: None,
             arrivals: ArrivalHistory::default(),
-            published_rate: 0.0,
+            published_rate: None,
             relative_demand: 1.0,
         }
     }
@@ -69,8 +70,10 @@
             .flat_map(|s| &s.classes);
         let domain_rate: f64 = classes.map(|class| f64::from(class.arrivals)).sum();
         let average = domain_rate / f64::from(demand.entries.max(1));
-        if average * window.as_secs_f64() >= MIN_EXPECTED_ARRIVALS {
-            let relative = self.published_rate / average;
+        if let Some(published_rate) = self.published_rate
+            && average * window.as_secs_f64() >= MIN_EXPECTED_ARRIVALS
+        {
+            let relative = published_rate / average;
             let weight = settings.relative_demand_weight;
             self.relative_demand += (relative - self.relative_demand) * weight;
         }
@@ -102,9 +105,12 @@
     fn change(&mut self, now: Instant, settings: &SharingSettings) -> f64 {
         let window = settings.change_window;
         let seconds = window.as_secs_f64();
-        let expected = (self.published_rate * seconds).max(1.0);
-        let arrived = self.arrivals.rate(now, std::time::Duration::ZERO, window) * seconds;
-        let difference = arrived - expected;
+        let rate = self.arrivals.rate(now, Duration::ZERO, window);
+        let (Some(published_rate), Some(rate)) = (self.published_rate, rate) else {
+            return 1.0;
+        };
+        let expected = (published_rate * seconds).max(1.0);
+        let difference = rate * seconds - expected;
         let std_devs = difference.abs() / expected.sqrt();
         // The weight grows from 0 to 1, so that shares don't jump.
         let weight = (std_devs - settings.change_std_devs).clamp(0.0, 1.0);
