Keep the order of upstreams for reservations

Placement sorted all upstreams with each figure of the own domain, twice a second. They are sorted when the targets change instead, and only where demand is shared.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -105,6 +105,14 @@
             }
         }
         self.candidates.retain(|_, c| c.is_eligible || c.flows > 0);
+        if self.fleet_demand.is_some() {
+            for service in self.services.values_mut() {
+                let keys = service.keys.iter();
+                let ordered = keys.map(|key| (self.candidates[key].domain, *key));
+                service.ordered = ordered.collect();
+                service.ordered.sort_unstable();
+            }
+        }
         let candidates = &self.candidates;
         self.services.retain(|name, service| {
             !service.keys.is_empty() || candidates.values().any(|c| c.target.service == *name)
@@ -178,11 +186,7 @@
             return;
         };
         for service in self.services.values() {
-            // All entries of the domain have to use the same order.
-            let domain = |key: &TargetKey| self.candidates[key].domain;
-            let mut keys: Vec<_> = service.keys.iter().map(|key| (domain(key), *key)).collect();
-            keys.sort_unstable();
-            for keys in keys.chunk_by(|(a, _), (b, _)| a == b) {
+            for keys in service.ordered.chunk_by(|(a, _), (b, _)| a == b) {
                 let candidates = keys.iter().map(|(_, key)| &self.candidates[key]);
                 let slots: Vec<f64> = candidates
                     .map(|candidate| candidate.usable_slots(now, &self.settings))
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -15,6 +15,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Service {
     pub(crate) keys: IndexSet<TargetKey>,
+    /// The same by failure domain and key, if demand is shared: an order that is alike on
+    /// all entries of a domain. The first part is the index of the domain.
+    pub(crate) ordered: Vec<(usize, TargetKey)>,
     pub(crate) admission: Admission,
     pub(crate) recent_durations: RecentDurations,
     /// Demand that was not reported yet.
