Count the flows in slow slots by Little's law, and fill them under overload

An entry compared them by the time a flow takes there, and its limit of open flows counted their slots at their speed, although a flow is in them for longer.

The limit now holds a flow for each slot, slow or not, plus those that wait, which are in proportion to speed. While demand exceeds the fleet's slots, a free slot that is reserved for the entry counts as one of a normal upstream.

--- a/crates/currantgate-capacity/src/fleet_demand.rs
+++ b/crates/currantgate-capacity/src/fleet_demand.rs
@@ -15,6 +15,15 @@
     demand: DomainDemand,
 }
 
+/// Slots of the upstreams of one failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DomainSlots {
+    /// Slots by what they can do: those of slow upstreams count at their speed.
+    pub effective: f64,
+    /// Flows that can be in slots at a time.
+    pub flows: f64,
+}
+
 /// What an entry knows itself about a service.
 #[derive(Clone, Debug)]
 pub struct EntryView<'a> {
@@ -22,8 +31,8 @@
     pub service: &'a str,
     /// Failure domain of the entry; nothing while it is unknown.
     pub domain: Option<&'a str>,
-    /// Slots by failure domain, those of slow upstreams at their speed.
-    pub slots: &'a IndexMap<Box<str>, f64>,
+    /// Slots by failure domain.
+    pub slots: &'a IndexMap<Box<str>, DomainSlots>,
     /// Factor by which the demand of the entry's domain has changed since the published
     /// figures, as far as its own arrivals show.
     pub change: f64,
@@ -92,10 +101,11 @@
             return None;
         }
         let own_slots = view.slots.iter();
-        let slots_by_domain: IndexMap<&str, f64> = own_slots
+        let slots_by_domain: IndexMap<&str, DomainSlots> = own_slots
             .map(|(domain, slots)| (&**domain, self.known_slots(view, domain, *slots)))
             .collect();
-        let slots: f64 = slots_by_domain.values().sum();
+        let slots: f64 = slots_by_domain.values().map(|slots| slots.effective).sum();
+        let flows: f64 = slots_by_domain.values().map(|slots| slots.flows).sum();
         if slots <= 0.0 {
             return None;
         }
@@ -105,7 +115,7 @@
         let mut classes: BTreeMap<Priority, f64> = BTreeMap::new();
         let mut loads: IndexMap<&str, DomainLoad> = IndexMap::new();
         for (domain, slots) in slots_by_domain {
-            loads.entry(domain).or_default().slots = slots;
+            loads.entry(domain).or_default().slots = slots.effective;
         }
         let mut own_arrivals = 0.0;
         for figures in self.domains.values() {
@@ -146,6 +156,7 @@
                 .collect(),
             fleet_capacity,
             fleet_slots: slots,
+            fleet_flows: flows,
             load: arrivals / fleet_capacity,
             work_ms,
             own_share: (own_arrivals / arrivals.max(f64::MIN_POSITIVE)).min(1.0),
@@ -155,14 +166,17 @@
 
     /// Returns the slots of a domain: those that the entry knows, or fewer if the entries
     /// of that domain know that some of them can't be used.
-    fn known_slots(&self, view: &EntryView<'_>, domain: &str, slots: f64) -> f64 {
+    fn known_slots(&self, view: &EntryView<'_>, domain: &str, slots: DomainSlots) -> DomainSlots {
         if view.domain == Some(domain) {
             return slots;
         }
         let demand = self.domains.get(domain).map(|figures| &figures.demand);
         let service = demand.and_then(|demand| service_demand(demand, view.service));
         match service.map(|service| f64::from(service.slots)) {
-            Some(published) if published > 0.0 => published.min(slots),
+            Some(published) if published > 0.0 && published < slots.effective => DomainSlots {
+                effective: published,
+                flows: slots.flows * published / slots.effective,
+            },
             _ => slots,
         }
     }
--- a/crates/currantgate-capacity/src/lib.rs
+++ b/crates/currantgate-capacity/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use collector::{DemandCollector, ReporterId};
 pub use demand::{ClassDemand, DomainDemand, ServiceDemand};
-pub use fleet_demand::{EntryView, FleetDemand};
+pub use fleet_demand::{DomainSlots, EntryView, FleetDemand};
 pub use priority::Priority;
 pub use settings::DemandSettings;
 pub use shares::ServiceShares;
--- a/crates/currantgate-capacity/src/shares.rs
+++ b/crates/currantgate-capacity/src/shares.rs
@@ -15,6 +15,8 @@
     pub fleet_capacity: f64,
     /// Slots of the fleet's upstreams, those of slow ones at their speed.
     pub fleet_slots: f64,
+    /// Flows that can be in slots at a time, those of slow upstreams included in full.
+    pub fleet_flows: f64,
     /// Demand of the fleet relative to its slots.
     pub load: f64,
     /// Estimated work of a flow in its slot, in milliseconds.
--- a/crates/currantgate-capacity/tests/demand.rs
+++ b/crates/currantgate-capacity/tests/demand.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{
-    ClassDemand, DemandCollector, DemandSettings, DomainDemand, EntryView, FleetDemand, Priority,
-    ServiceDemand,
+    ClassDemand, DemandCollector, DemandSettings, DomainDemand, DomainSlots, EntryView,
+    FleetDemand, Priority, ServiceDemand,
 };
 use indexmap::IndexMap;
 
@@ -45,8 +45,12 @@
 
 /// Returns the shares of an entry of domain `a`.
 fn shares(fleet: &mut FleetDemand, now: Instant) -> Option<currantgate_capacity::ServiceShares> {
-    let slots = ["a", "b"].map(|name| (name.into(), 10.0));
-    let slots: IndexMap<Box<str>, f64> = slots.into_iter().collect();
+    let slots = DomainSlots {
+        effective: 10.0,
+        flows: 10.0,
+    };
+    let slots = ["a", "b"].map(|name| (name.into(), slots));
+    let slots: IndexMap<Box<str>, DomainSlots> = slots.into_iter().collect();
     let view = EntryView {
         service: "booking",
         domain: Some("a"),
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -95,6 +95,17 @@
         f64::from(self.target.slots) / self.fleet_slowness
     }
 
+    /// Tells whether this entry has a free slot at a slow upstream of its domain that is
+    /// reserved for it. When the fleet has more demand than slots, a slow slot is better
+    /// than a queue.
+    pub(crate) fn has_reserved_slot(&self, settings: &PlacementSettings) -> bool {
+        self.target.is_local
+            && self.reserved > 0.5
+            && self.flows < self.target.slots
+            && self.fleet_slowness > 1.0
+            && self.fleet_slowness < settings.sharing.dead_slowness
+    }
+
     /// Records how long the handshake of a flow took.
     pub(crate) fn record_handshake_time(&mut self, time: Duration) {
         self.handshake_time = if self.handshake_time.is_zero() {
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -3,7 +3,7 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
-use currantgate_capacity::FleetDemand;
+use currantgate_capacity::{DomainSlots, FleetDemand};
 use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
@@ -222,7 +222,7 @@
         if !service.sharing.is_due(now) {
             return;
         }
-        let mut slots: IndexMap<Box<str>, f64> = IndexMap::new();
+        let mut slots: IndexMap<Box<str>, DomainSlots> = IndexMap::new();
         service.stuck_flows = 0;
         for key in &service.keys {
             let candidate = &self.candidates[key];
@@ -232,16 +232,18 @@
             if candidate.suspicion.is_active(now) || usable <= 0.0 {
                 service.stuck_flows += candidate.flows;
             } else {
-                if let Some(sum) = slots.get_mut(&candidate.target.domain) {
-                    *sum += usable;
-                } else {
-                    slots.insert(candidate.target.domain.clone(), usable);
+                let domain = &candidate.target.domain;
+                if !slots.contains_key(domain) {
+                    slots.insert(domain.clone(), DomainSlots::default());
                 }
+                let sum = &mut slots[domain];
+                sum.effective += usable;
+                sum.flows += f64::from(candidate.target.slots);
             }
         }
         let own_domain = self.own_domain.as_deref();
         let own_slots = own_domain.and_then(|domain| slots.get(domain));
-        service.demand_log.slots = own_slots.copied().unwrap_or_default() as f32;
+        service.demand_log.slots = own_slots.map_or(0.0, |slots| slots.effective as f32);
         service.sharing.update(
             now,
             request.service,
@@ -352,6 +354,7 @@
     ) -> Option<(TargetKey, Rank)> {
         let Service { keys, sharing, .. } = self.services.get(service)?;
         let is_shared = sharing.shares().is_some() && self.position.is_some();
+        let is_full = is_shared && sharing.shares().is_some_and(|shares| shares.load >= 1.0);
         let probe_share = if sharing.shares().is_some() {
             self.settings.sharing.probe_share
         } else {
@@ -367,7 +370,12 @@
                 continue;
             }
             let health = self.health(now, candidate);
-            let mut load = candidate.load_with_one_more(now, is_probe, &self.settings);
+            let fills_slot = is_full && candidate.has_reserved_slot(&self.settings);
+            let mut load = if fills_slot {
+                f64::from(candidate.flows + 1) / f64::from(candidate.target.slots)
+            } else {
+                candidate.load_with_one_more(now, is_probe, &self.settings)
+            };
             if is_shared && !is_probe {
                 let penalty = self.settings.sharing.unreserved_penalty;
                 load += penalty * (1.0 - candidate.reserved) * candidate.fleet_slowness;
--- a/crates/currantgate-placement/src/share_admission.rs
+++ b/crates/currantgate-placement/src/share_admission.rs
@@ -84,5 +84,7 @@
 ) -> f64 {
     let target_ms = latency_target.as_secs_f64() * 1_000.0 * late_target_factor;
     let flows_per_slot = (target_ms / shares.work_ms).clamp(1.0, settings.flows_per_slot);
-    shares.own_share * shares.fleet_slots * flows_per_slot
+    // Flows in slots last longer at slow upstreams, and few of them should wait there.
+    let waiting = shares.fleet_slots * (flows_per_slot - 1.0);
+    shares.own_share * (shares.fleet_flows + waiting)
 }
--- a/crates/currantgate-placement/src/sharing.rs
+++ b/crates/currantgate-placement/src/sharing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use currantgate_capacity::{EntryView, FleetDemand};
+use currantgate_capacity::{DomainSlots, EntryView, FleetDemand};
 use indexmap::IndexMap;
 
 use crate::arrival_history::ArrivalHistory;
@@ -85,7 +85,7 @@
         now: Instant,
         service: &str,
         domain: Option<&str>,
-        slots: &IndexMap<Box<str>, f64>,
+        slots: &IndexMap<Box<str>, DomainSlots>,
         fleet: &mut FleetDemand,
         settings: &SharingSettings,
     ) {
