--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -3,6 +3,7 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
+use currantgate_capacity::{DomainSlots, FleetDemand};
 use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
@@ -11,11 +12,13 @@
 use crate::candidate::{Candidate, Health};
 use crate::domain::Domain;
 use crate::permits::Permits;
+use crate::reservation::reserved_parts;
 use crate::service::Service;
+use crate::share_admission::flow_limit;
 use crate::slowness::flow_slowness;
 use crate::{
-    Placed, PlacementRequest, PlacementSettings, Priority, Refusal, ServiceShares, Suspect,
-    SuspicionChange, Target, TargetKey,
+    DomainDemand, Overload, Placed, PlacementRequest, PlacementSettings, Priority, Refusal,
+    ServiceDemand, ServiceShares, Suspect, SuspicionChange, Target, TargetKey,
 };
 
 /// Most suspicion changes kept until they are taken; the oldest are dropped first.
@@ -40,12 +43,19 @@
     fleet_slowness: IndexMap<TargetKey, f64>,
     /// Cold upstreams that get new flows only with a permit.
     permits: Permits,
+    /// Demand of all entries, if the settings require decisions by it.
+    fleet_demand: Option<FleetDemand>,
+    /// Failure domain of this entry, once it had an upstream there.
+    own_domain: Option<Box<str>>,
+    /// Position among the reporting entries of the domain, and their number.
+    position: Option<(u16, u16)>,
 }
 
 impl Placement {
     /// Returns a placement without upstreams.
     pub fn new(settings: PlacementSettings) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let fleet_demand = settings.demand.clone().map(FleetDemand::new);
         Self {
             settings,
             rng,
@@ -56,6 +66,9 @@
             observations: ObservationLog::default(),
             fleet_slowness: IndexMap::new(),
             permits: Permits::default(),
+            fleet_demand,
+            own_domain: None,
+            position: None,
         }
     }
 
@@ -77,6 +90,9 @@
             let entry = self.domains.entry(target.domain.clone());
             let domain = entry.index();
             entry.or_default();
+            if target.is_local && self.own_domain.as_ref() != Some(&target.domain) {
+                self.own_domain = Some(target.domain.clone());
+            }
             match self.candidates.get_mut(&target.key) {
                 Some(candidate) => {
                     candidate.target = target;
@@ -93,6 +109,14 @@
             }
         }
         self.candidates.retain(|_, c| c.is_eligible || c.flows > 0);
+        if self.fleet_demand.is_some() {
+            for service in self.services.values_mut() {
+                let keys = service.keys.iter();
+                let ordered = keys.map(|key| (self.candidates[key].domain, *key));
+                service.ordered = ordered.collect();
+                service.ordered.sort_unstable();
+            }
+        }
         let candidates = &self.candidates;
         self.services.retain(|name, service| {
             !service.keys.is_empty() || candidates.values().any(|c| c.target.service == *name)
@@ -132,14 +156,160 @@
         self.observations.take()
     }
 
-    /// Sets how new flows of a service are divided among failure domains. Without
-    /// shares, the entry decides by its own flows alone.
-    pub fn set_shares(&mut self, service: &str, shares: Option<ServiceShares>) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.shares = shares;
+    /// Returns and removes the demand that was measured since the last call.
+    pub fn take_demand(&mut self) -> Vec<ServiceDemand> {
+        let services = self.services.iter_mut();
+        services
+            .filter_map(|(name, service)| service.demand_log.take(name))
+            .collect()
+    }
+
+    /// Applies the published demand of a failure domain.
+    pub fn update_demand(&mut self, now: Instant, demand: &DomainDemand) {
+        let Some(fleet) = &mut self.fleet_demand else {
+            return;
+        };
+        fleet.update(now, demand.clone());
+        // Only the entries of a domain have a position there. In an evacuated domain no
+        // upstream tells which one it is.
+        if demand.position.is_some() && self.own_domain.as_ref() != Some(&demand.domain) {
+            self.own_domain = Some(demand.domain.clone());
+        }
+        if self.own_domain.as_ref() != Some(&demand.domain) {
+            return;
+        }
+        for (name, service) in &mut self.services {
+            let settings = &self.settings.sharing;
+            service.sharing.compare(now, name, demand, settings);
+        }
+        self.position = demand.position.map(|position| (position, demand.entries));
+        self.update_reservations(now);
+    }
+
+    /// Computes which slots are reserved for this entry.
+    fn update_reservations(&mut self, now: Instant) {
+        let Some((position, entries)) = self.position else {
+            for candidate in self.candidates.values_mut() {
+                candidate.reserved = 0.0;
+            }
+            return;
+        };
+        for service in self.services.values() {
+            for keys in service.ordered.chunk_by(|(a, _), (b, _)| a == b) {
+                let candidates = keys.iter().map(|(_, key)| &self.candidates[key]);
+                let slots: Vec<f64> = candidates
+                    .map(|candidate| candidate.usable_slots(now, &self.settings))
+                    .collect();
+                let parts = reserved_parts(&slots, position, entries);
+                for ((_, key), part) in keys.iter().zip(parts) {
+                    self.candidates[key].reserved = part;
+                }
+            }
         }
     }
 
+    /// Returns the age of the oldest published demand that is not forgotten.
+    pub fn demand_age(&self, now: Instant) -> Option<Duration> {
+        self.fleet_demand.as_ref()?.age(now)
+    }
+
+    /// Returns how new flows of a service are divided among failure domains; nothing
+    /// while the entry decides by its own flows alone.
+    pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
+        self.services.get(service)?.sharing.shares()
+    }
+
+    /// Counts the arrival of a request, and computes the shares of its service again
+    /// when this is due.
+    fn update_shares(&mut self, now: Instant, request: &PlacementRequest<'_>) {
+        let Some(fleet) = &mut self.fleet_demand else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(request.service) else {
+            return;
+        };
+        // Copies of first packets are no demand; only these may not be refused.
+        if request.may_refuse {
+            service.demand_log.record_arrival(request.priority);
+            service.sharing.record_arrival(now);
+        }
+        if !service.sharing.is_due(now) {
+            return;
+        }
+        let mut slots: IndexMap<Box<str>, DomainSlots> = IndexMap::new();
+        service.stuck_flows = 0;
+        for key in &service.keys {
+            let candidate = &self.candidates[key];
+            let usable = candidate.usable_slots(now, &self.settings);
+            // A suspicion of a whole domain ends with any answer. Its slots count, so that
+            // the shares of a single entry don't change that often.
+            if candidate.suspicion.is_active(now) || usable <= 0.0 {
+                service.stuck_flows += candidate.flows;
+            } else {
+                let domain = &candidate.target.domain;
+                if !slots.contains_key(domain) {
+                    slots.insert(domain.clone(), DomainSlots::default());
+                }
+                let sum = &mut slots[domain];
+                sum.effective += usable;
+                sum.flows += f64::from(candidate.target.slots);
+            }
+        }
+        let own_domain = self.own_domain.as_deref();
+        let own_slots = own_domain.and_then(|domain| slots.get(domain));
+        service.demand_log.slots = own_slots.map_or(0.0, |slots| slots.effective as f32);
+        service.sharing.update(
+            now,
+            request.service,
+            own_domain,
+            &slots,
+            fleet,
+            &self.settings.sharing,
+        );
+    }
+
+    /// Draws the failure domain of a new flow by the shares of its service, and returns
+    /// its index; nothing without shares.
+    fn draw_domain(&mut self, service: &str) -> Option<usize> {
+        let shares = self.services.get(service)?.sharing.shares()?;
+        let mut drawn = self.rng.random_range(0.0..1.0);
+        for (domain, weight) in &shares.domains {
+            drawn -= weight;
+            if drawn < 0.0 {
+                return self.domains.get_index_of(domain);
+            }
+        }
+        let (last, _) = shares.domains.last()?;
+        self.domains.get_index_of(last)
+    }
+
+    /// Returns the overload that prevents the admission of a flow by the shares of its
+    /// service, if any.
+    fn check_shares(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Option<Overload> {
+        let service = self.services.get_mut(request.service)?;
+        let shares = service.sharing.shares()?;
+        let settings = &self.settings.sharing;
+        let admission = &mut service.share_admission;
+        if !request.may_refuse || !admission.may_refuse(now, request, shares, settings) {
+            return None;
+        }
+        let late_factor = self.settings.admission.late_target_factor;
+        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let open = service.admission.competing_flows(request.priority);
+        let competing_flows = open.saturating_sub(service.stuck_flows);
+        // A fractional limit is met on average, as the limits of many entries add up.
+        let flow_limit = (limit + self.rng.random_range(0.0..1.0)) as u32;
+        if competing_flows < flow_limit {
+            return None;
+        }
+        admission.record_refusal();
+        Some(Overload {
+            competing_flows,
+            flow_limit,
+            median_duration: Duration::from_secs_f64(shares.work_ms / 1_000.0),
+        })
+    }
+
     /// Sets which upstreams get new flows only with a permit while they are cold.
     pub fn set_limited(&mut self, keys: impl IntoIterator<Item = TargetKey>) {
         self.permits.limited = keys.into_iter().collect();
@@ -163,14 +333,23 @@
         now: Instant,
         request: &PlacementRequest<'_>,
     ) -> Result<Placed, Refusal> {
-        let (chosen, (health, load)) = self
-            .choose(now, request.service, request.tried)
-            .or_else(|| self.choose(now, request.service, &[]))
+        self.update_shares(now, request);
+        let domain = self.draw_domain(request.service);
+        let (chosen, (health, load)) = domain
+            .and_then(|domain| self.choose(now, request.service, request.tried, Some(domain)))
+            .filter(|(_, (health, _))| *health == Health::Healthy)
+            .or_else(|| self.choose(now, request.service, request.tried, None))
+            .or_else(|| self.choose(now, request.service, &[], None))
             .ok_or_else(|| self.refusal(request.service))?;
         let service = &mut self.services[request.service];
-        let overload = service
+        // Without shares, the entry goes by these statistics, which are kept up to date.
+        let mut overload = service
             .admission
             .check_overload(now, request, &self.settings.admission);
+        if domain.is_some() {
+            overload = self.check_shares(now, request);
+        }
+        let service = &mut self.services[request.service];
         if let Some(overload) = overload.filter(|_| request.may_refuse) {
             return Err(Refusal::Overloaded(overload));
         }
@@ -197,31 +376,49 @@
         }
     }
 
-    /// Returns the best upstream of a service outside of `tried`, and its rank.
+    /// Returns the best upstream of a service outside of `tried`, and its rank. When a
+    /// failure domain is given, it is one of that domain.
     fn choose(
         &mut self,
         now: Instant,
         service: &str,
         tried: &[TargetKey],
+        domain: Option<usize>,
     ) -> Option<(TargetKey, Rank)> {
-        let keys = &self.services.get(service)?.keys;
-        let is_probe =
-            !self.fleet_slowness.is_empty() && self.rng.random_bool(self.settings.probe_share);
+        let Service { keys, sharing, .. } = self.services.get(service)?;
+        let is_shared = sharing.shares().is_some() && self.position.is_some();
+        let is_full = is_shared && sharing.shares().is_some_and(|shares| shares.load >= 1.0);
+        let probe_share = if sharing.shares().is_some() {
+            self.settings.sharing.probe_share
+        } else {
+            self.settings.probe_share
+        };
+        let is_probe = !self.fleet_slowness.is_empty() && self.rng.random_bool(probe_share);
         let mut best: Option<Rank> = None;
         let mut chosen = None;
         let mut ties = 0;
         for key in keys.iter().filter(|key| !tried.contains(key)) {
             let candidate = &self.candidates[key];
+            if domain.is_some_and(|domain| domain != candidate.domain) {
+                continue;
+            }
             let needs_permit = self.permits.needs_permit(now, &candidate.target);
             if needs_permit && !self.permits.permitted.contains(key) {
                 continue;
             }
             let health = self.health(now, candidate);
-            let load = if needs_permit {
+            let fills_slot = is_full && candidate.has_reserved_slot(&self.settings);
+            let mut load = if needs_permit {
                 candidate.load_with_permit(now, is_probe, &self.settings)
+            } else if fills_slot {
+                f64::from(candidate.flows + 1) / f64::from(candidate.target.slots)
             } else {
                 candidate.load_with_one_more(now, is_probe, &self.settings)
             };
+            if is_shared && !is_probe {
+                let penalty = self.settings.sharing.unreserved_penalty;
+                load += penalty * (1.0 - candidate.reserved) * candidate.fleet_slowness;
+            }
             let rank = (health, load);
             if best.is_some_and(|best| rank > best) {
                 continue;
@@ -248,6 +445,13 @@
         }
     }
 
+    /// Records how long the handshake of a flow took, of which the answer is recorded, too.
+    pub fn record_handshake_time(&mut self, key: TargetKey, time: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            candidate.record_handshake_time(time);
+        }
+    }
+
     /// Records that an upstream answered the first packet of a flow.
     pub fn record_answer(&mut self, now: Instant, key: TargetKey) {
         self.settle_first_packet(key);
@@ -348,9 +552,27 @@
             let duration_ratio = duration.as_secs_f64() / reference.as_secs_f64().max(f64::EPSILON);
             let slowness = flow_slowness(duration_ratio, &self.settings);
             candidate.record_slowness(now, slowness, &self.settings);
+            let mut observed = (slowness, duration);
+            if self.fleet_demand.is_some()
+                && duration_ratio >= self.settings.admission.refused_baseline_factor
+            {
+                let slot_time = candidate.slot_time(duration);
+                let work_time = slot_time.mul_f64(candidate.relative_speed(now, &self.settings));
+                if let Some(service) = self.services.get_mut(&candidate.target.service) {
+                    service.record_work(now, work_time, &self.settings.sharing);
+                    // In comparison with the work, times in queues can be left out where
+                    // most flows are those of the own domain.
+                    if let Some(shares) = service.sharing.shares()
+                        && candidate.target.is_local
+                    {
+                        let ratio = slot_time.as_secs_f64() * 1_000.0 / shares.work_ms;
+                        observed = (ratio.min(self.settings.max_slowness), slot_time);
+                    }
+                }
+            }
             // The fleet's threshold is for upstreams at their full speed.
-            let slowness = slowness * candidate.speed(now, &self.settings);
-            let busy = duration / candidate.target.slots.max(1);
+            let slowness = observed.0 * candidate.speed(now, &self.settings);
+            let busy = observed.1 / candidate.target.slots.max(1);
             self.observations.record(key, slowness, busy);
         }
         self.remove_flow(key);
