--- a/crates/currantgate-capacity/src/lib.rs
+++ b/crates/currantgate-capacity/src/lib.rs
@@ -6,7 +6,9 @@
 mod demand;
 mod priority;
 mod shares;
+mod stub;
 
 pub use demand::{ClassDemand, DomainDemand, ServiceDemand};
 pub use priority::Priority;
 pub use shares::ServiceShares;
+pub use stub::{CollectorSettings, DemandCollector, DemandSettings};
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -17,12 +17,13 @@
 mod settings;
 mod sliding_window;
 mod slowness;
+mod stub;
 mod suspicion;
 mod suspicion_change;
 mod target;
 
 pub use admission_settings::AdmissionSettings;
-pub use currantgate_capacity::{Priority, ServiceShares};
+pub use currantgate_capacity::{DemandSettings, Priority, ServiceShares};
 pub use placement::Placement;
 pub use refusal::{Overload, Refusal};
 pub use request::PlacementRequest;
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -28,8 +28,8 @@
 pub struct Placement {
     settings: PlacementSettings,
     rng: ChaCha8Rng,
-    candidates: IndexMap<TargetKey, Candidate>,
-    services: IndexMap<Box<str>, Service>,
+    pub(crate) candidates: IndexMap<TargetKey, Candidate>,
+    pub(crate) services: IndexMap<Box<str>, Service>,
     domains: IndexMap<Box<str>, Domain>,
     /// Suspicions that started or ended and were not taken yet.
     suspicion_changes: Vec<SuspicionChange>,
@@ -37,6 +37,7 @@
     observations: ObservationLog,
     /// Upstreams that the fleet observes as slow.
     fleet_slowness: IndexMap<TargetKey, f64>,
+    pub(crate) demand: crate::stub::DemandLog,
 }
 
 impl Placement {
@@ -52,6 +53,7 @@
             suspicion_changes: Vec::new(),
             observations: ObservationLog::default(),
             fleet_slowness: IndexMap::new(),
+            demand: crate::stub::DemandLog::default(),
         }
     }
 
@@ -148,6 +150,7 @@
         now: Instant,
         request: &PlacementRequest<'_>,
     ) -> Result<Placed, Refusal> {
+        self.demand.record(request.service, request.priority);
         let (chosen, (health, load)) = self
             .choose(now, request.service, request.tried)
             .or_else(|| self.choose(now, request.service, &[]))
--- a/crates/currantgate-placement/src/settings.rs
+++ b/crates/currantgate-placement/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use currantgate_capacity::DemandSettings;
+
 use crate::AdmissionSettings;
 
 /// Settings of [`crate::Placement`].
@@ -35,6 +37,9 @@
     pub max_suspicion_doublings: u32,
     /// Settings of admission control.
     pub admission: AdmissionSettings,
+    /// Settings of the division of demand among failure domains; `None` if entries
+    /// don't share their demand.
+    pub demand: Option<DemandSettings>,
 }
 
 impl Default for PlacementSettings {
@@ -50,6 +55,7 @@
             base_suspicion_time: Duration::from_millis(500),
             max_suspicion_doublings: 4,
             admission: AdmissionSettings::default(),
+            demand: None,
         }
     }
 }
