The token router passes demand and shares through

Cause: the entry reports demand and shows by which shares a flow was placed. Change: pass-through methods of the router for demand and shares, the service and the priority of a flow, and the service and domain of an upstream. Placement returns a target by its key.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -357,6 +357,11 @@
         }
     }
 
+    /// Returns the upstream with the given key.
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.candidates.get(&key).map(|c| &c.target)
+    }
+
     /// Returns the number of flows that this entry has open at an upstream.
     pub fn open_flows(&self, key: TargetKey) -> u32 {
         self.candidates.get(&key).map_or(0, |c| c.flows)
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -3,9 +3,11 @@
 use std::hash::Hasher as _;
 use std::time::{Duration, Instant};
 
+use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
+    Placement, PlacementRequest, PlacementSettings, Priority, Refusal, ServiceShares,
+    SuspicionChange, Target,
 };
 use siphasher::sip::SipHasher13;
 
@@ -233,6 +235,36 @@
         self.placement.fleet_slow()
     }
 
+    /// Returns and removes the demand of this entry's callers since the last call.
+    pub fn take_demand(&mut self) -> Vec<ServiceDemand> {
+        self.placement.take_demand()
+    }
+
+    /// Applies the demand of a failure domain's callers.
+    pub fn update_demand(&mut self, now: Instant, demand: &DomainDemand) {
+        self.placement.update_demand(now, demand);
+    }
+
+    /// Returns how new flows of a service are divided among failure domains; nothing
+    /// while the entry decides by its own flows alone.
+    pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
+        self.placement.shares(service)
+    }
+
+    /// Returns the service and the priority of a new flow; nothing when it has no route.
+    pub fn flow_class(&self, flow: &FlowId) -> Option<(&str, Priority)> {
+        let route = self.routes.get(&flow.service)?;
+        let service = route.select_service(self.flow_hash(flow))?;
+        Some((service, route.request_priority()))
+    }
+
+    /// Returns the service and the failure domain of an upstream that has open flows or
+    /// may get new ones.
+    pub fn upstream_location(&self, token: Token) -> Option<(&str, &str)> {
+        let target = self.placement.target(token)?;
+        Some((&target.service, &target.domain))
+    }
+
     /// Returns the id of the upstream with the given token.
     pub fn upstream_id(&self, token: Token) -> Option<&str> {
         self.tokens.id(token)
