Entries share their demand through feeds, and show how they divide flows

Cause: entries divide their flows by the demand of all failure domains, which only they know, and operators have to see what decided about a flow. Change: entries with is_demand_shared report demand each 500 ms to the collector of their domain. Control VMs merge it and send a domain's figure with heartbeats, at intervals of 0.5 to 1 s by its size and the number of domains. Entries take the figure with the most entries and the newest of one publisher. Metrics, event=shares and fields of placed and refused lines show demand, slots, weights and the age of the view. Fields without a value are left out of log lines, so that lines of sites without shared demand stay as they were.

--- a/crates/currantgate-log/src/fields.rs
+++ b/crates/currantgate-log/src/fields.rs
@@ -3,7 +3,7 @@
 use log::kv::{Error, Key, Value, VisitSource, VisitValue};
 use serde_json::{Map, Number};
 
-/// A visitor that collects the fields of a line.
+/// A visitor that collects the fields of a line, without those that have no value.
 #[derive(Default)]
 pub(crate) struct Fields {
     pub(crate) map: Map<String, serde_json::Value>,
@@ -13,7 +13,9 @@
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
         let mut json = JsonValue(serde_json::Value::Null);
         value.visit(&mut json)?;
-        self.map.insert(key.as_str().to_owned(), json.0);
+        if !json.0.is_null() {
+            self.map.insert(key.as_str().to_owned(), json.0);
+        }
         Ok(())
     }
 }
@@ -28,6 +30,10 @@
         Ok(())
     }
 
+    fn visit_null(&mut self) -> Result<(), Error> {
+        Ok(())
+    }
+
     fn visit_u64(&mut self, value: u64) -> Result<(), Error> {
         self.0 = value.into();
         Ok(())
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, Secret};
 use currantgate_observation::{Observation, choose_collector};
 use indexmap::IndexMap;
@@ -181,6 +182,17 @@
         }
     }
 
+    /// Reports demand to a control VM. A report that can't be queued is dropped.
+    pub(crate) fn report_demand(&self, to: SocketAddr, demand: Vec<ServiceDemand>) {
+        let request = FeedRequest::Demand {
+            revision: self.shared.revision.get(),
+            demand,
+        };
+        if !self.queue(to, request) {
+            log::debug!("a report of demand to {to} is dropped");
+        }
+    }
+
     /// Queues a request for the feed of a control VM; returns whether there was room.
     fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
         let link = self.links.get(&to);
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -24,12 +24,18 @@
 #[derive(Default)]
 pub(super) struct Listeners {
     feeds: IndexMap<FeedId, Listener>,
+    /// Number of entries with a feed by failure domain.
+    entries_by_domain: IndexMap<Box<str>, usize>,
     last_id: FeedId,
 }
 
 impl Listeners {
     pub(super) fn add(&mut self, now: Instant, hello: FeedHello) -> FeedId {
         self.last_id += 1;
+        if hello.control.is_none() {
+            let domain = hello.domain.clone();
+            *self.entries_by_domain.entry(domain).or_default() += 1;
+        }
         let listener = Listener {
             hello,
             revision: 0,
@@ -41,7 +47,22 @@
     }
 
     pub(super) fn remove(&mut self, id: FeedId) {
-        self.feeds.swap_remove(&id);
+        let Some(Listener { hello, .. }) = self.feeds.swap_remove(&id) else {
+            return;
+        };
+        if hello.control.is_none()
+            && let Some(entries) = self.entries_by_domain.get_mut(&hello.domain)
+        {
+            *entries -= 1;
+            if *entries == 0 {
+                self.entries_by_domain.swap_remove(&hello.domain);
+            }
+        }
+    }
+
+    /// Returns the number of failure domains that have entries.
+    pub(super) fn entry_domains(&self) -> usize {
+        self.entries_by_domain.len()
     }
 
     pub(super) fn record_message(&mut self, now: Instant, id: FeedId, revision: Revision) {
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -7,10 +7,13 @@
 //! `docs/design/platform.md`.
 
 mod client;
+mod demand_publisher;
 mod links;
 mod listeners;
 mod message;
+mod published_demand;
 mod revision_tracker;
+mod sent_demand;
 mod server;
 mod status;
 
--- /dev/null
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -0,0 +1,92 @@
+//! The demand of one failure domain, with the interval at which it is sent.
+
+use std::time::Duration;
+
+use currantgate_capacity::{ClassDemand, DomainDemand, ServiceDemand};
+
+/// Longest interval between two messages about a domain while entries report there:
+/// entries don't use figures that are older than two seconds.
+pub(super) const MAX_SEND_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Shortest interval between two messages about a domain: entries report once in it.
+const MIN_SEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Bytes a second that the figures of all domains may take on the feeds of an entry.
+/// With 240 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
+const MAX_BYTES_PER_SECOND: usize = 780;
+
+/// Bytes of a frame around a message: length, MAC and the header of HTTP/2. Figures are
+/// sent along with heartbeats, so that they share the headers of TCP/IP.
+const FRAME_BYTES: usize = 4 + 32 + 9;
+
+/// Part of a figure by which it must change to be sent early.
+const NOTICEABLE_CHANGE: f32 = 0.05;
+
+/// Flows a second below which a change is never noticeable, as few flows vary much.
+const MIN_NOTICEABLE_FLOWS: f32 = 1.0;
+
+/// The demand of one failure domain, with the interval at which it is sent.
+#[derive(Clone, Debug)]
+pub(super) struct PublishedDemand {
+    /// Demand of the domain.
+    pub(super) demand: DomainDemand,
+    /// Shortest interval between two messages about the domain on one feed.
+    pub(super) min_interval: Duration,
+}
+
+impl PublishedDemand {
+    /// Returns the demand with the interval at which the figures of `domains` domains of
+    /// that size fit into an entry's share of bytes.
+    pub(super) fn new(demand: DomainDemand, domains: usize) -> Self {
+        let encoded = bincode::serde::encode_to_vec(&demand, bincode::config::standard());
+        // One byte more tells the kind of message.
+        let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + 1 + FRAME_BYTES;
+        let second_bytes = domains.max(1) * message_bytes;
+        let interval = Duration::from_secs_f64(second_bytes as f64 / MAX_BYTES_PER_SECOND as f64);
+        Self {
+            demand,
+            min_interval: interval.clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL),
+        }
+    }
+
+    /// Returns whether the demand differs noticeably from an earlier one of its domain.
+    pub(super) fn differs_from(&self, earlier: &DomainDemand) -> bool {
+        let services = &self.demand.services;
+        services.len() != earlier.services.len()
+            || services.iter().any(|service| {
+                let before = earlier.services.iter();
+                let mut before = before.filter(|s| s.service == service.service);
+                before.next().is_none_or(|s| is_service_changed(s, service))
+            })
+    }
+}
+
+fn is_service_changed(before: &ServiceDemand, after: &ServiceDemand) -> bool {
+    before.classes.len() != after.classes.len()
+        || after.classes.iter().any(|class| {
+            let mut same = before
+                .classes
+                .iter()
+                .filter(|c| c.priority == class.priority);
+            same.next().is_none_or(|c| is_class_changed(c, class))
+        })
+        || is_changed(mean_slot_ms(before), mean_slot_ms(after))
+}
+
+fn is_class_changed(before: &ClassDemand, after: &ClassDemand) -> bool {
+    let difference = (before.arrivals - after.arrivals).abs();
+    difference >= MIN_NOTICEABLE_FLOWS && is_changed(before.arrivals, after.arrivals)
+}
+
+fn is_changed(before: f32, after: f32) -> bool {
+    (before - after).abs() > NOTICEABLE_CHANGE * before.max(after)
+}
+
+/// Returns the mean time in a slot of the flows that ended; 0 when none did.
+fn mean_slot_ms(demand: &ServiceDemand) -> f32 {
+    if demand.completions > 0.0 {
+        demand.slot_ms / demand.completions
+    } else {
+        0.0
+    }
+}
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{
     Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
     Update,
@@ -18,8 +19,10 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use super::demand_publisher::DemandPublisher;
 use super::listeners::{FeedId, Listeners};
 use super::message::{FeedHello, FeedMessage, FeedRequest, Heartbeat};
+use super::sent_demand::SentDemand;
 use super::status::FleetStatus;
 use crate::control::ControlHandle;
 
@@ -58,6 +61,8 @@
     listeners: RefCell<Listeners>,
     /// What the entries that report here have observed.
     observations: RefCell<FleetObservations>,
+    /// Demand of the callers of the entries that report here.
+    demand: RefCell<DemandPublisher>,
 }
 
 impl FeedSource {
@@ -75,6 +80,7 @@
                 std::time::Instant::now(),
                 FleetSettings::default(),
             )),
+            demand: RefCell::new(DemandPublisher::new(std::time::Instant::now())),
         }
     }
 
@@ -101,6 +107,14 @@
         observations.slow_upstreams(std::time::Instant::now())
     }
 
+    /// Adds an entry's report of demand.
+    fn record_demand(&self, from: &FeedHello, report: &[ServiceDemand]) {
+        let now = std::time::Instant::now();
+        let reporter = reporter_id(&from.name);
+        let mut demand = self.demand.borrow_mut();
+        demand.record(now, reporter, &from.domain, report);
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
@@ -211,6 +225,7 @@
     /// Slow upstreams as the listener knows them; nothing while it has not reported
     /// any observations.
     sent_slow: Option<Rc<[SlowUpstream]>>,
+    sent_demand: SentDemand,
     heartbeat_due: Instant,
     listener_deadline: Instant,
 }
@@ -237,6 +252,7 @@
             last_heartbeat: Heartbeat::default(),
             sent_change: 0,
             sent_slow: None,
+            sent_demand: SentDemand::default(),
             heartbeat_due: now,
             listener_deadline: now + LISTENER_TIMEOUT,
         })
@@ -278,7 +294,11 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
-            FeedRequest::WarmupPermits { .. } | FeedRequest::Demand { .. } => Ok(()),
+            FeedRequest::WarmupPermits { .. } => Ok(()),
+            FeedRequest::Demand { demand, .. } => {
+                self.source.record_demand(&self.hello, &demand);
+                Ok(())
+            }
         }
     }
 
@@ -329,6 +349,7 @@
         let heartbeat = self.source.heartbeat();
         let now = Instant::now();
         if heartbeat != self.last_heartbeat || now >= self.heartbeat_due {
+            self.send_demand().await?;
             self.heartbeat_due = now + HEARTBEAT_INTERVAL;
             self.last_heartbeat = heartbeat.clone();
             self.send(&FeedMessage::Heartbeat(heartbeat)).await?;
@@ -336,6 +357,20 @@
         Ok(())
     }
 
+    /// Sends the demand of domains that is due, to entries only.
+    async fn send_demand(&mut self) -> Result<(), TransportError> {
+        if self.hello.control.is_some() {
+            return Ok(());
+        }
+        let now = std::time::Instant::now();
+        let domains = self.source.listeners.borrow().entry_domains();
+        let published = self.source.demand.borrow_mut().published(now, domains);
+        for demand in self.sent_demand.take_due(now, &published) {
+            self.send(&FeedMessage::Demand(demand)).await?;
+        }
+        Ok(())
+    }
+
     /// Sends upstreams in several messages, so that a listener on a slow link
     /// receives one within its timeout.
     async fn send_upstreams(&mut self, records: &[Record]) -> Result<(), TransportError> {
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -7,13 +7,15 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use currantgate_placement::Target;
+use currantgate_placement::{PlacementSettings, Target};
 use currantgate_registry::{Availability, Upstream, UpstreamView, ViewRefreshTimer};
 use currantgate_token::{TokenRouter, TokenUpstream};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
 use super::decision_log::DecisionLog;
+use super::demand_metrics::DemandMetrics;
+use super::demand_monitor::DemandMonitor;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
@@ -48,6 +50,8 @@
     is_draining: Cell<bool>,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
     metrics: TokenEntryMetrics,
+    /// Metrics of shared demand; nothing where entries don't share it.
+    demand_metrics: Option<DemandMetrics>,
     task: JoinHandle<()>,
 }
 
@@ -79,12 +83,16 @@
         let (links, events) = FeedLinks::start(links, settings.seeds.clone());
         let is_ready = Rc::new(Cell::new(false));
         let metrics = TokenEntryMetrics::default();
+        let demand_metrics = settings.is_demand_shared.then(DemandMetrics::default);
+        let demand = demand_metrics.clone();
+        let demand = demand.map(|metrics| DemandMonitor::new(Instant::now(), metrics));
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
         let core = Core {
             routing: Routing {
-                router: TokenRouter::new(settings.routing.clone(), settings.placement.clone()),
+                router: TokenRouter::new(settings.routing.clone(), placement_settings(settings)),
                 metrics: metrics.clone(),
                 decisions: DecisionLog::new(Instant::now()),
+                demand,
             },
             packets,
             view: UpstreamView::new(settings.view.clone()),
@@ -105,6 +113,7 @@
             is_draining: Cell::new(false),
             seeds_tx,
             metrics,
+            demand_metrics,
             task,
         })
     }
@@ -136,6 +145,9 @@
     /// Adds the entry's metrics to those of the process.
     pub fn register_metrics(&self, registry: &mut Registry) {
         self.metrics.register(registry);
+        if let Some(metrics) = &self.demand_metrics {
+            metrics.register(registry);
+        }
     }
 }
 
@@ -192,7 +204,10 @@
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
-                _ = observation_interval.tick() => self.report_observations(),
+                _ = observation_interval.tick() => {
+                    self.report_observations();
+                    self.report_demand();
+                }
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
                     self.links.remove_unlisted();
@@ -214,6 +229,9 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                if let Some(demand) = &mut self.routing.demand {
+                    demand.remove_publisher(now, from);
+                }
                 // The next feed starts with all slow upstreams.
                 if self.collector == Some(from) {
                     self.collector = None;
@@ -237,7 +255,9 @@
             }
             FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
-            FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
+            FeedEvent::Message(from, FeedMessage::Demand(demand)) => {
+                self.routing.update_demand(now, from, &demand);
+            }
         }
     }
 
@@ -261,6 +281,20 @@
         }
     }
 
+    /// Reports the demand of this entry's callers since the last call, if entries share
+    /// it. The report is sent even if there is no demand, as a domain without reports
+    /// would have no figure, and the entries would not know that its slots are free.
+    fn report_demand(&mut self) {
+        let Some(demand) = &mut self.routing.demand else {
+            return;
+        };
+        demand.update(Instant::now(), &self.routing.router);
+        let report = self.routing.router.take_demand();
+        if let Some(collector) = self.collector {
+            self.links.report_demand(collector, report);
+        }
+    }
+
     /// Applies an update to a newer revision; an entry never goes back to an older
     /// one.
     fn apply(&mut self, from: SocketAddr, packed: &[u8]) {
@@ -338,10 +372,13 @@
         self.routing.decisions.log_availability_changes(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
-        let routable = upstreams
+        let routable: Vec<_> = upstreams
             .iter()
             .filter_map(|upstream| to_routable(upstream, domain, format))
             .collect();
+        if let Some(demand) = &mut self.routing.demand {
+            demand.set_slots(routable.iter().filter_map(|(_, target)| target.as_ref()));
+        }
         self.routing.router.set_upstreams(routable);
         self.routing.metrics.set_state(
             self.routing.router.tracked_flows(),
@@ -351,6 +388,15 @@
     }
 }
 
+/// Returns the settings of placement, with shares if entries share their demand.
+fn placement_settings(settings: &TokenEntrySettings) -> PlacementSettings {
+    let mut placement = settings.placement.clone();
+    if settings.is_demand_shared {
+        placement.demand.get_or_insert_default();
+    }
+    placement
+}
+
 /// Converts an upstream for the router, with a target for new flows if it takes
 /// any. Returns `None` if its id can't be encoded in packets.
 fn to_routable<F: WireFormat>(
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -11,6 +11,7 @@
 };
 use indexmap::{IndexMap, IndexSet};
 
+use super::demand_figures::DemandFigures;
 use super::format::MalformedPacket;
 
 /// Logs decisions about flows, with a rate limit for each kind of event.
@@ -54,11 +55,12 @@
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
+        figures: &DemandFigures,
         router: &TokenRouter,
     ) {
         match decided.decision {
-            Decision::Forward(_) => self.log_placed(now, flow, decided, router),
-            Decision::Reset(reason) => self.log_refused(now, flow, reason),
+            Decision::Forward(_) => self.log_placed(now, flow, decided, figures, router),
+            Decision::Reset(reason) => self.log_refused(now, flow, reason, figures),
             Decision::Drop(reason) => self.log_dropped(now, flow, 0, reason),
         }
     }
@@ -68,6 +70,7 @@
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
+        figures: &DemandFigures,
         router: &TokenRouter,
     ) {
         let Some(placed) = decided.placed else {
@@ -85,6 +88,9 @@
             flows = placed.flows,
             load = placed.load,
             is_doubtful = placed.is_unhealthy,
+            domain = figures.domain.as_deref(),
+            weight = figures.weight,
+            demand_age_ms = figures.age_ms,
             revision = self.revision,
             view_age_ms = self.view_age_ms(now),
             left_out = left_out;
@@ -92,7 +98,13 @@
         );
     }
 
-    fn log_refused(&mut self, now: Instant, flow: &FlowId, reason: ResetReason) {
+    fn log_refused(
+        &mut self,
+        now: Instant,
+        flow: &FlowId,
+        reason: ResetReason,
+        figures: &DemandFigures,
+    ) {
         let Some(left_out) = self.refused.try_acquire(now) else {
             return;
         };
@@ -101,6 +113,13 @@
             ResetReason::NoRoute | ResetReason::NoUpstream => log::info!(
                 event = "refused",
                 flow:% = flow,
+                service = figures.service.as_deref(),
+                is_idempotent = figures.priority.map(|p| p.is_idempotent),
+                level = figures.priority.map(|p| p.level),
+                admitted = figures.admitted,
+                own_share = figures.own_share,
+                fleet_capacity = figures.fleet_capacity,
+                demand_age_ms = figures.age_ms,
                 revision = self.revision,
                 view_age_ms = view_age_ms,
                 left_out = left_out;
@@ -112,6 +131,13 @@
                 ahead = overload.competing_flows,
                 room = overload.flow_limit,
                 open_for_ms = millis(overload.median_duration),
+                service = figures.service.as_deref(),
+                is_idempotent = figures.priority.map(|p| p.is_idempotent),
+                level = figures.priority.map(|p| p.level),
+                admitted = figures.admitted,
+                own_share = figures.own_share,
+                fleet_capacity = figures.fleet_capacity,
+                demand_age_ms = figures.age_ms,
                 revision = self.revision,
                 view_age_ms = view_age_ms,
                 left_out = left_out;
--- /dev/null
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -0,0 +1,155 @@
+//! The entry's view of shared demand, with its log and metrics.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use currantgate_capacity::DomainDemand;
+use currantgate_placement::Target;
+use currantgate_token::{Decision, FirstPacketDecision, FlowId, TokenRouter};
+use indexmap::IndexMap;
+
+use super::demand_figures::DemandFigures;
+use super::demand_metrics::DemandMetrics;
+use super::demand_view::DemandView;
+use super::service_load::{DomainLoad, ServiceLoad};
+use super::shares_log::SharesLog;
+
+/// Slots of one service by failure domain.
+type DomainSlots = IndexMap<Box<str>, u32>;
+
+/// The entry's view of shared demand, with its log and metrics.
+#[derive(Debug)]
+pub(super) struct DemandMonitor {
+    view: DemandView,
+    metrics: DemandMetrics,
+    shares_log: SharesLog,
+    /// Slots of the upstreams that may get new flows, by service.
+    slots: IndexMap<Box<str>, DomainSlots>,
+    was_current: bool,
+}
+
+impl DemandMonitor {
+    pub(super) fn new(now: Instant, metrics: DemandMetrics) -> Self {
+        Self {
+            view: DemandView::default(),
+            metrics,
+            shares_log: SharesLog::new(now),
+            slots: IndexMap::new(),
+            was_current: false,
+        }
+    }
+
+    /// Passes the figure of a domain to the router, unless another control VM's figure
+    /// of it is to be used.
+    pub(super) fn apply(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        demand: &DomainDemand,
+        router: &mut TokenRouter,
+    ) {
+        if self.view.accept(now, from, demand) {
+            router.update_demand(now, demand);
+        }
+    }
+
+    /// Records that the feed of a control VM is lost.
+    pub(super) fn remove_publisher(&mut self, now: Instant, publisher: SocketAddr) {
+        self.view.release(now, publisher);
+    }
+
+    /// Replaces the slots by those of the given upstreams that report.
+    pub(super) fn set_slots<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
+        self.slots.clear();
+        for target in targets.filter(|target| target.is_reporting) {
+            let domains = self.slots.entry(target.service.clone()).or_default();
+            *domains.entry(target.domain.clone()).or_default() += target.slots;
+        }
+    }
+
+    /// Updates the metrics, and logs shares that have changed noticeably.
+    pub(super) fn update(&mut self, now: Instant, router: &TokenRouter) {
+        self.view.expire(now);
+        let is_current = self.view.is_current(now);
+        if std::mem::replace(&mut self.was_current, is_current) && !is_current {
+            self.metrics.count_fallback();
+        }
+        let age = self.view.age(now);
+        self.metrics.set_view(age, is_current);
+        let loads = self.loads(is_current, router);
+        self.metrics.set_loads(&loads);
+        for load in &loads {
+            self.shares_log.log_if_changed(now, load, age);
+        }
+    }
+
+    /// Returns the demand, the slots and the weights of all services.
+    fn loads(&self, is_current: bool, router: &TokenRouter) -> Vec<ServiceLoad> {
+        let mut services: IndexMap<&str, IndexMap<Box<str>, DomainLoad>> = IndexMap::new();
+        for (service, slots) in &self.slots {
+            let domains = services.entry(service).or_default();
+            for (domain, slots) in slots {
+                domains.entry(domain.clone()).or_default().slots = *slots;
+            }
+        }
+        for demand in self.view.demands() {
+            for service in &demand.services {
+                let domains = services.entry(&service.service).or_default();
+                let load = domains.entry(demand.domain.clone()).or_default();
+                load.set_demand(service);
+            }
+        }
+        let to_load = |(service, mut domains): (&str, IndexMap<Box<str>, DomainLoad>)| {
+            let shares = router.shares(service).filter(|_| is_current);
+            for (domain, weight) in shares.into_iter().flat_map(|s| &s.domains) {
+                domains.entry(domain.clone()).or_default().weight = Some(*weight);
+            }
+            domains.sort_unstable_keys();
+            ServiceLoad {
+                service: service.into(),
+                domains,
+            }
+        };
+        services.into_iter().map(to_load).collect()
+    }
+
+    /// Counts the decision about a first packet, and returns the figures behind it.
+    pub(super) fn record_decision(
+        &self,
+        now: Instant,
+        flow: &FlowId,
+        decided: &FirstPacketDecision,
+        router: &TokenRouter,
+    ) -> DemandFigures {
+        let class = router.flow_class(flow);
+        let located = decided.placed.and_then(|p| router.upstream_location(p.key));
+        if let Some((service, domain)) = located {
+            self.metrics.count_placed(service, domain);
+        }
+        if let (Decision::Reset(reason), Some((service, priority))) = (decided.decision, class) {
+            self.metrics
+                .count_refused(service, priority, reason.to_string());
+        }
+        let is_current = self.view.is_current(now);
+        let shares = class.and_then(|(service, _)| router.shares(service));
+        let shares = shares.filter(|_| is_current);
+        let domain = located.map(|(_, domain)| domain);
+        let weight = shares.zip(domain).map(|(shares, domain)| {
+            let weight = shares.domains.get(domain);
+            weight.copied().unwrap_or_default()
+        });
+        let age_ms = self.view.age(now).map(|age| age.as_millis());
+        DemandFigures {
+            service: class.map(|(service, _)| service.into()),
+            priority: class.map(|(_, priority)| priority),
+            domain: domain.map(Into::into),
+            weight,
+            admitted: shares
+                .zip(class)
+                .and_then(|(shares, (_, priority))| shares.admitted.get(&priority).copied()),
+            own_share: shares.map(|shares| shares.own_share),
+            fleet_capacity: shares.map(|shares| shares.fleet_capacity),
+            age_ms: age_ms.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+        }
+    }
+}
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -3,12 +3,18 @@
 
 mod daemon;
 mod decision_log;
+mod demand_figures;
+mod demand_metrics;
+mod demand_monitor;
+mod demand_view;
 mod error;
 mod format;
 mod metrics;
 mod packet_socket;
 mod routing;
+mod service_load;
 mod settings;
+mod shares_log;
 
 pub use daemon::TokenEntry;
 pub use error::TokenEntryError;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -1,11 +1,14 @@
 //! The router with the log and the metrics of its decisions.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
+use currantgate_capacity::DomainDemand;
 use currantgate_observation::SlowUpstream;
 use currantgate_token::{Decision, FlowId, TokenRouter};
 
 use super::decision_log::DecisionLog;
+use super::demand_monitor::DemandMonitor;
 use super::format::{MalformedPacket, Packet};
 use super::metrics::TokenEntryMetrics;
 
@@ -15,6 +18,8 @@
     pub(super) router: TokenRouter,
     pub(super) metrics: TokenEntryMetrics,
     pub(super) decisions: DecisionLog,
+    /// The view of shared demand; nothing where entries don't share their demand.
+    pub(super) demand: Option<DemandMonitor>,
 }
 
 impl Routing {
@@ -23,8 +28,17 @@
         let (flow, decision) = match packet {
             Packet::First(packet) => {
                 let decided = self.router.route_first(now, packet);
-                self.decisions
-                    .log_first_packet(now, &packet.flow, &decided, &self.router);
+                let demand = self.demand.as_ref();
+                let figures = demand
+                    .map(|d| d.record_decision(now, &packet.flow, &decided, &self.router))
+                    .unwrap_or_default();
+                self.decisions.log_first_packet(
+                    now,
+                    &packet.flow,
+                    &decided,
+                    &figures,
+                    &self.router,
+                );
                 (packet.flow, decided.decision)
             }
             Packet::Later(packet) => {
@@ -58,6 +72,13 @@
         }
     }
 
+    /// Applies the demand of a failure domain's callers, if entries share it.
+    pub(super) fn update_demand(&mut self, now: Instant, from: SocketAddr, demand: &DomainDemand) {
+        if let Some(monitor) = &mut self.demand {
+            monitor.apply(now, from, demand, &mut self.router);
+        }
+    }
+
     fn publish_slow_upstreams(&mut self, now: Instant) {
         let count = self.router.slow_upstreams().len();
         self.metrics.set_slow_upstreams(count);
