--- a/crates/currantgate-log/tests/lines.rs
+++ b/crates/currantgate-log/tests/lines.rs
@@ -46,6 +46,19 @@
     assert!(formatted.ends_with('\n'));
 }
 
+/// Guards against `null` or `None` in the lines of sites that don't use a feature.
+#[test]
+fn a_field_without_a_value_is_left_out() {
+    let weight: Option<f64> = None;
+    let fields = [
+        ("flows", 3_u64.into()),
+        ("weight", log::kv::ToValue::to_value(&weight)),
+    ];
+    let parsed = LogLine::parse(&line(TIME, &fields, "placed")).unwrap();
+    assert!(parsed.fields().contains_key("flows"));
+    assert!(!parsed.fields().contains_key("weight"));
+}
+
 #[rstest]
 #[case::text("hello")]
 #[case::no_time("{\"message\":\"x\"}")]
--- a/crates/currantgate/src/feed/published_demand.rs
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -4,16 +4,20 @@
 
 use currantgate_capacity::{ClassDemand, DomainDemand, ServiceDemand};
 
-/// Longest interval between two messages about a domain while entries report there:
-/// entries don't use figures that are older than two seconds.
-pub(super) const MAX_SEND_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which an unchanged figure is sent: entries don't use figures that are
+/// older than two seconds.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Shortest interval between two messages about a domain: entries report once in it.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest interval between two messages about a domain. Figures that need more bytes
+/// exceed the limit, as entries would otherwise go without them at the first delay.
+const MAX_SEND_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Bytes a second that the figures of all domains may take on the feeds of an entry.
-/// With 240 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
-const MAX_BYTES_PER_SECOND: usize = 780;
+/// With 250 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
+const MAX_BYTES_PER_SECOND: usize = 750;
 
 /// Bytes of a frame around a message: length, MAC and the header of HTTP/2. Figures are
 /// sent along with heartbeats, so that they share the headers of TCP/IP.
@@ -32,6 +36,8 @@
     pub(super) demand: DomainDemand,
     /// Shortest interval between two messages about the domain on one feed.
     pub(super) min_interval: Duration,
+    /// Interval of the messages while the demand does not change.
+    pub(super) refresh_interval: Duration,
 }
 
 impl PublishedDemand {
@@ -43,9 +49,11 @@
         let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + 1 + FRAME_BYTES;
         let second_bytes = domains.max(1) * message_bytes;
         let interval = Duration::from_secs_f64(second_bytes as f64 / MAX_BYTES_PER_SECOND as f64);
+        let min_interval = interval.clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL);
         Self {
             demand,
-            min_interval: interval.clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL),
+            min_interval,
+            refresh_interval: min_interval.max(REFRESH_INTERVAL),
         }
     }
 
--- a/crates/currantgate/src/feed/sent_demand.rs
+++ b/crates/currantgate/src/feed/sent_demand.rs
@@ -1,11 +1,11 @@
 //! The demand that was sent on one feed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_capacity::DomainDemand;
 use indexmap::IndexMap;
 
-use super::published_demand::{MAX_SEND_INTERVAL, PublishedDemand};
+use super::published_demand::PublishedDemand;
 
 /// A figure that was sent.
 #[derive(Debug)]
@@ -37,28 +37,41 @@
         due.map(|p| p.demand.clone()).collect()
     }
 
+    /// Returns the last time from `from` until `until` at which a figure may be sent.
+    pub(super) fn last_due_between(&self, from: Instant, until: Instant) -> Option<Instant> {
+        let times = self.figures.values().map(|sent| sent.may_send_at);
+        times.filter(|at| (from..until).contains(at)).max()
+    }
+
     fn record_if_due(&mut self, now: Instant, published: &PublishedDemand) -> bool {
         let demand = &published.demand;
-        let sent = self.figures.get(&demand.domain);
-        let is_due = sent.is_none_or(|sent| {
-            now >= sent.refresh_at
-                || (now >= sent.may_send_at && published.differs_from(&sent.demand))
-        });
-        if is_due {
-            // A message that is late by a heartbeat delays none of the later ones, so that
-            // the interval holds on average.
-            let since = |at: Option<Instant>, interval| {
-                at.filter(|at| now < *at + interval).unwrap_or(now) + interval
-            };
-            let may_send_at = since(sent.map(|s| s.may_send_at), published.min_interval);
-            let refresh_at = sent.map(|s| s.refresh_at).filter(|at| now >= *at);
+        let Some(sent) = self.figures.get_mut(&demand.domain) else {
             let figure = SentFigure {
                 demand: demand.clone(),
-                may_send_at,
-                refresh_at: since(refresh_at, MAX_SEND_INTERVAL),
+                may_send_at: now + published.min_interval,
+                refresh_at: now + published.refresh_interval,
             };
             self.figures.insert(demand.domain.clone(), figure);
+            return true;
+        };
+        let is_refresh = now >= sent.refresh_at;
+        if now < sent.may_send_at || !(is_refresh || published.differs_from(&sent.demand)) {
+            return false;
         }
-        is_due
+        sent.demand = demand.clone();
+        sent.may_send_at = next_due(now, sent.may_send_at, published.min_interval);
+        sent.refresh_at = if is_refresh {
+            next_due(now, sent.refresh_at, published.refresh_interval)
+        } else {
+            now + published.refresh_interval
+        };
+        true
     }
 }
+
+/// Returns the time of the message after one that was due at `due`. A late message does
+/// not shift the next one, so that the interval holds on average.
+fn next_due(now: Instant, due: Instant, interval: Duration) -> Instant {
+    let next = due + interval;
+    if now < next { next } else { now + interval }
+}
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -10,8 +10,9 @@
 const FIGURE_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time for which only the control VM that published a domain's figure may replace it
-/// by one with as many or fewer entries: more than the second between its messages.
-const PUBLISHER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// by one with as many or fewer entries: more than the longest interval between its
+/// messages, and less than the time for which a figure is used.
+const PUBLISHER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 /// Time after which a domain without figures is forgotten: its entries are gone, or
 /// those that remain have long had another collector.
