--- a/crates/currantgate-log/src/flow_history.rs
+++ b/crates/currantgate-log/src/flow_history.rs
@@ -4,8 +4,8 @@
 
 use crate::LogLine;
 
-/// Selects the lines that concern one flow: those with its id, and those about
-/// the upstreams that it was sent to.
+/// Selects the lines that concern one flow: those with its id, those about the
+/// upstreams that it was sent to, and those about the shares that decided.
 #[derive(Debug)]
 pub struct FlowHistory {
     flow: Box<str>,
@@ -30,7 +30,8 @@
     /// Returns the lines that concern the flow, oldest first.
     ///
     /// Of the lines about each upstream, these are the newest one before the
-    /// flow's first line and those between its first and its last line.
+    /// flow's first line and those between its first and its last line. Of the lines
+    /// about shares, these are the newest ones of the deciding entry before each decision.
     pub fn into_lines(mut self) -> Vec<LogLine> {
         self.lines.sort_by(|a, b| a.time().cmp(b.time()));
         let (own_lines, other_lines): (Vec<_>, Vec<_>) = self
@@ -62,12 +63,27 @@
                     .map(|line| LogLine::clone(line)),
             );
         }
+        for decision in &own_lines {
+            let shares = other_lines.iter().rfind(|line| decides(line, decision));
+            selected.extend(shares.filter(|line| !selected.contains(line)).cloned());
+        }
         selected.extend(own_lines);
         selected.sort_by(|a, b| a.time().cmp(b.time()));
         selected
     }
 }
 
+/// Returns whether `line` tells the shares by which the entry that logged `decision`
+/// divided the flows of its service.
+fn decides(line: &LogLine, decision: &LogLine) -> bool {
+    let is_same = |name| line.text(name) == decision.text(name);
+    line.text("event") == Some("shares")
+        && decision.text("service").is_some()
+        && is_same("service")
+        && is_same("process")
+        && line.time() <= decision.time()
+}
+
 /// Returns whether the line's flow id contains `flow`.
 fn has_flow(line: &LogLine, flow: &str) -> bool {
     line.text("flow").is_some_and(|id| id.contains(flow))
--- a/crates/currantgate-log/tests/lines.rs
+++ b/crates/currantgate-log/tests/lines.rs
@@ -124,6 +124,30 @@
     assert_eq!(messages, ["ready", "placed", "silent", "gave up"]);
 }
 
+/// Guards against a history that shows a remote or refused flow without its cause.
+#[test]
+fn a_flow_history_has_the_shares_that_decided() {
+    let shares = |time, service: &'static str, message| {
+        let fields = [("event", "shares".into()), ("service", service.into())];
+        line(time, &fields, message)
+    };
+    let flow = [("flow", "a>b".into()), ("service", "booking".into())];
+    let formatted = [
+        shares("01", "booking", "older shares"),
+        shares("02", "booking", "shares"),
+        shares("03", "other", "another service"),
+        line("04", &flow, "refused"),
+        shares("05", "booking", "later shares"),
+    ];
+    let mut history = FlowHistory::new("a>b");
+    for text in &formatted {
+        history.push(LogLine::parse(text).unwrap());
+    }
+    let lines = history.into_lines();
+    let messages: Vec<_> = lines.iter().map(|l| l.text("message").unwrap()).collect();
+    assert_eq!(messages, ["shares", "refused"]);
+}
+
 #[test]
 fn the_history_of_an_unknown_flow_is_empty() {
     let mut history = FlowHistory::new("a>b");
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -88,6 +88,7 @@
             flows = placed.flows,
             load = placed.load,
             is_doubtful = placed.is_unhealthy,
+            service = figures.service.as_deref(),
             domain = figures.domain.as_deref(),
             weight = figures.weight,
             demand_age_ms = figures.age_ms,
