--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -111,6 +111,16 @@
         observations.slow_upstreams(std::time::Instant::now())
     }
 
+    /// Returns the domains whose demand is merged here, each with the number of entries
+    /// that report it.
+    pub(crate) fn demand_entries(&self) -> Vec<(Box<str>, u16)> {
+        let domains = self.listeners.borrow().entry_domains();
+        let now = std::time::Instant::now();
+        let published = self.demand.borrow_mut().published(now, domains);
+        let demands = published.iter().map(|published| &published.demand);
+        demands.map(|d| (d.domain.clone(), d.entries)).collect()
+    }
+
     /// Adds an entry's report of demand.
     fn record_demand(&self, from: &FeedHello, report: &[ServiceDemand]) {
         let now = std::time::Instant::now();
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -20,12 +20,19 @@
     state: &'static str,
 }
 
+/// Label for a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Domain {
+    domain: String,
+}
+
 /// Metrics of a control node, without those of the consensus.
 #[derive(Clone, Debug)]
 pub(super) struct NodeMetrics {
     reports: Family<Outcome, Counter>,
     upstreams: Family<State, Gauge>,
     slow_upstreams: Gauge,
+    demand_entries: Family<Domain, Gauge>,
     feeds: Gauge,
     commit_seconds: Histogram,
 }
@@ -36,6 +43,7 @@
             reports: Family::default(),
             upstreams: Family::default(),
             slow_upstreams: Gauge::default(),
+            demand_entries: Family::default(),
             feeds: Gauge::default(),
             // From 1 ms, a round trip, to 8 s, longer than the longest outage.
             commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -58,6 +66,11 @@
             "Upstreams that the entries which report here observe as slow",
             self.slow_upstreams.clone(),
         );
+        registry.register(
+            "demand_entries",
+            "Entries whose demand is merged here, by failure domain",
+            self.demand_entries.clone(),
+        );
         registry.register("feeds", "Feeds that are open", self.feeds.clone());
         registry.register(
             "commit_seconds",
@@ -80,6 +93,16 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_demand_entries(&self, entries: Vec<(Box<str>, u16)>) {
+        self.demand_entries.clear();
+        for (domain, count) in entries {
+            let domain = Domain {
+                domain: domain.into(),
+            };
+            self.demand_entries.get_or_create(&domain).set(count.into());
+        }
+    }
+
     pub(super) fn set_state<'a>(&self, records: impl Iterator<Item = &'a Record>, feeds: usize) {
         let mut counts = [("ready", 0), ("silent", 0), ("draining", 0), ("gone", 0)];
         for label in records.map(state_label) {
