--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -17,8 +17,10 @@
 mod server;
 mod status;
 
+pub use demand_publisher::DemandPublisher;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
 pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub use published_demand::PublishedDemand;
 pub(crate) use revision_tracker::RevisionTracker;
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{FleetStatus, ListenerStatus, ServiceStatus};
--- a/crates/currantgate/src/feed/published_demand.rs
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -31,9 +31,9 @@
 
 /// The demand of one failure domain, with the interval at which it is sent.
 #[derive(Clone, Debug)]
-pub(super) struct PublishedDemand {
+pub struct PublishedDemand {
     /// Demand of the domain.
-    pub(super) demand: DomainDemand,
+    pub demand: DomainDemand,
     /// Shortest interval between two messages about the domain on one feed.
     pub(super) min_interval: Duration,
     /// Interval of the messages while the demand does not change.
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -39,10 +39,11 @@
     SubscriptionSettings, VersionedAnswer,
 };
 pub use entry::{Entry, EntryError, EntrySockets};
-pub use feed::{FleetStatus, ListenerStatus, ServiceStatus};
+pub use feed::{DemandPublisher, FleetStatus, ListenerStatus, PublishedDemand, ServiceStatus};
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
-    MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings, WireFormat,
+    DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings,
+    WireFormat,
 };
 pub use trace::TRACE_TARGET;
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -229,9 +229,6 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
-                if let Some(demand) = &mut self.routing.demand {
-                    demand.remove_publisher(now, from);
-                }
                 // The next feed starts with all slow upstreams.
                 if self.collector == Some(from) {
                     self.collector = None;
@@ -256,7 +253,7 @@
             FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
             FeedEvent::Message(from, FeedMessage::Demand(demand)) => {
-                self.routing.update_demand(now, from, &demand);
+                self.routing.update_demand(now, from, demand);
             }
         }
     }
@@ -288,7 +285,7 @@
         let Some(demand) = &mut self.routing.demand else {
             return;
         };
-        demand.update(Instant::now(), &self.routing.router);
+        demand.update(Instant::now(), &mut self.routing.router);
         let report = self.routing.router.take_demand();
         if let Some(collector) = self.collector {
             self.links.report_demand(collector, report);
--- a/crates/currantgate/src/token_entry/demand_monitor.rs
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -39,23 +39,22 @@
         }
     }
 
-    /// Passes the figure of a domain to the router, unless another control VM's figure
-    /// of it is to be used.
+    /// Takes the figure of a domain, and passes it to the router if it is to be used.
     pub(super) fn apply(
         &mut self,
         now: Instant,
         from: SocketAddr,
-        demand: &DomainDemand,
+        demand: DomainDemand,
         router: &mut TokenRouter,
     ) {
-        if self.view.accept(now, from, demand) {
-            router.update_demand(now, demand);
-        }
+        self.view.record(now, from, demand);
+        self.apply_changes(now, router);
     }
 
-    /// Records that the feed of a control VM is lost.
-    pub(super) fn remove_publisher(&mut self, now: Instant, publisher: SocketAddr) {
-        self.view.release(now, publisher);
+    fn apply_changes(&mut self, now: Instant, router: &mut TokenRouter) {
+        for demand in self.view.update(now) {
+            router.update_demand(now, demand);
+        }
     }
 
     /// Replaces the slots by those of the given upstreams that report.
@@ -68,8 +67,8 @@
     }
 
     /// Updates the metrics, and logs shares that have changed noticeably.
-    pub(super) fn update(&mut self, now: Instant, router: &TokenRouter) {
-        self.view.expire(now);
+    pub(super) fn update(&mut self, now: Instant, router: &mut TokenRouter) {
+        self.apply_changes(now, router);
         let is_current = self.view.is_current(now);
         if std::mem::replace(&mut self.was_current, is_current) && !is_current {
             self.metrics.count_fallback();
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -9,83 +9,105 @@
 /// Age from which the figure of a domain is no longer used.
 const FIGURE_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Time for which only the control VM that published a domain's figure may replace it
-/// by one with as many or fewer entries: more than the longest interval between its
-/// messages, and less than the time for which a figure is used.
-const PUBLISHER_TIMEOUT: Duration = Duration::from_millis(1_700);
-
 /// Time after which a domain without figures is forgotten: its entries are gone, or
 /// those that remain have long had another collector.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
-/// The newest figure of one failure domain.
+/// The newest figure of a failure domain from one control VM.
 #[derive(Debug)]
 struct Figure {
     demand: DomainDemand,
-    publisher: SocketAddr,
-    received_at: Instant,
-    /// Time from which any control VM may replace the figure.
-    replaceable_at: Instant,
+    measured_at: Instant,
+}
+
+/// What is known of one failure domain.
+#[derive(Debug)]
+struct DomainView {
+    /// Figures within their lifetime by control VM; the one that published first comes
+    /// first.
+    figures: IndexMap<SocketAddr, Figure>,
+    last_measured: Instant,
+    /// Publisher and time of the figure that placement has.
+    applied: Option<(SocketAddr, Instant)>,
+}
+
+impl DomainView {
+    /// Returns the figure to use. Of figures with as many entries, the later publisher's
+    /// is used: entries have moved to it.
+    fn chosen(&self) -> Option<(&SocketAddr, &Figure)> {
+        let figures = self.figures.iter();
+        figures.max_by_key(|(_, figure)| figure.demand.entries)
+    }
 }
 
 /// The newest figures of all failure domains.
 ///
 /// While a domain changes its collector, two control VMs publish figures of it. The one
 /// with more of its entries is used, since the other one's sums lack more of the demand.
+/// A lost feed does not end a figure's lifetime: the next collector's first figures may
+/// lack entries.
 #[derive(Debug, Default)]
-pub(super) struct DemandView {
-    figures: IndexMap<Box<str>, Figure>,
+pub struct DemandView {
+    domains: IndexMap<Box<str>, DomainView>,
 }
 
 impl DemandView {
-    /// Takes the figure of a domain, and returns whether it is to be used.
-    pub(super) fn accept(&mut self, now: Instant, from: SocketAddr, demand: &DomainDemand) -> bool {
-        let held = self.figures.get(&demand.domain);
-        let is_accepted = held.is_none_or(|held| {
-            held.publisher == from
-                || now >= held.replaceable_at
-                || demand.entries > held.demand.entries
-        });
-        if is_accepted {
-            let figure = Figure {
-                demand: demand.clone(),
-                publisher: from,
-                received_at: now,
-                replaceable_at: now + PUBLISHER_TIMEOUT,
-            };
-            self.figures.insert(demand.domain.clone(), figure);
-        }
-        is_accepted
+    /// Takes the figure of a domain from a control VM.
+    pub fn record(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
+        let domain = self
+            .domains
+            .entry(demand.domain.clone())
+            .or_insert_with(|| DomainView {
+                figures: IndexMap::new(),
+                last_measured: now,
+                applied: None,
+            });
+        domain.last_measured = now;
+        let figure = Figure {
+            demand,
+            measured_at: now,
+        };
+        domain.figures.insert(from, figure);
     }
 
-    /// Lets any other control VM replace the figures of one whose feed is lost.
-    pub(super) fn release(&mut self, now: Instant, publisher: SocketAddr) {
-        for figure in self.figures.values_mut() {
-            if figure.publisher == publisher {
-                figure.replaceable_at = now;
+    /// Removes figures that are out of date, and domains whose last figure is long past.
+    /// Returns the figures to use that have changed or were renewed since the last call.
+    pub fn update(&mut self, now: Instant) -> Vec<&DomainDemand> {
+        self.domains
+            .retain(|_, domain| now < domain.last_measured + FORGET_AFTER);
+        let mut changed = Vec::new();
+        for domain in self.domains.values_mut() {
+            domain
+                .figures
+                .retain(|_, figure| now < figure.measured_at + FIGURE_LIFETIME);
+            let chosen = domain.chosen();
+            let chosen = chosen.map(|(from, figure)| (*from, figure.measured_at));
+            let is_changed = chosen.is_some() && chosen != domain.applied;
+            domain.applied = chosen;
+            if is_changed {
+                changed.extend(domain.chosen().map(|(_, figure)| &figure.demand));
             }
         }
-    }
-
-    /// Removes domains whose last figure is long past.
-    pub(super) fn expire(&mut self, now: Instant) {
-        self.figures
-            .retain(|_, figure| now < figure.received_at + FORGET_AFTER);
+        changed
     }
 
     /// Returns the age of the oldest figure; nothing when there is none.
-    pub(super) fn age(&self, now: Instant) -> Option<Duration> {
-        let received = self.figures.values().map(|figure| figure.received_at);
-        Some(now.saturating_duration_since(received.min()?))
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let measured = self.domains.values().map(|domain| {
+            let chosen = domain.chosen();
+            chosen.map_or(domain.last_measured, |(_, figure)| figure.measured_at)
+        });
+        Some(now.saturating_duration_since(measured.min()?))
     }
 
     /// Returns whether there are figures, and none is too old to be used.
-    pub(super) fn is_current(&self, now: Instant) -> bool {
+    pub fn is_current(&self, now: Instant) -> bool {
         self.age(now).is_some_and(|age| age < FIGURE_LIFETIME)
     }
 
     /// Returns the demand of each domain.
-    pub(super) fn demands(&self) -> impl Iterator<Item = &DomainDemand> {
-        self.figures.values().map(|figure| &figure.demand)
+    pub fn demands(&self) -> impl Iterator<Item = &DomainDemand> {
+        let chosen = self.domains.values().filter_map(DomainView::chosen);
+        chosen.map(|(_, figure)| &figure.demand)
     }
 }
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -73,7 +73,7 @@
     }
 
     /// Applies the demand of a failure domain's callers, if entries share it.
-    pub(super) fn update_demand(&mut self, now: Instant, from: SocketAddr, demand: &DomainDemand) {
+    pub(super) fn update_demand(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
         if let Some(monitor) = &mut self.demand {
             monitor.apply(now, from, demand, &mut self.router);
         }
--- /dev/null
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -0,0 +1,79 @@
+//! Decisions on shared demand: when a control VM publishes the demand of a failure domain,
+//! and which figure an entry uses.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use currantgate::{DemandPublisher, DemandView};
+use currantgate_capacity::DomainDemand;
+
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn control(n: u8) -> SocketAddr {
+    (Ipv4Addr::new(127, 0, 0, n), 1).into()
+}
+
+fn figure(entries: u16) -> DomainDemand {
+    DomainDemand {
+        domain: "a".into(),
+        entries,
+        services: Vec::new(),
+    }
+}
+
+/// Returns the number of entries in the published figure of domain `a`.
+fn published_entries(publisher: &mut DemandPublisher, now: Instant) -> Option<u16> {
+    let published = publisher.published(now, 1);
+    published.first().map(|figure| figure.demand.entries)
+}
+
+/// Returns the number of entries in the figure that the view uses.
+fn used_entries(view: &DemandView) -> Option<u16> {
+    view.demands().next().map(|demand| demand.entries)
+}
+
+/// Guards against a new or restarted collector that publishes a fraction of a domain's
+/// demand, as only a few entries have reported yet.
+#[test]
+fn a_collector_publishes_no_figure_before_all_entries_could_report() {
+    let start = Instant::now();
+    let mut publisher = DemandPublisher::new(start);
+    for entry in 0..50 {
+        let now = start + REPORT_INTERVAL * entry / 50;
+        publisher.record(now, entry.into(), "a", &[]);
+        assert_eq!(published_entries(&mut publisher, now), None);
+    }
+    assert_eq!(
+        published_entries(&mut publisher, start + ms(1_000)),
+        Some(50)
+    );
+    // After a pause, the collector is a new one for the domain.
+    let later = start + ms(4_000);
+    assert_eq!(published_entries(&mut publisher, later), None);
+    publisher.record(later, 0, "a", &[]);
+    assert_eq!(published_entries(&mut publisher, later + ms(500)), None);
+}
+
+/// Guards against a figure of a few entries that replaces a whole one which is still valid,
+/// and against one that is kept once a later collector covers as many entries.
+#[test]
+fn an_entry_uses_the_figure_with_the_most_entries_within_its_lifetime() {
+    let start = Instant::now();
+    let mut view = DemandView::default();
+    view.record(start, control(1), figure(50));
+    assert_eq!(view.update(start), [&figure(50)]);
+    view.record(start + ms(1_000), control(2), figure(3));
+    assert!(view.update(start + ms(1_000)).is_empty());
+    assert_eq!(used_entries(&view), Some(50));
+    view.record(start + ms(1_500), control(2), figure(50));
+    assert_eq!(view.update(start + ms(1_500)), [&figure(50)]);
+    // A figure with fewer entries is used once the whole ones are out of date.
+    view.record(start + ms(3_000), control(1), figure(4));
+    view.update(start + ms(3_000));
+    assert_eq!(used_entries(&view), Some(50));
+    assert_eq!(view.update(start + ms(3_500)), [&figure(4)]);
+}
