A domain without figures is forgotten only when it has no entries any more

An entry that was cut off from the collector of one domain forgot that domain after 10 s and used shares without its demand. It now falls back until figures come again. A collector publishes a domain without demand for 10 s once its last reports have expired and no entry of it has a feed, after which entries forget it.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use currantgate_capacity::{CollectorSettings, DemandCollector, ServiceDemand};
+use currantgate_capacity::{CollectorSettings, DemandCollector, DomainDemand, ServiceDemand};
 use indexmap::IndexMap;
 
 use super::published_demand::PublishedDemand;
@@ -17,12 +17,20 @@
 /// reported yet, and show a fraction of the demand.
 const COLLECTION_TIME: Duration = Duration::from_millis(750);
 
+/// Time after the last report of a domain has expired for which the domain is published
+/// without demand, if none of its entries has a feed. Entries would otherwise wait for
+/// figures of a domain that has no entries any more.
+const VACANCY_TIME: Duration = Duration::from_secs(10);
+
 /// The demand that a control VM merges and publishes.
 #[derive(Debug)]
 pub struct DemandPublisher {
     collector: DemandCollector,
     /// Time from which each domain with reports is published.
     complete_at: IndexMap<Box<str>, Instant>,
+    /// Time until which each domain whose reports have expired may be published without
+    /// demand.
+    vacant_until: IndexMap<Box<str>, Instant>,
     /// Time from which the published demand is replaced.
     update_due: Instant,
     published: Rc<[PublishedDemand]>,
@@ -34,6 +42,7 @@
         Self {
             collector: DemandCollector::new(CollectorSettings::default()),
             complete_at: IndexMap::new(),
+            vacant_until: IndexMap::new(),
             update_due: now,
             published: Rc::default(),
         }
@@ -48,23 +57,49 @@
         self.collector.record(now, reporter, domain, report);
     }
 
-    /// Returns the demand of the domains whose entries report here. `domains` is the
-    /// number of all domains with entries.
-    pub fn published(&mut self, now: Instant, domains: usize) -> Rc<[PublishedDemand]> {
+    /// Returns the demand of the domains whose entries report here, and those that have
+    /// lost their last entry a short time ago. `entries_by_domain` is the number of
+    /// entries with a feed of each domain.
+    pub fn published(
+        &mut self,
+        now: Instant,
+        entries_by_domain: &IndexMap<Box<str>, usize>,
+    ) -> Rc<[PublishedDemand]> {
         if now >= self.update_due {
             self.update_due = now + UPDATE_INTERVAL;
             let merged = self.collector.published(now);
-            // After a pause, the first reports of a domain again lack some of its entries.
-            self.complete_at
-                .retain(|domain, _| merged.iter().any(|d| d.domain == *domain));
+            self.update_domains(now, &merged);
             let complete_at = &self.complete_at;
             let complete = merged
                 .into_iter()
                 .filter(|d| complete_at.get(&d.domain).is_some_and(|at| now >= *at));
+            // Entries with a feed may report to another collector.
+            let vacant = self.vacant_until.keys();
+            let vacant = vacant.filter(|domain| !entries_by_domain.contains_key(*domain));
+            let vacant = vacant.map(|domain| DomainDemand {
+                domain: domain.clone(),
+                entries: 0,
+                services: Vec::new(),
+            });
+            let domains = entries_by_domain.len();
             self.published = complete
+                .chain(vacant)
                 .map(|demand| PublishedDemand::new(demand, domains))
                 .collect();
         }
         Rc::clone(&self.published)
     }
+
+    /// Tracks which domains have reports, and which had them until a short time ago.
+    fn update_domains(&mut self, now: Instant, merged: &[DomainDemand]) {
+        let has_reports = |domain: &str| merged.iter().any(|d| *d.domain == *domain);
+        // After a pause, the first reports of a domain again lack some of its entries.
+        let expired = self
+            .complete_at
+            .extract_if(.., |domain, _| !has_reports(domain));
+        self.vacant_until
+            .extend(expired.map(|(domain, _)| (domain, now + VACANCY_TIME)));
+        self.vacant_until
+            .retain(|domain, until| now < *until && !has_reports(domain));
+    }
 }
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -60,9 +60,9 @@
         }
     }
 
-    /// Returns the number of failure domains that have entries.
-    pub(super) fn entry_domains(&self) -> usize {
-        self.entries_by_domain.len()
+    /// Returns the number of entries with a feed by failure domain.
+    pub(super) fn entries_by_domain(&self) -> &IndexMap<Box<str>, usize> {
+        &self.entries_by_domain
     }
 
     pub(super) fn record_message(&mut self, now: Instant, id: FeedId, revision: Revision) {
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -22,6 +22,7 @@
 use super::demand_publisher::DemandPublisher;
 use super::listeners::{FeedId, Listeners};
 use super::message::{FeedHello, FeedMessage, FeedRequest, Heartbeat};
+use super::published_demand::PublishedDemand;
 use super::sent_demand::SentDemand;
 use super::status::FleetStatus;
 use crate::control::ControlHandle;
@@ -114,13 +115,17 @@
     /// Returns the domains whose demand is merged here, each with the number of entries
     /// that report it.
     pub(crate) fn demand_entries(&self) -> Vec<(Box<str>, u16)> {
-        let domains = self.listeners.borrow().entry_domains();
-        let now = std::time::Instant::now();
-        let published = self.demand.borrow_mut().published(now, domains);
+        let published = self.published_demand(std::time::Instant::now());
         let demands = published.iter().map(|published| &published.demand);
         demands.map(|d| (d.domain.clone(), d.entries)).collect()
     }
 
+    fn published_demand(&self, now: std::time::Instant) -> Rc<[PublishedDemand]> {
+        let listeners = self.listeners.borrow();
+        let mut demand = self.demand.borrow_mut();
+        demand.published(now, listeners.entries_by_domain())
+    }
+
     /// Adds an entry's report of demand.
     fn record_demand(&self, from: &FeedHello, report: &[ServiceDemand]) {
         let now = std::time::Instant::now();
@@ -382,8 +387,7 @@
             return Ok(());
         }
         let now = std::time::Instant::now();
-        let domains = self.source.listeners.borrow().entry_domains();
-        let published = self.source.demand.borrow_mut().published(now, domains);
+        let published = self.source.published_demand(now);
         for demand in self.sent_demand.take_due(now, &published) {
             self.send(&FeedMessage::Demand(demand)).await?;
         }
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -9,10 +9,6 @@
 /// Age from which the figure of a domain is no longer used.
 const FIGURE_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Time after which a domain without figures is forgotten: its entries are gone, or
-/// those that remain have long had another collector.
-const FORGET_AFTER: Duration = Duration::from_secs(10);
-
 /// The newest figure of a failure domain from one control VM.
 #[derive(Debug)]
 struct Figure {
@@ -29,6 +25,8 @@
     last_measured: Instant,
     /// Publisher and time of the figure that placement has.
     applied: Option<(SocketAddr, Instant)>,
+    /// Whether the last figure in use told that the domain has no entries any more.
+    is_vacant: bool,
 }
 
 impl DomainView {
@@ -61,6 +59,7 @@
                 figures: IndexMap::new(),
                 last_measured: now,
                 applied: None,
+                is_vacant: false,
             });
         domain.last_measured = now;
         let figure = Figure {
@@ -70,16 +69,23 @@
         domain.figures.insert(from, figure);
     }
 
-    /// Removes figures that are out of date, and domains whose last figure is long past.
+    /// Removes figures that are out of date, and domains whose last figure told that they
+    /// have no entries. Other domains without figures stay, so that the view is out of
+    /// date until there are figures again.
     /// Returns the figures to use that have changed or were renewed since the last call.
     pub fn update(&mut self, now: Instant) -> Vec<&DomainDemand> {
-        self.domains
-            .retain(|_, domain| now < domain.last_measured + FORGET_AFTER);
-        let mut changed = Vec::new();
         for domain in self.domains.values_mut() {
             domain
                 .figures
                 .retain(|_, figure| now < figure.measured_at + FIGURE_LIFETIME);
+            if let Some((_, figure)) = domain.chosen() {
+                domain.is_vacant = figure.demand.entries == 0;
+            }
+        }
+        self.domains
+            .retain(|_, domain| !(domain.is_vacant && domain.figures.is_empty()));
+        let mut changed = Vec::new();
+        for domain in self.domains.values_mut() {
             let chosen = domain.chosen();
             let chosen = chosen.map(|(from, figure)| (*from, figure.measured_at));
             let is_changed = chosen.is_some() && chosen != domain.applied;
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -25,9 +25,11 @@
     }
 }
 
-/// Returns the number of entries in the published figure of domain `a`.
-fn published_entries(publisher: &mut DemandPublisher, now: Instant) -> Option<u16> {
-    let published = publisher.published(now, 1);
+/// Returns the number of entries in the published figure of domain `a`, some of whose
+/// entries have a feed or not.
+fn published_entries(publisher: &mut DemandPublisher, now: Instant, has_feed: bool) -> Option<u16> {
+    let feeds = has_feed.then(|| ("a".into(), 1)).into_iter().collect();
+    let published = publisher.published(now, &feeds);
     published.first().map(|figure| figure.demand.entries)
 }
 
@@ -45,17 +47,20 @@
     for entry in 0..50 {
         let now = start + REPORT_INTERVAL * entry / 50;
         publisher.record(now, entry.into(), "a", &[]);
-        assert_eq!(published_entries(&mut publisher, now), None);
+        assert_eq!(published_entries(&mut publisher, now, true), None);
     }
     assert_eq!(
-        published_entries(&mut publisher, start + ms(1_000)),
+        published_entries(&mut publisher, start + ms(1_000), true),
         Some(50)
     );
     // After a pause, the collector is a new one for the domain.
     let later = start + ms(4_000);
-    assert_eq!(published_entries(&mut publisher, later), None);
+    assert_eq!(published_entries(&mut publisher, later, true), None);
     publisher.record(later, 0, "a", &[]);
-    assert_eq!(published_entries(&mut publisher, later + ms(500)), None);
+    assert_eq!(
+        published_entries(&mut publisher, later + ms(500), true),
+        None
+    );
 }
 
 /// Guards against a figure of a few entries that replaces a whole one which is still valid,
@@ -77,3 +82,52 @@
     assert_eq!(used_entries(&view), Some(50));
     assert_eq!(view.update(start + ms(3_500)), [&figure(4)]);
 }
+
+/// Guards against entries that wait for the figures of a domain without entries for good,
+/// and against a domain that is published as vacant while its entries have another
+/// collector.
+#[test]
+fn a_domain_without_entries_is_published_as_vacant_for_a_while() {
+    let start = Instant::now();
+    let mut publisher = DemandPublisher::new(start);
+    publisher.record(start, 0, "a", &[]);
+    for (after, has_feed, expected) in [
+        (1_000, true, Some(1)),
+        (1_750, true, None),
+        (2_000, false, Some(0)),
+        (11_500, false, Some(0)),
+        (11_750, false, None),
+    ] {
+        let entries = published_entries(&mut publisher, start + ms(after), has_feed);
+        assert_eq!(entries, expected, "after {after} ms");
+    }
+}
+
+/// Guards against a view that is current again without the figures of a domain, as that
+/// domain was forgotten after a while, and against one that is never current again once a
+/// domain has no entries.
+#[test]
+fn a_domain_is_forgotten_only_once_it_is_vacant() {
+    let start = Instant::now();
+    let other = DomainDemand {
+        domain: "b".into(),
+        ..figure(1)
+    };
+    let mut view = DemandView::default();
+    view.record(start, control(1), figure(50));
+    for second in 0..30 {
+        let now = start + Duration::from_secs(second);
+        view.record(now, control(2), other.clone());
+        view.update(now);
+        assert_eq!(view.is_current(now), second < 2, "after {second} s");
+    }
+    let now = start + Duration::from_secs(30);
+    view.record(now, control(1), figure(0));
+    for second in 30..40 {
+        let now = start + Duration::from_secs(second);
+        view.record(now, control(2), other.clone());
+        view.update(now);
+        assert!(view.is_current(now), "after {second} s");
+    }
+    assert_eq!(view.demands().count(), 1);
+}
