The view of demand alone decides which figures count and when they are out of date

Placement kept the shares of an outdated view until the monitor filtered them out of logs and metrics. The view now tells placement which figures have changed and when to go back to the entry's own flows, also right before a first packet is placed; the monitor only reads.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Removes the shares of all services.
+    pub fn clear_shares(&mut self) {
+        for service in self.services.values_mut() {
+            service.shares = None;
+        }
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -245,6 +245,11 @@
         self.placement.update_demand(now, demand);
     }
 
+    /// Goes back to the entry's own flows alone, until demand is applied again.
+    pub fn clear_shares(&mut self) {
+        self.placement.clear_shares();
+    }
+
     /// Returns how new flows of a service are divided among failure domains; nothing
     /// while the entry decides by its own flows alone.
     pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -43,7 +43,7 @@
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
-    DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings,
-    WireFormat,
+    DemandChange, DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError,
+    TokenEntrySettings, WireFormat,
 };
 pub use trace::TRACE_TARGET;
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -16,11 +16,12 @@
 use super::decision_log::DecisionLog;
 use super::demand_metrics::DemandMetrics;
 use super::demand_monitor::DemandMonitor;
+use super::demand_view::DemandView;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
 use super::packet_socket::PacketSocket;
-use super::routing::Routing;
+use super::routing::{Routing, SharedDemand};
 use super::settings::TokenEntrySettings;
 use crate::feed::{
     FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, RevisionTracker,
@@ -85,7 +86,10 @@
         let metrics = TokenEntryMetrics::default();
         let demand_metrics = settings.is_demand_shared.then(DemandMetrics::default);
         let demand = demand_metrics.clone();
-        let demand = demand.map(|metrics| DemandMonitor::new(Instant::now(), metrics));
+        let demand = demand.map(|metrics| SharedDemand {
+            view: DemandView::default(),
+            monitor: DemandMonitor::new(Instant::now(), metrics),
+        });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
         let core = Core {
             routing: Routing {
@@ -253,7 +257,7 @@
             FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
             FeedEvent::Message(from, FeedMessage::Demand(demand)) => {
-                self.routing.update_demand(now, from, demand);
+                self.routing.record_demand(now, from, demand);
             }
         }
     }
@@ -282,10 +286,9 @@
     /// it. The report is sent even if there is no demand, as a domain without reports
     /// would have no figure, and the entries would not know that its slots are free.
     fn report_demand(&mut self) {
-        let Some(demand) = &mut self.routing.demand else {
+        if !self.routing.update_demand(Instant::now()) {
             return;
-        };
-        demand.update(Instant::now(), &mut self.routing.router);
+        }
         let report = self.routing.router.take_demand();
         if let Some(collector) = self.collector {
             self.links.report_demand(collector, report);
@@ -374,7 +377,9 @@
             .filter_map(|upstream| to_routable(upstream, domain, format))
             .collect();
         if let Some(demand) = &mut self.routing.demand {
-            demand.set_slots(routable.iter().filter_map(|(_, target)| target.as_ref()));
+            demand
+                .monitor
+                .set_slots(routable.iter().filter_map(|(_, target)| target.as_ref()));
         }
         self.routing.router.set_upstreams(routable);
         self.routing.metrics.set_state(
--- a/crates/currantgate/src/token_entry/demand_monitor.rs
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -1,9 +1,7 @@
-//! The entry's view of shared demand, with its log and metrics.
+//! The log and the metrics of shared demand.
 
-use std::net::SocketAddr;
 use std::time::Instant;
 
-use currantgate_capacity::DomainDemand;
 use currantgate_placement::Target;
 use currantgate_token::{Decision, FirstPacketDecision, FlowId, TokenRouter};
 use indexmap::IndexMap;
@@ -17,44 +15,27 @@
 /// Slots of one service by failure domain.
 type DomainSlots = IndexMap<Box<str>, u32>;
 
-/// The entry's view of shared demand, with its log and metrics.
+/// The log and the metrics of shared demand.
 #[derive(Debug)]
 pub(super) struct DemandMonitor {
-    view: DemandView,
     metrics: DemandMetrics,
     shares_log: SharesLog,
     /// Slots of the upstreams that may get new flows, by service.
     slots: IndexMap<Box<str>, DomainSlots>,
-    was_current: bool,
 }
 
 impl DemandMonitor {
     pub(super) fn new(now: Instant, metrics: DemandMetrics) -> Self {
         Self {
-            view: DemandView::default(),
             metrics,
             shares_log: SharesLog::new(now),
             slots: IndexMap::new(),
-            was_current: false,
         }
     }
 
-    /// Takes the figure of a domain, and passes it to the router if it is to be used.
-    pub(super) fn apply(
-        &mut self,
-        now: Instant,
-        from: SocketAddr,
-        demand: DomainDemand,
-        router: &mut TokenRouter,
-    ) {
-        self.view.record(now, from, demand);
-        self.apply_changes(now, router);
-    }
-
-    fn apply_changes(&mut self, now: Instant, router: &mut TokenRouter) {
-        for demand in self.view.update(now) {
-            router.update_demand(now, demand);
-        }
+    /// Counts that the view of demand has become too old.
+    pub(super) fn count_fallback(&self) {
+        self.metrics.count_fallback();
     }
 
     /// Replaces the slots by those of the given upstreams that report.
@@ -67,15 +48,10 @@
     }
 
     /// Updates the metrics, and logs shares that have changed noticeably.
-    pub(super) fn update(&mut self, now: Instant, router: &mut TokenRouter) {
-        self.apply_changes(now, router);
-        let is_current = self.view.is_current(now);
-        if std::mem::replace(&mut self.was_current, is_current) && !is_current {
-            self.metrics.count_fallback();
-        }
-        let age = self.view.age(now);
-        self.metrics.set_view(age, is_current);
-        let loads = self.loads(is_current, router);
+    pub(super) fn update(&mut self, now: Instant, view: &DemandView, router: &TokenRouter) {
+        let age = view.age(now);
+        self.metrics.set_view(age, view.is_current(now));
+        let loads = self.loads(view, router);
         self.metrics.set_loads(&loads);
         for load in &loads {
             self.shares_log.log_if_changed(now, load, age);
@@ -83,7 +59,7 @@
     }
 
     /// Returns the demand, the slots and the weights of all services.
-    fn loads(&self, is_current: bool, router: &TokenRouter) -> Vec<ServiceLoad> {
+    fn loads(&self, view: &DemandView, router: &TokenRouter) -> Vec<ServiceLoad> {
         let mut services: IndexMap<&str, IndexMap<Box<str>, DomainLoad>> = IndexMap::new();
         for (service, slots) in &self.slots {
             let domains = services.entry(service).or_default();
@@ -91,7 +67,7 @@
                 domains.entry(domain.clone()).or_default().slots = *slots;
             }
         }
-        for demand in self.view.demands() {
+        for demand in view.demands() {
             for service in &demand.services {
                 let domains = services.entry(&service.service).or_default();
                 let load = domains.entry(demand.domain.clone()).or_default();
@@ -99,7 +75,7 @@
             }
         }
         let to_load = |(service, mut domains): (&str, IndexMap<Box<str>, DomainLoad>)| {
-            let shares = router.shares(service).filter(|_| is_current);
+            let shares = router.shares(service);
             for (domain, weight) in shares.into_iter().flat_map(|s| &s.domains) {
                 domains.entry(domain.clone()).or_default().weight = Some(*weight);
             }
@@ -118,6 +94,7 @@
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
+        view: &DemandView,
         router: &TokenRouter,
     ) -> DemandFigures {
         let class = router.flow_class(flow);
@@ -129,15 +106,13 @@
             self.metrics
                 .count_refused(service, priority, reason.to_string());
         }
-        let is_current = self.view.is_current(now);
         let shares = class.and_then(|(service, _)| router.shares(service));
-        let shares = shares.filter(|_| is_current);
         let domain = located.map(|(_, domain)| domain);
         let weight = shares.zip(domain).map(|(shares, domain)| {
             let weight = shares.domains.get(domain);
             weight.copied().unwrap_or_default()
         });
-        let age_ms = self.view.age(now).map(|age| age.as_millis());
+        let age_ms = view.age(now).map(|age| age.as_millis());
         DemandFigures {
             service: class.map(|(service, _)| service.into()),
             priority: class.map(|(_, priority)| priority),
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -38,7 +38,17 @@
     }
 }
 
-/// The newest figures of all failure domains.
+/// What placement must be told of the view.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DemandChange<'a> {
+    /// Figures that have changed or were renewed; all are current.
+    Renewed(Vec<&'a DomainDemand>),
+    /// A figure has become too old, so that no shares may be used.
+    OutOfDate,
+}
+
+/// The newest figures of all failure domains, which alone decides which of them count and
+/// whether they are out of date.
 ///
 /// While a domain changes its collector, two control VMs publish figures of it. The one
 /// with more of its entries is used, since the other one's sums lack more of the demand.
@@ -47,6 +57,7 @@
 #[derive(Debug, Default)]
 pub struct DemandView {
     domains: IndexMap<Box<str>, DomainView>,
+    was_current: bool,
 }
 
 impl DemandView {
@@ -71,9 +82,8 @@
 
     /// Removes figures that are out of date, and domains whose last figure told that they
     /// have no entries. Other domains without figures stay, so that the view is out of
-    /// date until there are figures again.
-    /// Returns the figures to use that have changed or were renewed since the last call.
-    pub fn update(&mut self, now: Instant) -> Vec<&DomainDemand> {
+    /// date until there are figures again. Returns what placement must be told.
+    pub fn update(&mut self, now: Instant) -> Option<DemandChange<'_>> {
         for domain in self.domains.values_mut() {
             domain
                 .figures
@@ -84,17 +94,23 @@
         }
         self.domains
             .retain(|_, domain| !(domain.is_vacant && domain.figures.is_empty()));
-        let mut changed = Vec::new();
+        let is_current = self.is_current(now);
+        let was_current = std::mem::replace(&mut self.was_current, is_current);
+        if !is_current {
+            for domain in self.domains.values_mut() {
+                domain.applied = None;
+            }
+            return was_current.then_some(DemandChange::OutOfDate);
+        }
+        let mut renewed = Vec::new();
         for domain in self.domains.values_mut() {
             let chosen = domain.chosen();
             let chosen = chosen.map(|(from, figure)| (*from, figure.measured_at));
-            let is_changed = chosen.is_some() && chosen != domain.applied;
-            domain.applied = chosen;
-            if is_changed {
-                changed.extend(domain.chosen().map(|(_, figure)| &figure.demand));
+            if std::mem::replace(&mut domain.applied, chosen) != chosen {
+                renewed.extend(domain.chosen().map(|(_, figure)| &figure.demand));
             }
         }
-        changed
+        (!renewed.is_empty()).then_some(DemandChange::Renewed(renewed))
     }
 
     /// Returns the age of the oldest figure; nothing when there is none.
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -17,7 +17,7 @@
 mod shares_log;
 
 pub use daemon::TokenEntry;
-pub use demand_view::DemandView;
+pub use demand_view::{DemandChange, DemandView};
 pub use error::TokenEntryError;
 pub use format::{MalformedPacket, Packet, WireFormat};
 pub use settings::TokenEntrySettings;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -9,6 +9,7 @@
 
 use super::decision_log::DecisionLog;
 use super::demand_monitor::DemandMonitor;
+use super::demand_view::{DemandChange, DemandView};
 use super::format::{MalformedPacket, Packet};
 use super::metrics::TokenEntryMetrics;
 
@@ -18,8 +19,15 @@
     pub(super) router: TokenRouter,
     pub(super) metrics: TokenEntryMetrics,
     pub(super) decisions: DecisionLog,
-    /// The view of shared demand; nothing where entries don't share their demand.
-    pub(super) demand: Option<DemandMonitor>,
+    /// Shared demand; nothing where entries don't share their demand.
+    pub(super) demand: Option<SharedDemand>,
+}
+
+/// The view of shared demand with its log and metrics.
+#[derive(Debug)]
+pub(super) struct SharedDemand {
+    pub(super) view: DemandView,
+    pub(super) monitor: DemandMonitor,
 }
 
 impl Routing {
@@ -27,10 +35,13 @@
     pub(super) fn decide(&mut self, now: Instant, packet: Packet) -> (FlowId, Decision) {
         let (flow, decision) = match packet {
             Packet::First(packet) => {
+                self.refresh_demand(now);
                 let decided = self.router.route_first(now, packet);
                 let demand = self.demand.as_ref();
                 let figures = demand
-                    .map(|d| d.record_decision(now, &packet.flow, &decided, &self.router))
+                    .map(|SharedDemand { view, monitor }| {
+                        monitor.record_decision(now, &packet.flow, &decided, view, &self.router)
+                    })
                     .unwrap_or_default();
                 self.decisions.log_first_packet(
                     now,
@@ -72,11 +83,40 @@
         }
     }
 
-    /// Applies the demand of a failure domain's callers, if entries share it.
-    pub(super) fn update_demand(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
-        if let Some(monitor) = &mut self.demand {
-            monitor.apply(now, from, demand, &mut self.router);
+    /// Takes the demand of a failure domain's callers, if entries share it.
+    pub(super) fn record_demand(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
+        if let Some(shared) = &mut self.demand {
+            shared.view.record(now, from, demand);
+            self.refresh_demand(now);
+        }
+    }
+
+    /// Passes changes of the view of demand to the router.
+    fn refresh_demand(&mut self, now: Instant) {
+        let Some(SharedDemand { view, monitor }) = &mut self.demand else {
+            return;
+        };
+        match view.update(now) {
+            Some(DemandChange::Renewed(demands)) => {
+                for demand in demands {
+                    self.router.update_demand(now, demand);
+                }
+            }
+            Some(DemandChange::OutOfDate) => {
+                self.router.clear_shares();
+                monitor.count_fallback();
+            }
+            None => {}
+        }
+    }
+
+    /// Updates the log and the metrics of shared demand; returns whether entries share it.
+    pub(super) fn update_demand(&mut self, now: Instant) -> bool {
+        self.refresh_demand(now);
+        if let Some(SharedDemand { view, monitor }) = &mut self.demand {
+            monitor.update(now, view, &self.router);
         }
+        self.demand.is_some()
     }
 
     fn publish_slow_upstreams(&mut self, now: Instant) {
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use currantgate::DemandChange::{OutOfDate, Renewed};
 use currantgate::{DemandPublisher, DemandView};
 use currantgate_capacity::DomainDemand;
 
@@ -70,17 +71,23 @@
     let start = Instant::now();
     let mut view = DemandView::default();
     view.record(start, control(1), figure(50));
-    assert_eq!(view.update(start), [&figure(50)]);
+    assert_eq!(view.update(start), Some(Renewed(vec![&figure(50)])));
     view.record(start + ms(1_000), control(2), figure(3));
-    assert!(view.update(start + ms(1_000)).is_empty());
+    assert_eq!(view.update(start + ms(1_000)), None);
     assert_eq!(used_entries(&view), Some(50));
     view.record(start + ms(1_500), control(2), figure(50));
-    assert_eq!(view.update(start + ms(1_500)), [&figure(50)]);
+    assert_eq!(
+        view.update(start + ms(1_500)),
+        Some(Renewed(vec![&figure(50)]))
+    );
     // A figure with fewer entries is used once the whole ones are out of date.
     view.record(start + ms(3_000), control(1), figure(4));
     view.update(start + ms(3_000));
     assert_eq!(used_entries(&view), Some(50));
-    assert_eq!(view.update(start + ms(3_500)), [&figure(4)]);
+    assert_eq!(
+        view.update(start + ms(3_500)),
+        Some(Renewed(vec![&figure(4)]))
+    );
 }
 
 /// Guards against entries that wait for the figures of a domain without entries for good,
@@ -131,3 +138,24 @@
     }
     assert_eq!(view.demands().count(), 1);
 }
+
+/// Guards against placement that keeps the shares of an outdated view, or goes without the
+/// figures that were received while the view was out of date.
+#[test]
+fn placement_is_told_once_that_the_view_is_out_of_date() {
+    let start = Instant::now();
+    let other = DomainDemand {
+        domain: "b".into(),
+        ..figure(1)
+    };
+    let mut view = DemandView::default();
+    view.record(start, control(1), figure(50));
+    view.update(start);
+    assert_eq!(view.update(start + ms(1_999)), None);
+    assert_eq!(view.update(start + ms(2_000)), Some(OutOfDate));
+    view.record(start + ms(2_500), control(2), other.clone());
+    assert_eq!(view.update(start + ms(2_500)), None);
+    view.record(start + ms(3_000), control(1), figure(50));
+    let renewed = view.update(start + ms(3_000));
+    assert_eq!(renewed, Some(Renewed(vec![&figure(50), &other])));
+}
