Figures of demand are sent at their interval, without waiting for heartbeats

Figures with an interval of 1.1 to 1.2 s went out each 1.5 s, as they waited for heartbeats. A refresh that would be late by more than 100 ms now sets the wake-up.

--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -22,5 +22,6 @@
 pub(crate) use message::{FEED_PATH, FeedHello, FeedMessage, Heartbeat};
 pub use published_demand::PublishedDemand;
 pub(crate) use revision_tracker::RevisionTracker;
+pub use sent_demand::SentDemand;
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{FleetStatus, ListenerStatus, ServiceStatus};
--- a/crates/currantgate/src/feed/published_demand.rs
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -43,7 +43,7 @@
 impl PublishedDemand {
     /// Returns the demand with the interval at which the figures of `domains` domains of
     /// that size fit into an entry's share of bytes.
-    pub(super) fn new(demand: DomainDemand, domains: usize) -> Self {
+    pub fn new(demand: DomainDemand, domains: usize) -> Self {
         let encoded = bincode::serde::encode_to_vec(&demand, bincode::config::standard());
         // One byte more tells the kind of message.
         let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + 1 + FRAME_BYTES;
--- a/crates/currantgate/src/feed/sent_demand.rs
+++ b/crates/currantgate/src/feed/sent_demand.rs
@@ -7,6 +7,10 @@
 
 use super::published_demand::PublishedDemand;
 
+/// Longest time by which a heartbeat or a figure is delayed to be sent together, which
+/// saves the headers of a packet. It is well below a missed heartbeat.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
+
 /// A figure that was sent.
 #[derive(Debug)]
 struct SentFigure {
@@ -19,28 +23,33 @@
 
 /// The demand that was sent on one feed, by failure domain.
 #[derive(Debug, Default)]
-pub(super) struct SentDemand {
+pub struct SentDemand {
     figures: IndexMap<Box<str>, SentFigure>,
 }
 
 impl SentDemand {
     /// Returns the figures to send now, and records them as sent. Figures of domains that
     /// are no longer published are forgotten.
-    pub(super) fn take_due(
-        &mut self,
-        now: Instant,
-        published: &[PublishedDemand],
-    ) -> Vec<DomainDemand> {
+    pub fn take_due(&mut self, now: Instant, published: &[PublishedDemand]) -> Vec<DomainDemand> {
         self.figures
             .retain(|domain, _| published.iter().any(|p| p.demand.domain == *domain));
         let due = published.iter().filter(|p| self.record_if_due(now, p));
         due.map(|p| p.demand.clone()).collect()
     }
 
-    /// Returns the last time from `from` until `until` at which a figure may be sent.
-    pub(super) fn last_due_between(&self, from: Instant, until: Instant) -> Option<Instant> {
-        let times = self.figures.values().map(|sent| sent.may_send_at);
-        times.filter(|at| (from..until).contains(at)).max()
+    /// Returns the time of the next heartbeat, which is due at `due`: later when a figure
+    /// can be sent along shortly afterwards, and earlier when the refresh of a figure
+    /// would otherwise wait for long. Figures with an interval of 1.15 s were sent each
+    /// 1.5 s while they waited for the heartbeats.
+    pub fn next_heartbeat(&self, due: Instant) -> Instant {
+        let latest = due + MAX_HEARTBEAT_DELAY;
+        let sendable = self.figures.values().map(|sent| sent.may_send_at);
+        let sendable = sendable.filter(|at| (due..=latest).contains(at));
+        let refreshes = self.figures.values().map(|sent| sent.refresh_at);
+        // Figures that are due a short time after one another are sent together.
+        let refresh = refreshes.min().map(|at| at + MAX_HEARTBEAT_DELAY);
+        let next = sendable.max().unwrap_or(due);
+        refresh.map_or(next, |refresh| next.min(refresh))
     }
 
     fn record_if_due(&mut self, now: Instant, published: &PublishedDemand) -> bool {
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -31,10 +31,6 @@
 /// missed ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest time by which a heartbeat is delayed to be sent along with figures of demand,
-/// which saves the headers of a packet. It is well below a missed heartbeat.
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
-
 /// Time without a message after which a listener's feed is closed: three of the
 /// listener's heartbeats.
 const LISTENER_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -369,12 +365,8 @@
         let now = Instant::now();
         if heartbeat != self.last_heartbeat || now >= self.heartbeat_due {
             self.send_demand().await?;
-            let due = now + HEARTBEAT_INTERVAL;
-            let latest = due + MAX_HEARTBEAT_DELAY;
-            let demand_due = self
-                .sent_demand
-                .last_due_between(due.into_std(), latest.into_std());
-            self.heartbeat_due = demand_due.map_or(due, Instant::from_std);
+            let due = (now + HEARTBEAT_INTERVAL).into_std();
+            self.heartbeat_due = Instant::from_std(self.sent_demand.next_heartbeat(due));
             self.last_heartbeat = heartbeat.clone();
             self.send(&FeedMessage::Heartbeat(heartbeat)).await?;
         }
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -39,7 +39,9 @@
     SubscriptionSettings, VersionedAnswer,
 };
 pub use entry::{Entry, EntryError, EntrySockets};
-pub use feed::{DemandPublisher, FleetStatus, ListenerStatus, PublishedDemand, ServiceStatus};
+pub use feed::{
+    DemandPublisher, FleetStatus, ListenerStatus, PublishedDemand, SentDemand, ServiceStatus,
+};
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate::DemandChange::{OutOfDate, Renewed};
-use currantgate::{DemandPublisher, DemandView};
+use currantgate::{DemandPublisher, DemandView, PublishedDemand, SentDemand};
 use currantgate_capacity::DomainDemand;
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -159,3 +159,29 @@
     let renewed = view.update(start + ms(3_000));
     assert_eq!(renewed, Some(Renewed(vec![&figure(50), &other])));
 }
+
+/// Guards against gaps of 1.5 s and more between the figures of a domain, as figures that
+/// become due between heartbeats waited for the next one.
+#[test]
+fn figures_are_sent_at_their_interval() {
+    // With 300 domains, a figure of any size has the longest interval, 1.2 s; the numbers
+    // below give intervals from 0.5 s on.
+    for domains in (1..60).chain([300]) {
+        let published = [PublishedDemand::new(figure(1), domains)];
+        let mut sent = SentDemand::default();
+        let mut now = Instant::now();
+        let mut last_sent = now;
+        let mut heartbeats = 0;
+        while heartbeats < 100 {
+            if !sent.take_due(now, &published).is_empty() {
+                let gap = now - last_sent;
+                assert!(gap <= ms(1_300), "{gap:?} with {domains} domains");
+                last_sent = now;
+            }
+            // Changes of state cause heartbeats at any time.
+            let interval = ms(if heartbeats % 7 == 0 { 130 } else { 500 });
+            now = sent.next_heartbeat(now + interval);
+            heartbeats += 1;
+        }
+    }
+}
