The age of a figure counts from the merging of its reports

An entry counted the age of a figure from its receipt, and so used figures that were older than 2 s by up to the time they had waited for a heartbeat. Messages now carry the age that a figure has when it is sent.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -84,7 +84,7 @@
             let domains = entries_by_domain.len();
             self.published = complete
                 .chain(vacant)
-                .map(|demand| PublishedDemand::new(demand, domains))
+                .map(|demand| PublishedDemand::new(now, demand, domains))
                 .collect();
         }
         Rc::clone(&self.published)
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -119,7 +119,12 @@
         permits: Vec<Permit>,
     },
     /// Demand of a failure domain whose reports are merged at this control VM.
-    Demand(DomainDemand),
+    Demand {
+        /// Time since the reports were merged when the message is sent, in milliseconds.
+        age_ms: u16,
+        /// Demand of the domain.
+        demand: DomainDemand,
+    },
 }
 
 /// The evacuated failure domains.
--- a/crates/currantgate/src/feed/published_demand.rs
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -1,6 +1,6 @@
 //! The demand of one failure domain, with the interval at which it is sent.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use currantgate_capacity::{ClassDemand, DomainDemand, ServiceDemand};
 
@@ -19,6 +19,9 @@
 /// With 250 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
 const MAX_BYTES_PER_SECOND: usize = 750;
 
+/// Bytes of the message beside the demand: its kind and the age of the figure.
+const MESSAGE_BYTES: usize = 1 + 3;
+
 /// Bytes of a frame around a message: length, MAC and the header of HTTP/2. Figures are
 /// sent along with heartbeats, so that they share the headers of TCP/IP.
 const FRAME_BYTES: usize = 4 + 32 + 9;
@@ -34,6 +37,8 @@
 pub struct PublishedDemand {
     /// Demand of the domain.
     pub demand: DomainDemand,
+    /// Time at which the reports of the domain were merged.
+    merged_at: Instant,
     /// Shortest interval between two messages about the domain on one feed.
     pub(super) min_interval: Duration,
     /// Interval of the messages while the demand does not change.
@@ -43,20 +48,26 @@
 impl PublishedDemand {
     /// Returns the demand with the interval at which the figures of `domains` domains of
     /// that size fit into an entry's share of bytes.
-    pub fn new(demand: DomainDemand, domains: usize) -> Self {
+    pub fn new(merged_at: Instant, demand: DomainDemand, domains: usize) -> Self {
         let encoded = bincode::serde::encode_to_vec(&demand, bincode::config::standard());
-        // One byte more tells the kind of message.
-        let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + 1 + FRAME_BYTES;
+        let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + MESSAGE_BYTES + FRAME_BYTES;
         let second_bytes = domains.max(1) * message_bytes;
         let interval = Duration::from_secs_f64(second_bytes as f64 / MAX_BYTES_PER_SECOND as f64);
         let min_interval = interval.clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL);
         Self {
             demand,
+            merged_at,
             min_interval,
             refresh_interval: min_interval.max(REFRESH_INTERVAL),
         }
     }
 
+    /// Returns the time since the reports were merged, in milliseconds.
+    pub fn age_ms(&self, now: Instant) -> u16 {
+        let age = now.saturating_duration_since(self.merged_at);
+        u16::try_from(age.as_millis()).unwrap_or(u16::MAX)
+    }
+
     /// Returns whether the demand differs noticeably from an earlier one of its domain.
     pub(super) fn differs_from(&self, earlier: &DomainDemand) -> bool {
         let services = &self.demand.services;
--- a/crates/currantgate/src/feed/sent_demand.rs
+++ b/crates/currantgate/src/feed/sent_demand.rs
@@ -30,11 +30,15 @@
 impl SentDemand {
     /// Returns the figures to send now, and records them as sent. Figures of domains that
     /// are no longer published are forgotten.
-    pub fn take_due(&mut self, now: Instant, published: &[PublishedDemand]) -> Vec<DomainDemand> {
+    pub fn take_due<'a>(
+        &mut self,
+        now: Instant,
+        published: &'a [PublishedDemand],
+    ) -> Vec<&'a PublishedDemand> {
         self.figures
             .retain(|domain, _| published.iter().any(|p| p.demand.domain == *domain));
         let due = published.iter().filter(|p| self.record_if_due(now, p));
-        due.map(|p| p.demand.clone()).collect()
+        due.collect()
     }
 
     /// Returns the time of the next heartbeat, which is due at `due`: later when a figure
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -380,8 +380,12 @@
         }
         let now = std::time::Instant::now();
         let published = self.source.published_demand(now);
-        for demand in self.sent_demand.take_due(now, &published) {
-            self.send(&FeedMessage::Demand(demand)).await?;
+        for figure in self.sent_demand.take_due(now, &published) {
+            let message = FeedMessage::Demand {
+                age_ms: figure.age_ms(std::time::Instant::now()),
+                demand: figure.demand.clone(),
+            };
+            self.send(&message).await?;
         }
         Ok(())
     }
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -62,7 +62,7 @@
                 FeedMessage::Upstreams(_)
                 | FeedMessage::SlowUpstreams(_)
                 | FeedMessage::WarmupPermits { .. }
-                | FeedMessage::Demand(_),
+                | FeedMessage::Demand { .. },
             )
             | FeedEvent::Connected(_) => {}
             FeedEvent::Disconnected(from) => self.revisions.remove(from),
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -256,8 +256,9 @@
             }
             FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
-            FeedEvent::Message(from, FeedMessage::Demand(demand)) => {
-                self.routing.record_demand(now, from, demand);
+            FeedEvent::Message(from, FeedMessage::Demand { age_ms, demand }) => {
+                let age = Duration::from_millis(age_ms.into());
+                self.routing.record_demand(now, from, age, demand);
             }
         }
     }
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -61,21 +61,23 @@
 }
 
 impl DemandView {
-    /// Takes the figure of a domain from a control VM.
-    pub fn record(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
+    /// Takes the figure of a domain from a control VM, which had the given age when it was
+    /// sent.
+    pub fn record(&mut self, now: Instant, from: SocketAddr, age: Duration, demand: DomainDemand) {
+        let measured_at = now.checked_sub(age).unwrap_or(now);
         let domain = self
             .domains
             .entry(demand.domain.clone())
             .or_insert_with(|| DomainView {
                 figures: IndexMap::new(),
-                last_measured: now,
+                last_measured: measured_at,
                 applied: None,
                 is_vacant: false,
             });
-        domain.last_measured = now;
+        domain.last_measured = measured_at;
         let figure = Figure {
             demand,
-            measured_at: now,
+            measured_at,
         };
         domain.figures.insert(from, figure);
     }
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -1,7 +1,7 @@
 //! The router with the log and the metrics of its decisions.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_capacity::DomainDemand;
 use currantgate_observation::SlowUpstream;
@@ -84,9 +84,15 @@
     }
 
     /// Takes the demand of a failure domain's callers, if entries share it.
-    pub(super) fn record_demand(&mut self, now: Instant, from: SocketAddr, demand: DomainDemand) {
+    pub(super) fn record_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        age: Duration,
+        demand: DomainDemand,
+    ) {
         if let Some(shared) = &mut self.demand {
-            shared.view.record(now, from, demand);
+            shared.view.record(now, from, age, demand);
             self.refresh_demand(now);
         }
     }
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -70,18 +70,18 @@
 fn an_entry_uses_the_figure_with_the_most_entries_within_its_lifetime() {
     let start = Instant::now();
     let mut view = DemandView::default();
-    view.record(start, control(1), figure(50));
+    view.record(start, control(1), Duration::ZERO, figure(50));
     assert_eq!(view.update(start), Some(Renewed(vec![&figure(50)])));
-    view.record(start + ms(1_000), control(2), figure(3));
+    view.record(start + ms(1_000), control(2), Duration::ZERO, figure(3));
     assert_eq!(view.update(start + ms(1_000)), None);
     assert_eq!(used_entries(&view), Some(50));
-    view.record(start + ms(1_500), control(2), figure(50));
+    view.record(start + ms(1_500), control(2), Duration::ZERO, figure(50));
     assert_eq!(
         view.update(start + ms(1_500)),
         Some(Renewed(vec![&figure(50)]))
     );
     // A figure with fewer entries is used once the whole ones are out of date.
-    view.record(start + ms(3_000), control(1), figure(4));
+    view.record(start + ms(3_000), control(1), Duration::ZERO, figure(4));
     view.update(start + ms(3_000));
     assert_eq!(used_entries(&view), Some(50));
     assert_eq!(
@@ -121,18 +121,18 @@
         ..figure(1)
     };
     let mut view = DemandView::default();
-    view.record(start, control(1), figure(50));
+    view.record(start, control(1), Duration::ZERO, figure(50));
     for second in 0..30 {
         let now = start + Duration::from_secs(second);
-        view.record(now, control(2), other.clone());
+        view.record(now, control(2), Duration::ZERO, other.clone());
         view.update(now);
         assert_eq!(view.is_current(now), second < 2, "after {second} s");
     }
     let now = start + Duration::from_secs(30);
-    view.record(now, control(1), figure(0));
+    view.record(now, control(1), Duration::ZERO, figure(0));
     for second in 30..40 {
         let now = start + Duration::from_secs(second);
-        view.record(now, control(2), other.clone());
+        view.record(now, control(2), Duration::ZERO, other.clone());
         view.update(now);
         assert!(view.is_current(now), "after {second} s");
     }
@@ -140,7 +140,8 @@
 }
 
 /// Guards against placement that keeps the shares of an outdated view, or goes without the
-/// figures that were received while the view was out of date.
+/// figures that were received while the view was out of date, and against ages that do not
+/// include the time before a figure was sent.
 #[test]
 fn placement_is_told_once_that_the_view_is_out_of_date() {
     let start = Instant::now();
@@ -149,13 +150,13 @@
         ..figure(1)
     };
     let mut view = DemandView::default();
-    view.record(start, control(1), figure(50));
-    view.update(start);
+    view.record(start + ms(300), control(1), ms(300), figure(50));
+    view.update(start + ms(300));
     assert_eq!(view.update(start + ms(1_999)), None);
     assert_eq!(view.update(start + ms(2_000)), Some(OutOfDate));
-    view.record(start + ms(2_500), control(2), other.clone());
+    view.record(start + ms(2_500), control(2), Duration::ZERO, other.clone());
     assert_eq!(view.update(start + ms(2_500)), None);
-    view.record(start + ms(3_000), control(1), figure(50));
+    view.record(start + ms(3_000), control(1), Duration::ZERO, figure(50));
     let renewed = view.update(start + ms(3_000));
     assert_eq!(renewed, Some(Renewed(vec![&figure(50), &other])));
 }
@@ -167,7 +168,7 @@
     // With 300 domains, a figure of any size has the longest interval, 1.2 s; the numbers
     // below give intervals from 0.5 s on.
     for domains in (1..60).chain([300]) {
-        let published = [PublishedDemand::new(figure(1), domains)];
+        let published = [PublishedDemand::new(Instant::now(), figure(1), domains)];
         let mut sent = SentDemand::default();
         let mut now = Instant::now();
         let mut last_sent = now;
