Reports of demand carry the period that they cover

After a stall an entry sent several reports back to back, and a report that could not be queued halved the next rate. Reports are now at least an interval apart and carry their period; demand that could not be queued is part of the next report, and collectors drop reports of less than half of the interval.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -17,6 +17,9 @@
 /// reported yet, and show a fraction of the demand.
 const COLLECTION_TIME: Duration = Duration::from_millis(750);
 
+/// Shortest period of a report that is merged: half of the interval of reports.
+const MIN_REPORT_PERIOD: Duration = Duration::from_millis(250);
+
 /// Time after the last report of a domain has expired for which the domain is published
 /// without demand, if none of its entries has a feed. Entries would otherwise wait for
 /// figures of a domain that has no entries any more.
@@ -48,8 +51,19 @@
         }
     }
 
-    /// Adds the report of an entry.
-    pub fn record(&mut self, now: Instant, reporter: u64, domain: &str, report: &[ServiceDemand]) {
+    /// Adds the report of an entry that covers `period`. Reports of a short period are
+    /// dropped, as the rates of a few flows in a short time vary much.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        reporter: u64,
+        domain: &str,
+        period: Duration,
+        report: &[ServiceDemand],
+    ) {
+        if period < MIN_REPORT_PERIOD {
+            return;
+        }
         if !self.complete_at.contains_key(domain) {
             self.complete_at
                 .insert(domain.into(), now + COLLECTION_TIME);
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -182,15 +182,20 @@
         }
     }
 
-    /// Reports demand to a control VM. A report that can't be queued is dropped.
-    pub(crate) fn report_demand(&self, to: SocketAddr, demand: Vec<ServiceDemand>) {
+    /// Reports the demand of a period to a control VM; returns whether the report is
+    /// queued.
+    pub(crate) fn report_demand(
+        &self,
+        to: SocketAddr,
+        period: Duration,
+        demand: &[ServiceDemand],
+    ) -> bool {
         let request = FeedRequest::Demand {
             revision: self.shared.revision.get(),
-            demand,
+            period_ms: u16::try_from(period.as_millis()).unwrap_or(u16::MAX),
+            demand: demand.to_vec(),
         };
-        if !self.queue(to, request) {
-            log::debug!("a report of demand to {to} is dropped");
-        }
+        self.queue(to, request)
     }
 
     /// Queues a request for the feed of a control VM; returns whether there was room.
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -61,7 +61,10 @@
     Demand {
         /// Revision that the listener holds.
         revision: Revision,
-        /// Demand since the last report.
+        /// Period that the report covers in milliseconds: longer than the interval of
+        /// reports after one that could not be sent.
+        period_ms: u16,
+        /// Demand in that period.
         demand: Vec<ServiceDemand>,
     },
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -123,11 +123,11 @@
     }
 
     /// Adds an entry's report of demand.
-    fn record_demand(&self, from: &FeedHello, report: &[ServiceDemand]) {
+    fn record_demand(&self, from: &FeedHello, period: Duration, report: &[ServiceDemand]) {
         let now = std::time::Instant::now();
         let reporter = reporter_id(&from.name);
         let mut demand = self.demand.borrow_mut();
-        demand.record(now, reporter, &from.domain, report);
+        demand.record(now, reporter, &from.domain, period, report);
     }
 
     /// Wakes all feeds.
@@ -310,8 +310,11 @@
                 Ok(())
             }
             FeedRequest::WarmupPermits { .. } => Ok(()),
-            FeedRequest::Demand { demand, .. } => {
-                self.source.record_demand(&self.hello, &demand);
+            FeedRequest::Demand {
+                period_ms, demand, ..
+            } => {
+                let period = Duration::from_millis(period_ms.into());
+                self.source.record_demand(&self.hello, period, &demand);
                 Ok(())
             }
         }
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -46,6 +46,6 @@
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
     DemandChange, DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError,
-    TokenEntrySettings, WireFormat,
+    TokenEntrySettings, UnsentDemand, WireFormat,
 };
 pub use trace::TRACE_TARGET;
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -12,6 +12,7 @@
 use currantgate_token::{TokenRouter, TokenUpstream};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
 
 use super::decision_log::DecisionLog;
 use super::demand_metrics::DemandMetrics;
@@ -23,6 +24,7 @@
 use super::packet_socket::PacketSocket;
 use super::routing::{Routing, SharedDemand};
 use super::settings::TokenEntrySettings;
+use super::unsent_demand::UnsentDemand;
 use crate::feed::{
     FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage, RevisionTracker,
 };
@@ -105,6 +107,7 @@
             routed_upstreams: 0,
             links,
             collector: None,
+            unsent_demand: UnsentDemand::new(Instant::now()),
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -172,6 +175,7 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    unsent_demand: UnsentDemand,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -185,6 +189,8 @@
     ) {
         let mut flow_interval = actix_rt::time::interval(FLOW_EXPIRY_INTERVAL);
         let mut observation_interval = actix_rt::time::interval(OBSERVATION_INTERVAL);
+        // After a stall, reports sent back to back would show too much demand.
+        observation_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         loop {
             tokio::select! {
@@ -285,14 +291,23 @@
 
     /// Reports the demand of this entry's callers since the last call, if entries share
     /// it. The report is sent even if there is no demand, as a domain without reports
-    /// would have no figure, and the entries would not know that its slots are free.
+    /// would have no figure, and the entries would not know that its slots are free. The
+    /// demand of a report that can't be queued is part of the next one.
     fn report_demand(&mut self) {
-        if !self.routing.update_demand(Instant::now()) {
+        let now = Instant::now();
+        if !self.routing.update_demand(now) {
             return;
         }
-        let report = self.routing.router.take_demand();
-        if let Some(collector) = self.collector {
-            self.links.report_demand(collector, report);
+        let unsent = &mut self.unsent_demand;
+        unsent.add(self.routing.router.take_demand());
+        let is_done = self.collector.is_none_or(|collector| {
+            let period = unsent.period(now);
+            self.links.report_demand(collector, period, unsent.demand())
+        });
+        if is_done {
+            *unsent = UnsentDemand::new(now);
+        } else {
+            log::debug!("a report of demand can't be queued; the next one includes it");
         }
     }
 
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -15,9 +15,11 @@
 mod service_load;
 mod settings;
 mod shares_log;
+mod unsent_demand;
 
 pub use daemon::TokenEntry;
 pub use demand_view::{DemandChange, DemandView};
 pub use error::TokenEntryError;
 pub use format::{MalformedPacket, Packet, WireFormat};
 pub use settings::TokenEntrySettings;
+pub use unsent_demand::UnsentDemand;
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use currantgate::DemandChange::{OutOfDate, Renewed};
-use currantgate::{DemandPublisher, DemandView, PublishedDemand, SentDemand};
-use currantgate_capacity::DomainDemand;
+use currantgate::{DemandPublisher, DemandView, PublishedDemand, SentDemand, UnsentDemand};
+use currantgate_capacity::{ClassDemand, DomainDemand, Priority, ServiceDemand};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -26,6 +26,23 @@
     }
 }
 
+/// Returns the demand of a service in one class of each level, with 1 arrival per class.
+fn service_demand(levels: &[u32]) -> ServiceDemand {
+    let class = |level: &u32| ClassDemand {
+        priority: Priority {
+            is_idempotent: true,
+            level: *level,
+        },
+        arrivals: 1.0,
+    };
+    ServiceDemand {
+        service: "booking".into(),
+        classes: levels.iter().map(class).collect(),
+        completions: 2.0,
+        slot_ms: 60.0,
+    }
+}
+
 /// Returns the number of entries in the published figure of domain `a`, some of whose
 /// entries have a feed or not.
 fn published_entries(publisher: &mut DemandPublisher, now: Instant, has_feed: bool) -> Option<u16> {
@@ -47,7 +64,7 @@
     let mut publisher = DemandPublisher::new(start);
     for entry in 0..50 {
         let now = start + REPORT_INTERVAL * entry / 50;
-        publisher.record(now, entry.into(), "a", &[]);
+        publisher.record(now, entry.into(), "a", REPORT_INTERVAL, &[]);
         assert_eq!(published_entries(&mut publisher, now, true), None);
     }
     assert_eq!(
@@ -57,7 +74,7 @@
     // After a pause, the collector is a new one for the domain.
     let later = start + ms(4_000);
     assert_eq!(published_entries(&mut publisher, later, true), None);
-    publisher.record(later, 0, "a", &[]);
+    publisher.record(later, 0, "a", REPORT_INTERVAL, &[]);
     assert_eq!(
         published_entries(&mut publisher, later + ms(500), true),
         None
@@ -97,7 +114,7 @@
 fn a_domain_without_entries_is_published_as_vacant_for_a_while() {
     let start = Instant::now();
     let mut publisher = DemandPublisher::new(start);
-    publisher.record(start, 0, "a", &[]);
+    publisher.record(start, 0, "a", REPORT_INTERVAL, &[]);
     for (after, has_feed, expected) in [
         (1_000, true, Some(1)),
         (1_750, true, None),
@@ -186,3 +203,31 @@
         }
     }
 }
+
+/// Guards against demand that is lost with a report that can't be queued, which halved the
+/// next rate.
+#[test]
+fn demand_that_was_not_reported_is_part_of_the_next_report() {
+    let start = Instant::now();
+    let mut unsent = UnsentDemand::new(start);
+    unsent.add(vec![service_demand(&[0])]);
+    unsent.add(vec![service_demand(&[1, 0])]);
+    assert_eq!(unsent.period(start + ms(1_000)), ms(1_000));
+    let [service] = unsent.demand() else {
+        panic!("{:?}", unsent.demand());
+    };
+    let arrivals: Vec<_> = service.classes.iter().map(|c| c.arrivals).collect();
+    assert_eq!(arrivals, [2.0, 1.0]);
+    assert_eq!((service.completions, service.slot_ms), (4.0, 120.0));
+}
+
+/// Guards against reports sent back to back after a stall, whose rates are far too high.
+#[test]
+fn reports_of_a_short_period_are_dropped() {
+    let start = Instant::now();
+    let mut publisher = DemandPublisher::new(start);
+    publisher.record(start, 0, "a", ms(500), &[]);
+    publisher.record(start, 1, "a", ms(20), &[]);
+    let entries = published_entries(&mut publisher, start + ms(1_000), true);
+    assert_eq!(entries, Some(1));
+}
