Feeds share figures of demand and their encoding

Each feed cloned each figure to compare it later, and encoded it anew. Figures are now encoded once when they are merged; one that can't be encoded is logged.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bincode::error::EncodeError;
 use currantgate_capacity::{CollectorSettings, DemandCollector, DomainDemand, ServiceDemand};
 use indexmap::IndexMap;
 
@@ -36,7 +37,7 @@
     vacant_until: IndexMap<Box<str>, Instant>,
     /// Time from which the published demand is replaced.
     update_due: Instant,
-    published: Rc<[PublishedDemand]>,
+    published: Rc<[Rc<PublishedDemand>]>,
 }
 
 impl DemandPublisher {
@@ -78,7 +79,7 @@
         &mut self,
         now: Instant,
         entries_by_domain: &IndexMap<Box<str>, usize>,
-    ) -> Rc<[PublishedDemand]> {
+    ) -> Rc<[Rc<PublishedDemand>]> {
         if now >= self.update_due {
             self.update_due = now + UPDATE_INTERVAL;
             let merged = self.collector.published(now);
@@ -99,6 +100,7 @@
             self.published = complete
                 .chain(vacant)
                 .map(|demand| PublishedDemand::new(now, demand, domains))
+                .filter_map(|figure| figure.map(Rc::new).inspect_err(log_encode_error).ok())
                 .collect();
         }
         Rc::clone(&self.published)
@@ -117,3 +119,7 @@
             .retain(|domain, until| now < *until && !has_reports(domain));
     }
 }
+
+fn log_encode_error(error: &EncodeError) {
+    log::error!("encoding the demand of a failure domain failed: {error}");
+}
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use currantgate_capacity::{DomainDemand, ServiceDemand};
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_registry::Record;
@@ -125,8 +125,8 @@
     Demand {
         /// Time since the reports were merged when the message is sent, in milliseconds.
         age_ms: u16,
-        /// Demand of the domain.
-        demand: DomainDemand,
+        /// Demand of the domain, a [`currantgate_capacity::DomainDemand`] encoded once for all feeds.
+        encoded: Arc<[u8]>,
     },
 }
 
--- a/crates/currantgate/src/feed/published_demand.rs
+++ b/crates/currantgate/src/feed/published_demand.rs
@@ -1,7 +1,9 @@
 //! The demand of one failure domain, with the interval at which it is sent.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bincode::error::EncodeError;
 use currantgate_capacity::{ClassDemand, DomainDemand, ServiceDemand};
 
 /// Interval at which an unchanged figure is sent: entries don't use figures that are
@@ -16,11 +18,12 @@
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Bytes a second that the figures of all domains may take on the feeds of an entry.
-/// With 250 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
+/// With 256 bytes for its own reports, an entry stays within 1 KB (1,024 bytes).
 const MAX_BYTES_PER_SECOND: usize = 750;
 
-/// Bytes of the message beside the demand: its kind and the age of the figure.
-const MESSAGE_BYTES: usize = 1 + 3;
+/// Bytes of the message beside the demand: its kind, the age of the figure and the length
+/// of the demand.
+const MESSAGE_BYTES: usize = 1 + 3 + 3;
 
 /// Bytes of a frame around a message: length, MAC and the header of HTTP/2. Figures are
 /// sent along with heartbeats, so that they share the headers of TCP/IP.
@@ -37,6 +40,8 @@
 pub struct PublishedDemand {
     /// Demand of the domain.
     pub demand: DomainDemand,
+    /// The demand as feeds carry it.
+    pub(super) encoded: Arc<[u8]>,
     /// Time at which the reports of the domain were merged.
     merged_at: Instant,
     /// Shortest interval between two messages about the domain on one feed.
@@ -48,18 +53,27 @@
 impl PublishedDemand {
     /// Returns the demand with the interval at which the figures of `domains` domains of
     /// that size fit into an entry's share of bytes.
-    pub fn new(merged_at: Instant, demand: DomainDemand, domains: usize) -> Self {
-        let encoded = bincode::serde::encode_to_vec(&demand, bincode::config::standard());
-        let message_bytes = encoded.map_or(0, |bytes| bytes.len()) + MESSAGE_BYTES + FRAME_BYTES;
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the demand can't be encoded.
+    pub fn new(
+        merged_at: Instant,
+        demand: DomainDemand,
+        domains: usize,
+    ) -> Result<Self, EncodeError> {
+        let encoded = bincode::serde::encode_to_vec(&demand, bincode::config::standard())?;
+        let message_bytes = encoded.len() + MESSAGE_BYTES + FRAME_BYTES;
         let second_bytes = domains.max(1) * message_bytes;
         let interval = Duration::from_secs_f64(second_bytes as f64 / MAX_BYTES_PER_SECOND as f64);
         let min_interval = interval.clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL);
-        Self {
+        Ok(Self {
             demand,
+            encoded: encoded.into(),
             merged_at,
             min_interval,
             refresh_interval: min_interval.max(REFRESH_INTERVAL),
-        }
+        })
     }
 
     /// Returns the time since the reports were merged, in milliseconds.
--- a/crates/currantgate/src/feed/sent_demand.rs
+++ b/crates/currantgate/src/feed/sent_demand.rs
@@ -1,8 +1,8 @@
 //! The demand that was sent on one feed.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use currantgate_capacity::DomainDemand;
 use indexmap::IndexMap;
 
 use super::published_demand::PublishedDemand;
@@ -14,7 +14,7 @@
 /// A figure that was sent.
 #[derive(Debug)]
 struct SentFigure {
-    demand: DomainDemand,
+    published: Rc<PublishedDemand>,
     /// Time from which the figure may be sent again when it has changed noticeably.
     may_send_at: Instant,
     /// Time at which the figure is sent again even if it has not changed.
@@ -33,8 +33,8 @@
     pub fn take_due<'a>(
         &mut self,
         now: Instant,
-        published: &'a [PublishedDemand],
-    ) -> Vec<&'a PublishedDemand> {
+        published: &'a [Rc<PublishedDemand>],
+    ) -> Vec<&'a Rc<PublishedDemand>> {
         self.figures
             .retain(|domain, _| published.iter().any(|p| p.demand.domain == *domain));
         let due = published.iter().filter(|p| self.record_if_due(now, p));
@@ -56,11 +56,11 @@
         refresh.map_or(next, |refresh| next.min(refresh))
     }
 
-    fn record_if_due(&mut self, now: Instant, published: &PublishedDemand) -> bool {
+    fn record_if_due(&mut self, now: Instant, published: &Rc<PublishedDemand>) -> bool {
         let demand = &published.demand;
         let Some(sent) = self.figures.get_mut(&demand.domain) else {
             let figure = SentFigure {
-                demand: demand.clone(),
+                published: Rc::clone(published),
                 may_send_at: now + published.min_interval,
                 refresh_at: now + published.refresh_interval,
             };
@@ -68,10 +68,11 @@
             return true;
         };
         let is_refresh = now >= sent.refresh_at;
-        if now < sent.may_send_at || !(is_refresh || published.differs_from(&sent.demand)) {
+        if now < sent.may_send_at || !(is_refresh || published.differs_from(&sent.published.demand))
+        {
             return false;
         }
-        sent.demand = demand.clone();
+        sent.published = Rc::clone(published);
         sent.may_send_at = next_due(now, sent.may_send_at, published.min_interval);
         sent.refresh_at = if is_refresh {
             next_due(now, sent.refresh_at, published.refresh_interval)
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -116,7 +116,7 @@
         demands.map(|d| (d.domain.clone(), d.entries)).collect()
     }
 
-    fn published_demand(&self, now: std::time::Instant) -> Rc<[PublishedDemand]> {
+    fn published_demand(&self, now: std::time::Instant) -> Rc<[Rc<PublishedDemand>]> {
         let listeners = self.listeners.borrow();
         let mut demand = self.demand.borrow_mut();
         demand.published(now, listeners.entries_by_domain())
@@ -386,7 +386,7 @@
         for figure in self.sent_demand.take_due(now, &published) {
             let message = FeedMessage::Demand {
                 age_ms: figure.age_ms(std::time::Instant::now()),
-                demand: figure.demand.clone(),
+                encoded: Arc::clone(&figure.encoded),
             };
             self.send(&message).await?;
         }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -262,9 +262,14 @@
             }
             FeedEvent::Message(_, FeedMessage::Evacuations(_)) => {}
             FeedEvent::Message(_, FeedMessage::WarmupPermits { .. }) => {}
-            FeedEvent::Message(from, FeedMessage::Demand { age_ms, demand }) => {
+            FeedEvent::Message(from, FeedMessage::Demand { age_ms, encoded }) => {
                 let age = Duration::from_millis(age_ms.into());
-                self.routing.record_demand(now, from, age, demand);
+                let config = bincode::config::standard();
+                match bincode::serde::decode_from_slice(&encoded, config) {
+                    Ok((demand, _)) => self.routing.record_demand(now, from, age, demand),
+                    // All control VMs and entries are upgraded before demand is shared.
+                    Err(e) => log::error!("a figure of demand from {from} is malformed: {e}"),
+                }
             }
         }
     }
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -2,6 +2,7 @@
 //! and which figure an entry uses.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use currantgate::DemandChange::{OutOfDate, Renewed};
@@ -185,7 +186,8 @@
     // With 300 domains, a figure of any size has the longest interval, 1.2 s; the numbers
     // below give intervals from 0.5 s on.
     for domains in (1..60).chain([300]) {
-        let published = [PublishedDemand::new(Instant::now(), figure(1), domains)];
+        let published = PublishedDemand::new(Instant::now(), figure(1), domains).unwrap();
+        let published = [Rc::new(published)];
         let mut sent = SentDemand::default();
         let mut now = Instant::now();
         let mut last_sent = now;
