First packets cost no strings or labels for shared demand

For every first packet the entry selected the service a second time and built label sets and log figures, before the rate limit of the log. The decision now names its class, figures are built only for lines that are written, and counter handles are kept. The test of weights looks up the name, as a route selects services by index; it checks the same.

--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use currantgate_placement::{Overload, Placed};
+use currantgate_placement::{Overload, Placed, Priority};
 use displaydoc::Display;
 
 use crate::{FlowId, Token};
@@ -30,6 +30,20 @@
     pub placed: Option<Placed>,
     /// Token of the upstream that left an earlier copy unanswered.
     pub unanswered_by: Option<Token>,
+    /// Class of the flow; nothing when it has no route.
+    pub class: Option<FlowClass>,
+}
+
+/// Service and priority of a flow. [`TokenRouter::service_name`] returns the name of the
+/// service.
+///
+/// [`TokenRouter::service_name`]: crate::TokenRouter::service_name
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowClass {
+    /// Index of the service among those of the flow's route.
+    pub service: usize,
+    /// Priority of the flow.
+    pub priority: Priority,
 }
 
 /// A flow whose record was removed because its caller has given up.
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -16,7 +16,9 @@
 mod settings;
 mod upstreams;
 
-pub use decision::{Decision, DropReason, ExpiredFlow, FirstPacketDecision, NextHop, ResetReason};
+pub use decision::{
+    Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
+};
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
 pub use route::{Route, RouteTable};
--- a/crates/currantgate-token/src/route.rs
+++ b/crates/currantgate-token/src/route.rs
@@ -60,15 +60,15 @@
         }
     }
 
-    /// Returns the service for a flow with the given hash, in proportion to the
-    /// weights and the same on all entries; nothing when the weights add up to 0.
-    pub fn select_service(&self, hash: u64) -> Option<&str> {
+    /// Returns the index of the service for a flow with the given hash, in proportion to
+    /// the weights and the same on all entries; nothing when the weights add up to 0.
+    pub fn select_service(&self, hash: u64) -> Option<usize> {
         let total: u64 = self.services.iter().map(|(_, w)| u64::from(*w)).sum();
         let mut remainder = hash.checked_rem(total)?;
-        for (service, weight) in &self.services {
+        for (index, (_, weight)) in self.services.iter().enumerate() {
             let weight = u64::from(*weight);
             if remainder < weight {
-                return Some(service);
+                return Some(index);
             }
             remainder -= weight;
         }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -6,16 +6,15 @@
 use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Priority, Refusal, ServiceShares,
-    SuspicionChange, Target,
+    Placement, PlacementRequest, PlacementSettings, Refusal, ServiceShares, SuspicionChange, Target,
 };
 use siphasher::sip::SipHasher13;
 
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
 use crate::upstreams::TokenMap;
 use crate::{
-    Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowId, LaterPacket,
-    ResetReason, RouteTable, Token, TokenSettings, TokenUpstream,
+    Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowClass, FlowId,
+    LaterPacket, ResetReason, RouteTable, Token, TokenSettings, TokenUpstream,
 };
 
 /// Decides for each packet to which upstream it goes, or why it goes to none.
@@ -85,24 +84,26 @@
     /// and the flow is placed on another one if there is one.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
         let Some(route) = self.routes.get(&packet.flow.service) else {
-            return unplaced(if self.routes_current {
+            let decision = if self.routes_current {
                 Decision::Reset(ResetReason::NoRoute)
             } else {
                 Decision::Drop(DropReason::RoutesOutOfDate)
-            });
+            };
+            return unplaced(decision, None);
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
-            return unplaced(Decision::Reset(ResetReason::NoUpstream));
+            return unplaced(Decision::Reset(ResetReason::NoUpstream), None);
         };
         let tracked = self.flows.get(&packet.flow);
         let priority = route.request_priority();
+        let class = Some(FlowClass { service, priority });
         if let Some((state, record)) = tracked {
             let is_duplicate = now < record.sent + self.settings.duplicate_window;
             if (is_duplicate || state == FlowState::Established)
                 && let Some(hop) = self.tokens.get(record.token)
             {
-                return unplaced(Decision::Forward(hop));
+                return unplaced(Decision::Forward(hop), class);
             }
             self.flows.remove(&packet.flow);
             self.placement
@@ -110,7 +111,7 @@
         }
         let unanswered_by = tracked.map(|(_, record)| record.token);
         let request = PlacementRequest {
-            service,
+            service: &route.services[service].0,
             priority,
             latency_target: route.latency_target,
             may_refuse: packet.retransmissions == 0 && tracked.is_none(),
@@ -139,6 +140,7 @@
             decision,
             placed: placed.ok(),
             unanswered_by,
+            class,
         }
     }
 
@@ -256,11 +258,10 @@
         self.placement.shares(service)
     }
 
-    /// Returns the service and the priority of a new flow; nothing when it has no route.
-    pub fn flow_class(&self, flow: &FlowId) -> Option<(&str, Priority)> {
+    /// Returns the name of the service in the class of a flow.
+    pub fn service_name(&self, flow: &FlowId, class: FlowClass) -> Option<&str> {
         let route = self.routes.get(&flow.service)?;
-        let service = route.select_service(self.flow_hash(flow))?;
-        Some((service, route.request_priority()))
+        route.services.get(class.service).map(|(name, _)| &**name)
     }
 
     /// Returns the service and the failure domain of an upstream that has open flows or
@@ -292,10 +293,11 @@
 }
 
 /// Returns a decision made without placement.
-fn unplaced(decision: Decision) -> FirstPacketDecision {
+fn unplaced(decision: Decision, class: Option<FlowClass>) -> FirstPacketDecision {
     FirstPacketDecision {
         decision,
         placed: None,
         unanswered_by: None,
+        class,
     }
 }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -363,7 +363,12 @@
 fn a_split_route_shares_flows_by_weight() {
     let route = route(&[("booking", 90), ("calendar", 10)]);
     let calendar = (0..1_000_u64)
-        .filter(|hash| route.select_service(*hash) == Some("calendar"))
+        .filter(|hash| {
+            route
+                .select_service(*hash)
+                .map(|index| &*route.services[index].0)
+                == Some("calendar")
+        })
         .count();
     assert_eq!(calendar, 100);
 }
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -49,13 +49,14 @@
         }
     }
 
-    /// Logs the decision about a first packet.
+    /// Logs the decision about a first packet. `figures` is called only for a line that is
+    /// written.
     pub(super) fn log_first_packet(
         &mut self,
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
-        figures: &DemandFigures,
+        figures: impl FnOnce() -> DemandFigures,
         router: &TokenRouter,
     ) {
         match decided.decision {
@@ -70,7 +71,7 @@
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
-        figures: &DemandFigures,
+        figures: impl FnOnce() -> DemandFigures,
         router: &TokenRouter,
     ) {
         let Some(placed) = decided.placed else {
@@ -79,6 +80,7 @@
         let Some(left_out) = self.placed.try_acquire(now) else {
             return;
         };
+        let figures = figures();
         let name = |token: Token| router.upstream_id(token).unwrap_or("unknown");
         log::info!(
             event = "placed",
@@ -104,11 +106,12 @@
         now: Instant,
         flow: &FlowId,
         reason: ResetReason,
-        figures: &DemandFigures,
+        figures: impl FnOnce() -> DemandFigures,
     ) {
         let Some(left_out) = self.refused.try_acquire(now) else {
             return;
         };
+        let figures = figures();
         let view_age_ms = self.view_age_ms(now);
         match reason {
             ResetReason::NoRoute | ResetReason::NoUpstream => log::info!(
--- a/crates/currantgate/src/token_entry/demand_metrics.rs
+++ b/crates/currantgate/src/token_entry/demand_metrics.rs
@@ -95,18 +95,21 @@
         );
     }
 
-    pub(super) fn count_placed(&self, service: &str, domain: &str) {
-        self.placed.get_or_create(&location(service, domain)).inc();
+    /// Returns the counter of the flows of a service that are placed in a domain.
+    pub(super) fn placed(&self, service: &str, domain: &str) -> Counter {
+        let labels = location(service, domain);
+        self.placed.get_or_create_owned(&labels)
     }
 
-    pub(super) fn count_refused(&self, service: &str, priority: Priority, reason: String) {
+    /// Returns the counter of the flows of a class that are refused for a reason.
+    pub(super) fn refused(&self, service: &str, priority: Priority, reason: String) -> Counter {
         let class = RefusedClass {
             service: service.to_owned(),
             is_idempotent: priority.is_idempotent,
             level: priority.level,
             reason,
         };
-        self.refused.get_or_create(&class).inc();
+        self.refused.get_or_create_owned(&class)
     }
 
     pub(super) fn count_fallback(&self) {
--- a/crates/currantgate/src/token_entry/demand_monitor.rs
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -1,10 +1,12 @@
 //! The log and the metrics of shared demand.
 
+use std::mem::{self, Discriminant};
 use std::time::Instant;
 
-use currantgate_placement::Target;
-use currantgate_token::{Decision, FirstPacketDecision, FlowId, TokenRouter};
+use currantgate_placement::{Priority, Target, TargetKey};
+use currantgate_token::{Decision, FirstPacketDecision, FlowId, ResetReason, TokenRouter};
 use indexmap::IndexMap;
+use prometheus_client::metrics::counter::Counter;
 
 use super::demand_figures::DemandFigures;
 use super::demand_metrics::DemandMetrics;
@@ -15,6 +17,9 @@
 /// Slots of one service by failure domain.
 type DomainSlots = IndexMap<Box<str>, u32>;
 
+/// Counters of refused flows of one service by priority and reason.
+type RefusalCounters = IndexMap<(Priority, Discriminant<ResetReason>), Counter>;
+
 /// The log and the metrics of shared demand.
 #[derive(Debug)]
 pub(super) struct DemandMonitor {
@@ -22,6 +27,10 @@
     shares_log: SharesLog,
     /// Slots of the upstreams that may get new flows, by service.
     slots: IndexMap<Box<str>, DomainSlots>,
+    /// Counters of placed flows by upstream, until the upstreams change.
+    placed: IndexMap<TargetKey, Counter>,
+    /// Counters of refused flows by service, priority and reason.
+    refused: IndexMap<Box<str>, RefusalCounters>,
 }
 
 impl DemandMonitor {
@@ -30,6 +39,8 @@
             metrics,
             shares_log: SharesLog::new(now),
             slots: IndexMap::new(),
+            placed: IndexMap::new(),
+            refused: IndexMap::new(),
         }
     }
 
@@ -41,6 +52,7 @@
     /// Replaces the slots by those of the given upstreams that report.
     pub(super) fn set_slots<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         self.slots.clear();
+        self.placed.clear();
         for target in targets.filter(|target| target.is_reporting) {
             let domains = self.slots.entry(target.service.clone()).or_default();
             *domains.entry(target.domain.clone()).or_default() += target.slots;
@@ -88,39 +100,72 @@
         services.into_iter().map(to_load).collect()
     }
 
-    /// Counts the decision about a first packet, and returns the figures behind it.
-    pub(super) fn record_decision(
-        &self,
+    /// Counts the decision about a first packet.
+    pub(super) fn count_decision(
+        &mut self,
+        flow: &FlowId,
+        decided: &FirstPacketDecision,
+        router: &TokenRouter,
+    ) {
+        if let Some(placed) = decided.placed {
+            self.count_placed(placed.key, router);
+        }
+        if let (Decision::Reset(reason), Some(class)) = (decided.decision, decided.class)
+            && let Some(service) = router.service_name(flow, class)
+        {
+            self.count_refused(service, class.priority, reason);
+        }
+    }
+
+    fn count_placed(&mut self, key: TargetKey, router: &TokenRouter) {
+        if let Some(counter) = self.placed.get(&key) {
+            counter.inc();
+        } else if let Some((service, domain)) = router.upstream_location(key) {
+            let counter = self.metrics.placed(service, domain);
+            counter.inc();
+            self.placed.insert(key, counter);
+        }
+    }
+
+    fn count_refused(&mut self, service: &str, priority: Priority, reason: ResetReason) {
+        let kind = (priority, mem::discriminant(&reason));
+        let counters = self.refused.get(service);
+        if let Some(counter) = counters.and_then(|counters| counters.get(&kind)) {
+            counter.inc();
+            return;
+        }
+        let counter = self.metrics.refused(service, priority, reason.to_string());
+        counter.inc();
+        let counters = self.refused.entry(service.into()).or_default();
+        counters.insert(kind, counter);
+    }
+
+    /// Returns the figures behind the decision about a first packet, for its log line.
+    pub(super) fn figures(
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
         view: &DemandView,
         router: &TokenRouter,
     ) -> DemandFigures {
-        let class = router.flow_class(flow);
-        let located = decided.placed.and_then(|p| router.upstream_location(p.key));
-        if let Some((service, domain)) = located {
-            self.metrics.count_placed(service, domain);
-        }
-        if let (Decision::Reset(reason), Some((service, priority))) = (decided.decision, class) {
-            self.metrics
-                .count_refused(service, priority, reason.to_string());
-        }
-        let shares = class.and_then(|(service, _)| router.shares(service));
-        let domain = located.map(|(_, domain)| domain);
+        let priority = decided.class.map(|class| class.priority);
+        let service = decided.class.and_then(|c| router.service_name(flow, c));
+        let location = decided.placed.and_then(|p| router.upstream_location(p.key));
+        let domain = location.map(|(_, domain)| domain);
+        let shares = service.and_then(|service| router.shares(service));
         let weight = shares.zip(domain).map(|(shares, domain)| {
             let weight = shares.domains.get(domain);
             weight.copied().unwrap_or_default()
         });
         let age_ms = view.age(now).map(|age| age.as_millis());
         DemandFigures {
-            service: class.map(|(service, _)| service.into()),
-            priority: class.map(|(_, priority)| priority),
+            service: service.map(Into::into),
+            priority,
             domain: domain.map(Into::into),
             weight,
             admitted: shares
-                .zip(class)
-                .and_then(|(shares, (_, priority))| shares.admitted.get(&priority).copied()),
+                .zip(priority)
+                .and_then(|(shares, priority)| shares.admitted.get(&priority).copied()),
             own_share: shares.map(|shares| shares.own_share),
             fleet_capacity: shares.map(|shares| shares.fleet_capacity),
             age_ms: age_ms.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -37,19 +37,19 @@
             Packet::First(packet) => {
                 self.refresh_demand(now);
                 let decided = self.router.route_first(now, packet);
-                let demand = self.demand.as_ref();
-                let figures = demand
-                    .map(|SharedDemand { view, monitor }| {
-                        monitor.record_decision(now, &packet.flow, &decided, view, &self.router)
-                    })
-                    .unwrap_or_default();
-                self.decisions.log_first_packet(
-                    now,
-                    &packet.flow,
-                    &decided,
-                    &figures,
-                    &self.router,
-                );
+                if let Some(shared) = &mut self.demand {
+                    let monitor = &mut shared.monitor;
+                    monitor.count_decision(&packet.flow, &decided, &self.router);
+                }
+                let (demand, router) = (self.demand.as_ref(), &self.router);
+                let figures = || {
+                    let figures = |shared: &SharedDemand| {
+                        DemandMonitor::figures(now, &packet.flow, &decided, &shared.view, router)
+                    };
+                    demand.map(figures).unwrap_or_default()
+                };
+                self.decisions
+                    .log_first_packet(now, &packet.flow, &decided, figures, router);
                 (packet.flow, decided.decision)
             }
             Packet::Later(packet) => {
