Placed and refused flows are counted once

Placements after silence and retransmissions were counted as further flows, so that an upstream that did not answer raised the rates of its domain.

--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -32,6 +32,9 @@
     pub unanswered_by: Option<Token>,
     /// Class of the flow; nothing when it has no route.
     pub class: Option<FlowClass>,
+    /// Whether the packet is the first copy as far as this entry knows, so that counting
+    /// such decisions counts each flow once.
+    pub is_new: bool,
 }
 
 /// Service and priority of a flow. [`TokenRouter::service_name`] returns the name of the
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -83,19 +83,20 @@
     /// goes to the same upstream. Any other copy means that the upstream did not answer,
     /// and the flow is placed on another one if there is one.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
+        let tracked = self.flows.get(&packet.flow);
+        let is_new = packet.retransmissions == 0 && tracked.is_none();
         let Some(route) = self.routes.get(&packet.flow.service) else {
             let decision = if self.routes_current {
                 Decision::Reset(ResetReason::NoRoute)
             } else {
                 Decision::Drop(DropReason::RoutesOutOfDate)
             };
-            return unplaced(decision, None);
+            return unplaced(decision, None, is_new);
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
-            return unplaced(Decision::Reset(ResetReason::NoUpstream), None);
+            return unplaced(Decision::Reset(ResetReason::NoUpstream), None, is_new);
         };
-        let tracked = self.flows.get(&packet.flow);
         let priority = route.request_priority();
         let class = Some(FlowClass { service, priority });
         if let Some((state, record)) = tracked {
@@ -103,7 +104,7 @@
             if (is_duplicate || state == FlowState::Established)
                 && let Some(hop) = self.tokens.get(record.token)
             {
-                return unplaced(Decision::Forward(hop), class);
+                return unplaced(Decision::Forward(hop), class, is_new);
             }
             self.flows.remove(&packet.flow);
             self.placement
@@ -114,7 +115,7 @@
             service: &route.services[service].0,
             priority,
             latency_target: route.latency_target,
-            may_refuse: packet.retransmissions == 0 && tracked.is_none(),
+            may_refuse: is_new,
             tried: unanswered_by.as_slice(),
         };
         let placed = self.placement.place(now, &request);
@@ -141,6 +142,7 @@
             placed: placed.ok(),
             unanswered_by,
             class,
+            is_new,
         }
     }
 
@@ -293,11 +295,12 @@
 }
 
 /// Returns a decision made without placement.
-fn unplaced(decision: Decision, class: Option<FlowClass>) -> FirstPacketDecision {
+fn unplaced(decision: Decision, class: Option<FlowClass>, is_new: bool) -> FirstPacketDecision {
     FirstPacketDecision {
         decision,
         placed: None,
         unanswered_by: None,
         class,
+        is_new,
     }
 }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -5,8 +5,8 @@
 
 use currantgate_placement::{PlacementSettings, Target};
 use currantgate_token::{
-    Decision, DropReason, FirstPacket, FlowId, LaterPacket, NextHop, ResetReason, Route,
-    RouteTable, TokenRouter, TokenSettings, TokenUpstream,
+    Decision, DropReason, FirstPacket, FirstPacketDecision, FlowId, LaterPacket, NextHop,
+    ResetReason, Route, RouteTable, TokenRouter, TokenSettings, TokenUpstream,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed};
@@ -80,11 +80,15 @@
     }
 
     fn send_first(&mut self, n: u16, retransmissions: u32) -> Decision {
+        self.decide_first(n, retransmissions).decision
+    }
+
+    fn decide_first(&mut self, n: u16, retransmissions: u32) -> FirstPacketDecision {
         let packet = FirstPacket {
             flow: flow(n),
             retransmissions,
         };
-        self.router.route_first(self.now, packet).decision
+        self.router.route_first(self.now, packet)
     }
 
     fn send_later(&mut self, n: u16, token: u32, is_last: bool) -> Decision {
@@ -174,6 +178,27 @@
     }
 }
 
+/// Guards against flows that are counted again when they are placed anew after silence, or
+/// when another entry gets a retransmission, and against a wrong class.
+#[test]
+fn only_the_first_copy_of_a_flow_is_new() {
+    let mut entry = Entry::new(1..=2, 1);
+    let first = entry.decide_first(1, 0);
+    assert!(first.is_new && first.placed.is_some());
+    let service = first
+        .class
+        .and_then(|c| entry.router.service_name(&flow(1), c));
+    assert_eq!(service, Some("booking"));
+    entry.now += Duration::from_secs(1);
+    for (n, retransmissions) in [(1, 0), (2, 1)] {
+        let again = entry.decide_first(n, retransmissions);
+        assert!(!again.is_new && again.placed.is_some());
+    }
+    entry.router.set_upstreams(Vec::new());
+    assert!(entry.decide_first(3, 0).is_new);
+    assert!(!entry.decide_first(3, 1).is_new);
+}
+
 #[test]
 fn a_late_copy_for_an_established_flow_goes_to_its_upstream() {
     let mut entry = Entry::new(1..=5, 1);
--- a/crates/currantgate/src/token_entry/demand_monitor.rs
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -100,13 +100,17 @@
         services.into_iter().map(to_load).collect()
     }
 
-    /// Counts the decision about a first packet.
+    /// Counts the decision about a first packet, once for each flow: neither retransmissions
+    /// nor placements after the silence of an upstream are counted.
     pub(super) fn count_decision(
         &mut self,
         flow: &FlowId,
         decided: &FirstPacketDecision,
         router: &TokenRouter,
     ) {
+        if !decided.is_new {
+            return;
+        }
         if let Some(placed) = decided.placed {
             self.count_placed(placed.key, router);
         }
