Invalid reports of demand are rejected, and unsent ones are logged

A number that is not finite or is negative spoiled the sums of its domain. Such reports are rejected with a line, limited by feed; a report without a collector or without room in the queue has a debug line, limited in rate.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -52,8 +52,9 @@
         }
     }
 
-    /// Adds the report of an entry that covers `period`. Reports of a short period are
-    /// dropped, as the rates of a few flows in a short time vary much.
+    /// Adds the report of an entry that covers `period`; returns whether its numbers are
+    /// valid. Reports of a short period are dropped, as the rates of a few flows in a short
+    /// time vary much.
     pub fn record(
         &mut self,
         now: Instant,
@@ -61,15 +62,19 @@
         domain: &str,
         period: Duration,
         report: &[ServiceDemand],
-    ) {
+    ) -> bool {
+        if !report.iter().all(is_valid) {
+            return false;
+        }
         if period < MIN_REPORT_PERIOD {
-            return;
+            return true;
         }
         if !self.complete_at.contains_key(domain) {
             self.complete_at
                 .insert(domain.into(), now + COLLECTION_TIME);
         }
         self.collector.record(now, reporter, domain, report);
+        true
     }
 
     /// Returns the demand of the domains whose entries report here, and those that have
@@ -120,6 +125,14 @@
     }
 }
 
+/// Returns whether all numbers are finite and not negative: one that is not would spoil
+/// the sums of its domain.
+fn is_valid(demand: &ServiceDemand) -> bool {
+    let arrivals = demand.classes.iter().map(|class| class.arrivals);
+    let mut numbers = arrivals.chain([demand.completions, demand.slot_ms]);
+    numbers.all(|number| number.is_finite() && number >= 0.0)
+}
+
 fn log_encode_error(error: &EncodeError) {
     log::error!("encoding the demand of a failure domain failed: {error}");
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -11,6 +11,7 @@
     Change, FrameWriter, IncomingStream, RecentChanges, Revision, RevisionId, TransportError,
     Update,
 };
+use currantgate_log::{RateLimit, RateLimiter};
 use currantgate_observation::{
     FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
 };
@@ -47,6 +48,12 @@
 /// timeout.
 const MAX_UPSTREAMS_PER_MESSAGE: usize = 100;
 
+/// Rate of lines about rejected reports of demand on one feed.
+const INVALID_DEMAND_LIMIT: RateLimit = RateLimit {
+    lines: 1,
+    interval: Duration::from_secs(10),
+};
+
 /// The state that a control VM sends on all its feeds.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<UpstreamRegistry>,
@@ -122,12 +129,12 @@
         demand.published(now, listeners.entries_by_domain())
     }
 
-    /// Adds an entry's report of demand.
-    fn record_demand(&self, from: &FeedHello, period: Duration, report: &[ServiceDemand]) {
+    /// Adds an entry's report of demand; returns whether its numbers are valid.
+    fn record_demand(&self, from: &FeedHello, period: Duration, report: &[ServiceDemand]) -> bool {
         let now = std::time::Instant::now();
         let reporter = reporter_id(&from.name);
         let mut demand = self.demand.borrow_mut();
-        demand.record(now, reporter, &from.domain, period, report);
+        demand.record(now, reporter, &from.domain, period, report)
     }
 
     /// Wakes all feeds.
@@ -241,6 +248,8 @@
     /// any observations.
     sent_slow: Option<Rc<[SlowUpstream]>>,
     sent_demand: SentDemand,
+    /// Limits the lines about rejected reports, as an entry sends two a second.
+    invalid_demand: RateLimiter,
     heartbeat_due: Instant,
     listener_deadline: Instant,
 }
@@ -268,6 +277,7 @@
             sent_change: 0,
             sent_slow: None,
             sent_demand: SentDemand::default(),
+            invalid_demand: RateLimiter::new(INVALID_DEMAND_LIMIT, now.into_std()),
             heartbeat_due: now,
             listener_deadline: now + LISTENER_TIMEOUT,
         })
@@ -314,12 +324,25 @@
                 period_ms, demand, ..
             } => {
                 let period = Duration::from_millis(period_ms.into());
-                self.source.record_demand(&self.hello, period, &demand);
+                if !self.source.record_demand(&self.hello, period, &demand) {
+                    self.log_invalid_demand();
+                }
                 Ok(())
             }
         }
     }
 
+    fn log_invalid_demand(&mut self) {
+        if let Some(left_out) = self.invalid_demand.try_acquire(std::time::Instant::now()) {
+            log::warn!(
+                event = "listener",
+                listener = &*self.hello.name,
+                left_out = left_out;
+                "a report of demand is rejected: a number is negative or not finite"
+            );
+        }
+    }
+
     /// Sends the requested update. Requests for a revision that is not held here are
     /// ignored.
     async fn send_update(
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use currantgate_log::{RateLimit, RateLimiter};
 use currantgate_placement::{PlacementSettings, Target};
 use currantgate_registry::{Availability, Upstream, UpstreamView, ViewRefreshTimer};
 use currantgate_token::{TokenRouter, TokenUpstream};
@@ -41,6 +42,13 @@
 /// that a slow one is avoided within two seconds, at 420 bytes a report at most.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rate of lines about demand that can't be reported: an entry that is cut off from
+/// control would write two a second.
+const UNSENT_LOG_LIMIT: RateLimit = RateLimit {
+    lines: 1,
+    interval: Duration::from_secs(10),
+};
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -108,6 +116,7 @@
             links,
             collector: None,
             unsent_demand: UnsentDemand::new(Instant::now()),
+            unsent_log: RateLimiter::new(UNSENT_LOG_LIMIT, Instant::now()),
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -176,6 +185,8 @@
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
     unsent_demand: UnsentDemand,
+    /// Limits the lines about demand that can't be reported.
+    unsent_log: RateLimiter,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -305,14 +316,18 @@
         }
         let unsent = &mut self.unsent_demand;
         unsent.add(self.routing.router.take_demand());
-        let is_done = self.collector.is_none_or(|collector| {
-            let period = unsent.period(now);
-            self.links.report_demand(collector, period, unsent.demand())
-        });
-        if is_done {
+        let Some(collector) = self.collector else {
+            *unsent = UnsentDemand::new(now);
+            if let Some(left_out) = self.unsent_log.try_acquire(now) {
+                log::debug!(left_out = left_out; "no collector is known to report demand to");
+            }
+            return;
+        };
+        let period = unsent.period(now);
+        if self.links.report_demand(collector, period, unsent.demand()) {
             *unsent = UnsentDemand::new(now);
-        } else {
-            log::debug!("a report of demand can't be queued; the next one includes it");
+        } else if let Some(left_out) = self.unsent_log.try_acquire(now) {
+            log::debug!(left_out = left_out; "a report of demand is sent with the next one");
         }
     }
 
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -223,13 +223,23 @@
     assert_eq!((service.completions, service.slot_ms), (4.0, 120.0));
 }
 
-/// Guards against reports sent back to back after a stall, whose rates are far too high.
+/// Guards against reports sent back to back after a stall, whose rates are far too high,
+/// and against numbers that spoil the sums of a domain.
 #[test]
-fn reports_of_a_short_period_are_dropped() {
+fn reports_that_are_short_or_invalid_are_not_merged() {
     let start = Instant::now();
     let mut publisher = DemandPublisher::new(start);
-    publisher.record(start, 0, "a", ms(500), &[]);
-    publisher.record(start, 1, "a", ms(20), &[]);
+    assert!(publisher.record(start, 0, "a", ms(500), &[service_demand(&[0])]));
+    assert!(publisher.record(start, 1, "a", ms(20), &[]));
+    for number in [f32::NAN, f32::INFINITY, -1.0] {
+        let mut report = [(); 3].map(|()| service_demand(&[0]));
+        report[0].classes[0].arrivals = number;
+        report[1].completions = number;
+        report[2].slot_ms = number;
+        for invalid in report {
+            assert!(!publisher.record(start, 2, "a", ms(500), &[invalid]));
+        }
+    }
     let entries = published_entries(&mut publisher, start + ms(1_000), true);
     assert_eq!(entries, Some(1));
 }
