--- a/crates/currantgate-capacity/src/fleet_demand.rs
+++ b/crates/currantgate-capacity/src/fleet_demand.rs
@@ -74,6 +74,11 @@
         self.domains.insert(domain, Figures { at: now, demand });
     }
 
+    /// Removes the figures of all domains.
+    pub fn clear(&mut self) {
+        self.domains.clear();
+    }
+
     /// Returns the figures of a domain unless they are out of date.
     pub fn domain(&self, now: Instant, domain: &str) -> Option<&DomainDemand> {
         let figures = self.domains.get(domain)?;
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -32,8 +32,8 @@
 pub struct Placement {
     settings: PlacementSettings,
     rng: ChaCha8Rng,
-    candidates: IndexMap<TargetKey, Candidate>,
-    services: IndexMap<Box<str>, Service>,
+    pub(crate) candidates: IndexMap<TargetKey, Candidate>,
+    pub(crate) services: IndexMap<Box<str>, Service>,
     domains: IndexMap<Box<str>, Domain>,
     /// Suspicions that started or ended and were not taken yet.
     suspicion_changes: Vec<SuspicionChange>,
@@ -321,6 +321,17 @@
         self.permits.permitted.extend(keys);
     }
 
+    /// Removes the published demand and the shares of all services, after which the entry
+    /// decides by its own flows alone.
+    pub fn clear_demand(&mut self) {
+        if let Some(fleet) = &mut self.fleet_demand {
+            fleet.clear();
+        }
+        for service in self.services.values_mut() {
+            service.sharing.clear();
+        }
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
@@ -622,6 +633,11 @@
         }
     }
 
+    /// Returns the upstream with the given key.
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.candidates.get(&key).map(|c| &c.target)
+    }
+
     /// Returns the number of flows that this entry has open at an upstream.
     pub fn open_flows(&self, key: TargetKey) -> u32 {
         self.candidates.get(&key).map_or(0, |c| c.flows)
--- a/crates/currantgate-placement/src/sharing.rs
+++ b/crates/currantgate-placement/src/sharing.rs
@@ -48,6 +48,12 @@
         self.shares.as_ref()
     }
 
+    /// Removes the shares until there is demand again.
+    pub(crate) fn clear(&mut self) {
+        self.shares = None;
+        self.next_update = None;
+    }
+
     /// Tells whether the shares are to be computed again.
     pub(crate) fn is_due(&self, now: Instant) -> bool {
         self.next_update.is_none_or(|at| now >= at)
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use currantgate_placement::{Overload, Placed};
+use currantgate_placement::{Overload, Placed, Priority};
 use displaydoc::Display;
 
 use crate::{FlowId, Token};
@@ -33,6 +33,23 @@
     /// Whether the flow was placed in another failure domain because the entry's own is
     /// evacuated.
     pub is_displaced: bool,
+    /// Class of the flow; nothing when it has no route.
+    pub class: Option<FlowClass>,
+    /// Whether the packet is the first copy as far as this entry knows, so that counting
+    /// such decisions counts each flow once.
+    pub is_new: bool,
+}
+
+/// Service and priority of a flow. [`TokenRouter::service_name`] returns the name of the
+/// service.
+///
+/// [`TokenRouter::service_name`]: crate::TokenRouter::service_name
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowClass {
+    /// Index of the service among those of the flow's route.
+    pub service: usize,
+    /// Priority of the flow.
+    pub priority: Priority,
 }
 
 /// A flow whose record was removed because its caller has given up.
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -18,7 +18,9 @@
 mod upstreams;
 mod warmup;
 
-pub use decision::{Decision, DropReason, ExpiredFlow, FirstPacketDecision, NextHop, ResetReason};
+pub use decision::{
+    Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
+};
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
 pub use route::{Route, RouteTable};
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -7,18 +7,24 @@
 //! `docs/design/platform.md`.
 
 mod client;
+mod demand_publisher;
 pub(crate) mod evacuations;
 mod links;
 mod listeners;
 mod message;
 mod permits;
+mod published_demand;
 mod revision_tracker;
+mod sent_demand;
 mod server;
 mod status;
 
+pub use demand_publisher::DemandPublisher;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
 pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub use published_demand::PublishedDemand;
 pub(crate) use revision_tracker::RevisionTracker;
+pub use sent_demand::SentDemand;
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{
     EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -40,12 +40,13 @@
 };
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use feed::{
-    EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
-    ServiceLoad, ServiceSlots, ServiceStatus,
+    DemandPublisher, EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus,
+    ListenerStatus, PublishedDemand, SentDemand, ServiceLoad, ServiceSlots, ServiceStatus,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
-    MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings, WireFormat,
+    DemandChange, DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError,
+    TokenEntrySettings, UnsentDemand, WireFormat,
 };
 pub use trace::TRACE_TARGET;
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -12,6 +12,7 @@
 };
 use indexmap::{IndexMap, IndexSet};
 
+use super::demand_figures::DemandFigures;
 use super::format::MalformedPacket;
 
 /// Logs decisions about flows, with a rate limit for each kind of event.
@@ -52,17 +53,19 @@
         }
     }
 
-    /// Logs the decision about a first packet.
+    /// Logs the decision about a first packet. `figures` is called only for a line that is
+    /// written.
     pub(super) fn log_first_packet(
         &mut self,
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
+        figures: impl FnOnce() -> DemandFigures,
         router: &TokenRouter,
     ) {
         match decided.decision {
-            Decision::Forward(_) => self.log_placed(now, flow, decided, router),
-            Decision::Reset(reason) => self.log_refused(now, flow, reason),
+            Decision::Forward(_) => self.log_placed(now, flow, decided, figures, router),
+            Decision::Reset(reason) => self.log_refused(now, flow, reason, figures),
             Decision::Drop(reason) => self.log_dropped(now, flow, 0, reason),
         }
     }
@@ -72,6 +75,7 @@
         now: Instant,
         flow: &FlowId,
         decided: &FirstPacketDecision,
+        figures: impl FnOnce() -> DemandFigures,
         router: &TokenRouter,
     ) {
         let Some(placed) = decided.placed else {
@@ -80,6 +84,7 @@
         let Some(left_out) = self.placed.try_acquire(now) else {
             return;
         };
+        let figures = figures();
         let name = |token: Token| router.upstream_id(token).unwrap_or("unknown");
         log::info!(
             event = "placed",
@@ -90,6 +95,10 @@
             load = placed.load,
             is_doubtful = placed.is_unhealthy,
             evacuated = if decided.is_displaced { &*self.domain } else { "" },
+            service = figures.service.as_deref(),
+            domain = figures.domain.as_deref(),
+            weight = figures.weight,
+            demand_age_ms = figures.age_ms,
             revision = self.revision,
             view_age_ms = self.view_age_ms(now),
             left_out = left_out;
@@ -97,15 +106,29 @@
         );
     }
 
-    fn log_refused(&mut self, now: Instant, flow: &FlowId, reason: ResetReason) {
+    fn log_refused(
+        &mut self,
+        now: Instant,
+        flow: &FlowId,
+        reason: ResetReason,
+        figures: impl FnOnce() -> DemandFigures,
+    ) {
         let Some(left_out) = self.refused.try_acquire(now) else {
             return;
         };
+        let figures = figures();
         let view_age_ms = self.view_age_ms(now);
         match reason {
             ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => log::info!(
                 event = "refused",
                 flow:% = flow,
+                service = figures.service.as_deref(),
+                is_idempotent = figures.priority.map(|p| p.is_idempotent),
+                level = figures.priority.map(|p| p.level),
+                admitted = figures.admitted,
+                own_share = figures.own_share,
+                fleet_capacity = figures.fleet_capacity,
+                demand_age_ms = figures.age_ms,
                 revision = self.revision,
                 view_age_ms = view_age_ms,
                 left_out = left_out;
@@ -117,6 +140,13 @@
                 ahead = overload.competing_flows,
                 room = overload.flow_limit,
                 open_for_ms = millis(overload.median_duration),
+                service = figures.service.as_deref(),
+                is_idempotent = figures.priority.map(|p| p.is_idempotent),
+                level = figures.priority.map(|p| p.level),
+                admitted = figures.admitted,
+                own_share = figures.own_share,
+                fleet_capacity = figures.fleet_capacity,
+                demand_age_ms = figures.age_ms,
                 revision = self.revision,
                 view_age_ms = view_age_ms,
                 left_out = left_out;
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -3,14 +3,23 @@
 
 mod daemon;
 mod decision_log;
+mod demand_figures;
+mod demand_metrics;
+mod demand_monitor;
+mod demand_view;
 mod error;
 mod format;
 mod metrics;
 mod packet_socket;
 mod routing;
+mod service_load;
 mod settings;
+mod shares_log;
+mod unsent_demand;
 
 pub use daemon::TokenEntry;
+pub use demand_view::{DemandChange, DemandView};
 pub use error::TokenEntryError;
 pub use format::{MalformedPacket, Packet, WireFormat};
 pub use settings::TokenEntrySettings;
+pub use unsent_demand::UnsentDemand;
