Test that dead upstreams are found when half of all are dead

The lower thresholds of FleetSettings::with_demand were covered by the load tests of placement only.

--- a/crates/currantgate-observation/tests/fleet.rs
+++ b/crates/currantgate-observation/tests/fleet.rs
@@ -252,3 +252,23 @@
         }
     }
 }
+
+/// Guards against a fleet that finds no dead upstream when the median one is dead. The
+/// default settings find none, as before.
+#[rstest]
+#[case::default_settings(FleetSettings::default(), 0)]
+#[case::with_demand(FleetSettings::with_demand(), 12)]
+fn dead_upstreams_are_found_when_half_of_all_are_dead(
+    #[case] settings: FleetSettings,
+    #[case] expected: usize,
+) {
+    let mut fleet = Fleet::new(settings);
+    let mut slow = Vec::new();
+    for _ in 0..2 * SECOND {
+        for dead in 100..112 {
+            fleet.report_from(3, dead, 8.0);
+        }
+        slow = fleet.tick();
+    }
+    assert_eq!(slow.len(), expected, "{slow:?}");
+}
