--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -77,6 +77,8 @@
     permits: RefCell<LeaderPermits>,
     /// Demand of the callers of the entries that report here.
     demand: RefCell<DemandPublisher>,
+    /// Whether an entry has reported demand, and so measures slowness by work.
+    is_demand_shared: Cell<bool>,
 }
 
 impl FeedSource {
@@ -97,6 +99,7 @@
             )),
             permits: RefCell::new(LeaderPermits::new()),
             demand: RefCell::new(DemandPublisher::new(std::time::Instant::now())),
+            is_demand_shared: Cell::new(false),
         }
     }
 
@@ -170,6 +173,10 @@
 
     /// Adds an entry's report of demand; returns whether its numbers are valid.
     fn record_demand(&self, from: &FeedHello, period: Duration, report: &[ServiceDemand]) -> bool {
+        if !self.is_demand_shared.replace(true) {
+            let settings = FleetSettings::with_demand();
+            self.observations.borrow_mut().set_settings(settings);
+        }
         let now = std::time::Instant::now();
         let reporter = reporter_id(&from.name);
         let mut demand = self.demand.borrow_mut();
