Route buckets of up to 64 flows from one cache line

27 % of the buckets had more than 32 flows at 30,000 flows in 1,024 buckets, and kept the two sets of their filter on the heap, which costs a packet a second cache line. Half of that room was for the flows that the owner doesn't serve, of which a bucket at rest has none. In a profile dominated by 240,000 flows, 47 % of `Router::decide` waits for that second line.

Change: the filter stores the set of seen flows inline, 256 bits instead of 128, and goes to the heap above 64 flows or with the first exception.

--- a/crates/currantgate-flow/src/filter.rs
+++ b/crates/currantgate-flow/src/filter.rs
@@ -3,8 +3,11 @@
 use currantgate_config::UpstreamId;
 use currantgate_packet::FlowHash;
 
+/// Words of the set of seen flows that are stored in the filter itself.
+const INLINE_WORDS: usize = 4;
+
 /// Maximum number of flows in a bucket that uses the inline words alone.
-const INLINE_FLOWS: usize = 32;
+const INLINE_FLOWS: usize = 64;
 
 /// Bits per flow in a larger bucket.
 const BITS_PER_FLOW: usize = 8;
@@ -14,13 +17,16 @@
 ///
 /// The first set holds the flows that don't belong to the owner: a flow that is
 /// not in it goes to the owner. The second holds the flows of which a packet
-/// has passed recently. The data of a small bucket fits in one cache line, so
-/// that a packet costs one memory access where a record costs several.
+/// has passed recently. The data of a small bucket without flows of the first
+/// set fits in one cache line, so that a packet costs one memory access where a
+/// record costs several.
 #[derive(Debug, Default)]
 #[repr(align(64))]
 pub(crate) struct Filter {
     owner: Option<UpstreamId>,
-    inline: [(u64, u64); 2],
+    /// The second set, while `heap` is empty; the first is empty then.
+    seen: [u64; INLINE_WORDS],
+    /// Words of both sets.
     heap: Box<[(u64, u64)]>,
 }
 
@@ -42,37 +48,43 @@
 
     /// Adds a flow that doesn't belong to the owner.
     pub(crate) fn add_exception(&mut self, hash: FlowHash) {
-        let (word, bit) = self.word(hash);
-        word.0 |= bit;
+        if self.heap.is_empty() {
+            self.heap = self.seen.map(|seen| (0, seen)).into();
+        }
+        let (index, bit) = position(hash, self.heap.len());
+        self.heap[index].0 |= bit;
     }
 
     /// Marks a flow as seen and returns the owner, or `None` if the flow may
     /// belong to another upstream.
     pub(crate) fn mark_seen(&mut self, hash: FlowHash) -> Option<UpstreamId> {
         let owner = self.owner?;
-        let (word, bit) = self.word(hash);
-        if word.0 & bit != 0 {
+        if self.heap.is_empty() {
+            let (index, bit) = position(hash, INLINE_WORDS);
+            self.seen[index] |= bit;
+            return Some(owner);
+        }
+        let (index, bit) = position(hash, self.heap.len());
+        let (exceptions, seen) = &mut self.heap[index];
+        if *exceptions & bit != 0 {
             return None;
         }
-        word.1 |= bit;
+        *seen |= bit;
         Some(owner)
     }
 
     /// Returns whether a packet of the flow may have passed.
-    pub(crate) fn was_seen(&mut self, hash: FlowHash) -> bool {
-        let (word, bit) = self.word(hash);
-        word.1 & bit != 0
+    pub(crate) fn was_seen(&self, hash: FlowHash) -> bool {
+        if self.heap.is_empty() {
+            let (index, bit) = position(hash, INLINE_WORDS);
+            return self.seen[index] & bit != 0;
+        }
+        let (index, bit) = position(hash, self.heap.len());
+        self.heap[index].1 & bit != 0
     }
+}
 
-    fn word(&mut self, hash: FlowHash) -> (&mut (u64, u64), u64) {
-        let bit = 1 << (hash & 63);
-        let index = (hash >> 6) as usize;
-        let word = if self.heap.is_empty() {
-            &mut self.inline[index & 1]
-        } else {
-            let mask = self.heap.len() - 1;
-            &mut self.heap[index & mask]
-        };
-        (word, bit)
-    }
+/// Returns the word of a flow among `words`, a power of two, and its bit there.
+fn position(hash: FlowHash, words: usize) -> (usize, u64) {
+    ((hash >> 6) as usize & (words - 1), 1 << (hash & 63))
 }
