--- a/crates/currantgate-standin/src/token_caller.rs
+++ b/crates/currantgate-standin/src/token_caller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::token_codec::{TokenCodec, TokenFlags, TokenPacket};
 
@@ -81,6 +81,23 @@
         service: SocketAddrV4,
         entries: &[SocketAddr],
         bytes: &[u8],
+    ) -> io::Result<TokenOutcome> {
+        self.send_request_after(Duration::ZERO, service, entries, bytes)
+            .await
+    }
+
+    /// Sends a request with the given bytes after its flow has been open for
+    /// `pause`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the socket fails.
+    pub async fn send_request_after(
+        &mut self,
+        pause: Duration,
+        service: SocketAddrV4,
+        entries: &[SocketAddr],
+        bytes: &[u8],
     ) -> io::Result<TokenOutcome> {
         self.next_port += 1;
         let mut packet = TokenPacket {
@@ -101,6 +118,7 @@
         if opened.flags.reset {
             return Ok(TokenOutcome::Refused);
         }
+        sleep(pause).await;
         packet.token = opened.token;
         packet.ack = opened.seq;
         packet.flags = TokenFlags {
--- a/crates/currantgate-standin/src/token_upstream.rs
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::task::JoinHandle;
 use indexmap::IndexMap;
+use indexmap::map::Entry;
 use tokio::net::UdpSocket;
 
 use crate::token_codec::{TokenCodec, TokenFlags, TokenPacket};
@@ -25,8 +26,9 @@
     pub requests_run: Cell<usize>,
     /// Number of runs of each request, by the request's bytes.
     pub runs_by_request: RefCell<IndexMap<Vec<u8>, usize>>,
-    /// Time at which a flow was last opened.
-    pub last_opened_at: Cell<Option<Instant>>,
+    /// Arrival times of the first packets of new flows, oldest first; copies of a
+    /// first packet don't count.
+    pub opened_at: RefCell<Vec<Instant>>,
     /// Packets of unknown flows, which were reset.
     pub unknown_flow_packets: Cell<usize>,
     /// Packets for another upstream, which were ignored.
@@ -82,6 +84,11 @@
         self.address
     }
 
+    /// Stops the upstream, as if its VM failed; the counters are kept.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
     /// Returns the counters.
     pub fn stats(&self) -> &TokenUpstreamStats {
         &self.stats
@@ -149,8 +156,10 @@
             data,
         };
         if packet.flags.open {
-            flows.entry(flow).or_insert(false);
-            self.stats.last_opened_at.set(Some(Instant::now()));
+            if let Entry::Vacant(vacant) = flows.entry(flow) {
+                vacant.insert(false);
+                self.stats.opened_at.borrow_mut().push(Instant::now());
+            }
             let flags = TokenFlags {
                 open: true,
                 ack: true,
