Stand-in: late copies of an ended flow are told apart

A copy of a request that is delayed by more than the retransmission time arrives after the caller has ended the flow, and the stand-in had forgotten the flow by then.

Change: the stand-in keeps ended flows and counts their packets on their own; it still resets them. Packets of flows that it never had are counted as before.

--- a/crates/currantgate-standin/src/token_upstream.rs
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -31,6 +31,8 @@
     pub opened_at: RefCell<Vec<Instant>>,
     /// Packets of unknown flows, which were reset.
     pub unknown_flow_packets: Cell<usize>,
+    /// Packets of flows that the caller has ended, which were reset: late copies.
+    pub ended_flow_packets: Cell<usize>,
     /// Packets for another upstream, which were ignored.
     pub other_upstream_packets: Cell<usize>,
 }
@@ -101,13 +103,20 @@
     }
 }
 
+/// A flow, as far as the upstream has seen it.
+#[derive(Debug, Default)]
+struct Flow {
+    has_run: bool,
+    has_ended: bool,
+}
+
 struct Server<W> {
     socket: UdpSocket,
     identity: u64,
     caller_port: u16,
     codec: W,
-    /// Open flows by caller and service address, and whether the request has run.
-    flows: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), bool>>,
+    /// Flows by caller and service address; ended ones are kept.
+    flows: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), Flow>>,
     stats: Rc<TokenUpstreamStats>,
 }
 
@@ -157,7 +166,7 @@
         };
         if packet.flags.open {
             if let Entry::Vacant(vacant) = flows.entry(flow) {
-                vacant.insert(false);
+                vacant.insert(Flow::default());
                 self.stats.opened_at.borrow_mut().push(Instant::now());
             }
             let flags = TokenFlags {
@@ -167,10 +176,16 @@
             };
             return Some(make_reply(flags, Vec::new()));
         }
-        let Some(has_run) = flows.get_mut(&flow) else {
-            self.stats
-                .unknown_flow_packets
-                .set(self.stats.unknown_flow_packets.get() + 1);
+        let known = flows.get_mut(&flow);
+        let counter = match &known {
+            None => Some(&self.stats.unknown_flow_packets),
+            Some(flow) if flow.has_ended => Some(&self.stats.ended_flow_packets),
+            Some(_) => None,
+        };
+        let (Some(flow), None) = (known, counter) else {
+            if let Some(counter) = counter {
+                counter.set(counter.get() + 1);
+            }
             let flags = TokenFlags {
                 reset: true,
                 ..TokenFlags::default()
@@ -178,13 +193,13 @@
             return Some(make_reply(flags, Vec::new()));
         };
         if packet.flags.end {
-            flows.swap_remove(&flow);
+            flow.has_ended = true;
             return None;
         }
         if packet.data.is_empty() {
             return None;
         }
-        if !std::mem::replace(has_run, true) {
+        if !std::mem::replace(&mut flow.has_run, true) {
             self.stats
                 .requests_run
                 .set(self.stats.requests_run.get() + 1);
