Control VMs that don't lead refuse orders without the wait

Refusals came 20 ms late and were logged one line each, which filled the logs while there was no leader. Only the leader waits for the end of an abandoned connection now.

--- a/crates/currantgate-control/src/replica/evacuation.rs
+++ b/crates/currantgate-control/src/replica/evacuation.rs
@@ -5,7 +5,9 @@
 
 use super::Replica;
 use super::role::{Proposal, ProposalKind, Role};
-use crate::{Command, Entry, EvacuationAnswer, EvacuationOrder, Evacuations, Output, RequestId};
+use crate::{
+    Command, Entry, EvacuationAnswer, EvacuationOrder, Evacuations, Output, RefuseReason, RequestId,
+};
 
 impl Replica {
     /// Requests the execution of an order. The answer is an [`Output::Ordered`].
@@ -13,6 +15,22 @@
         self.propose(now, id, Proposal::Evacuation(order));
     }
 
+    /// Returns why an order would be refused at once, if it would.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this replica does not lead or has no lease.
+    pub fn check_order(&self, now: Instant) -> Result<(), RefuseReason> {
+        if !self.is_leader() {
+            let leader = self.leader_id();
+            return Err(RefuseReason::NotLeader { leader });
+        }
+        if !self.has_lease(now) {
+            return Err(RefuseReason::NoLease);
+        }
+        Ok(())
+    }
+
     /// Drops an order that is not in the log yet, and returns whether there was one.
     /// It is called when the order's sender has given up: if the order were executed
     /// later, it could undo a newer one.
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -8,8 +8,8 @@
 
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Change, EvacuationOrder, Output, ReplaceRequest, Replica, RequestId,
-    Revision, Secret, StorageError, VersionedRequest, VoterId, VoterPlanner,
+    ApplyAnswer, ApplyRequest, Change, EvacuationAnswer, EvacuationOrder, Output, ReplaceRequest,
+    Replica, RequestId, Revision, Secret, StorageError, VersionedRequest, VoterId, VoterPlanner,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -186,8 +186,8 @@
         Reply::Evacuations(status.unwrap_or_default())
     }
 
-    /// Checks that a failure domain exists and that this VM can have it evacuated.
-    pub(super) fn check_domain(&self, domain: &str) -> Result<(), EvacuationReply> {
+    /// Checks that a failure domain exists and that this VM can have it evacuated now.
+    pub(super) fn check_order(&self, domain: &str) -> Result<(), EvacuationReply> {
         let Some(domains) = &self.domains else {
             return Err(EvacuationReply::Unsupported);
         };
@@ -196,7 +196,8 @@
             let problem = format!("there is no failure domain `{domain}`");
             return Err(EvacuationReply::UnknownDomain(problem.into()));
         }
-        Ok(())
+        let refuse = |reason| EvacuationReply::Decided(EvacuationAnswer::Refused(reason));
+        self.replica.check_order(Instant::now()).map_err(refuse)
     }
 
     /// Proposes an order; returns its id with the receiver of the reply.
--- a/crates/currantgate/src/control/evacuation.rs
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -72,7 +72,7 @@
 /// Has an order executed and returns the answer. The sender's task drops the future when
 /// the connection ends.
 pub(super) async fn execute_order(core: &RefCell<Core>, order: EvacuationOrder) -> EvacuationReply {
-    let checked = core.borrow().check_domain(&order.domain);
+    let checked = core.borrow().check_order(&order.domain);
     if let Err(refusal) = checked {
         return refusal;
     }
