--- a/crates/currantgate-capacity/benches/collector.rs
+++ b/crates/currantgate-capacity/benches/collector.rs
@@ -65,7 +65,7 @@
             for entry in first..first + ENTRIES {
                 let report = report(entry, tick);
                 let merging = Instant::now();
-                collector.record(now, entry, domain, &report);
+                collector.record(now, entry, domain, report_interval, &report);
                 spent += merging.elapsed();
             }
         }
--- a/crates/currantgate-capacity/src/collector.rs
+++ b/crates/currantgate-capacity/src/collector.rs
@@ -18,7 +18,6 @@
 #[derive(Clone, Debug)]
 struct Report {
     at: Instant,
-    /// Time since the entry's previous report.
     period: Duration,
     services: Vec<ServiceDemand>,
 }
@@ -28,7 +27,6 @@
 struct Reporter {
     domain: Box<str>,
     reports: VecDeque<Report>,
-    /// Time of the last report; the first one has no known period and is not kept.
     last_report: Instant,
 }
 
@@ -48,7 +46,7 @@
         }
     }
 
-    /// Adds the report of an entry of a failure domain.
+    /// Adds the report of an entry of a failure domain, which covers `period`.
     ///
     /// Values that are negative or no numbers are ignored.
     pub fn record(
@@ -56,24 +54,18 @@
         now: Instant,
         reporter: ReporterId,
         domain: &str,
+        period: Duration,
         report: &[ServiceDemand],
     ) {
-        let Some(known) = self.reporters.get_mut(&reporter) else {
-            self.reporters.insert(
-                reporter,
-                Reporter {
-                    domain: domain.into(),
-                    reports: VecDeque::new(),
-                    last_report: now,
-                },
-            );
-            return;
-        };
+        let known = self.reporters.entry(reporter).or_insert_with(|| Reporter {
+            domain: domain.into(),
+            reports: VecDeque::new(),
+            last_report: now,
+        });
         if &*known.domain != domain {
             known.domain = domain.into();
             known.reports.clear();
         }
-        let period = now.saturating_duration_since(known.last_report);
         known.last_report = now;
         let services = report.iter().take(MAX_SERVICES).map(sanitize).collect();
         known.reports.push_back(Report {
--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -73,7 +73,8 @@
             self.complete_at
                 .insert(domain.into(), now + COLLECTION_TIME);
         }
-        self.collector.record(now, reporter, domain, report);
+        self.collector
+            .record(now, reporter, domain, period, report);
         true
     }
 
