--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -73,8 +73,7 @@
             self.complete_at
                 .insert(domain.into(), now + COLLECTION_TIME);
         }
-        self.collector
-            .record(now, reporter, domain, period, report);
+        self.collector.record(now, reporter, domain, period, report);
         true
     }
 
