--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -1,17 +1,42 @@
 //! State of one service as this entry observes it.
 
+use std::time::{Duration, Instant};
+
 use indexmap::IndexSet;
 
 use crate::admission::Admission;
+use crate::demand_log::DemandLog;
 use crate::recent_durations::RecentDurations;
-use crate::{ServiceShares, TargetKey};
+use crate::share_admission::ShareAdmission;
+use crate::sharing::Sharing;
+use crate::{SharingSettings, TargetKey};
 
 /// Upstreams of a service that may get new flows, and its admission control.
 #[derive(Debug, Default)]
 pub(crate) struct Service {
     pub(crate) keys: IndexSet<TargetKey>,
+    /// The same by failure domain and key, if demand is shared: an order that is alike on
+    /// all entries of a domain. The first part is the index of the domain.
+    pub(crate) ordered: Vec<(usize, TargetKey)>,
     pub(crate) admission: Admission,
     pub(crate) recent_durations: RecentDurations,
-    /// How new flows are divided among failure domains, by the demand of all entries.
-    pub(crate) shares: Option<ServiceShares>,
+    /// Demand that was not reported yet.
+    pub(crate) demand_log: DemandLog,
+    pub(crate) sharing: Sharing,
+    pub(crate) share_admission: ShareAdmission,
+    /// Number of open flows at upstreams whose slots don't count. They take no slots.
+    pub(crate) stuck_flows: u32,
+}
+
+impl Service {
+    /// Records the work time of a flow that was served.
+    pub(crate) fn record_work(
+        &mut self,
+        now: Instant,
+        work_time: Duration,
+        settings: &SharingSettings,
+    ) {
+        self.demand_log.record_completion(work_time);
+        self.share_admission.record_end(now, work_time, settings);
+    }
 }
--- a/crates/currantgate-standin/src/token_upstream.rs
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::task::JoinHandle;
 use indexmap::IndexMap;
+use indexmap::map::Entry;
 use tokio::net::UdpSocket;
 
 use crate::token_codec::{TokenCodec, TokenFlags, TokenPacket};
@@ -25,10 +26,13 @@
     pub requests_run: Cell<usize>,
     /// Number of runs of each request, by the request's bytes.
     pub runs_by_request: RefCell<IndexMap<Vec<u8>, usize>>,
-    /// Time at which a flow was last opened.
-    pub last_opened_at: Cell<Option<Instant>>,
+    /// Arrival times of the first packets of new flows, oldest first; copies of a
+    /// first packet don't count.
+    pub opened_at: RefCell<Vec<Instant>>,
     /// Packets of unknown flows, which were reset.
     pub unknown_flow_packets: Cell<usize>,
+    /// Packets of flows that the caller has ended, which were reset: late copies.
+    pub ended_flow_packets: Cell<usize>,
     /// Packets for another upstream, which were ignored.
     pub other_upstream_packets: Cell<usize>,
 }
@@ -82,6 +86,11 @@
         self.address
     }
 
+    /// Stops the upstream, as if its VM failed; the counters are kept.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
     /// Returns the counters.
     pub fn stats(&self) -> &TokenUpstreamStats {
         &self.stats
@@ -94,13 +103,20 @@
     }
 }
 
+/// A flow, as far as the upstream has seen it.
+#[derive(Debug, Default)]
+struct Flow {
+    has_run: bool,
+    has_ended: bool,
+}
+
 struct Server<W> {
     socket: UdpSocket,
     identity: u64,
     caller_port: u16,
     codec: W,
-    /// Open flows by caller and service address, and whether the request has run.
-    flows: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), bool>>,
+    /// Flows by caller and service address; ended ones are kept.
+    flows: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), Flow>>,
     stats: Rc<TokenUpstreamStats>,
 }
 
@@ -149,8 +165,10 @@
             data,
         };
         if packet.flags.open {
-            flows.entry(flow).or_insert(false);
-            self.stats.last_opened_at.set(Some(Instant::now()));
+            if let Entry::Vacant(vacant) = flows.entry(flow) {
+                vacant.insert(Flow::default());
+                self.stats.opened_at.borrow_mut().push(Instant::now());
+            }
             let flags = TokenFlags {
                 open: true,
                 ack: true,
@@ -158,10 +176,16 @@
             };
             return Some(make_reply(flags, Vec::new()));
         }
-        let Some(has_run) = flows.get_mut(&flow) else {
-            self.stats
-                .unknown_flow_packets
-                .set(self.stats.unknown_flow_packets.get() + 1);
+        let known = flows.get_mut(&flow);
+        let counter = match &known {
+            None => Some(&self.stats.unknown_flow_packets),
+            Some(flow) if flow.has_ended => Some(&self.stats.ended_flow_packets),
+            Some(_) => None,
+        };
+        let (Some(flow), None) = (known, counter) else {
+            if let Some(counter) = counter {
+                counter.set(counter.get() + 1);
+            }
             let flags = TokenFlags {
                 reset: true,
                 ..TokenFlags::default()
@@ -169,13 +193,13 @@
             return Some(make_reply(flags, Vec::new()));
         };
         if packet.flags.end {
-            flows.swap_remove(&flow);
+            flow.has_ended = true;
             return None;
         }
         if packet.data.is_empty() {
             return None;
         }
-        if !std::mem::replace(has_run, true) {
+        if !std::mem::replace(&mut flow.has_run, true) {
             self.stats
                 .requests_run
                 .set(self.stats.requests_run.get() + 1);
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -3,9 +3,10 @@
 use std::hash::Hasher as _;
 use std::time::{Duration, Instant};
 
+use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Refusal, SuspicionChange, Target,
+    Placement, PlacementRequest, PlacementSettings, Refusal, ServiceShares, SuspicionChange, Target,
 };
 use currantgate_warmup::{PermitHolder, WarmupLimit};
 use indexmap::IndexSet;
@@ -15,8 +16,8 @@
 use crate::upstreams::TokenMap;
 use crate::warmup::Warmup;
 use crate::{
-    Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowId, LaterPacket,
-    ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
+    Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowClass, FlowId,
+    LaterPacket, ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
 };
 
 /// Decides for each packet to which upstream it goes, or why it goes to none.
@@ -152,25 +153,28 @@
     /// goes to the same upstream. Any other copy means that the upstream did not answer,
     /// and the flow is placed on another one if there is one.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
+        let tracked = self.flows.get(&packet.flow);
+        let is_new = packet.retransmissions == 0 && tracked.is_none();
         let Some(route) = self.routes.get(&packet.flow.service) else {
-            return unplaced(if self.routes_current {
+            let decision = if self.routes_current {
                 Decision::Reset(ResetReason::NoRoute)
             } else {
                 Decision::Drop(DropReason::RoutesOutOfDate)
-            });
+            };
+            return unplaced(decision, None, is_new);
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
-            return unplaced(Decision::Reset(ResetReason::NoUpstream));
+            return unplaced(Decision::Reset(ResetReason::NoUpstream), None, is_new);
         };
-        let tracked = self.flows.get(&packet.flow);
         let priority = route.request_priority();
+        let class = Some(FlowClass { service, priority });
         if let Some((state, record)) = tracked {
             let is_duplicate = now < record.sent + self.settings.duplicate_window;
             if (is_duplicate || state == FlowState::Established)
                 && let Some(hop) = self.tokens.get(record.token)
             {
-                return unplaced(Decision::Forward(hop));
+                return unplaced(Decision::Forward(hop), class, is_new);
             }
             self.flows.remove(&packet.flow);
             self.placement
@@ -178,14 +182,14 @@
         }
         let unanswered_by = tracked.map(|(_, record)| record.token);
         let request = PlacementRequest {
-            service,
+            service: &route.services[service].0,
             priority,
             latency_target: route.latency_target,
-            may_refuse: packet.retransmissions == 0 && tracked.is_none(),
+            may_refuse: is_new,
             tried: unanswered_by.as_slice(),
         };
         if let Some(warmup) = &mut self.warmup {
-            warmup.holder.record_flow(now, service);
+            warmup.holder.record_flow(now, request.service);
             self.placement.set_permitted(warmup.holder.permitted(now));
         }
         let placed = self.placement.place(now, &request);
@@ -193,7 +197,7 @@
             // There are no permits for warm upstreams.
             warmup.used_permits += u64::from(warmup.holder.try_use(now, placed.key));
         }
-        let is_displaced = placed.is_ok() && self.displaced_services.contains(service);
+        let is_displaced = placed.is_ok() && self.displaced_services.contains(request.service);
         let decision = match placed {
             Ok(placed) => {
                 let record = FlowRecord {
@@ -220,6 +224,8 @@
             placed: placed.ok(),
             unanswered_by,
             is_displaced,
+            class,
+            is_new,
         }
     }
 
@@ -254,7 +260,10 @@
     /// upstream has answered the first one.
     fn update_record(&mut self, now: Instant, packet: LaterPacket) {
         if let Some(record) = self.flows.establish(&packet.flow) {
-            self.handshake_time = Some(now.saturating_duration_since(record.sent));
+            let handshake_time = now.saturating_duration_since(record.sent);
+            self.handshake_time = Some(handshake_time);
+            self.placement
+                .record_handshake_time(record.token, handshake_time);
             self.placement.record_answer(now, record.token);
             self.track_overdue(packet.flow, &record);
         }
@@ -336,6 +345,40 @@
         self.placement.fleet_slow()
     }
 
+    /// Returns and removes the demand of this entry's callers since the last call.
+    pub fn take_demand(&mut self) -> Vec<ServiceDemand> {
+        self.placement.take_demand()
+    }
+
+    /// Applies the demand of a failure domain's callers.
+    pub fn update_demand(&mut self, now: Instant, demand: &DomainDemand) {
+        self.placement.update_demand(now, demand);
+    }
+
+    /// Goes back to the entry's own flows alone, until demand is applied again.
+    pub fn clear_demand(&mut self) {
+        self.placement.clear_demand();
+    }
+
+    /// Returns how new flows of a service are divided among failure domains; nothing
+    /// while the entry decides by its own flows alone.
+    pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
+        self.placement.shares(service)
+    }
+
+    /// Returns the name of the service in the class of a flow.
+    pub fn service_name(&self, flow: &FlowId, class: FlowClass) -> Option<&str> {
+        let route = self.routes.get(&flow.service)?;
+        route.services.get(class.service).map(|(name, _)| &**name)
+    }
+
+    /// Returns the service and the failure domain of an upstream that has open flows or
+    /// may get new ones.
+    pub fn upstream_location(&self, token: Token) -> Option<(&str, &str)> {
+        let target = self.placement.target(token)?;
+        Some((&target.service, &target.domain))
+    }
+
     /// Returns the id of the upstream with the given token.
     pub fn upstream_id(&self, token: Token) -> Option<&str> {
         self.tokens.id(token)
@@ -363,11 +406,13 @@
 }
 
 /// Returns a decision made without placement.
-fn unplaced(decision: Decision) -> FirstPacketDecision {
+fn unplaced(decision: Decision, class: Option<FlowClass>, is_new: bool) -> FirstPacketDecision {
     FirstPacketDecision {
         decision,
         placed: None,
         unanswered_by: None,
         is_displaced: false,
+        class,
+        is_new,
     }
 }
--- a/crates/currantgate/src/control/evacuation.rs
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -39,8 +39,8 @@
     pub(crate) evacuations: Arc<Evacuations>,
     /// Whether the VM knows all orders that were acknowledged before the current term.
     pub(crate) is_caught_up: bool,
-    /// Whether the VM's log has orders, committed or not.
-    pub(crate) has_orders: bool,
+    /// Whether the VM's log has orders that are not known to be committed.
+    pub(crate) has_uncommitted_orders: bool,
 }
 
 impl LocalEvacuations {
@@ -48,7 +48,7 @@
         Self {
             evacuations: Arc::clone(replica.evacuations()),
             is_caught_up: replica.is_caught_up(now),
-            has_orders: replica.has_orders(),
+            has_uncommitted_orders: replica.has_uncommitted_orders(),
         }
     }
 }
@@ -72,7 +72,7 @@
 /// Has an order executed and returns the answer. The sender's task drops the future when
 /// the connection ends.
 pub(super) async fn execute_order(core: &RefCell<Core>, order: EvacuationOrder) -> EvacuationReply {
-    let checked = core.borrow().check_domain(&order.domain);
+    let checked = core.borrow().check_order(&order.domain);
     if let Err(refusal) = checked {
         return refusal;
     }
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, Secret};
 use currantgate_observation::{Observation, choose_collector};
 use currantgate_warmup::PermitsRequest;
@@ -197,6 +198,22 @@
         }
     }
 
+    /// Reports the demand of a period to a control VM; returns whether the report is
+    /// queued.
+    pub(crate) fn report_demand(
+        &self,
+        to: SocketAddr,
+        period: Duration,
+        demand: &[ServiceDemand],
+    ) -> bool {
+        let request = FeedRequest::Demand {
+            revision: self.shared.revision.get(),
+            period_ms: u16::try_from(period.as_millis()).unwrap_or(u16::MAX),
+            demand: demand.to_vec(),
+        };
+        self.queue(to, request)
+    }
+
     /// Queues a request for the feed of a control VM; returns whether there was room.
     fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
         let link = self.links.get(&to);
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use currantgate_capacity::{DomainDemand, ServiceDemand};
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, RevisionId, VoterId};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_registry::{EvacuationUpdate, Record};
@@ -60,7 +60,10 @@
     Demand {
         /// Revision that the listener holds.
         revision: Revision,
-        /// Demand since the last report.
+        /// Period that the report covers in milliseconds: longer than the interval of
+        /// reports after one that could not be sent.
+        period_ms: u16,
+        /// Demand in that period.
         demand: Vec<ServiceDemand>,
     },
     /// Reports the evacuations that the listener holds: when the feed opens, and in answer to
@@ -129,7 +132,15 @@
         permits: Vec<Permit>,
     },
     /// Demand of a failure domain whose reports are merged at this control VM.
-    Demand(DomainDemand),
+    Demand {
+        /// Time since the reports were merged when the message is sent, in milliseconds.
+        age_ms: u16,
+        /// Position of the receiver among the entries of the domain that report demand;
+        /// nothing at entries of other domains.
+        position: Option<u16>,
+        /// Demand of the domain, a [`currantgate_capacity::DomainDemand`] encoded once for all feeds.
+        encoded: Arc<[u8]>,
+    },
 }
 
 /// The evacuated failure domains.
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use currantgate_capacity::ServiceDemand;
 use currantgate_control::{
     Change, FrameWriter, IncomingStream, PublishedEvacuations, RecentChanges, Revision, RevisionId,
     TransportError, Update,
 };
+use currantgate_log::{RateLimit, RateLimiter};
 use currantgate_observation::{
     FleetObservations, FleetSettings, SlowUpstream, reporter_id, slowness_changes,
 };
@@ -19,10 +21,13 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use super::demand_publisher::DemandPublisher;
 use super::evacuations;
 use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
 use super::permits::LeaderPermits;
+use super::published_demand::PublishedDemand;
+use super::sent_demand::SentDemand;
 use super::status::{EvacuationStatus, FleetStatus};
 use crate::control::ControlHandle;
 
@@ -46,6 +51,12 @@
 /// timeout.
 const MAX_UPSTREAMS_PER_MESSAGE: usize = 100;
 
+/// Rate of lines about rejected reports of demand on one feed.
+const INVALID_DEMAND_LIMIT: RateLimit = RateLimit {
+    lines: 1,
+    interval: Duration::from_secs(10),
+};
+
 /// The state that a control VM sends on all its feeds.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<UpstreamRegistry>,
@@ -64,6 +75,10 @@
     observations: RefCell<FleetObservations>,
     /// Permits for cold upstreams, issued while this VM holds the leader's lease.
     permits: RefCell<LeaderPermits>,
+    /// Demand of the callers of the entries that report here.
+    demand: RefCell<DemandPublisher>,
+    /// Whether an entry has reported demand, and so measures slowness by work.
+    is_demand_shared: Cell<bool>,
 }
 
 impl FeedSource {
@@ -83,6 +98,8 @@
                 FleetSettings::default(),
             )),
             permits: RefCell::new(LeaderPermits::new()),
+            demand: RefCell::new(DemandPublisher::new(std::time::Instant::now())),
+            is_demand_shared: Cell::new(false),
         }
     }
 
@@ -140,6 +157,32 @@
         evacuations.holds_upstreams(std::time::Instant::now())
     }
 
+    /// Returns the domains whose demand is merged here, each with the number of entries
+    /// that report it.
+    pub(crate) fn demand_entries(&self) -> Vec<(Box<str>, u16)> {
+        let published = self.published_demand(std::time::Instant::now());
+        let demands = published.iter().map(|published| &published.demand);
+        demands.map(|d| (d.domain.clone(), d.entries)).collect()
+    }
+
+    fn published_demand(&self, now: std::time::Instant) -> Rc<[Rc<PublishedDemand>]> {
+        let listeners = self.listeners.borrow();
+        let mut demand = self.demand.borrow_mut();
+        demand.published(now, listeners.entries_by_domain())
+    }
+
+    /// Adds an entry's report of demand; returns whether its numbers are valid.
+    fn record_demand(&self, from: &FeedHello, period: Duration, report: &[ServiceDemand]) -> bool {
+        if !self.is_demand_shared.replace(true) {
+            let settings = FleetSettings::with_demand();
+            self.observations.borrow_mut().set_settings(settings);
+        }
+        let now = std::time::Instant::now();
+        let reporter = reporter_id(&from.name);
+        let mut demand = self.demand.borrow_mut();
+        demand.record(now, reporter, &from.domain, period, report)
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
@@ -267,6 +310,9 @@
     /// Slow upstreams as the listener knows them; nothing while it has not reported
     /// any observations.
     sent_slow: Option<Rc<[SlowUpstream]>>,
+    sent_demand: SentDemand,
+    /// Limits the lines about rejected reports, as an entry sends two a second.
+    invalid_demand: RateLimiter,
     heartbeat_due: Instant,
     listener_deadline: Instant,
 }
@@ -295,6 +341,8 @@
             needs_no_hold: false,
             sent_change: 0,
             sent_slow: None,
+            sent_demand: SentDemand::default(),
+            invalid_demand: RateLimiter::new(INVALID_DEMAND_LIMIT, now.into_std()),
             heartbeat_due: now,
             listener_deadline: now + LISTENER_TIMEOUT,
         })
@@ -347,7 +395,26 @@
                 Ok(())
             }
             FeedRequest::WarmupPermits { request, .. } => self.send_permits(&request).await,
-            FeedRequest::Demand { .. } => Ok(()),
+            FeedRequest::Demand {
+                period_ms, demand, ..
+            } => {
+                let period = Duration::from_millis(period_ms.into());
+                if !self.source.record_demand(&self.hello, period, &demand) {
+                    self.log_invalid_demand();
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn log_invalid_demand(&mut self) {
+        if let Some(left_out) = self.invalid_demand.try_acquire(std::time::Instant::now()) {
+            log::warn!(
+                event = "listener",
+                listener = &*self.hello.name,
+                left_out = left_out;
+                "a report of demand is rejected: a number is negative or not finite"
+            );
         }
     }
 
@@ -420,13 +487,43 @@
         let heartbeat = self.source.heartbeat();
         let now = Instant::now();
         if heartbeat != self.last_heartbeat || now >= self.heartbeat_due {
-            self.heartbeat_due = now + HEARTBEAT_INTERVAL;
+            self.send_demand().await?;
+            let due = (now + HEARTBEAT_INTERVAL).into_std();
+            self.heartbeat_due = Instant::from_std(self.sent_demand.next_heartbeat(due));
             self.last_heartbeat = heartbeat.clone();
             self.send(&FeedMessage::Heartbeat(heartbeat)).await?;
         }
         Ok(())
     }
 
+    /// Sends the demand of domains that is due, to entries only.
+    async fn send_demand(&mut self) -> Result<(), TransportError> {
+        if self.hello.control.is_some() {
+            return Ok(());
+        }
+        let now = std::time::Instant::now();
+        let published = self.source.published_demand(now);
+        for figure in self.sent_demand.take_due(now, &published) {
+            let message = FeedMessage::Demand {
+                age_ms: figure.age_ms(std::time::Instant::now()),
+                position: self.position_in(&figure.demand.domain),
+                encoded: Arc::clone(&figure.encoded),
+            };
+            self.send(&message).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the position of the listener among the entries of a domain that report
+    /// demand; nothing if it is of another domain.
+    fn position_in(&self, domain: &str) -> Option<u16> {
+        let demand = self.source.demand.borrow();
+        let reporter = reporter_id(&self.hello.name);
+        (*self.hello.domain == *domain)
+            .then(|| demand.position(reporter))
+            .flatten()
+    }
+
     /// Sends upstreams in several messages, so that a listener on a slow link
     /// receives one within its timeout.
     async fn send_upstreams(&mut self, records: &[Record]) -> Result<(), TransportError> {
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -377,6 +377,7 @@
         metrics.set_slow_upstreams(source.slow_upstreams().len());
         let evacuations = source.evacuations().borrow();
         metrics.set_evacuations(evacuations.evacuated().len(), evacuations.revision());
+        metrics.set_demand_entries(source.demand_entries());
     }
 }
 
--- a/crates/currantgate/src/node/evacuations.rs
+++ b/crates/currantgate/src/node/evacuations.rs
@@ -32,7 +32,8 @@
     let evacuations = &local.evacuations;
     let domains = evacuations.iter().map(|(domain, _)| domain);
     published.restore(evacuations.revision(), domains);
-    if published.revision() > 0 || local.has_orders {
+    // Whether these orders are in force is known once a quorum is heard.
+    if local.has_uncommitted_orders {
         published.hold_upstreams(Instant::now());
     }
 }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
-use currantgate_placement::Target;
+use currantgate_capacity::DomainDemand;
+use currantgate_log::{RateLimit, RateLimiter};
+use currantgate_placement::{PlacementSettings, Target};
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
@@ -15,14 +17,19 @@
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
 
 use super::decision_log::DecisionLog;
+use super::demand_metrics::DemandMetrics;
+use super::demand_monitor::DemandMonitor;
+use super::demand_view::DemandView;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
 use super::packet_socket::PacketSocket;
-use super::routing::Routing;
+use super::routing::{Routing, SharedDemand};
 use super::settings::TokenEntrySettings;
+use super::unsent_demand::UnsentDemand;
 use crate::feed::{
     EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
     RevisionTracker,
@@ -40,6 +47,13 @@
 /// that a slow one is avoided within two seconds, at 420 bytes a report at most.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rate of lines about demand that can't be reported: an entry that is cut off from
+/// control would write two a second.
+const UNSENT_LOG_LIMIT: RateLimit = RateLimit {
+    lines: 1,
+    interval: Duration::from_secs(10),
+};
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -52,6 +66,8 @@
     is_draining: Cell<bool>,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
     metrics: TokenEntryMetrics,
+    /// Metrics of shared demand; nothing where entries don't share it.
+    demand_metrics: Option<DemandMetrics>,
     task: JoinHandle<()>,
 }
 
@@ -83,8 +99,14 @@
         let (links, events) = FeedLinks::start(links, settings.seeds.clone());
         let is_ready = Rc::new(Cell::new(false));
         let metrics = TokenEntryMetrics::default();
+        let demand_metrics = settings.is_demand_shared.then(DemandMetrics::default);
+        let demand = demand_metrics.clone();
+        let demand = demand.map(|metrics| SharedDemand {
+            view: DemandView::default(),
+            monitor: DemandMonitor::new(Instant::now(), metrics),
+        });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
-        let mut router = TokenRouter::new(settings.routing.clone(), settings.placement.clone());
+        let mut router = TokenRouter::new(settings.routing.clone(), placement_settings(settings));
         if let Some(limit) = settings.warmup_limit {
             router.limit_cold_upstreams(Instant::now(), limit, settings.placement.seed);
         }
@@ -94,6 +116,7 @@
                 suspensions: SuspensionDetector::new(ClockReading::now()),
                 metrics: metrics.clone(),
                 decisions: DecisionLog::new(Instant::now(), settings.domain.clone()),
+                demand,
             },
             packets,
             view: UpstreamView::new(settings.view.clone()),
@@ -104,6 +127,8 @@
             links,
             collector: None,
             leader: None,
+            unsent_demand: UnsentDemand::new(Instant::now()),
+            unsent_log: RateLimiter::new(UNSENT_LOG_LIMIT, Instant::now()),
             domain: settings.domain.clone(),
             is_ready: Rc::clone(&is_ready),
             were_routes_current: false,
@@ -116,6 +141,7 @@
             is_draining: Cell::new(false),
             seeds_tx,
             metrics,
+            demand_metrics,
             task,
         })
     }
@@ -147,6 +173,9 @@
     /// Adds the entry's metrics to those of the process.
     pub fn register_metrics(&self, registry: &mut Registry) {
         self.metrics.register(registry);
+        if let Some(metrics) = &self.demand_metrics {
+            metrics.register(registry);
+        }
     }
 }
 
@@ -171,6 +200,9 @@
     /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
     /// it.
     leader: Option<SocketAddr>,
+    unsent_demand: UnsentDemand,
+    /// Limits the lines about demand that can't be reported.
+    unsent_log: RateLimiter,
     domain: Box<str>,
     is_ready: Rc<Cell<bool>>,
     were_routes_current: bool,
@@ -184,6 +216,8 @@
     ) {
         let mut flow_interval = actix_rt::time::interval(FLOW_EXPIRY_INTERVAL);
         let mut observation_interval = actix_rt::time::interval(OBSERVATION_INTERVAL);
+        // After a stall, reports sent back to back would show too much demand.
+        observation_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         loop {
             let permits_due = self.next_permits_request_at();
@@ -209,7 +243,10 @@
                     self.update_upstreams_if_due();
                 }
                 () = wait_until(permits_due) => self.request_permits(),
-                _ = observation_interval.tick() => self.report_observations(),
+                _ = observation_interval.tick() => {
+                    self.report_observations();
+                    self.report_demand();
+                }
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
                     self.links.remove_unlisted();
@@ -273,7 +310,25 @@
                     holder.receive(Instant::now(), request, pace, &permits);
                 }
             }
-            FeedEvent::Message(_, FeedMessage::Demand(_)) => {}
+            FeedEvent::Message(
+                from,
+                FeedMessage::Demand {
+                    age_ms,
+                    position,
+                    encoded,
+                },
+            ) => {
+                let age = Duration::from_millis(age_ms.into());
+                let config = bincode::config::standard();
+                match bincode::serde::decode_from_slice(&encoded, config) {
+                    Ok((demand, _)) => {
+                        let demand = DomainDemand { position, ..demand };
+                        self.routing.record_demand(now, from, age, demand);
+                    }
+                    // All control VMs and entries are upgraded before demand is shared.
+                    Err(e) => log::error!("a figure of demand from {from} is malformed: {e}"),
+                }
+            }
         }
     }
 
@@ -328,6 +383,32 @@
         }
     }
 
+    /// Reports the demand of this entry's callers since the last call, if entries share
+    /// it. The report is sent even if there is no demand, as a domain without reports
+    /// would have no figure, and the entries would not know that its slots are free. The
+    /// demand of a report that can't be queued is part of the next one.
+    fn report_demand(&mut self) {
+        let now = Instant::now();
+        if !self.routing.update_demand(now) {
+            return;
+        }
+        let unsent = &mut self.unsent_demand;
+        unsent.add(self.routing.router.take_demand());
+        let Some(collector) = self.collector else {
+            *unsent = UnsentDemand::new(now);
+            if let Some(left_out) = self.unsent_log.try_acquire(now) {
+                log::debug!(left_out = left_out; "no collector is known to report demand to");
+            }
+            return;
+        };
+        let period = unsent.period(now);
+        if self.links.report_demand(collector, period, unsent.demand()) {
+            *unsent = UnsentDemand::new(now);
+        } else if let Some(left_out) = self.unsent_log.try_acquire(now) {
+            log::debug!(left_out = left_out; "a report of demand is sent with the next one");
+        }
+    }
+
     /// Applies an update to a newer revision; an entry never goes back to an older
     /// one.
     fn apply(&mut self, from: SocketAddr, packed: &[u8]) {
@@ -408,7 +489,7 @@
         let domain = &self.domain;
         let format = self.packets.format();
         let router = &mut self.routing.router;
-        let routable = upstreams
+        let routable: Vec<_> = upstreams
             .iter()
             .filter_map(|upstream| {
                 let report = &upstream.report;
@@ -421,6 +502,11 @@
                 to_routable(upstream, warm_at, domain, format)
             })
             .collect();
+        if let Some(demand) = &mut self.routing.demand {
+            demand
+                .monitor
+                .set_slots(routable.iter().filter_map(|(_, target)| target.as_ref()));
+        }
         router.set_upstreams(routable);
         router.update_cold_upstreams(now);
         self.routing.metrics.set_state(
@@ -448,6 +534,15 @@
     }
 }
 
+/// Returns the settings of placement, with shares if entries share their demand.
+fn placement_settings(settings: &TokenEntrySettings) -> PlacementSettings {
+    let mut placement = settings.placement.clone();
+    if settings.is_demand_shared {
+        placement.demand.get_or_insert_default();
+    }
+    placement
+}
+
 /// Converts an upstream for the router, with a target for new flows if it takes
 /// any. Returns `None` if its id can't be encoded in packets.
 fn to_routable<F: WireFormat>(
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -1,12 +1,16 @@
 //! The router with the log and the metrics of its decisions.
 
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use currantgate_capacity::DomainDemand;
 use currantgate_observation::SlowUpstream;
 use currantgate_token::{Decision, FlowId, TokenRouter};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 
 use super::decision_log::DecisionLog;
+use super::demand_monitor::DemandMonitor;
+use super::demand_view::{DemandChange, DemandView};
 use super::format::{MalformedPacket, Packet};
 use super::metrics::TokenEntryMetrics;
 
@@ -17,6 +21,15 @@
     pub(super) metrics: TokenEntryMetrics,
     pub(super) decisions: DecisionLog,
     pub(super) suspensions: SuspensionDetector,
+    /// Shared demand; nothing where entries don't share their demand.
+    pub(super) demand: Option<SharedDemand>,
+}
+
+/// The view of shared demand with its log and metrics.
+#[derive(Debug)]
+pub(super) struct SharedDemand {
+    pub(super) view: DemandView,
+    pub(super) monitor: DemandMonitor,
 }
 
 impl Routing {
@@ -25,9 +38,21 @@
         let (flow, decision) = match packet {
             Packet::First(packet) => {
                 let now = self.check_permits(now);
+                self.refresh_demand(now);
                 let decided = self.router.route_first(now, packet);
+                if let Some(shared) = &mut self.demand {
+                    let monitor = &mut shared.monitor;
+                    monitor.count_decision(&packet.flow, &decided, &self.router);
+                }
+                let (demand, router) = (self.demand.as_ref(), &self.router);
+                let figures = || {
+                    let figures = |shared: &SharedDemand| {
+                        DemandMonitor::figures(now, &packet.flow, &decided, &shared.view, router)
+                    };
+                    demand.map(figures).unwrap_or_default()
+                };
                 self.decisions
-                    .log_first_packet(now, &packet.flow, &decided, &self.router);
+                    .log_first_packet(now, &packet.flow, &decided, figures, router);
                 (packet.flow, decided.decision)
             }
             Packet::Later(packet) => {
@@ -83,6 +108,48 @@
         }
     }
 
+    /// Takes the demand of a failure domain's callers, if entries share it.
+    pub(super) fn record_demand(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        age: Duration,
+        demand: DomainDemand,
+    ) {
+        if let Some(shared) = &mut self.demand {
+            shared.view.record(now, from, age, demand);
+            self.refresh_demand(now);
+        }
+    }
+
+    /// Passes changes of the view of demand to the router.
+    fn refresh_demand(&mut self, now: Instant) {
+        let Some(SharedDemand { view, monitor }) = &mut self.demand else {
+            return;
+        };
+        match view.update(now) {
+            Some(DemandChange::Renewed(demands)) => {
+                for demand in demands {
+                    self.router.update_demand(now, demand);
+                }
+            }
+            Some(DemandChange::OutOfDate) => {
+                self.router.clear_demand();
+                monitor.count_fallback();
+            }
+            None => {}
+        }
+    }
+
+    /// Updates the log and the metrics of shared demand; returns whether entries share it.
+    pub(super) fn update_demand(&mut self, now: Instant) -> bool {
+        self.refresh_demand(now);
+        if let Some(SharedDemand { view, monitor }) = &mut self.demand {
+            monitor.update(now, view, &self.router);
+        }
+        self.demand.is_some()
+    }
+
     fn publish_slow_upstreams(&mut self, now: Instant) {
         let count = self.router.slow_upstreams().len();
         self.metrics.set_slow_upstreams(count);
