Count permits at the leader, and request them for silent upstreams if there are no others

Change: upstreams that do not report are named in requests where none of the service does. The leader's metrics show requests for permits and granted permits.

--- a/crates/currantgate-token/src/warmup.rs
+++ b/crates/currantgate-token/src/warmup.rs
@@ -81,18 +81,20 @@
 
     /// Updates for which upstreams permits are requested.
     ///
-    /// Where a service has upstreams in the entry's own domain, permits are requested only
-    /// for those: the others are the choice of entries in their domains, and permits that
-    /// are not used are lost to these for a while. So are those for upstreams that do not
-    /// report, which are the last choice.
+    /// Where a service has upstreams that report, others are the last choice. Where it has
+    /// upstreams in the entry's own domain, others are the choice of the entries in theirs.
+    /// Permits for these would expire unused, and are lost to other entries for a while.
     pub(crate) fn update_cold(&mut self, now: Instant) {
         self.cold_count = 0;
         let mut cold_services = Vec::with_capacity(self.services.len());
         for (name, service) in &self.services {
-            let has_local = service.upstreams.iter().any(|u| u.is_local);
-            let cold = service.upstreams.iter().filter(|u| now < u.warm_at);
-            self.cold_count += cold.clone().count();
-            let usable = cold.filter(|u| u.is_reporting && (u.is_local || !has_local));
+            let upstreams = service.upstreams.iter();
+            self.cold_count += upstreams.clone().filter(|u| now < u.warm_at).count();
+            let has_reporting = upstreams.clone().any(|u| u.is_reporting);
+            let healthy = upstreams.filter(|u| u.is_reporting || !has_reporting);
+            let has_local = healthy.clone().any(|u| u.is_local);
+            let preferred = healthy.filter(|u| u.is_local || !has_local);
+            let usable = preferred.filter(|u| now < u.warm_at);
             cold_services.push(ColdService {
                 service: name.clone(),
                 limit: service.limit,
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -17,6 +17,7 @@
 
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
 pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub(crate) use permits::PermitCounts;
 pub(crate) use revision_tracker::RevisionTracker;
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{FleetStatus, ListenerStatus, ServiceStatus};
--- a/crates/currantgate/src/feed/permits.rs
+++ b/crates/currantgate/src/feed/permits.rs
@@ -12,6 +12,16 @@
     /// The issuer, with the term in which it was started.
     issuer: Option<(Term, PermitIssuer)>,
     suspensions: SuspensionDetector,
+    counts: PermitCounts,
+}
+
+/// Numbers of what was issued since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PermitCounts {
+    /// Requests that were answered.
+    pub(crate) requests: u64,
+    /// Permits that were granted.
+    pub(crate) granted: u64,
 }
 
 impl LeaderPermits {
@@ -19,9 +29,15 @@
         Self {
             issuer: None,
             suspensions: SuspensionDetector::new(ClockReading::now()),
+            counts: PermitCounts::default(),
         }
     }
 
+    /// Returns the numbers of what was issued.
+    pub(super) fn counts(&self) -> PermitCounts {
+        self.counts
+    }
+
     /// Starts an issuer when this VM holds the lease in another term than before, and after
     /// a suspension: by the stopped clock, the lease would still be held.
     ///
@@ -52,6 +68,13 @@
     ) -> Option<PermitsAnswer> {
         self.update(now, lease_term);
         let (term, issuer) = self.issuer.as_mut()?;
-        (Some(*term) == lease_term).then(|| issuer.answer(now, requester, request))
+        if Some(*term) != lease_term {
+            return None;
+        }
+        let answer = issuer.answer(now, requester, request);
+        let granted = answer.permits.iter().map(|permit| u64::from(permit.count));
+        self.counts.requests += 1;
+        self.counts.granted += granted.sum::<u64>();
+        Some(answer)
     }
 }
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -21,7 +21,7 @@
 
 use super::listeners::{FeedId, Listeners};
 use super::message::{FeedHello, FeedMessage, FeedRequest, Heartbeat};
-use super::permits::LeaderPermits;
+use super::permits::{LeaderPermits, PermitCounts};
 use super::status::FleetStatus;
 use crate::control::ControlHandle;
 
@@ -106,6 +106,11 @@
         observations.slow_upstreams(std::time::Instant::now())
     }
 
+    /// Returns the numbers of requests for permits and of permits that were granted.
+    pub(crate) fn permit_counts(&self) -> PermitCounts {
+        self.permits.borrow().counts()
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -348,6 +348,7 @@
         publish_upstream_changes(&source, before);
         metrics.set_state(source.registry.borrow().iter(), source.open_feeds());
         metrics.set_slow_upstreams(source.slow_upstreams().len());
+        metrics.set_permits(source.permit_counts());
     }
 }
 
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::feed::PermitCounts;
+
 /// Label for whether a report was recorded.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Outcome {
@@ -26,6 +28,8 @@
     reports: Family<Outcome, Counter>,
     upstreams: Family<State, Gauge>,
     slow_upstreams: Gauge,
+    permit_requests: Counter,
+    permits_granted: Counter,
     feeds: Gauge,
     commit_seconds: Histogram,
 }
@@ -36,6 +40,8 @@
             reports: Family::default(),
             upstreams: Family::default(),
             slow_upstreams: Gauge::default(),
+            permit_requests: Counter::default(),
+            permits_granted: Counter::default(),
             feeds: Gauge::default(),
             // From 1 ms, a round trip, to 8 s, longer than the longest outage.
             commit_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -58,6 +64,16 @@
             "Upstreams that the entries which report here observe as slow",
             self.slow_upstreams.clone(),
         );
+        registry.register(
+            "warmup_requests",
+            "Requests of entries for permits that this VM has answered as the leader",
+            self.permit_requests.clone(),
+        );
+        registry.register(
+            "warmup_permits_granted",
+            "Permits for flows on upstreams that are warming up, granted as the leader",
+            self.permits_granted.clone(),
+        );
         registry.register("feeds", "Feeds that are open", self.feeds.clone());
         registry.register(
             "commit_seconds",
@@ -80,6 +96,14 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_permits(&self, counts: PermitCounts) {
+        let increase_to = |counter: &Counter, count: u64| {
+            counter.inc_by(count.saturating_sub(counter.get()));
+        };
+        increase_to(&self.permit_requests, counts.requests);
+        increase_to(&self.permits_granted, counts.granted);
+    }
+
     pub(super) fn set_state<'a>(&self, records: impl Iterator<Item = &'a Record>, feeds: usize) {
         let mut counts = [("ready", 0), ("silent", 0), ("draining", 0), ("gone", 0)];
         for label in records.map(state_label) {
