--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -22,7 +22,7 @@
 use super::evacuations;
 use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
-use super::permits::LeaderPermits;
+use super::permits::{LeaderPermits, PermitCounts};
 use super::status::{EvacuationStatus, FleetStatus};
 use crate::control::ControlHandle;
 
@@ -140,6 +140,11 @@
         evacuations.holds_upstreams(std::time::Instant::now())
     }
 
+    /// Returns the numbers of requests for permits and of permits that were granted.
+    pub(crate) fn permit_counts(&self) -> PermitCounts {
+        self.permits.borrow().counts()
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
