--- a/crates/currantgate-token/src/service_warmup.rs
+++ b/crates/currantgate-token/src/service_warmup.rs
@@ -10,8 +10,8 @@
 /// What the configuration says about the cold upstreams of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceWarmup {
-    /// Time that an upstream takes to warm up.
-    pub duration: Duration,
+    /// Time that an upstream takes to warm up, if it is known.
+    pub duration: Option<Duration>,
     /// New flows per second that a cold upstream bears.
     pub flows_per_second: f64,
 }
@@ -22,13 +22,15 @@
     ///
     /// An upstream that became cold shortly before the end of the evacuation may report
     /// that up to a report interval later. So all upstreams of the domain count as cold
-    /// until one that started at the end would be warm.
+    /// until one that started at the end would be warm, if the duration is known.
     pub fn warm_at(
         &self,
         reported: Option<Instant>,
         returned_at: Option<Instant>,
     ) -> Option<Instant> {
-        let returned = returned_at.map(|at| at + self.duration);
+        let returned = returned_at
+            .zip(self.duration)
+            .map(|(at, duration)| at + duration);
         reported.max(returned).map(|at| at + COLD_MARGIN)
     }
 }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -711,7 +711,7 @@
     };
     entry.router.limit_cold_upstreams(entry.now, limit, 0);
     let warmup = ServiceWarmup {
-        duration: Duration::from_secs(30),
+        duration: Some(Duration::from_secs(30)),
         flows_per_second: 0.0,
     };
     let routes = RouteTable::new([(SERVICE, route(&[("booking", 1)]))]);
--- a/crates/currantgate-token/tests/service_warmup.rs
+++ b/crates/currantgate-token/tests/service_warmup.rs
@@ -9,7 +9,7 @@
 #[test]
 fn upstreams_of_a_returned_domain_count_as_cold() {
     let warmup = ServiceWarmup {
-        duration: Duration::from_secs(20),
+        duration: Some(Duration::from_secs(20)),
         flows_per_second: 0.0,
     };
     let now = Instant::now();
@@ -26,3 +26,17 @@
     let returned = warmup.warm_at(None, Some(now)).unwrap();
     assert!(returned >= after(20) && returned < after(20) + margin);
 }
+
+/// Guards against cold upstreams without a limit where the configuration does not say how
+/// long they stay cold, and against upstreams that count as cold without a known end.
+#[test]
+fn without_a_duration_only_reported_warm_ups_count() {
+    let warmup = ServiceWarmup {
+        duration: None,
+        flows_per_second: 0.0,
+    };
+    let now = Instant::now();
+    let end = now + Duration::from_secs(30);
+    assert!(warmup.warm_at(Some(end), Some(now)).unwrap() >= end);
+    assert_eq!(warmup.warm_at(None, Some(now)), None);
+}
