--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -81,6 +81,8 @@
     RoutesOutOfDate,
     /// no upstream of the service is known, and some may not have been told yet
     UpstreamsIncomplete,
+    /// no upstream of the service is known, and one may have answered an earlier copy
+    NoUpstream,
     /// all upstreams of the service are cold, and one may have answered an earlier copy
     OnlyCold,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -150,7 +150,8 @@
     ///
     /// A duplicate within `duplicate_window`, and any copy for an established flow,
     /// goes to the same upstream. Any other copy means that the upstream did not answer,
-    /// and the flow is placed on another one if there is one.
+    /// and the flow is placed on another one if there is one. A copy is never reset for want
+    /// of an upstream, since one may have answered an earlier copy.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
         let Some(route) = self.routes.get(&packet.flow.service) else {
             return unplaced(if self.routes_current {
@@ -160,10 +161,11 @@
             });
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
+        let tracked = self.flows.get(&packet.flow);
+        let is_copy = packet.retransmissions > 0 || tracked.is_some();
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
-            return unplaced(Decision::Reset(ResetReason::NoUpstream));
+            return unplaced(without_upstream(is_copy));
         };
-        let tracked = self.flows.get(&packet.flow);
         let priority = route.request_priority();
         if let Some((state, record)) = tracked {
             let is_duplicate = now < record.sent + self.settings.duplicate_window;
@@ -181,7 +183,7 @@
             service,
             priority,
             latency_target: route.latency_target,
-            may_refuse: packet.retransmissions == 0 && tracked.is_none(),
+            may_refuse: !is_copy,
             tried: unanswered_by.as_slice(),
         };
         if let Some(warmup) = &mut self.warmup {
@@ -208,8 +210,8 @@
             Err(Refusal::NoUpstream | Refusal::OnlyCold) if !self.upstreams_complete => {
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
-            Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
-            Err(Refusal::OnlyCold) if !request.may_refuse => Decision::Drop(DropReason::OnlyCold),
+            Err(Refusal::NoUpstream) => without_upstream(is_copy),
+            Err(Refusal::OnlyCold) if is_copy => Decision::Drop(DropReason::OnlyCold),
             Err(Refusal::OnlyCold) => Decision::Reset(ResetReason::OnlyCold),
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
@@ -362,6 +364,16 @@
     }
 }
 
+/// Returns the decision about a first packet whose service has no upstream. A copy is
+/// dropped, since an upstream may have answered an earlier one.
+fn without_upstream(is_copy: bool) -> Decision {
+    if is_copy {
+        Decision::Drop(DropReason::NoUpstream)
+    } else {
+        Decision::Reset(ResetReason::NoUpstream)
+    }
+}
+
 /// Returns a decision made without placement.
 fn unplaced(decision: Decision) -> FirstPacketDecision {
     FirstPacketDecision {
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -702,6 +702,24 @@
     assert!(!hops.into_iter().all(is_in_b));
 }
 
+/// Guards against the reset of a flow that an upstream has answered before its domain was
+/// evacuated, by way of this entry or another one.
+#[test]
+fn a_copy_is_not_reset_when_all_domains_are_evacuated() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &[]);
+    entry.open_flow(0);
+    set_two_domains(&mut entry, &["a", "b"]);
+    entry.now += Duration::from_millis(200);
+    let dropped = Decision::Drop(DropReason::NoUpstream);
+    assert_eq!(entry.send_first(0, 0), dropped, "the flow has a record");
+    assert_eq!(entry.send_first(1, 1), dropped, "a retransmission");
+    assert_eq!(
+        entry.send_first(2, 0),
+        Decision::Reset(ResetReason::NoUpstream)
+    );
+}
+
 /// An entry whose upstreams 1 and 2 are cold if they are listed in `cold`, at a limit of 5.
 fn entry_with_cold(cold: &[u8]) -> Entry {
     let mut entry = Entry::new([], 1);
