--- a/crates/currantgate-token/src/warmup.rs
+++ b/crates/currantgate-token/src/warmup.rs
@@ -81,9 +81,10 @@
 
     /// Updates for which upstreams permits are requested.
     ///
-    /// Where a service has upstreams that report, others are the last choice. Where it has
-    /// upstreams in the entry's own domain, others are the choice of the entries in theirs.
-    /// Permits for these would expire unused, and are lost to other entries for a while.
+    /// Where a service has upstreams that report, others are the last choice. Where it has a
+    /// warm one and upstreams in the entry's own domain, others are the choice of the entries
+    /// in theirs. Permits for these would expire unused, and are lost to other entries for a
+    /// while. Without a warm one, flows are refused that get no permit, so all are of use.
     pub(crate) fn update_cold(&mut self, now: Instant) {
         self.cold_count = 0;
         let mut cold_services = Vec::with_capacity(self.services.len());
@@ -92,8 +93,9 @@
             self.cold_count += upstreams.clone().filter(|u| now < u.warm_at).count();
             let has_reporting = upstreams.clone().any(|u| u.is_reporting);
             let healthy = upstreams.filter(|u| u.is_reporting || !has_reporting);
-            let has_local = healthy.clone().any(|u| u.is_local);
-            let preferred = healthy.filter(|u| u.is_local || !has_local);
+            let has_warm = healthy.clone().any(|u| now >= u.warm_at);
+            let prefers_local = has_warm && healthy.clone().any(|u| u.is_local);
+            let preferred = healthy.filter(|u| u.is_local || !prefers_local);
             let usable = preferred.filter(|u| now < u.warm_at);
             cold_services.push(ColdService {
                 service: name.clone(),
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -736,14 +736,45 @@
     entry
         .router
         .set_routes(routes.with_warmups([("booking".into(), warmup)]));
+    set_cold(&mut entry, cold, &[]);
+    entry
+}
+
+/// Passes upstreams 1 and 2 to the router, cold or in another domain if they are listed.
+fn set_cold(entry: &mut Entry, cold: &[u8], remote: &[u8]) {
     let listed = (1..=2).map(|n| {
         let warm_at = entry.now + Duration::from_secs(if cold.contains(&n) { 30 } else { 0 });
+        let is_local = !remote.contains(&n);
         let (token_upstream, target) = upstream(n, entry.now);
-        (token_upstream, target.map(|t| Target { warm_at, ..t }))
+        let target = target.map(|target| Target {
+            warm_at,
+            is_local,
+            domain: if is_local { "a" } else { "b" }.into(),
+            ..target
+        });
+        (token_upstream, target)
     });
     entry.router.set_upstreams(listed.collect());
     entry.router.update_cold_upstreams(entry.now);
-    entry
+}
+
+/// Guards against flows that are refused while cold upstreams of other domains have room,
+/// and against permits for these that expire while warm ones take the flows.
+#[rstest]
+#[case::all_are_cold(&[1, 2], 2)]
+#[case::a_local_one_is_warm(&[2], 0)]
+#[case::a_remote_one_is_warm(&[1], 1)]
+fn permits_are_requested_for_other_domains_when_none_is_warm(
+    #[case] cold: &[u8],
+    #[case] expected: usize,
+) {
+    let mut entry = entry_with_cold(cold);
+    set_cold(&mut entry, cold, &[2]);
+    entry.send_first(0, 0);
+    let permits = entry.router.permits().unwrap();
+    let request = permits.next_request(entry.now);
+    let keys = request.map_or(0, |request| request.wanted[0].keys.len());
+    assert_eq!(keys, expected);
 }
 
 /// Guards against a cold upstream that gets a flow without a permit: as a last resort for a
