--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -151,6 +151,20 @@
         self.permits.permitted.extend(keys);
     }
 
+    /// Returns the service of an upstream.
+    pub fn service_of(&self, key: TargetKey) -> Option<&str> {
+        let candidate = self.candidates.get(&key)?;
+        Some(&candidate.target.service)
+    }
+
+    /// Sets a later time at which an upstream is warm. An earlier one is ignored.
+    pub fn extend_warmup(&mut self, key: TargetKey, warm_at: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(&key) {
+            let target = &mut candidate.target;
+            target.warm_at = target.warm_at.max(warm_at);
+        }
+    }
+
     /// Chooses an upstream for a new flow, and counts the flow as open there.
     ///
     /// Upstreams that the flow has tried are chosen only when there are no others.
--- a/crates/currantgate-registry/src/evacuations.rs
+++ b/crates/currantgate-registry/src/evacuations.rs
@@ -32,6 +32,8 @@
     evacuated: IndexSet<Box<str>>,
     /// Times at which evacuations ended, by this VM's clock.
     returned: IndexMap<Box<str>, Instant>,
+    /// Number of times that an entry of `returned` was added or set to a later time.
+    returned_changes: u64,
 }
 
 impl EvacuationView {
@@ -80,8 +82,11 @@
         let Some(at) = now.checked_sub(ago) else {
             return;
         };
-        let known = self.returned.entry(domain).or_insert(at);
-        *known = at.max(*known);
+        let is_later = self.returned.get(&domain).is_none_or(|known| at > *known);
+        if is_later {
+            self.returned.insert(domain, at);
+            self.returned_changes += 1;
+        }
     }
 
     /// Returns the revision, or 0 if no state was received.
@@ -99,6 +104,12 @@
         self.evacuated.contains(domain)
     }
 
+    /// Returns a number that grows whenever the end of an evacuation becomes known, or counts
+    /// from later than before.
+    pub fn returned_changes(&self) -> u64 {
+        self.returned_changes
+    }
+
     /// Returns when the last evacuation of a domain ended, if one is known to have ended.
     pub fn returned_at(&self, domain: &str) -> Option<Instant> {
         self.returned.get(domain).copied()
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -114,38 +114,57 @@
         self.sources.len()
     }
 
-    /// Applies records from a control VM.
-    pub fn apply(&mut self, now: Instant, source: SocketAddr, records: Vec<Record>) {
+    /// Applies records from a control VM. Returns the upstreams that were known and are
+    /// cold by now, or for longer than before, with the end of their warm-ups.
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        source: SocketAddr,
+        records: Vec<Record>,
+    ) -> Vec<(UpstreamId, Instant)> {
         self.generation += 1;
-        for record in records {
-            self.apply_record(now, source, record);
-        }
+        let extended = records
+            .into_iter()
+            .filter_map(|record| self.apply_record(now, source, record));
+        extended.collect()
     }
 
-    /// Applies one record: a newer report replaces the known one.
-    fn apply_record(&mut self, now: Instant, source: SocketAddr, record: Record) {
+    /// Applies one record: a newer report replaces the known one. Returns the upstream if
+    /// its warm-up ends later than before.
+    fn apply_record(
+        &mut self,
+        now: Instant,
+        source: SocketAddr,
+        record: Record,
+    ) -> Option<(UpstreamId, Instant)> {
         let Record { report, is_silent } = record;
         if report.is_departure() {
             self.apply_departure(&report);
-            return;
+            return None;
         }
         let version = report.version;
         let warm_at = now + report.warmup_remaining;
         let id = report.id.clone();
-        let known = self.upstreams.entry(id).or_insert_with(|| KnownUpstream {
-            report: report.clone(),
-            warm_at,
-            source_states: IndexMap::new(),
-            unconfirmed_until: now,
-            idle_since: None,
-        });
+        let known = self
+            .upstreams
+            .entry(id.clone())
+            .or_insert_with(|| KnownUpstream {
+                report: report.clone(),
+                warm_at,
+                source_states: IndexMap::new(),
+                unconfirmed_until: now,
+                idle_since: None,
+            });
+        let mut is_extended = false;
         if version > known.report.version {
+            is_extended = warm_at > known.warm_at.max(now);
             known.report = report;
             known.warm_at = warm_at;
         }
         known
             .source_states
             .insert(source, SourceState { version, is_silent });
+        is_extended.then_some((id, warm_at))
     }
 
     /// Applies a departure without a report: the upstream left by way of a control VM
--- a/crates/currantgate-registry/tests/evacuations.rs
+++ b/crates/currantgate-registry/tests/evacuations.rs
@@ -62,8 +62,12 @@
     view.apply(now, update(2, &[], &[("a", 5_000)]));
     assert_eq!(view.returned_at("a"), Some(now - Duration::from_secs(5)));
     // Another control VM has learned of it later.
+    let changes = view.returned_changes();
     assert_eq!(view.apply(now, update(2, &[], &[("a", 3_000)])), None);
     assert_eq!(view.returned_at("a"), Some(now - Duration::from_secs(3)));
+    assert_eq!(view.returned_changes(), changes + 1, "routing must change");
+    view.apply(now, update(2, &[], &[("a", 4_000)]));
+    assert_eq!(view.returned_changes(), changes + 1, "an earlier end");
     view.apply(now, update(3, &["a"], &[]));
     assert_eq!(view.returned_at("a"), None);
 }
--- a/crates/currantgate-registry/tests/view.rs
+++ b/crates/currantgate-registry/tests/view.rs
@@ -54,6 +54,30 @@
     assert_eq!(view.availability("a"), Some(Availability::Ready));
 }
 
+/// Guards against entries that learn with the next refresh only that an upstream is cold.
+#[test]
+fn upstreams_that_are_cold_for_longer_are_returned() {
+    let mut view = TestView::new(1);
+    let mut apply = |sequence, remaining| {
+        let mut report = report("a", 1, sequence);
+        report.warmup_remaining = remaining * SECOND;
+        let records = vec![Record {
+            report,
+            is_silent: false,
+        }];
+        let extended = view.inner.apply(view.now, source(1), records);
+        extended
+            .into_iter()
+            .map(|(id, at)| (id, at - view.now))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(apply(1, 0), [], "unknown so far");
+    assert_eq!(apply(2, 5), [("a".into(), 5 * SECOND)], "cold by now");
+    assert_eq!(apply(3, 4), [], "shorter");
+    assert_eq!(apply(4, 6), [("a".into(), 6 * SECOND)], "longer");
+    assert_eq!(apply(3, 9), [], "an older report");
+}
+
 #[test]
 fn only_the_control_vm_with_the_newest_report_marks_an_upstream_silent() {
     let mut view = TestView::new(2);
--- a/crates/currantgate-token/src/upstreams.rs
+++ b/crates/currantgate-token/src/upstreams.rs
@@ -66,6 +66,12 @@
         self.ids.get(&token).map(|id| &**id)
     }
 
+    /// Returns the token of the upstream with the given identity.
+    pub(crate) fn token(&self, identity: u64) -> Option<Token> {
+        let hop = self.hops.get(&token_of(identity))?;
+        (hop.identity == identity).then_some(hop.token)
+    }
+
     /// Returns the next hop for the given token.
     pub(crate) fn get(&self, token: Token) -> Option<NextHop> {
         self.hops.get(&token).copied()
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -793,6 +793,18 @@
     assert!(warm.collect::<Vec<_>>().contains(&2), "it is warm by now");
 }
 
+/// Guards against flows at an upstream that is known to be cold, until the next refresh.
+#[test]
+fn a_later_end_of_a_warm_up_takes_effect_at_once() {
+    let mut entry = entry_with_cold(&[]);
+    let end = entry.now + Duration::from_secs(30);
+    entry.router.extend_warmup(2, end);
+    entry.router.extend_warmup(2, entry.now);
+    for n in 0..20 {
+        assert_eq!(entry.open_flow(n).address.ip().octets()[3], 1);
+    }
+}
+
 /// Guards against flows that wait for a timeout when only cold upstreams are left, and
 /// against the reset of one that an upstream has answered by way of another entry.
 #[test]
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -248,7 +248,11 @@
             }
             FeedEvent::Message(from, FeedMessage::Upstreams(records)) => {
                 self.routing.decisions.view_at = now;
-                self.view.apply(now, from, records);
+                for (id, ends_at) in self.view.apply(now, from, records) {
+                    if let Some(identity) = self.packets.format().encode_upstream_id(&id) {
+                        self.routing.router.extend_warmup(identity, ends_at);
+                    }
+                }
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
@@ -278,16 +282,20 @@
     }
 
     /// Applies a newer state of the evacuated domains at once, as control VMs have
-    /// acknowledged the order already.
+    /// acknowledged the order already. So are later ends of evacuations in a state that is
+    /// not newer, as the upstreams of these domains may be cold.
     fn apply_evacuations(&mut self, now: Instant, from: SocketAddr, state: EvacuationState) {
-        let Some(change) = self.evacuations.apply(now, state.into_update()) else {
-            return;
-        };
-        let decisions = &self.routing.decisions;
-        decisions.log_evacuation_change(from, &change, &self.evacuations);
-        let evacuated = self.evacuations.evacuated().cloned();
-        self.routing.router.set_evacuated(evacuated);
-        self.update_upstreams(now);
+        let returned_changes = self.evacuations.returned_changes();
+        let change = self.evacuations.apply(now, state.into_update());
+        if let Some(change) = &change {
+            let decisions = &self.routing.decisions;
+            decisions.log_evacuation_change(from, change, &self.evacuations);
+            let evacuated = self.evacuations.evacuated().cloned();
+            self.routing.router.set_evacuated(evacuated);
+        }
+        if change.is_some() || self.evacuations.returned_changes() > returned_changes {
+            self.update_upstreams(now);
+        }
     }
 
     /// Returns when the next request for permits may be due: nothing while no upstream is
