--- a/crates/currantgate-registry/src/evacuations.rs
+++ b/crates/currantgate-registry/src/evacuations.rs
@@ -78,10 +78,9 @@
         if self.evacuated.contains(&domain) {
             return;
         }
-        // The clock may have started after the end.
-        let Some(at) = now.checked_sub(ago) else {
-            return;
-        };
+        // An end before the earliest time of the clock counts as just now, so that cold
+        // upstreams do not count as warm.
+        let at = now.checked_sub(ago).unwrap_or(now);
         let is_later = self.returned.get(&domain).is_none_or(|known| at > *known);
         if is_later {
             self.returned.insert(domain, at);
--- a/crates/currantgate-registry/tests/evacuations.rs
+++ b/crates/currantgate-registry/tests/evacuations.rs
@@ -71,3 +71,14 @@
     view.apply(now, update(3, &["a"], &[]));
     assert_eq!(view.returned_at("a"), None);
 }
+
+/// Guards against an end that is ignored since this VM's clock can't represent it.
+#[test]
+fn an_end_that_cannot_be_represented_counts_as_just_now() {
+    let now = Instant::now();
+    let mut view = EvacuationView::default();
+    let mut state = update(2, &[], &[("a", 0)]);
+    state.returned[0].1 = Duration::MAX;
+    view.apply(now, state);
+    assert_eq!(view.returned_at("a"), Some(now));
+}
