--- a/crates/currantgate-warmup/src/issuer.rs
+++ b/crates/currantgate-warmup/src/issuer.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     GRANT_SPAN, Permit, PermitRequest, PermitsRequest, RequestNumber, SettledPermit, USE_SPAN,
@@ -140,9 +140,11 @@
         wanted: &PermitRequest,
         permits: &mut Vec<Permit>,
     ) {
-        let keys = wanted.keys.iter().take(MAX_KEYS);
+        // A repeated key must not count the free permits of its upstream twice.
+        let keys: IndexSet<_> = wanted.keys.iter().take(MAX_KEYS).copied().collect();
         let mut free: Vec<_> = keys
-            .map(|key| (*key, self.free(now, *key, wanted.limit), 0_u8))
+            .into_iter()
+            .map(|key| (key, self.free(now, key, wanted.limit), 0_u8))
             .collect();
         let mut left = wanted.count;
         while left > 0 && free.iter().any(|(_, free, _)| *free > 0) {
--- a/crates/currantgate-warmup/tests/suspension.rs
+++ b/crates/currantgate-warmup/tests/suspension.rs
@@ -1,5 +1,6 @@
 //! The detection of suspensions from two clocks.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use currantgate_warmup::{ClockReading, SuspensionDetector};
@@ -35,6 +36,35 @@
     assert_eq!(detected.collect::<Vec<_>>(), [false, true, false, true]);
 }
 
+/// Guards against a pause between the clocks that hides a suspension of the same length, and
+/// against one that is taken for a suspension.
+#[test]
+fn a_pause_between_the_clocks_hides_no_suspension() {
+    let ms = Duration::from_millis;
+    // The process is paused before or after the first reading of the second clock.
+    for paused_before in [false, true] {
+        let time = Cell::new(ms(5_000));
+        let mut pauses = 1;
+        let boottime = || {
+            let pause = ms(50 * u64::from(std::mem::take(&mut pauses) > 0));
+            let read_at = time.get() + if paused_before { pause } else { ms(0) };
+            time.set(time.get() + pause);
+            read_at + ms(50)
+        };
+        let read = ClockReading::read(boottime, || time.get());
+        assert_eq!(read, reading(5_100, 5_050), "suspended by 50 ms");
+    }
+    // All attempts are paused.
+    let time = Cell::new(ms(5_000));
+    let boottime = || {
+        let read_at = time.get();
+        time.set(read_at + ms(50));
+        read_at + ms(50)
+    };
+    let read = ClockReading::read(boottime, || time.get());
+    assert!(SuspensionDetector::new(reading(0, 0)).detect(read));
+}
+
 /// Guards against clocks whose readings can't be compared on this system.
 #[test]
 fn the_clocks_of_the_system_can_be_compared() {
