--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -131,15 +131,16 @@
         }
     }
 
-    /// Applies a later end of a reported warm-up at once, without waiting for the next
-    /// [`Self::set_upstreams`], if new flows of the upstream are limited while it is cold.
-    pub fn extend_warmup(&mut self, identity: u64, ends_at: Instant) {
+    /// Applies a later end of a warm-up that was reported just now, without waiting for the
+    /// next [`Self::set_upstreams`], if new flows of the upstream are limited while it is cold.
+    pub fn extend_warmup(&mut self, now: Instant, identity: u64, ends_at: Instant) {
         let Some(key) = self.tokens.token(identity) else {
             return;
         };
         let service = self.placement.service_of(key);
         let warmup = service.and_then(|service| self.limited_warmup(service));
-        if let Some(warm_at) = warmup.and_then(|w| w.warm_at(Some(ends_at), None)) {
+        let reported = Some((ends_at, ends_at.saturating_duration_since(now)));
+        if let Some(warm_at) = warmup.and_then(|w| w.warm_at(reported, None)) {
             self.placement.extend_warmup(key, warm_at);
         }
     }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -798,8 +798,8 @@
 fn a_later_end_of_a_warm_up_takes_effect_at_once() {
     let mut entry = entry_with_cold(&[]);
     let end = entry.now + Duration::from_secs(30);
-    entry.router.extend_warmup(2, end);
-    entry.router.extend_warmup(2, entry.now);
+    entry.router.extend_warmup(entry.now, 2, end);
+    entry.router.extend_warmup(entry.now, 2, entry.now);
     for n in 0..20 {
         assert_eq!(entry.open_flow(n).address.ip().octets()[3], 1);
     }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -250,7 +250,7 @@
                 self.routing.decisions.view_at = now;
                 for (id, ends_at) in self.view.apply(now, from, records) {
                     if let Some(identity) = self.packets.format().encode_upstream_id(&id) {
-                        self.routing.router.extend_warmup(identity, ends_at);
+                        self.routing.router.extend_warmup(now, identity, ends_at);
                     }
                 }
             }
@@ -421,7 +421,7 @@
             .filter_map(|upstream| {
                 let report = &upstream.report;
                 let is_cold = !report.warmup_remaining.is_zero();
-                let reported = is_cold.then_some(upstream.warm_at);
+                let reported = is_cold.then_some((upstream.warm_at, report.warmup_remaining));
                 let returned_at = self.evacuations.returned_at(&report.domain);
                 let warmup = router.limited_warmup(&report.service);
                 let limited = warmup.and_then(|w| w.warm_at(reported, returned_at));
