--- a/crates/currantgate/src/feed/permits.rs
+++ b/crates/currantgate/src/feed/permits.rs
@@ -44,6 +44,7 @@
     /// It is called regularly, so that a new issuer can grant permits soon.
     pub(super) fn update(&mut self, now: Instant, lease_term: Option<Term>) {
         if self.suspensions.detect(ClockReading::now()) {
+            log::warn!(event = "suspension"; "this VM was suspended, no permits are valid any more");
             self.issuer = None;
         }
         let Some(term) = lease_term else {
@@ -54,6 +55,7 @@
             .as_ref()
             .is_none_or(|(started, _)| *started != term)
         {
+            log::info!(event = "permits", term = term; "permits for cold upstreams are issued here");
             self.issuer = Some((term, PermitIssuer::new(now)));
         }
     }
@@ -67,10 +69,12 @@
         request: &PermitsRequest,
     ) -> Option<PermitsAnswer> {
         self.update(now, lease_term);
-        let (term, issuer) = self.issuer.as_mut()?;
-        if Some(*term) != lease_term {
+        let current = self.issuer.as_mut();
+        let Some((_, issuer)) = current.filter(|(term, _)| Some(*term) == lease_term) else {
+            // Usual for a moment after a change of the leader.
+            log::debug!("a request for permits is ignored: no permits are issued here");
             return None;
-        }
+        };
         let answer = issuer.answer(now, requester, request);
         let granted = answer.permits.iter().map(|permit| u64::from(permit.count));
         self.counts.requests += 1;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -65,6 +65,7 @@
         if self.suspensions.detect(ClockReading::now())
             && let Some(permits) = self.router.permits()
         {
+            log::warn!(event = "suspension"; "this VM was suspended, its permits are dropped");
             permits.clear(Instant::now());
         }
     }
