--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -66,7 +66,7 @@
     NoRoute,
     /// no upstream of the service is known
     NoUpstream,
-    /// all upstreams of the service are cold and have as many new flows as they bear
+    /// all upstreams of the service are cold and no permit for one is available
     OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
