--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -28,6 +28,7 @@
 mod entry;
 mod feed;
 mod node;
+mod process;
 mod relay;
 mod revisions;
 mod token_entry;
@@ -44,6 +45,7 @@
     ServiceLoad, ServiceSlots, ServiceStatus,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
+pub use process::{wait_for_stop_signal, watch_settings};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
     MalformedPacket, Packet, TokenEntry, TokenEntryError, TokenEntrySettings, WireFormat,
--- a/platform/src/process.rs
+++ b/crates/currantgate/src/process.rs
@@ -1,20 +1,22 @@
-//! Handling of signals and of changed settings, shared by both roles.
+//! Handling of signals and of changed settings files.
 
-use std::path::PathBuf;
+use std::fmt::Display;
+use std::io;
+use std::path::Path;
 use std::time::{Duration, SystemTime};
 
-use currantgate_platform::settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Interval of checks for a changed settings file, which may change without a
 /// signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Any error that ends a role.
-pub(crate) type RoleError = Box<dyn std::error::Error>;
-
 /// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_stop_signal() -> std::io::Result<()> {
+///
+/// # Errors
+///
+/// Returns an error when a signal handler can't be installed.
+pub async fn wait_for_stop_signal() -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -24,27 +26,32 @@
     Ok(())
 }
 
-/// Reads the settings file whenever it has been modified or SIGHUP arrives, and
-/// calls `apply` when the settings differ from the current ones.
-pub(crate) async fn watch_settings(
-    path: PathBuf,
-    apply: impl Fn(&Settings),
-) -> std::io::Result<()> {
+/// Reads the settings file with `read` whenever it has been modified or SIGHUP arrives, and
+/// calls `apply` when the settings differ from the current ones. Returns only on an error.
+///
+/// # Errors
+///
+/// Returns an error when the signal handler can't be installed.
+pub async fn watch_settings<S: PartialEq, E: Display>(
+    path: &Path,
+    read: impl Fn(&Path) -> Result<S, E>,
+    apply: impl Fn(&S),
+) -> io::Result<()> {
     let mut hup = signal(SignalKind::hangup())?;
     let mut interval = actix_rt::time::interval(SETTINGS_INTERVAL);
-    let mut last_modified = modification_time(&path);
-    let mut current = Settings::read(&path).ok();
+    let mut last_modified = modification_time(path);
+    let mut current = read(path).ok();
     loop {
         let must_read = tokio::select! {
             _ = hup.recv() => true,
             _ = interval.tick() => false,
         };
-        let modified = modification_time(&path);
+        let modified = modification_time(path);
         if !must_read && modified == last_modified {
             continue;
         }
         last_modified = modified;
-        match Settings::read(&path) {
+        match read(path) {
             Ok(settings) if Some(&settings) != current.as_ref() => {
                 log::info!(event = "reload"; "settings are reloaded");
                 apply(&settings);
@@ -56,6 +63,6 @@
     }
 }
 
-fn modification_time(path: &PathBuf) -> Option<SystemTime> {
+fn modification_time(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
