--- a/crates/currantgate-registry/src/evacuations.rs
+++ b/crates/currantgate-registry/src/evacuations.rs
@@ -32,6 +32,8 @@
     evacuated: IndexSet<Box<str>>,
     /// Times at which evacuations ended, by this VM's clock.
     returned: IndexMap<Box<str>, Instant>,
+    /// Number of times that an entry of `returned` was added or set to a later time.
+    returned_changes: u64,
 }
 
 impl EvacuationView {
@@ -76,12 +78,14 @@
         if self.evacuated.contains(&domain) {
             return;
         }
-        // The clock may have started after the end.
-        let Some(at) = now.checked_sub(ago) else {
-            return;
-        };
-        let known = self.returned.entry(domain).or_insert(at);
-        *known = at.max(*known);
+        // An end before the earliest time of the clock counts as just now, so that cold
+        // upstreams do not count as warm.
+        let at = now.checked_sub(ago).unwrap_or(now);
+        let is_later = self.returned.get(&domain).is_none_or(|known| at > *known);
+        if is_later {
+            self.returned.insert(domain, at);
+            self.returned_changes += 1;
+        }
     }
 
     /// Returns the revision, or 0 if no state was received.
@@ -99,6 +103,12 @@
         self.evacuated.contains(domain)
     }
 
+    /// Returns a number that grows whenever the end of an evacuation becomes known, or counts
+    /// from later than before.
+    pub fn returned_changes(&self) -> u64 {
+        self.returned_changes
+    }
+
     /// Returns when the last evacuation of a domain ended, if one is known to have ended.
     pub fn returned_at(&self, domain: &str) -> Option<Instant> {
         self.returned.get(domain).copied()
--- a/crates/currantgate-registry/tests/evacuations.rs
+++ b/crates/currantgate-registry/tests/evacuations.rs
@@ -62,8 +62,23 @@
     view.apply(now, update(2, &[], &[("a", 5_000)]));
     assert_eq!(view.returned_at("a"), Some(now - Duration::from_secs(5)));
     // Another control VM has learned of it later.
+    let changes = view.returned_changes();
     assert_eq!(view.apply(now, update(2, &[], &[("a", 3_000)])), None);
     assert_eq!(view.returned_at("a"), Some(now - Duration::from_secs(3)));
+    assert_eq!(view.returned_changes(), changes + 1, "routing must change");
+    view.apply(now, update(2, &[], &[("a", 4_000)]));
+    assert_eq!(view.returned_changes(), changes + 1, "an earlier end");
     view.apply(now, update(3, &["a"], &[]));
     assert_eq!(view.returned_at("a"), None);
 }
+
+/// Guards against an end that is ignored since this VM's clock can't represent it.
+#[test]
+fn an_end_that_cannot_be_represented_counts_as_just_now() {
+    let now = Instant::now();
+    let mut view = EvacuationView::default();
+    let mut state = update(2, &[], &[("a", 0)]);
+    state.returned[0].1 = Duration::MAX;
+    view.apply(now, state);
+    assert_eq!(view.returned_at("a"), Some(now));
+}
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -83,7 +83,7 @@
     NoRoute,
     /// no upstream of the service is known
     NoUpstream,
-    /// all upstreams of the service are cold and have as many new flows as they bear
+    /// all upstreams of the service are cold and no permit for one is available
     OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
@@ -98,6 +98,8 @@
     RoutesOutOfDate,
     /// no upstream of the service is known, and some may not have been told yet
     UpstreamsIncomplete,
+    /// no upstream of the service is known, and one may have answered an earlier copy
+    NoUpstream,
     /// all upstreams of the service are cold, and one may have answered an earlier copy
     OnlyCold,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -132,6 +132,20 @@
         }
     }
 
+    /// Applies a later end of a warm-up that was reported just now, without waiting for the
+    /// next [`Self::set_upstreams`], if new flows of the upstream are limited while it is cold.
+    pub fn extend_warmup(&mut self, now: Instant, identity: u64, ends_at: Instant) {
+        let Some(key) = self.tokens.token(identity) else {
+            return;
+        };
+        let service = self.placement.service_of(key);
+        let warmup = service.and_then(|service| self.limited_warmup(service));
+        let reported = Some((ends_at, ends_at.saturating_duration_since(now)));
+        if let Some(warm_at) = warmup.and_then(|w| w.warm_at(reported, None)) {
+            self.placement.extend_warmup(key, warm_at);
+        }
+    }
+
     /// Returns the number of cold upstreams whose new flows are limited.
     pub fn cold_upstreams(&self) -> usize {
         self.warmup.as_ref().map_or(0, |warmup| warmup.cold_count)
@@ -151,7 +165,8 @@
     ///
     /// A duplicate within `duplicate_window`, and any copy for an established flow,
     /// goes to the same upstream. Any other copy means that the upstream did not answer,
-    /// and the flow is placed on another one if there is one.
+    /// and the flow is placed on another one if there is one. A copy is never reset for want
+    /// of an upstream, since one may have answered an earlier copy.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
         let tracked = self.flows.get(&packet.flow);
         let is_new = packet.retransmissions == 0 && tracked.is_none();
@@ -165,7 +180,7 @@
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
-            return unplaced(Decision::Reset(ResetReason::NoUpstream), None, is_new);
+            return unplaced(without_upstream(!is_new), None, is_new);
         };
         let priority = route.request_priority();
         let class = Some(FlowClass { service, priority });
@@ -212,8 +227,8 @@
             Err(Refusal::NoUpstream | Refusal::OnlyCold) if !self.upstreams_complete => {
                 Decision::Drop(DropReason::UpstreamsIncomplete)
             }
-            Err(Refusal::NoUpstream) => Decision::Reset(ResetReason::NoUpstream),
-            Err(Refusal::OnlyCold) if !request.may_refuse => Decision::Drop(DropReason::OnlyCold),
+            Err(Refusal::NoUpstream) => without_upstream(!is_new),
+            Err(Refusal::OnlyCold) if !is_new => Decision::Drop(DropReason::OnlyCold),
             Err(Refusal::OnlyCold) => Decision::Reset(ResetReason::OnlyCold),
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
@@ -405,6 +420,16 @@
     }
 }
 
+/// Returns the decision about a first packet whose service has no upstream. A copy is
+/// dropped, since an upstream may have answered an earlier one.
+fn without_upstream(is_copy: bool) -> Decision {
+    if is_copy {
+        Decision::Drop(DropReason::NoUpstream)
+    } else {
+        Decision::Reset(ResetReason::NoUpstream)
+    }
+}
+
 /// Returns a decision made without placement.
 fn unplaced(decision: Decision, class: Option<FlowClass>, is_new: bool) -> FirstPacketDecision {
     FirstPacketDecision {
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -732,6 +732,24 @@
     assert!(!hops.into_iter().all(is_in_b));
 }
 
+/// Guards against the reset of a flow that an upstream has answered before its domain was
+/// evacuated, by way of this entry or another one.
+#[test]
+fn a_copy_is_not_reset_when_all_domains_are_evacuated() {
+    let mut entry = Entry::new([], 1);
+    set_two_domains(&mut entry, &[]);
+    entry.open_flow(0);
+    set_two_domains(&mut entry, &["a", "b"]);
+    entry.now += Duration::from_millis(200);
+    let dropped = Decision::Drop(DropReason::NoUpstream);
+    assert_eq!(entry.send_first(0, 0), dropped, "the flow has a record");
+    assert_eq!(entry.send_first(1, 1), dropped, "a retransmission");
+    assert_eq!(
+        entry.send_first(2, 0),
+        Decision::Reset(ResetReason::NoUpstream)
+    );
+}
+
 /// An entry whose upstreams 1 and 2 are cold if they are listed in `cold`, at a limit of 5.
 fn entry_with_cold(cold: &[u8]) -> Entry {
     let mut entry = Entry::new([], 1);
@@ -741,21 +759,52 @@
     };
     entry.router.limit_cold_upstreams(entry.now, limit, 0);
     let warmup = ServiceWarmup {
-        duration: Duration::from_secs(30),
+        duration: Some(Duration::from_secs(30)),
         flows_per_second: 0.0,
     };
     let routes = RouteTable::new([(SERVICE, route(&[("booking", 1)]))]);
     entry
         .router
         .set_routes(routes.with_warmups([("booking".into(), warmup)]));
+    set_cold(&mut entry, cold, &[]);
+    entry
+}
+
+/// Passes upstreams 1 and 2 to the router, cold or in another domain if they are listed.
+fn set_cold(entry: &mut Entry, cold: &[u8], remote: &[u8]) {
     let listed = (1..=2).map(|n| {
         let warm_at = entry.now + Duration::from_secs(if cold.contains(&n) { 30 } else { 0 });
+        let is_local = !remote.contains(&n);
         let (token_upstream, target) = upstream(n, entry.now);
-        (token_upstream, target.map(|t| Target { warm_at, ..t }))
+        let target = target.map(|target| Target {
+            warm_at,
+            is_local,
+            domain: if is_local { "a" } else { "b" }.into(),
+            ..target
+        });
+        (token_upstream, target)
     });
     entry.router.set_upstreams(listed.collect());
     entry.router.update_cold_upstreams(entry.now);
-    entry
+}
+
+/// Guards against flows that are refused while cold upstreams of other domains have room,
+/// and against permits for these that expire while warm ones take the flows.
+#[rstest]
+#[case::all_are_cold(&[1, 2], 2)]
+#[case::a_local_one_is_warm(&[2], 0)]
+#[case::a_remote_one_is_warm(&[1], 1)]
+fn permits_are_requested_for_other_domains_when_none_is_warm(
+    #[case] cold: &[u8],
+    #[case] expected: usize,
+) {
+    let mut entry = entry_with_cold(cold);
+    set_cold(&mut entry, cold, &[2]);
+    entry.send_first(0, 0);
+    let permits = entry.router.permits().unwrap();
+    let request = permits.next_request(entry.now);
+    let keys = request.map_or(0, |request| request.wanted[0].keys.len());
+    assert_eq!(keys, expected);
 }
 
 /// Guards against a cold upstream that gets a flow without a permit: as a last resort for a
@@ -774,6 +823,18 @@
     assert!(warm.collect::<Vec<_>>().contains(&2), "it is warm by now");
 }
 
+/// Guards against flows at an upstream that is known to be cold, until the next refresh.
+#[test]
+fn a_later_end_of_a_warm_up_takes_effect_at_once() {
+    let mut entry = entry_with_cold(&[]);
+    let end = entry.now + Duration::from_secs(30);
+    entry.router.extend_warmup(entry.now, 2, end);
+    entry.router.extend_warmup(entry.now, 2, entry.now);
+    for n in 0..20 {
+        assert_eq!(entry.open_flow(n).address.ip().octets()[3], 1);
+    }
+}
+
 /// Guards against flows that wait for a timeout when only cold upstreams are left, and
 /// against the reset of one that an upstream has answered by way of another entry.
 #[test]
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -22,6 +22,7 @@
 pub use demand_publisher::DemandPublisher;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
 pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
+pub(crate) use permits::PermitCounts;
 pub use published_demand::PublishedDemand;
 pub(crate) use revision_tracker::RevisionTracker;
 pub use sent_demand::SentDemand;
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -25,7 +25,7 @@
 use super::evacuations;
 use super::listeners::{FeedId, Listeners, count_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
-use super::permits::LeaderPermits;
+use super::permits::{LeaderPermits, PermitCounts};
 use super::published_demand::PublishedDemand;
 use super::sent_demand::SentDemand;
 use super::status::{EvacuationStatus, FleetStatus};
@@ -183,6 +183,11 @@
         demand.record(now, reporter, &from.domain, period, report)
     }
 
+    /// Returns the numbers of requests for permits and of permits that were granted.
+    pub(crate) fn permit_counts(&self) -> PermitCounts {
+        self.permits.borrow().counts()
+    }
+
     /// Wakes all feeds.
     pub(crate) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -378,6 +378,7 @@
         let evacuations = source.evacuations().borrow();
         metrics.set_evacuations(evacuations.evacuated().len(), evacuations.revision());
         metrics.set_demand_entries(source.demand_entries());
+        metrics.set_permits(source.permit_counts());
     }
 }
 
