An entry that was stopped resets no flow by delayed packets

Its first packet waited in the queue of a suspended entry, a later copy was placed by another entry and answered, and the first one was then refused for want of an upstream.

--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -102,4 +102,6 @@
     NoUpstream,
     /// all upstreams of the service are cold, and one may have answered an earlier copy
     OnlyCold,
+    /// the flow can't be placed, and its packet may have waited longer than a copy
+    Delayed,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -31,6 +31,8 @@
     routes_current: bool,
     /// Whether the list of upstreams had the time to become complete.
     upstreams_complete: bool,
+    /// Time until which packets may have waited in the receive queue.
+    catching_up_until: Option<Instant>,
     flows: FlowTable,
     /// Failure domains whose upstreams get no new flows.
     evacuated: IndexSet<Box<str>>,
@@ -53,6 +55,7 @@
             routes: RouteTable::default(),
             routes_current: false,
             upstreams_complete: false,
+            catching_up_until: None,
             flows: FlowTable::default(),
             evacuated: IndexSet::new(),
             displaced_services: IndexSet::new(),
@@ -96,6 +99,13 @@
         self.evacuated = domains.into_iter().collect();
     }
 
+    /// Sets the time until which packets may have waited in the receive queue, as the
+    /// process was stopped. No flow is reset until then: another entry may have placed a
+    /// later copy of its first packet, and the flow may be open.
+    pub fn set_catching_up_until(&mut self, until: Instant) {
+        self.catching_up_until = Some(until);
+    }
+
     /// Replaces all upstreams. Those that may get new flows come with a placement
     /// target, whose key is set to the upstream's token.
     ///
@@ -168,6 +178,15 @@
     /// and the flow is placed on another one if there is one. A copy is never reset for want
     /// of an upstream, since one may have answered an earlier copy.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
+        let mut decided = self.place_first(now, packet);
+        let is_catching_up = self.catching_up_until.is_some_and(|until| now < until);
+        if is_catching_up && let Decision::Reset(_) = decided.decision {
+            decided.decision = Decision::Drop(DropReason::Delayed);
+        }
+        decided
+    }
+
+    fn place_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
         let tracked = self.flows.get(&packet.flow);
         let is_new = packet.retransmissions == 0 && tracked.is_none();
         let Some(route) = self.routes.get(&packet.flow.service) else {
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -251,6 +251,19 @@
 
 /// An entry that has just started may lack some upstreams. A caller that is reset comes
 /// back later than one that only retransmits its first packet.
+/// Guards against a stopped entry that wakes with old packets in its queue: it would
+/// reset flows that another entry has opened meanwhile.
+#[test]
+fn no_flow_is_reset_while_packets_may_be_delayed() {
+    let mut entry = Entry::new([], 1);
+    let until = entry.now + Duration::from_millis(200);
+    entry.router.set_catching_up_until(until);
+    assert_eq!(entry.send_first(1, 0), Decision::Drop(DropReason::Delayed));
+    entry.now = until;
+    let refused = Decision::Reset(ResetReason::NoUpstream);
+    assert_eq!(entry.send_first(2, 0), refused);
+}
+
 #[test]
 fn a_flow_is_not_reset_before_the_upstream_list_is_complete() {
     let mut entry = Entry::new([], 1);
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -29,6 +29,7 @@
 use super::packet_socket::PacketSocket;
 use super::routing::{Routing, SharedDemand};
 use super::settings::TokenEntrySettings;
+use super::stall_detector::StallDetector;
 use super::unsent_demand::UnsentDemand;
 use crate::feed::{
     EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
@@ -219,11 +220,15 @@
         // After a stall, reports sent back to back would show too much demand.
         observation_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
+        let mut stall_detector = StallDetector::new(Instant::now());
         loop {
             let permits_due = self.next_permits_request_at();
             tokio::select! {
                 readable = self.packets.readable() => match readable {
-                    Ok(()) => self.packets.process_batch(&mut self.routing),
+                    Ok(()) => {
+                        self.routing.detect_stall(&mut stall_detector);
+                        self.packets.process_batch(&mut self.routing);
+                    }
                     Err(e) => log::error!("waiting for packets failed: {e}"),
                 },
                 Some(event) = events.recv() => {
@@ -239,6 +244,7 @@
                     self.update_routes_state();
                 }
                 _ = flow_interval.tick() => {
+                    self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -15,6 +15,7 @@
 mod service_load;
 mod settings;
 mod shares_log;
+mod stall_detector;
 mod unsent_demand;
 
 pub use daemon::TokenEntry;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -13,6 +13,7 @@
 use super::demand_view::{DemandChange, DemandView};
 use super::format::{MalformedPacket, Packet};
 use super::metrics::TokenEntryMetrics;
+use super::stall_detector::StallDetector;
 
 /// The router with the log and the metrics of its decisions.
 #[derive(Debug)]
@@ -95,6 +96,14 @@
         }
     }
 
+    /// Lets no flow be reset for a while if the process was stopped.
+    pub(super) fn detect_stall(&mut self, detector: &mut StallDetector) {
+        if let Some(until) = detector.check(Instant::now()) {
+            log::info!(event = "stall"; "this process was stopped, delayed flows are not reset");
+            self.router.set_catching_up_until(until);
+        }
+    }
+
     /// Applies changes of what all entries observe of upstreams.
     pub(super) fn update_slow_upstreams(&mut self, now: Instant, changes: &[SlowUpstream]) {
         self.router.update_slow_upstreams(changes);
