Refusals by class, and no false overload by removed upstreams or idle entries

A review by reading found: the count of excess flows was shared by all classes and cleared by each arrival of one that fits, so that the lowest class was refused only once queues were long; an entry without arrivals in the last figures had a limit of 0 flows; flows at removed or stuck upstreams counted against the limit, or more than once; the estimated work fell at once when upstreams were lost; unusual figures could panic.

--- a/crates/currantgate-capacity/src/fleet_demand.rs
+++ b/crates/currantgate-capacity/src/fleet_demand.rs
@@ -44,6 +44,10 @@
 #[derive(Clone, Copy, Debug)]
 struct WorkEstimate {
     work_ms: f64,
+    /// Slots that were there when the flows ended whose slot times are known: the highest
+    /// number of a short time ago. When upstreams are lost, fewer are left than had ended
+    /// these flows.
+    recent_slots: f64,
     updated_at: Instant,
 }
 
@@ -123,10 +127,12 @@
             loads.entry(domain).or_default().slots = slots.effective;
         }
         let mut own_arrivals = 0.0;
+        let mut entries = 0.0;
         for figures in self.domains.values() {
             let domain = &*figures.demand.domain;
             let is_own = view.domain == Some(domain);
             let change = if is_own { view.change } else { 1.0 };
+            entries += f64::from(figures.demand.entries);
             let Some(service) = service_demand(&figures.demand, view.service) else {
                 continue;
             };
@@ -150,6 +156,9 @@
             .filter(|(_, weight)| *weight > 0.0);
         let fleet_capacity = slots * 1_000.0 / work_ms;
         let arrivals: f64 = classes.values().sum();
+        // An entry without arrivals in the figures would have to refuse its first flows.
+        let even_share = 1.0 / f64::max(entries, 1.0);
+        let own_share = own_arrivals / arrivals.max(f64::MIN_POSITIVE);
         // Whether other domains have changed alike is not known yet. If they have not,
         // the limit of open flows is not reached.
         for class in classes.values_mut() {
@@ -164,7 +173,7 @@
             fleet_flows: flows,
             load: arrivals / fleet_capacity,
             work_ms,
-            own_share: (own_arrivals / arrivals.max(f64::MIN_POSITIVE)).min(1.0),
+            own_share: own_share.max(even_share).min(1.0),
             admitted: admitted(&classes, fleet_capacity),
         })
     }
@@ -204,12 +213,18 @@
             return known.map(|known| known.work_ms);
         }
         let measured = slot_ms / completions;
+        let time_constant = self.settings.work_time_constant;
+        let recent_slots = known.as_ref().map_or(slots, |known| {
+            let kept = 1.0 - moved_part(now, known.updated_at, time_constant);
+            slots.max(slots + (known.recent_slots - slots) * kept)
+        });
         // Slots can't complete more than they have time for, whatever waits in queues.
-        let most = slots * 1_000.0 / completions;
+        let most = recent_slots * 1_000.0 / completions;
         let measured = measured.min(most);
         let Some(known) = known else {
             let estimate = WorkEstimate {
                 work_ms: measured,
+                recent_slots,
                 updated_at: now,
             };
             self.work.insert(service.into(), estimate);
@@ -222,14 +237,20 @@
         } else {
             self.settings.work_time_constant
         };
-        let elapsed = now.saturating_duration_since(known.updated_at);
-        let weight = 1.0 - (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp();
+        let weight = moved_part(now, known.updated_at, time_constant);
+        known.recent_slots = recent_slots;
         known.work_ms = (known.work_ms + (measured - known.work_ms) * weight).min(most);
         known.updated_at = now;
         Some(known.work_ms)
     }
 }
 
+/// Returns by which part a value has moved towards a new one since its last update.
+fn moved_part(now: Instant, updated_at: Instant, time_constant: Duration) -> f64 {
+    let elapsed = now.saturating_duration_since(updated_at);
+    1.0 - (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
+
 /// Returns the demand for a service.
 fn service_demand<'a>(demand: &'a DomainDemand, service: &str) -> Option<&'a ServiceDemand> {
     demand.services.iter().find(|s| &*s.service == service)
--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -125,6 +125,11 @@
         classes.map(|(_, class)| class.open).sum()
     }
 
+    /// Returns the number of open flows.
+    pub(crate) fn open_flows(&self) -> u32 {
+        self.classes.values().map(|class| class.open).sum()
+    }
+
     /// Counts a flow as closed without a sample of its duration.
     pub(crate) fn record_cancel(&mut self, priority: Priority) {
         if let Some(class) = self.classes.get_mut(&priority) {
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -119,7 +119,7 @@
         if !self.target.is_reporting || now < self.target.warm_at || is_dead {
             return 0.0;
         }
-        f64::from(self.target.slots) / self.fleet_slowness
+        f64::from(self.target.slots) / self.fleet_slowness.max(1.0)
     }
 
     /// Tells whether this entry has a free slot at a slow upstream of its domain that is
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -237,7 +237,9 @@
             return;
         }
         let mut slots: IndexMap<Box<str>, DomainSlots> = IndexMap::new();
-        service.stuck_flows = 0;
+        let removed = self.candidates.values().filter(|c| !c.is_eligible);
+        let removed = removed.filter(|c| *c.target.service == *request.service);
+        service.stuck_flows = removed.map(|c| c.flows).sum();
         for key in &service.keys {
             let candidate = &self.candidates[key];
             let usable = candidate.usable_slots(now, &self.settings);
@@ -295,18 +297,21 @@
         }
         let late_factor = self.settings.admission.late_target_factor;
         let limit = flow_limit(shares, request.latency_target, late_factor, settings);
-        let open = service.admission.competing_flows(request.priority);
-        let competing_flows = open.saturating_sub(service.stuck_flows);
+        let competing_flows = service.admission.competing_flows(request.priority);
+        // Flows at upstreams that the limit doesn't count are of all priorities.
+        let stuck_share = service.stuck_share();
+        let competing_flows = (f64::from(competing_flows) * (1.0 - stuck_share)).round() as u32;
         // A fractional limit is met on average, as the limits of many entries add up.
         let flow_limit = (limit + self.rng.random_range(0.0..1.0)) as u32;
         if competing_flows < flow_limit {
             return None;
         }
-        admission.record_refusal();
+        service.share_admission.record_refusal(request.priority);
         Some(Overload {
             competing_flows,
             flow_limit,
-            median_duration: Duration::from_secs_f64(shares.work_ms / 1_000.0),
+            median_duration: Duration::try_from_secs_f64(shares.work_ms / 1_000.0)
+                .unwrap_or(Duration::MAX),
         })
     }
 
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -39,4 +39,10 @@
         self.demand_log.record_completion(work_time);
         self.share_admission.record_end(now, work_time, settings);
     }
+
+    /// Returns the part of the open flows that take no slots, from 0 to 1.
+    pub(crate) fn stuck_share(&self) -> f64 {
+        let open = self.admission.open_flows().max(1);
+        (f64::from(self.stuck_flows) / f64::from(open)).min(1.0)
+    }
 }
--- a/crates/currantgate-placement/src/share_admission.rs
+++ b/crates/currantgate-placement/src/share_admission.rs
@@ -1,16 +1,17 @@
 //! Admission by an entry's share of the fleet's capacity.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::sliding_window::SlidingWindow;
-use crate::{PlacementRequest, ServiceShares, SharingSettings};
+use crate::{PlacementRequest, Priority, ServiceShares, SharingSettings};
 
 /// Decides by the figures of the fleet which new flows of a service are refused.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ShareAdmission {
-    /// Number of flows that may be refused: the sum of the parts of the arrivals for
-    /// which the fleet has no slots, less the refused ones.
-    excess: f64,
+    /// Number of flows of each priority that may be refused: the sum of the parts of the
+    /// arrivals for which the fleet has no slots, less the refused ones.
+    excess: BTreeMap<Priority, f64>,
     /// Slot times of the flows that ended.
     slot_times: SlidingWindow<Duration>,
 }
@@ -42,16 +43,19 @@
         let admitted = shares.admitted.get(&request.priority).copied();
         let admitted = admitted.unwrap_or(1.0) * settings.capacity_margin;
         let excess = (1.0 - admitted).max(0.0) * settings.excess_factor;
-        self.excess = (self.excess + excess).min(settings.max_excess);
+        let sum = self.excess.entry(request.priority).or_default();
+        *sum = (*sum + excess).min(settings.max_excess);
         if excess <= 0.0 {
-            self.excess = 0.0;
+            *sum = 0.0;
         }
-        self.excess >= 1.0 || self.are_queues_long(now, shares, settings)
+        *sum >= 1.0 || self.are_queues_long(now, shares, settings)
     }
 
     /// Counts a refused flow.
-    pub(crate) fn record_refusal(&mut self) {
-        self.excess = (self.excess - 1.0).max(0.0);
+    pub(crate) fn record_refusal(&mut self, priority: Priority) {
+        if let Some(sum) = self.excess.get_mut(&priority) {
+            *sum = (*sum - 1.0).max(0.0);
+        }
     }
 
     fn are_queues_long(
