Feeds take evacuations, upstreams and the quorum flag from one state

A feed read the hold of upstreams, the upstreams and the heartbeat's quorum flag after awaits. Evacuations that arrived during one were then sent after upstreams or a heartbeat that already claimed contact with a quorum.

No test: the order depends on a feed whose connection stalls between two messages, which the tests can't arrange.

--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -292,6 +292,14 @@
     }
 }
 
+/// What a feed sends together, in the order of the fields.
+struct FeedChanges {
+    evacuations: Option<EvacuationState>,
+    /// The changed upstreams; nothing while the listener gets none.
+    upstreams: Option<Vec<Record>>,
+    heartbeat: Heartbeat,
+}
+
 /// One open feed.
 struct Feed {
     source: Rc<FeedSource>,
@@ -466,25 +474,40 @@
         self.send(&FeedMessage::SlowUpstreams(changes)).await
     }
 
+    /// Takes what is to be sent from one state of the control VM. If a part were read after
+    /// another had been sent, upstreams or a heartbeat that claims contact with a quorum
+    /// could overtake evacuations that arrived in between.
+    fn take_changes(&mut self) -> FeedChanges {
+        let evacuations = self
+            .source
+            .take_unsent_evacuations(&mut self.sent_evacuations);
+        let is_held = self.source.holds_upstreams() && !self.needs_no_hold;
+        let gets_upstreams = self.hello.control.is_none() && !is_held;
+        FeedChanges {
+            evacuations,
+            upstreams: gets_upstreams.then(|| self.take_unsent_upstreams()),
+            heartbeat: self.source.heartbeat(),
+        }
+    }
+
     /// Sends the upstreams that have changed, and a heartbeat if the state has
     /// changed or a heartbeat is due. Control VMs are sent no upstreams.
     async fn send_changes(&mut self) -> Result<(), TransportError> {
+        let FeedChanges {
+            evacuations,
+            upstreams,
+            heartbeat,
+        } = self.take_changes();
         // Before the upstreams, so that an entry places no flow without them.
-        let evacuations = self
-            .source
-            .take_unsent_evacuations(&mut self.sent_evacuations);
         if let Some(evacuations) = evacuations {
             self.send(&FeedMessage::Evacuations(evacuations)).await?;
         }
-        let is_held = self.source.holds_upstreams() && !self.needs_no_hold;
-        if self.hello.control.is_none() && !is_held {
-            let records = self.take_unsent_upstreams();
+        if let Some(records) = upstreams {
             self.send_upstreams(&records).await?;
             let mut listeners = self.source.listeners.borrow_mut();
             listeners.record_sent(self.id, self.sent_change);
         }
         self.send_slow_upstreams().await?;
-        let heartbeat = self.source.heartbeat();
         let now = Instant::now();
         if heartbeat != self.last_heartbeat || now >= self.heartbeat_due {
             self.send_demand().await?;
