A later end of an evacuation replaces an older one

A VM that learned of a start and an end together kept the end of the evacuation before, so that entries could take upstreams of the domain for warm too early. Ends within 2 s count as the same one.

--- a/crates/currantgate-control/src/evacuation/published.rs
+++ b/crates/currantgate-control/src/evacuation/published.rs
@@ -9,6 +9,11 @@
 /// Time for which the end of an evacuation is published: longer than upstreams are cold.
 const RETURNED_TIME: Duration = Duration::from_secs(60);
 
+/// Difference up to which two ends of a domain count as the same one. Each transfer makes
+/// an end later by the time on the way; without a tolerance, two VMs would update each other
+/// without end.
+const END_TOLERANCE: Duration = Duration::from_secs(2);
+
 /// Longest time for which a control VM that has restarted withholds upstreams. An order
 /// that was acknowledged right before a loss of power of all VMs is known as committed
 /// only once a leader is elected, which takes one to three seconds.
@@ -67,7 +72,7 @@
 
     /// Adds the ends that another control VM publishes together with `revision`. This VM may
     /// not know of them, because they were before its start or because it learned of start
-    /// and end together.
+    /// and end together. The later end of a domain is kept.
     pub fn add_returned<'a>(
         &mut self,
         now: Instant,
@@ -81,9 +86,13 @@
             let ended = now
                 .checked_sub(ago)
                 .filter(|ended| now < *ended + RETURNED_TIME);
-            let (Some(ended), false) = (ended, self.returned.contains_key(domain)) else {
+            let Some(ended) = ended else {
                 continue;
             };
+            let known = self.returned.get(domain);
+            if known.is_some_and(|known| ended <= *known + END_TOLERANCE) {
+                continue;
+            }
             self.returned.insert(domain.into(), ended);
             self.change += 1;
         }
--- a/crates/currantgate-control/tests/published_evacuations.rs
+++ b/crates/currantgate-control/tests/published_evacuations.rs
@@ -69,6 +69,28 @@
     assert!(published.change() > change, "feeds send it");
 }
 
+/// Guards against a VM that learns of a start and an end together and keeps the end of the
+/// evacuation before, and against two VMs that send each other the same end without end.
+#[test]
+fn the_later_end_replaces_an_older_one_beyond_the_tolerance() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut published = PublishedEvacuations::default();
+    published.update(at(0), 3, ["a"].into_iter());
+    published.update(at(10), 4, [].into_iter());
+    // Revision 5 evacuates the domain again, revision 6 ends that.
+    published.update(at(50), 6, [].into_iter());
+    published.add_returned(at(50), 6, [("a", Duration::from_secs(2))].into_iter());
+    assert_eq!(returned(&published, at(50)), [("a", 2)]);
+    let change = published.change();
+    for seconds_ago in [0, 1, 2, 30] {
+        let ago = Duration::from_secs(seconds_ago);
+        published.add_returned(at(50), 6, [("a", ago)].into_iter());
+    }
+    assert_eq!(returned(&published, at(50)), [("a", 2)]);
+    assert_eq!(published.change(), change, "nothing is sent again");
+}
+
 /// Guards against upstreams that are withheld for ever without a quorum.
 #[test]
 fn upstreams_are_withheld_until_confirmed_or_for_five_seconds() {
