--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -192,12 +192,16 @@
         Reply::Evacuations(status.unwrap_or_default())
     }
 
-    /// Checks that a failure domain exists and that this VM can have it evacuated now.
+    /// Checks that a failure domain exists and that this VM can have it evacuated now. A
+    /// domain that has left the settings while it is evacuated counts as existing, so that
+    /// its evacuation can be ended.
     pub(super) fn check_order(&self, domain: &str) -> Result<(), EvacuationReply> {
         let Some(domains) = &self.domains else {
             return Err(EvacuationReply::Unsupported);
         };
-        let is_known = domains.is_empty() || domains.iter().any(|known| **known == *domain);
+        let is_known = domains.is_empty()
+            || domains.iter().any(|known| **known == *domain)
+            || self.replica.evacuations().contains(domain);
         if domain.is_empty() || !is_known {
             let problem = format!("there is no failure domain `{domain}`");
             return Err(EvacuationReply::UnknownDomain(problem.into()));
