A follower is caught up only with all that its leader has committed

A follower that returned while the leader kept its term had an entry of the term on disk and counted as caught up at once, although the leader may have committed orders meanwhile. It has to hear the leader's commit index and reach it.

The checks of the simulated network compare with the commit index in the delivered messages. Comparing with all orders acknowledged when a message left the leader was too strict: a message that waits for a write has an older commit index.

--- a/crates/currantgate-control/src/replica/evacuation.rs
+++ b/crates/currantgate-control/src/replica/evacuation.rs
@@ -59,12 +59,20 @@
             .any(is_order)
     }
 
-    /// Returns whether all that was acknowledged before the current term is in force
-    /// on this replica: it is in contact with a quorum and has committed an entry of
-    /// the term. After a restart, acknowledged entries may not be known as committed
-    /// until then.
+    /// Returns whether all that was acknowledged before the current term, or up to a commit
+    /// index that a leader has sent, is in force on this replica: it is in contact
+    /// with a quorum, has committed an entry of the term, and has reached the highest commit
+    /// index that a leader has sent since it started. After a restart, acknowledged entries
+    /// may not be known as committed until then. An entry of the term does not suffice, as a
+    /// follower that returns while the leader keeps its term has one from before.
     pub fn is_caught_up(&self, now: Instant) -> bool {
-        self.is_in_quorum(now) && self.log.term(self.commit) == Some(self.hard_state.term)
+        let has_leader_commit = self.is_leader()
+            || self
+                .leader_commit
+                .is_some_and(|leader_commit| leader_commit <= self.commit);
+        has_leader_commit
+            && self.is_in_quorum(now)
+            && self.log.term(self.commit) == Some(self.hard_state.term)
     }
 
     /// Executes the order in the entry that was committed last.
--- a/crates/currantgate-control/src/replica/follower.rs
+++ b/crates/currantgate-control/src/replica/follower.rs
@@ -50,7 +50,10 @@
                 entries,
                 commit,
                 ..
-            } => Some(self.append_entries(now, (prev_term, prev_index), entries, commit)),
+            } => {
+                self.leader_commit = self.leader_commit.max(Some(commit));
+                Some(self.append_entries(now, (prev_term, prev_index), entries, commit))
+            }
             Message::Snapshot {
                 last_index,
                 offset,
--- a/crates/currantgate-control/src/replica/mod.rs
+++ b/crates/currantgate-control/src/replica/mod.rs
@@ -39,6 +39,8 @@
     hard_state: HardState,
     log: RaftLog,
     commit: Index,
+    /// The highest commit index that a leader has sent since this replica started.
+    leader_commit: Option<Index>,
     state: SiteState,
     evacuations: Arc<Evacuations>,
     role: Role,
@@ -73,6 +75,7 @@
             hard_state: recovered.hard_state,
             log,
             commit,
+            leader_commit: None,
             state,
             evacuations,
             role: Role::Follower { leader: None },
--- a/crates/currantgate-control/tests/common/checks.rs
+++ b/crates/currantgate-control/tests/common/checks.rs
@@ -171,6 +171,13 @@
         earlier.next().map_or(0, |(revision, _)| *revision)
     }
 
+    /// Returns the revision of the newest acknowledged order up to a commit index, or 0 if
+    /// there is none.
+    pub fn newest_acknowledged_up_to(&self, commit: Index) -> Index {
+        let mut orders = self.accepted_orders.range(..=commit).rev();
+        orders.next().map_or(0, |(revision, _)| *revision)
+    }
+
     /// Returns the evacuations after the newest order that was committed anywhere.
     pub fn newest_evacuations(&self) -> Evacuations {
         let newest = self.evacuations.values().max_by_key(|e| e.revision());
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -8,7 +8,7 @@
 
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, Batch, BatchId, EvacuationAction, EvacuationAnswer, EvacuationOrder,
-    Journal, Members, Message, Output, ReadAnswer, ReplaceAnswer, ReplaceRequest, Replica,
+    Index, Journal, Members, Message, Output, ReadAnswer, ReplaceAnswer, ReplaceRequest, Replica,
     ReplicaSettings, RequestId, Revision, RevisionId, VersionedRequest, VoterChange, VoterId,
 };
 use rand::{RngExt, SeedableRng};
@@ -31,6 +31,9 @@
     writes: VecDeque<(BatchId, Batch)>,
     /// The index of the last committed entry that was checked.
     checked: u64,
+    /// The highest commit index that this replica has received from a leader since its
+    /// start; `None` before the first one.
+    leader_commit: Option<Index>,
 }
 
 struct Node {
@@ -185,6 +188,7 @@
             journal,
             writes: VecDeque::new(),
             checked,
+            leader_commit: None,
         });
     }
 
@@ -411,7 +415,14 @@
             }
             let local = self.local_time(sent.to);
             if let Some(running) = &mut self.nodes.get_mut(&sent.to).unwrap().running {
+                let commit = match sent.message {
+                    Message::Append { commit, .. } => Some(commit),
+                    _ => None,
+                };
                 running.replica.receive(local, sent.from, sent.message);
+                if running.replica.leader_id() == Some(sent.from) {
+                    running.leader_commit = running.leader_commit.max(commit);
+                }
             }
             self.drain(sent.to);
             self.check_leases();
@@ -523,14 +534,22 @@
     }
 
     /// Checks that a VM which considers itself caught up holds every order that was
-    /// acknowledged before its term.
+    /// acknowledged before its term, or up to a commit index that it has received since its
+    /// start.
     fn check_caught_up(&self, id: VoterId) {
         if !self.is_caught_up(id) {
             return;
         }
-        let replica = self.replica(id).unwrap();
-        let term = replica.status(self.local_time(id)).term;
-        let required = self.checks.newest_acknowledged_before(term);
+        let running = self.nodes[&id].running.as_ref().unwrap();
+        let replica = &running.replica;
+        let status = replica.status(self.local_time(id));
+        let is_informed = running.leader_commit.is_some() || status.leader == Some(id);
+        assert!(is_informed, "{id} has not heard a leader");
+        let leader_commit = running.leader_commit.unwrap_or_default();
+        let checks = &self.checks;
+        let required = checks
+            .newest_acknowledged_before(status.term)
+            .max(checks.newest_acknowledged_up_to(leader_commit));
         let held = replica.evacuations().revision();
         assert!(held >= required, "{id} holds {held}, not {required}");
     }
--- a/crates/currantgate-control/tests/evacuation.rs
+++ b/crates/currantgate-control/tests/evacuation.rs
@@ -94,6 +94,34 @@
     }
 }
 
+/// Guards against a follower that counts as caught up when it returns while the leader keeps
+/// its term, although the leader has acknowledged orders meanwhile.
+#[test]
+fn a_follower_that_returns_in_the_same_term_is_not_caught_up_without_later_orders() {
+    for seed in 0..20 {
+        let mut net = Net::new(3, seed);
+        let leader = wait_for_leader(&mut net);
+        let id = net.order(leader, "a", Start);
+        wait_for_acceptance(&mut net, id);
+        net.run_until("all voters have it", Net::all_evacuations_current);
+        net.run(Duration::from_millis(500));
+        let follower = net.ids().into_iter().find(|id| *id != leader).unwrap();
+        net.crash(follower);
+        let id = net.order(leader, "b", Start);
+        let revision = wait_for_acceptance(&mut net, id);
+        // Messages that were sent before the order are lost with the connection.
+        net.run(Duration::from_millis(50));
+        net.restart(follower);
+        assert!(!net.is_caught_up(follower));
+        net.run_until("the follower is caught up", |net| {
+            net.is_caught_up(follower)
+        });
+        assert_eq!(net.leader(), Some(leader));
+        let held = net.replica(follower).unwrap().evacuations();
+        assert_eq!(held.revision(), revision);
+    }
+}
+
 /// Guards against an isolated leader that acknowledges an order, and against its order
 /// winning over a later one of the other side.
 #[test]
