A restarted leader accepts orders on domains of uncommitted orders

After a restart of all VMs, the leader does not know yet that a start in its log was accepted, and refused the finish of a domain that had left the settings. Seen in the test of such domains, which restarts all nodes.

--- a/crates/currantgate-control/src/replica/evacuation.rs
+++ b/crates/currantgate-control/src/replica/evacuation.rs
@@ -6,7 +6,7 @@
 use super::Replica;
 use super::role::{Proposal, ProposalKind, Role};
 use crate::{
-    Command, Entry, EvacuationAnswer, EvacuationOrder, Evacuations, Output, RefuseReason, RequestId,
+    Command, EvacuationAnswer, EvacuationOrder, Evacuations, Output, RefuseReason, RequestId,
 };
 
 impl Replica {
@@ -52,11 +52,23 @@
 
     /// Returns whether the log has orders that are not known to be committed.
     pub fn has_uncommitted_orders(&self) -> bool {
-        let is_order = |entry: &Entry| matches!(entry.command, Command::Evacuation(_));
+        self.uncommitted_orders().next().is_some()
+    }
+
+    /// Returns whether a domain is evacuated, or may be by an order that is not known to be
+    /// committed. A leader that has restarted may not know yet that an order was accepted.
+    pub fn may_be_evacuated(&self, domain: &str) -> bool {
+        let mut orders = self.uncommitted_orders();
+        self.evacuations.contains(domain) || orders.any(|order| *order.domain == *domain)
+    }
+
+    fn uncommitted_orders(&self) -> impl Iterator<Item = &EvacuationOrder> {
         let entries = self.log.entries().iter().rev();
-        entries
-            .take_while(|entry| entry.index > self.commit)
-            .any(is_order)
+        let uncommitted = entries.take_while(|entry| entry.index > self.commit);
+        uncommitted.filter_map(|entry| match &entry.command {
+            Command::Evacuation(order) => Some(order),
+            _ => None,
+        })
     }
 
     /// Returns whether all that was acknowledged before the current term, or up to a commit
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -201,7 +201,7 @@
         };
         let is_known = domains.is_empty()
             || domains.iter().any(|known| **known == *domain)
-            || self.replica.evacuations().contains(domain);
+            || self.replica.may_be_evacuated(domain);
         if domain.is_empty() || !is_known {
             let problem = format!("there is no failure domain `{domain}`");
             return Err(EvacuationReply::UnknownDomain(problem.into()));
