Writes of state that fail are tried again

The adopted evacuations, and the other state files of a control VM, counted as saved once they were handed to the writer thread. A failed write, as on a full disk, lost them.

--- a/crates/currantgate/src/node/persistence.rs
+++ b/crates/currantgate/src/node/persistence.rs
@@ -2,12 +2,13 @@
 //! upstreams and recent routes even after a restart of all control VMs.
 
 use std::rc::Rc;
-use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender};
 use std::thread;
 use std::time::Duration;
 
 use currantgate_control::{DataDirectory, Disk, StorageError, ValueFile};
 use currantgate_registry::Record;
+use log::Level;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -20,6 +21,9 @@
 /// to several a second, as each is synced.
 const WRITE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval at which a failed write is tried again, so that a full disk is not kept busy.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Returns the value in the file. If it can't be loaded, the VM learns the state
 /// anew.
 pub(super) fn load<T>(file: &mut ValueFile<impl Disk, T>, name: &str) -> Option<T>
@@ -46,21 +50,36 @@
     tx
 }
 
-/// Writes each received value, and logs a warning for the first failure in a row.
+/// Writes each received value, and logs a warning for the first failure in a row. A value
+/// whose write fails, as on a full disk, is written again until that succeeds or a newer
+/// one arrives.
 fn write_all<T>(file: &mut ValueFile<DataDirectory, T>, values: &Receiver<T>, name: &str)
 where
     T: Serialize + DeserializeOwned,
 {
-    let mut is_failing = false;
-    while let Ok(value) = values.recv() {
-        match file.save(&value) {
-            Ok(()) => is_failing = false,
-            Err(e) if !is_failing => {
-                is_failing = true;
-                log::warn!("writing {name} to disk failed: {e}");
+    let mut unwritten = None;
+    loop {
+        let received = match unwritten {
+            None => values.recv().map_err(RecvTimeoutError::from),
+            Some(_) => values.recv_timeout(RETRY_INTERVAL),
+        };
+        let is_failing = unwritten.is_some();
+        let value = match (received, unwritten) {
+            (Ok(value), _) | (Err(RecvTimeoutError::Timeout), Some(value)) => value,
+            (Err(_), _) => return,
+        };
+        unwritten = match file.save(&value) {
+            Ok(()) => None,
+            Err(e) => {
+                let level = if is_failing {
+                    Level::Debug
+                } else {
+                    Level::Warn
+                };
+                log::log!(level, "writing {name} to disk failed: {e}");
+                Some(value)
             }
-            Err(e) => log::debug!("writing {name} to disk failed: {e}"),
-        }
+        };
     }
 }
 
