--- a/crates/currantgate-control/src/evacuation/evacuations.rs
+++ b/crates/currantgate-control/src/evacuation/evacuations.rs
@@ -3,7 +3,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{EvacuationAction, EvacuationOrder};
+use super::order::{MAX_DOMAIN_BYTES, MAX_EVACUATED_DOMAINS};
+use super::{EvacuationAction, EvacuationOrder, OrderLimit};
 use crate::Index;
 
 /// The evacuated failure domains.
@@ -39,6 +40,25 @@
         self.started.contains_key(domain)
     }
 
+    /// Checks that an order keeps the evacuations within their limits. Orders on evacuated
+    /// domains always do. Without a table of domains, any name would be accepted otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns the limit that the order exceeds.
+    pub fn check_limits(&self, order: &EvacuationOrder) -> Result<(), OrderLimit> {
+        if self.contains(&order.domain) {
+            return Ok(());
+        }
+        if order.domain.len() > MAX_DOMAIN_BYTES {
+            return Err(OrderLimit::DomainBytes);
+        }
+        if order.action == EvacuationAction::Start && self.started.len() >= MAX_EVACUATED_DOMAINS {
+            return Err(OrderLimit::EvacuatedDomains);
+        }
+        Ok(())
+    }
+
     /// Executes the committed order at `index`. An order that changes nothing only
     /// advances the revision.
     pub(crate) fn execute(&mut self, index: Index, order: &EvacuationOrder) {
--- a/crates/currantgate-control/src/evacuation/mod.rs
+++ b/crates/currantgate-control/src/evacuation/mod.rs
@@ -8,5 +8,5 @@
 
 pub use answer::EvacuationAnswer;
 pub use evacuations::Evacuations;
-pub use order::{EvacuationAction, EvacuationOrder};
+pub use order::{EvacuationAction, EvacuationOrder, OrderLimit};
 pub use published::PublishedEvacuations;
--- a/crates/currantgate-control/src/evacuation/order.rs
+++ b/crates/currantgate-control/src/evacuation/order.rs
@@ -14,6 +14,24 @@
     Finish,
 }
 
+/// Longest name of a domain in bytes, as of a DNS name.
+pub(super) const MAX_DOMAIN_BYTES: usize = 253;
+
+/// Most evacuated domains for which another start is accepted. The whole state is sent on
+/// each feed and kept in each snapshot.
+pub(super) const MAX_EVACUATED_DOMAINS: usize = 1_024;
+
+/// The limit that an order exceeds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum OrderLimit {
+    /// The name of the domain is too long.
+    #[display("the name of a failure domain has at most {MAX_DOMAIN_BYTES} bytes")]
+    DomainBytes,
+    /// Too many domains are evacuated.
+    #[display("at most {MAX_EVACUATED_DOMAINS} failure domains can be evacuated")]
+    EvacuatedDomains,
+}
+
 /// An order to evacuate a failure domain, or to end that.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationOrder {
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -44,7 +44,8 @@
 };
 pub use entry::{Command, Entry};
 pub use evacuation::{
-    EvacuationAction, EvacuationAnswer, EvacuationOrder, Evacuations, PublishedEvacuations,
+    EvacuationAction, EvacuationAnswer, EvacuationOrder, Evacuations, OrderLimit,
+    PublishedEvacuations,
 };
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
 pub use members::Members;
--- a/crates/currantgate-control/tests/evacuation.rs
+++ b/crates/currantgate-control/tests/evacuation.rs
@@ -9,8 +9,8 @@
 use common::net::Net;
 use currantgate_control::EvacuationAction::{Finish, Start};
 use currantgate_control::{
-    Disk, EvacuationAnswer, Evacuations, Index, Journal, Message, RefuseReason, RequestId,
-    RevisionId, VoterId,
+    Disk, EvacuationAnswer, EvacuationOrder, Evacuations, Index, Journal, Message, OrderLimit,
+    RefuseReason, RequestId, RevisionId, VoterId,
 };
 
 fn wait_for_leader(net: &mut Net) -> VoterId {
@@ -200,6 +200,35 @@
     net.run_until("all voters have them", Net::all_evacuations_current);
 }
 
+/// Guards against made-up names that fill the state of all VMs, and against limits that keep
+/// a domain evacuated.
+#[test]
+fn starts_beyond_the_limits_are_refused_and_finishes_are_not() {
+    let mut net = Net::new(1, 8);
+    let leader = wait_for_leader(&mut net);
+    let check = |net: &Net, domain: &str, action| {
+        let domain = domain.into();
+        let order = EvacuationOrder { domain, action };
+        net.replica(leader)
+            .unwrap()
+            .evacuations()
+            .check_limits(&order)
+    };
+    let longest = "a".repeat(253);
+    assert_eq!(check(&net, &longest, Start), Ok(()));
+    let too_long = check(&net, &"a".repeat(254), Start);
+    assert_eq!(too_long, Err(OrderLimit::DomainBytes));
+    for n in 0..1_024 {
+        assert_eq!(check(&net, &n.to_string(), Start), Ok(()));
+        let id = net.order(leader, &n.to_string(), Start);
+        wait_for_acceptance(&mut net, id);
+    }
+    let excess = check(&net, "b", Start);
+    assert_eq!(excess, Err(OrderLimit::EvacuatedDomains));
+    assert_eq!(check(&net, "b", Finish), Ok(()));
+    assert_eq!(check(&net, "7", Start), Ok(()), "it is resent");
+}
+
 /// The journal of a voter, the same after its compaction, and the transferred
 /// snapshot, as written by the build before evacuations.
 const EARLIER_JOURNAL: &[u8] = include_bytes!("fixtures/journal-before-evacuations");
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -352,8 +352,8 @@
             Attempt::Failed(reason.to_string().into())
         }
         EvacuationReply::Decided(EvacuationAnswer::Unknown) => Attempt::Unknown,
-        EvacuationReply::UnknownDomain(problem) => {
-            Attempt::Done(Err(ClientError::UnknownDomain(problem)))
+        EvacuationReply::InvalidOrder(problem) => {
+            Attempt::Done(Err(ClientError::InvalidOrder(problem)))
         }
         EvacuationReply::Unsupported => Attempt::Done(Err(ClientError::FeedsNoEntries)),
     }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -195,16 +195,19 @@
     /// Checks that a failure domain exists and that this VM can have it evacuated now. A
     /// domain that has left the settings while it is evacuated counts as existing, so that
     /// its evacuation can be ended.
-    pub(super) fn check_order(&self, domain: &str) -> Result<(), EvacuationReply> {
+    pub(super) fn check_order(&self, order: &EvacuationOrder) -> Result<(), EvacuationReply> {
         let Some(domains) = &self.domains else {
             return Err(EvacuationReply::Unsupported);
         };
-        let is_known = domains.is_empty()
-            || domains.iter().any(|known| **known == *domain)
-            || self.replica.may_be_evacuated(domain);
+        let evacuations = self.replica.evacuations();
+        let invalid = |problem: String| EvacuationReply::InvalidOrder(problem.into());
+        let limits = evacuations.check_limits(order);
+        limits.map_err(|limit| invalid(limit.to_string()))?;
+        let domain = &order.domain;
+        let is_known =
+            domains.is_empty() || domains.contains(domain) || self.replica.may_be_evacuated(domain);
         if domain.is_empty() || !is_known {
-            let problem = format!("there is no failure domain `{domain}`");
-            return Err(EvacuationReply::UnknownDomain(problem.into()));
+            return Err(invalid(format!("there is no failure domain `{domain}`")));
         }
         let refuse = |reason| EvacuationReply::Decided(EvacuationAnswer::Refused(reason));
         self.replica.check_order(Instant::now()).map_err(refuse)
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -94,7 +94,7 @@
     /// the voters can't be changed so: the lost VM is no voter or is the leader, or the new id is in use
     WrongMembers,
     /// {0}, and nothing was done
-    UnknownDomain(Box<str>),
+    InvalidOrder(Box<str>),
     /// these control VMs feed no entries, so that nothing would carry out the order
     FeedsNoEntries,
     /// {server}: {source}
--- a/crates/currantgate/src/control/evacuation.rs
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -26,8 +26,9 @@
 pub enum EvacuationReply {
     /// The decision of the control VMs.
     Decided(EvacuationAnswer),
-    /// The domain does not exist, as the text says, and nothing was done.
-    UnknownDomain(Box<str>),
+    /// The domain does not exist or the order exceeds a limit, as the text says, and nothing
+    /// was done.
+    InvalidOrder(Box<str>),
     /// This VM feeds no entries, so that nothing could carry out the order.
     Unsupported,
 }
@@ -72,7 +73,7 @@
 /// Has an order executed and returns the answer. The sender's task drops the future when
 /// the connection ends.
 pub(super) async fn execute_order(core: &RefCell<Core>, order: EvacuationOrder) -> EvacuationReply {
-    let checked = core.borrow().check_order(&order.domain);
+    let checked = core.borrow().check_order(&order);
     if let Err(refusal) = checked {
         return refusal;
     }
