Orders whose caller has left and refused orders get a log line

The line of a dropped order named neither domain nor action, and an order dropped during the wait before its proposal left no line. Refusals are logged at debug, as any caller can cause them.

--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -222,12 +222,10 @@
         (self.next_request, reply)
     }
 
-    /// Cancels an order that is not in the log yet.
-    pub(super) fn cancel_order(&mut self, id: RequestId) {
+    /// Cancels an order that is not in the log yet, and returns whether it was cancelled.
+    pub(super) fn cancel_order(&mut self, id: RequestId) -> bool {
         self.pending.swap_remove(&id);
-        if self.replica.cancel_order(id) {
-            log::info!(event = "evacuation"; "order is dropped: its sender has given up");
-        }
+        self.replica.cancel_order(id)
     }
 
     /// Gives up leadership, so that another voter is elected soon.
--- a/crates/currantgate/src/control/evacuation.rs
+++ b/crates/currantgate/src/control/evacuation.rs
@@ -58,15 +58,33 @@
 /// unless it is in the log already.
 struct OpenOrder<'a> {
     core: &'a RefCell<Core>,
-    id: RequestId,
+    order: &'a EvacuationOrder,
+    /// The id of the proposal; nothing while the order is not proposed yet.
+    id: Option<RequestId>,
+    is_answered: bool,
 }
 
 impl Drop for OpenOrder<'_> {
     fn drop(&mut self) {
-        // The VM stops when the state is in use here, and then answers nothing.
-        if let Ok(mut core) = self.core.try_borrow_mut() {
-            core.cancel_order(self.id);
+        let is_dropped = self.id.is_none_or(|id| {
+            // The VM stops when the state is in use here, and then answers nothing.
+            let core = self.core.try_borrow_mut();
+            core.is_ok_and(|mut core| core.cancel_order(id))
+        });
+        if self.is_answered {
+            return;
         }
+        let outcome = if is_dropped {
+            "is dropped"
+        } else {
+            "may still be committed"
+        };
+        log::info!(
+            event = "evacuation",
+            domain = &*self.order.domain,
+            action:% = self.order.action;
+            "order {outcome}: its caller has left"
+        );
     }
 }
 
@@ -75,16 +93,27 @@
 pub(super) async fn execute_order(core: &RefCell<Core>, order: EvacuationOrder) -> EvacuationReply {
     let checked = core.borrow().check_order(&order);
     if let Err(refusal) = checked {
+        // Not at a higher level, as any caller can cause any number of these lines.
+        if let EvacuationReply::InvalidOrder(problem) = &refusal {
+            log::debug!(event = "evacuation", action:% = order.action; "order is refused: {problem}");
+        }
         return refusal;
     }
+    let mut open = OpenOrder {
+        core,
+        order: &order,
+        id: None,
+        is_answered: false,
+    };
     // The connection's task drops this future when it reads the end of the connection.
     sleep(GIVE_UP_WAIT).await;
     let (id, reply) = core.borrow_mut().order_evacuation(order.clone());
-    let open = OpenOrder { core, id };
+    open.id = Some(id);
     let answer = match timeout(ORDER_TIMEOUT, reply).await {
         Ok(Ok(Reply::Evacuation(EvacuationReply::Decided(answer)))) => answer,
         _ => EvacuationAnswer::Unknown,
     };
+    open.is_answered = true;
     drop(open);
     log::info!(
         event = "evacuation",
