A plan of an evacuation fails on unknown domains and partial data

The dry run printed unchanged slots for a domain that does not exist, and left out the upstreams of control VMs that did not answer. It summed the slots of all control VMs, so that an upstream that had changed the VM it reports to counted twice. The status now lists the slots of each upstream with the version of its report; the newest one counts.

The client took an unexpected reply for a status without evacuations, and the status command printed nothing for a failed call.

--- a/crates/currantgate-cli/src/cmd/evacuate.rs
+++ b/crates/currantgate-cli/src/cmd/evacuate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use currantgate::EvacuationStatus;
+use currantgate::{EvacuationStatus, UpstreamSlots};
 use currantgate_control::{EvacuationAction, EvacuationOrder};
 use serde_json::{Value, json};
 
@@ -93,20 +93,35 @@
 }
 
 /// Computes the effect of an order on each service from what all control VMs report.
+///
+/// # Errors
+///
+/// Returns an error if no control VM knows of the domain: it may be a typing error.
 fn plan_services(
     statuses: &[EvacuationStatus],
     order: &EvacuationOrder,
-) -> BTreeMap<Box<str>, ServicePlan> {
+) -> Result<BTreeMap<Box<str>, ServicePlan>, CommandError> {
     let newest = statuses.iter().max_by_key(|status| status.revision);
     let evacuated = newest.iter().flat_map(|status| &status.evacuated);
     let before: BTreeSet<&str> = evacuated.map(|evacuated| &*evacuated.domain).collect();
+    let mut upstreams: BTreeMap<&str, &UpstreamSlots> = BTreeMap::new();
+    for reported in statuses.iter().flat_map(|status| &status.slots) {
+        let newest = upstreams.entry(&reported.id).or_insert(reported);
+        if newest.version < reported.version {
+            *newest = reported;
+        }
+    }
+    let has_upstream = upstreams.values().any(|u| u.domain == order.domain);
+    if !has_upstream && !before.contains(&*order.domain) {
+        return Err(CommandError::NoSuchDomain(order.domain.clone()));
+    }
     let mut after = before.clone();
     match order.action {
         EvacuationAction::Start => after.insert(&order.domain),
         EvacuationAction::Finish => after.remove(&*order.domain),
     };
     let mut plans: BTreeMap<Box<str>, ServicePlan> = BTreeMap::new();
-    for slots in statuses.iter().flat_map(|status| &status.slots) {
+    for slots in upstreams.into_values() {
         let plan = plans.entry(slots.service.clone()).or_default();
         let in_use = |domains: &BTreeSet<&str>| !domains.contains(&*slots.domain);
         plan.slots_now += if in_use(&before) { slots.slots } else { 0 };
@@ -116,19 +131,26 @@
         let plan = plans.entry(load.service.clone()).or_default();
         *plan.busy.get_or_insert(0.0) += load.busy_slots;
     }
-    plans
+    Ok(plans)
 }
 
 fn print_plan(matches: &ArgMatches, order: &EvacuationOrder) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
     let mut statuses = Vec::new();
+    let mut missing = 0;
     for (server, status) in operator::run(client.evacuations()) {
         match status {
             Ok(status) => statuses.push(status),
-            Err(e) => eprintln!("{server} is left out: {e}"),
+            Err(e) => {
+                missing += 1;
+                eprintln!("the upstreams that report to {server} are unknown: {e}");
+            }
         }
     }
-    let plans = plan_services(&statuses, order);
+    if missing > 0 {
+        return Err(CommandError::PartialData(missing));
+    }
+    let plans = plan_services(&statuses, order)?;
     if matches.get_flag("json") {
         let plans = plans.iter().map(|(service, plan)| {
             json!({
--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -129,8 +129,14 @@
     }
 }
 
-/// Prints the evacuations on each control VM, unless there never were any.
+/// Prints the evacuations on each control VM, unless there never were any, and whose are
+/// unknown.
 fn print_evacuations(evacuations: &[(SocketAddr, Result<EvacuationStatus, ClientError>)]) {
+    for (server, status) in evacuations {
+        if let Err(e) = status {
+            println!("evacuations on {server} are unknown: {e}");
+        }
+    }
     let known = evacuations.iter().filter_map(|(server, status)| {
         let status = status.as_ref().ok().filter(|status| status.revision > 0);
         status.map(|status| (server, status))
--- a/crates/currantgate-cli/src/error.rs
+++ b/crates/currantgate-cli/src/error.rs
@@ -41,6 +41,12 @@
     Client(ClientError),
     /// no reachable control VM holds the lease: a newer revision may have been accepted
     NoLeaseHolder,
+    /// the effect can't be computed: {0} control VMs have not reported their upstreams
+    #[from(ignore)]
+    PartialData(usize),
+    /// no upstream reports failure domain `{0}`, and it is not evacuated
+    #[from(ignore)]
+    NoSuchDomain(Box<str>),
     /// the disk failed; restart once it is repaired, or replace this control VM
     DiskFailed,
     /// {file}: {source}
@@ -76,6 +82,8 @@
             | Self::Standin(_)
             | Self::Control(_)
             | Self::Client(_)
+            | Self::PartialData(_)
+            | Self::NoSuchDomain(_)
             | Self::DiskFailed
             | Self::Log { .. }
             | Self::UnknownFlow(_)
--- a/crates/currantgate-cli/tests/control.rs
+++ b/crates/currantgate-cli/tests/control.rs
@@ -226,6 +226,10 @@
     // Nothing here would carry out the order, so it must not be accepted.
     let evacuated = site.run(&["evacuate", "start", "riga-1"]);
     assert_eq!(exit_code(&evacuated), 1, "{evacuated:?}");
+    // A plan for a typing error would show that nothing changes.
+    let planned = site.run(&["evacuate", "start", "riga-x", "--dry-run"]);
+    assert_eq!((exit_code(&planned), &*planned.stdout), (1, &b""[..]));
+    assert!(String::from_utf8_lossy(&planned.stderr).contains("riga-x"));
 
     let resent = site.apply(&second, "1");
     assert_eq!(exit_code(&resent), 0, "{resent:?}");
@@ -247,6 +251,10 @@
     for voter in &mut site.voters[1..] {
         voter.kill();
     }
+    // A plan without the upstreams of two control VMs could say that too few slots suffice.
+    let partial = site.run(&["evacuate", "start", "riga-1", "--dry-run"]);
+    assert_eq!((exit_code(&partial), &*partial.stdout), (1, &b""[..]));
+    assert!(String::from_utf8_lossy(&partial.stderr).contains("2 control VMs"));
     // The survivor may be the leader, which reports `present` until its lease expires.
     let present = |v: &Value| v["consensus"]["freshness"] == "present";
     site.wait_for("no control VM with a lease", |status| {
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -125,7 +125,7 @@
         for server in &self.servers {
             let status = match self.request(*server, &Call::Evacuations).await {
                 Ok(Reply::Evacuations(status)) => Ok(status),
-                Ok(_) => Ok(EvacuationStatus::default()),
+                Ok(_) => Err(ClientError::UnexpectedReply(*server)),
                 Err(e) => Err(e),
             };
             found.push((*server, status));
--- a/crates/currantgate/src/control/error.rs
+++ b/crates/currantgate/src/control/error.rs
@@ -97,6 +97,8 @@
     InvalidOrder(Box<str>),
     /// these control VMs feed no entries, so that nothing would carry out the order
     FeedsNoEntries,
+    /// {0}: its reply does not match the request, as from a VM that is not a voter
+    UnexpectedReply(SocketAddr),
     /// {server}: {source}
     Transport {
         /// The control VM.
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 
 use super::message::FeedHello;
-use super::status::{EvacuationListener, FleetStatus, ListenerStatus, ServiceSlots, ServiceStatus};
+use super::status::{
+    EvacuationListener, FleetStatus, ListenerStatus, ServiceStatus, UpstreamSlots,
+};
 
 /// Id of one feed of a control VM.
 pub(super) type FeedId = u64;
@@ -154,20 +156,18 @@
     services.into_values().collect()
 }
 
-/// Sums the slots of the upstreams that take new flows, by service and failure domain.
-pub(super) fn count_slots<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<ServiceSlots> {
-    let mut sums: IndexMap<(&str, &str), u32> = IndexMap::new();
-    for Record { report, is_silent } in records {
-        if report.state == UpstreamState::Ready && !is_silent {
-            *sums.entry((&report.service, &report.domain)).or_default() += report.slots;
-        }
-    }
-    sums.sort_unstable_keys();
-    let slots = sums.into_iter();
-    let slots = slots.map(|((service, domain), slots)| ServiceSlots {
-        service: service.into(),
-        domain: domain.into(),
-        slots,
+/// Returns the slots for new flows of each upstream that reports.
+pub(super) fn list_slots<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<UpstreamSlots> {
+    let reporting = records.filter(|record| !record.is_silent);
+    let slots = reporting.map(|Record { report, .. }| UpstreamSlots {
+        id: report.id.clone(),
+        version: report.version,
+        service: report.service.clone(),
+        domain: report.domain.clone(),
+        slots: match report.state {
+            UpstreamState::Ready => report.slots,
+            _ => 0,
+        },
     });
     slots.collect()
 }
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -28,5 +28,5 @@
 pub(crate) use server::{FeedSource, serve_feed};
 pub use status::{
     EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
-    ServiceLoad, ServiceSlots, ServiceStatus,
+    ServiceLoad, ServiceStatus, UpstreamSlots,
 };
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -23,7 +23,7 @@
 
 use super::demand_publisher::DemandPublisher;
 use super::evacuations;
-use super::listeners::{FeedId, Listeners, count_slots};
+use super::listeners::{FeedId, Listeners, list_slots};
 use super::message::{EvacuationState, FeedHello, FeedMessage, FeedRequest, Heartbeat};
 use super::permits::LeaderPermits;
 use super::published_demand::PublishedDemand;
@@ -136,7 +136,7 @@
         let evacuations = self.evacuations.borrow();
         EvacuationStatus {
             listeners: self.listeners.borrow().evacuations(),
-            slots: count_slots(self.registry.borrow().iter()),
+            slots: list_slots(self.registry.borrow().iter()),
             ..evacuations::to_status(&evacuations, std::time::Instant::now())
         }
     }
--- a/crates/currantgate/src/feed/status.rs
+++ b/crates/currantgate/src/feed/status.rs
@@ -1,6 +1,7 @@
 //! The status of the fleet that a control VM reports to operators.
 
 use currantgate_control::Revision;
+use currantgate_registry::{ReportVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// The listeners and upstreams of a control VM.
@@ -54,20 +55,25 @@
     pub returned: Vec<EvacuatedDomain>,
     /// The listeners of this VM, sorted by name.
     pub listeners: Vec<EvacuationListener>,
-    /// Slots of the upstreams that take new flows and report here, by service and domain.
-    pub slots: Vec<ServiceSlots>,
+    /// Slots of the upstreams that report here. One that has changed the control VM to which
+    /// it reports may be listed by both for a short time.
+    pub slots: Vec<UpstreamSlots>,
     /// Load of the callers whose demand is merged here; empty where entries report none.
     pub load: Vec<ServiceLoad>,
 }
 
-/// Slots of a service's upstreams in one failure domain.
+/// Slots of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceSlots {
-    /// Name of the service.
+pub struct UpstreamSlots {
+    /// Id of the upstream.
+    pub id: UpstreamId,
+    /// Version of its newest report.
+    pub version: ReportVersion,
+    /// Name of its service.
     pub service: Box<str>,
-    /// Name of the failure domain.
+    /// Name of its failure domain.
     pub domain: Box<str>,
-    /// Number of slots.
+    /// Number of slots for new flows; 0 if it takes none.
     pub slots: u32,
 }
 
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -41,7 +41,7 @@
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use feed::{
     DemandPublisher, EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus,
-    ListenerStatus, PublishedDemand, SentDemand, ServiceLoad, ServiceSlots, ServiceStatus,
+    ListenerStatus, PublishedDemand, SentDemand, ServiceLoad, ServiceStatus, UpstreamSlots,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use relay::{Relay, RelayError, RelaySockets};
