--- a/crates/currantgate-control/tests/evacuation.rs
+++ b/crates/currantgate-control/tests/evacuation.rs
@@ -9,8 +9,8 @@
 use common::net::Net;
 use currantgate_control::EvacuationAction::{Finish, Start};
 use currantgate_control::{
-    Disk, EvacuationAnswer, Evacuations, Index, Journal, Message, RefuseReason, RequestId,
-    RevisionId, VoterId,
+    Disk, EvacuationAnswer, EvacuationOrder, Evacuations, Index, Journal, Message, OrderLimit,
+    RefuseReason, RequestId, RevisionId, VoterId,
 };
 
 fn wait_for_leader(net: &mut Net) -> VoterId {
@@ -94,6 +94,34 @@
     }
 }
 
+/// Guards against a follower that counts as caught up when it returns while the leader keeps
+/// its term, although the leader has acknowledged orders meanwhile.
+#[test]
+fn a_follower_that_returns_in_the_same_term_is_not_caught_up_without_later_orders() {
+    for seed in 0..20 {
+        let mut net = Net::new(3, seed);
+        let leader = wait_for_leader(&mut net);
+        let id = net.order(leader, "a", Start);
+        wait_for_acceptance(&mut net, id);
+        net.run_until("all voters have it", Net::all_evacuations_current);
+        net.run(Duration::from_millis(500));
+        let follower = net.ids().into_iter().find(|id| *id != leader).unwrap();
+        net.crash(follower);
+        let id = net.order(leader, "b", Start);
+        let revision = wait_for_acceptance(&mut net, id);
+        // Messages that were sent before the order are lost with the connection.
+        net.run(Duration::from_millis(50));
+        net.restart(follower);
+        assert!(!net.is_caught_up(follower));
+        net.run_until("the follower is caught up", |net| {
+            net.is_caught_up(follower)
+        });
+        assert_eq!(net.leader(), Some(leader));
+        let held = net.replica(follower).unwrap().evacuations();
+        assert_eq!(held.revision(), revision);
+    }
+}
+
 /// Guards against an isolated leader that acknowledges an order, and against its order
 /// winning over a later one of the other side.
 #[test]
@@ -172,6 +200,35 @@
     net.run_until("all voters have them", Net::all_evacuations_current);
 }
 
+/// Guards against made-up names that fill the state of all VMs, and against limits that keep
+/// a domain evacuated.
+#[test]
+fn starts_beyond_the_limits_are_refused_and_finishes_are_not() {
+    let mut net = Net::new(1, 8);
+    let leader = wait_for_leader(&mut net);
+    let check = |net: &Net, domain: &str, action| {
+        let domain = domain.into();
+        let order = EvacuationOrder { domain, action };
+        net.replica(leader)
+            .unwrap()
+            .evacuations()
+            .check_limits(&order)
+    };
+    let longest = "a".repeat(253);
+    assert_eq!(check(&net, &longest, Start), Ok(()));
+    let too_long = check(&net, &"a".repeat(254), Start);
+    assert_eq!(too_long, Err(OrderLimit::DomainBytes));
+    for n in 0..1_024 {
+        assert_eq!(check(&net, &n.to_string(), Start), Ok(()));
+        let id = net.order(leader, &n.to_string(), Start);
+        wait_for_acceptance(&mut net, id);
+    }
+    let excess = check(&net, "b", Start);
+    assert_eq!(excess, Err(OrderLimit::EvacuatedDomains));
+    assert_eq!(check(&net, "b", Finish), Ok(()));
+    assert_eq!(check(&net, "7", Start), Ok(()), "it is resent");
+}
+
 /// The journal of a voter, the same after its compaction, and the transferred
 /// snapshot, as written by the build before evacuations.
 const EARLIER_JOURNAL: &[u8] = include_bytes!("fixtures/journal-before-evacuations");
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -125,7 +125,7 @@
         for server in &self.servers {
             let status = match self.request(*server, &Call::Evacuations).await {
                 Ok(Reply::Evacuations(status)) => Ok(status),
-                Ok(_) => Ok(EvacuationStatus::default()),
+                Ok(_) => Err(ClientError::UnexpectedReply(*server)),
                 Err(e) => Err(e),
             };
             found.push((*server, status));
@@ -352,8 +352,8 @@
             Attempt::Failed(reason.to_string().into())
         }
         EvacuationReply::Decided(EvacuationAnswer::Unknown) => Attempt::Unknown,
-        EvacuationReply::UnknownDomain(problem) => {
-            Attempt::Done(Err(ClientError::UnknownDomain(problem)))
+        EvacuationReply::InvalidOrder(problem) => {
+            Attempt::Done(Err(ClientError::InvalidOrder(problem)))
         }
         EvacuationReply::Unsupported => Attempt::Done(Err(ClientError::FeedsNoEntries)),
     }
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -192,15 +192,22 @@
         Reply::Evacuations(status.unwrap_or_default())
     }
 
-    /// Checks that a failure domain exists and that this VM can have it evacuated now.
-    pub(super) fn check_order(&self, domain: &str) -> Result<(), EvacuationReply> {
+    /// Checks that a failure domain exists and that this VM can have it evacuated now. A
+    /// domain that has left the settings while it is evacuated counts as existing, so that
+    /// its evacuation can be ended.
+    pub(super) fn check_order(&self, order: &EvacuationOrder) -> Result<(), EvacuationReply> {
         let Some(domains) = &self.domains else {
             return Err(EvacuationReply::Unsupported);
         };
-        let is_known = domains.is_empty() || domains.iter().any(|known| **known == *domain);
+        let evacuations = self.replica.evacuations();
+        let invalid = |problem: String| EvacuationReply::InvalidOrder(problem.into());
+        let limits = evacuations.check_limits(order);
+        limits.map_err(|limit| invalid(limit.to_string()))?;
+        let domain = &order.domain;
+        let is_known =
+            domains.is_empty() || domains.contains(domain) || self.replica.may_be_evacuated(domain);
         if domain.is_empty() || !is_known {
-            let problem = format!("there is no failure domain `{domain}`");
-            return Err(EvacuationReply::UnknownDomain(problem.into()));
+            return Err(invalid(format!("there is no failure domain `{domain}`")));
         }
         let refuse = |reason| EvacuationReply::Decided(EvacuationAnswer::Refused(reason));
         self.replica.check_order(Instant::now()).map_err(refuse)
@@ -215,12 +222,10 @@
         (self.next_request, reply)
     }
 
-    /// Cancels an order that is not in the log yet.
-    pub(super) fn cancel_order(&mut self, id: RequestId) {
+    /// Cancels an order that is not in the log yet, and returns whether it was cancelled.
+    pub(super) fn cancel_order(&mut self, id: RequestId) -> bool {
         self.pending.swap_remove(&id);
-        if self.replica.cancel_order(id) {
-            log::info!(event = "evacuation"; "order is dropped: its sender has given up");
-        }
+        self.replica.cancel_order(id)
     }
 
     /// Gives up leadership, so that another voter is elected soon.
