--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -17,6 +17,7 @@
 mod revision_tracker;
 mod sent_demand;
 mod server;
+mod source;
 mod status;
 
 pub use demand_publisher::DemandPublisher;
@@ -26,7 +27,8 @@
 pub use published_demand::PublishedDemand;
 pub(crate) use revision_tracker::RevisionTracker;
 pub use sent_demand::SentDemand;
-pub(crate) use server::{FeedSource, serve_feed};
+pub(crate) use server::serve_feed;
+pub(crate) use source::FeedSource;
 pub use status::{
     EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus, ListenerStatus,
     ServiceLoad, ServiceStatus, UpstreamSlots,
