--- a/crates/currantgate-placement/tests/shares.rs
+++ b/crates/currantgate-placement/tests/shares.rs
@@ -158,8 +158,8 @@
         let placed = placement.place(now, &request(IDEMPOTENT, true));
         refused += u32::from(matches!(placed, Err(Refusal::Overloaded(_))));
     }
-    // A quarter of the fleet's 40 slots, with 2.2 flows each, is this entry's share.
-    assert!((165..180).contains(&refused), "{refused}");
+    // A quarter of the fleet's 40 slots, with 2.6 flows each, is this entry's share.
+    assert!((161..176).contains(&refused), "{refused}");
     assert!(placement.place(now, &request(RUN_ONCE, true)).is_ok());
     assert!(placement.place(now, &request(IDEMPOTENT, false)).is_ok());
 }
