--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -9,7 +9,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::DomainDemand;
 use currantgate_log::{RateLimit, RateLimiter};
-use currantgate_placement::{PlacementSettings, Target};
+use currantgate_placement::Target;
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
@@ -55,6 +55,10 @@
     interval: Duration::from_secs(10),
 };
 
+/// Multiple of the usual duration after which a flow counts against its upstream. Work of
+/// single requests lasts up to six times the mean.
+const OVERDUE_FACTOR: f64 = 8.0;
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -107,7 +111,7 @@
             monitor: DemandMonitor::new(Instant::now(), metrics),
         });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
-        let mut router = TokenRouter::new(settings.routing.clone(), placement_settings(settings));
+        let mut router = new_router(settings);
         if let Some(limit) = settings.warmup_limit {
             router.limit_cold_upstreams(Instant::now(), limit, settings.placement.seed);
         }
@@ -314,7 +318,7 @@
                     permits,
                 },
             ) => {
-                self.routing.drop_permits_after_suspension();
+                self.routing.detect_suspension();
                 if let Some(holder) = self.routing.router.permits() {
                     let pace = Duration::from_millis(pace_ms.into());
                     holder.receive(Instant::now(), request, pace, &permits);
@@ -368,7 +372,7 @@
 
     /// Requests permits for cold upstreams from the leader.
     fn request_permits(&mut self) {
-        self.routing.drop_permits_after_suspension();
+        self.routing.detect_suspension();
         if let Some(leader) = self.leader
             && let Some(holder) = self.routing.router.permits()
             && let Some(request) = holder.next_request(Instant::now())
@@ -548,13 +552,16 @@
     }
 }
 
-/// Returns the settings of placement, with shares if entries share their demand.
-fn placement_settings(settings: &TokenEntrySettings) -> PlacementSettings {
+/// Returns a router with the given settings. If entries share their demand, flows are
+/// placed by shares, and those that last too long are reported before they end.
+fn new_router(settings: &TokenEntrySettings) -> TokenRouter {
+    let mut routing = settings.routing.clone();
     let mut placement = settings.placement.clone();
     if settings.is_demand_shared {
         placement.demand.get_or_insert_default();
+        routing.overdue_factor.get_or_insert(OVERDUE_FACTOR);
     }
-    placement
+    TokenRouter::new(routing, placement)
 }
 
 /// Converts an upstream for the router, with a target for new flows if it takes
