One detector of suspensions at an entry

Permits and delayed packets each had a detector of their own, so that the clocks were read twice for each batch of packets. One tells both now; the stall detector only looks for stops in which the clock went on.

--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -15,6 +15,10 @@
 use super::metrics::TokenEntryMetrics;
 use super::stall_detector::StallDetector;
 
+/// Time for which packets count as delayed after a stop: until the receive queue is empty,
+/// even on a small VM.
+const CATCH_UP_TIME: Duration = Duration::from_millis(200);
+
 /// The router with the log and the metrics of its decisions.
 #[derive(Debug)]
 pub(super) struct Routing {
@@ -81,27 +85,35 @@
         if !has_permits {
             return now;
         }
-        self.drop_permits_after_suspension();
+        self.detect_suspension();
         Instant::now()
     }
 
     /// Drops permits for cold upstreams if the VM was suspended, as the clock that their
-    /// lifetime is measured by was stopped.
-    pub(super) fn drop_permits_after_suspension(&mut self) {
-        if self.suspensions.detect(ClockReading::now())
-            && let Some(permits) = self.router.permits()
-        {
+    /// lifetime is measured by was stopped, and lets no flow be reset for a while.
+    pub(super) fn detect_suspension(&mut self) {
+        if !self.suspensions.detect(ClockReading::now()) {
+            return;
+        }
+        if let Some(permits) = self.router.permits() {
             log::warn!(event = "suspension"; "this VM was suspended, its permits are dropped");
             permits.clear(Instant::now());
         }
+        self.start_catching_up(Instant::now());
     }
 
-    /// Lets no flow be reset for a while if the process was stopped.
+    /// Lets no flow be reset for a while if the process was stopped or the VM suspended.
     pub(super) fn detect_stall(&mut self, detector: &mut StallDetector) {
-        if let Some(until) = detector.check(Instant::now()) {
-            log::info!(event = "stall"; "this process was stopped, delayed flows are not reset");
-            self.router.set_catching_up_until(until);
+        let now = Instant::now();
+        if detector.check(now) {
+            self.start_catching_up(now);
         }
+        self.detect_suspension();
+    }
+
+    fn start_catching_up(&mut self, now: Instant) {
+        log::info!(event = "stall"; "this process was stopped, delayed flows are not reset");
+        self.router.set_catching_up_until(now + CATCH_UP_TIME);
     }
 
     /// Applies changes of what all entries observe of upstreams.
