Reports of demand are added up by one function, and the last report's time is derived

The collector and the entry's unsent demand had a copy of the sum each. Since reports carry their period, an entry without a kept report is one that has stopped to report.

--- a/crates/currantgate-capacity/src/collector.rs
+++ b/crates/currantgate-capacity/src/collector.rs
@@ -27,7 +27,6 @@
 struct Reporter {
     domain: Box<str>,
     reports: VecDeque<Report>,
-    last_report: Instant,
 }
 
 /// Merges the demand that entries report, by their failure domains.
@@ -60,13 +59,11 @@
         let known = self.reporters.entry(reporter).or_insert_with(|| Reporter {
             domain: domain.into(),
             reports: VecDeque::new(),
-            last_report: now,
         });
         if &*known.domain != domain {
             known.domain = domain.into();
             known.reports.clear();
         }
-        known.last_report = now;
         let services = report.iter().take(MAX_SERVICES).map(sanitize).collect();
         known.reports.push_back(Report {
             at: now,
@@ -82,7 +79,7 @@
         let window = self.settings.window;
         self.reporters.retain(|_, reporter| {
             evict(reporter, now, window);
-            now.saturating_duration_since(reporter.last_report) <= window
+            !reporter.reports.is_empty()
         });
         let mut domains: IndexMap<&str, DomainDemand> = IndexMap::new();
         for reporter in self.reporters.values() {
@@ -184,18 +181,5 @@
         });
         sums.len() - 1
     });
-    let sum = &mut sums[index];
-    sum.completions += service.completions * factor;
-    sum.slot_ms += service.slot_ms * factor;
-    for class in &service.classes {
-        let arrivals = class.arrivals * factor;
-        match sum
-            .classes
-            .iter_mut()
-            .find(|c| c.priority == class.priority)
-        {
-            Some(known) => known.arrivals += arrivals,
-            None => sum.classes.push(ClassDemand { arrivals, ..*class }),
-        }
-    }
+    sums[index].add_flows(service, factor);
 }
--- a/crates/currantgate-capacity/src/demand.rs
+++ b/crates/currantgate-capacity/src/demand.rs
@@ -30,6 +30,22 @@
     pub slots: f32,
 }
 
+impl ServiceDemand {
+    /// Adds the flows of `added`, times `factor`. The slots stay.
+    pub fn add_flows(&mut self, added: &Self, factor: f32) {
+        self.completions += added.completions * factor;
+        self.slot_ms += added.slot_ms * factor;
+        for class in &added.classes {
+            let arrivals = class.arrivals * factor;
+            let mut known = self.classes.iter_mut();
+            match known.find(|c| c.priority == class.priority) {
+                Some(known) => known.arrivals += arrivals,
+                None => self.classes.push(ClassDemand { arrivals, ..*class }),
+            }
+        }
+    }
+}
+
 /// Demand a second of the callers of one failure domain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DomainDemand {
--- a/crates/currantgate/src/token_entry/unsent_demand.rs
+++ b/crates/currantgate/src/token_entry/unsent_demand.rs
@@ -25,7 +25,7 @@
         for service in demand {
             let mut known = self.demand.iter_mut();
             match known.find(|s| s.service == service.service) {
-                Some(known) => add_service(known, &service),
+                Some(known) => known.add_flows(&service, 1.0),
                 None => self.demand.push(service),
             }
         }
@@ -41,15 +41,3 @@
         now.saturating_duration_since(self.since)
     }
 }
-
-fn add_service(sum: &mut ServiceDemand, added: &ServiceDemand) {
-    sum.completions += added.completions;
-    sum.slot_ms += added.slot_ms;
-    for class in &added.classes {
-        let mut known = sum.classes.iter_mut();
-        match known.find(|c| c.priority == class.priority) {
-            Some(known) => known.arrivals += class.arrivals,
-            None => sum.classes.push(*class),
-        }
-    }
-}
