--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -117,42 +117,28 @@
             return;
         };
         let figures = figures();
-        let view_age_ms = self.view_age_ms(now);
-        match reason {
-            ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => log::info!(
-                event = "refused",
-                flow:% = flow,
-                service = figures.service.as_deref(),
-                is_idempotent = figures.priority.map(|p| p.is_idempotent),
-                level = figures.priority.map(|p| p.level),
-                admitted = figures.admitted,
-                own_share = figures.own_share,
-                fleet_capacity = figures.fleet_capacity,
-                demand_age_ms = figures.age_ms,
-                revision = self.revision,
-                view_age_ms = view_age_ms,
-                left_out = left_out;
-                "flow is refused: {reason}"
-            ),
-            ResetReason::Overloaded(overload) => log::info!(
-                event = "refused",
-                flow:% = flow,
-                ahead = overload.competing_flows,
-                room = overload.flow_limit,
-                open_for_ms = millis(overload.median_duration),
-                service = figures.service.as_deref(),
-                is_idempotent = figures.priority.map(|p| p.is_idempotent),
-                level = figures.priority.map(|p| p.level),
-                admitted = figures.admitted,
-                own_share = figures.own_share,
-                fleet_capacity = figures.fleet_capacity,
-                demand_age_ms = figures.age_ms,
-                revision = self.revision,
-                view_age_ms = view_age_ms,
-                left_out = left_out;
-                "flow is refused: {reason}"
-            ),
-        }
+        let overload = match reason {
+            ResetReason::Overloaded(overload) => Some(overload),
+            ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => None,
+        };
+        log::info!(
+            event = "refused",
+            flow:% = flow,
+            ahead = overload.map(|o| o.competing_flows),
+            room = overload.map(|o| o.flow_limit),
+            open_for_ms = overload.map(|o| millis(o.median_duration)),
+            service = figures.service.as_deref(),
+            is_idempotent = figures.priority.map(|p| p.is_idempotent),
+            level = figures.priority.map(|p| p.level),
+            admitted = figures.admitted,
+            own_share = figures.own_share,
+            fleet_capacity = figures.fleet_capacity,
+            demand_age_ms = figures.age_ms,
+            revision = self.revision,
+            view_age_ms = self.view_age_ms(now),
+            left_out = left_out;
+            "flow is refused: {reason}"
+        );
     }
 
     /// Logs that a packet was dropped.
