--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -246,9 +246,10 @@
         domain: Option<usize>,
     ) -> Option<(TargetKey, Rank)> {
         let Service { keys, sharing, .. } = self.services.get(service)?;
-        let is_shared = sharing.shares().is_some() && self.position.is_some();
-        let is_full = is_shared && sharing.shares().is_some_and(|shares| shares.load >= 1.0);
-        let probe_share = if sharing.shares().is_some() {
+        let shares = sharing.shares();
+        let is_shared = shares.is_some() && self.position.is_some();
+        let is_full = is_shared && shares.is_some_and(|shares| shares.load >= 1.0);
+        let probe_share = if shares.is_some() {
             self.settings.sharing.probe_share
         } else {
             self.settings.probe_share
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -138,7 +138,6 @@
     let start = Instant::now();
     let other = DomainDemand {
         domain: "b".into(),
-        position: None,
         ..figure(1)
     };
     let mut view = DemandView::default();
@@ -168,7 +167,6 @@
     let start = Instant::now();
     let other = DomainDemand {
         domain: "b".into(),
-        position: None,
         ..figure(1)
     };
     let mut view = DemandView::default();
