--- a/crates/currantgate-standin/src/token_upstream.rs
+++ b/crates/currantgate-standin/src/token_upstream.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use indexmap::IndexMap;
@@ -43,6 +43,7 @@
 pub struct TokenUpstream {
     address: SocketAddrV4,
     stats: Rc<TokenUpstreamStats>,
+    work_time: Rc<Cell<Duration>>,
     task: JoinHandle<()>,
 }
 
@@ -65,6 +66,7 @@
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
         let stats = Rc::new(TokenUpstreamStats::default());
+        let work_time = Rc::new(Cell::default());
         let server = Server {
             socket,
             identity,
@@ -72,11 +74,13 @@
             codec,
             flows: RefCell::default(),
             stats: Rc::clone(&stats),
+            work_time: Rc::clone(&work_time),
         };
         let task = actix_rt::spawn(server.run());
         Ok(Self {
             address,
             stats,
+            work_time,
             task,
         })
     }
@@ -91,6 +95,12 @@
         self.task.abort();
     }
 
+    /// Sets the time that the upstream works on each request, one after the other; 0 at
+    /// the start.
+    pub fn set_work_time(&self, time: Duration) {
+        self.work_time.set(time);
+    }
+
     /// Returns the counters.
     pub fn stats(&self) -> &TokenUpstreamStats {
         &self.stats
@@ -118,6 +128,7 @@
     /// Flows by caller and service address; ended ones are kept.
     flows: RefCell<IndexMap<(SocketAddrV4, SocketAddrV4), Flow>>,
     stats: Rc<TokenUpstreamStats>,
+    work_time: Rc<Cell<Duration>>,
 }
 
 impl<W: TokenCodec> Server<W> {
@@ -125,13 +136,13 @@
         let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             match self.socket.recv(&mut buf).await {
-                Ok(len) => self.handle_datagram(&buf[..len]),
+                Ok(len) => self.handle_datagram(&buf[..len]).await,
                 Err(e) => log::debug!("failed to receive a packet: {e}"),
             }
         }
     }
 
-    fn handle_datagram(&self, datagram: &[u8]) {
+    async fn handle_datagram(&self, datagram: &[u8]) {
         let Some((identity, rest)) = self.codec.split_identity(datagram) else {
             return;
         };
@@ -144,6 +155,9 @@
         if let Some(packet) = self.codec.decode(rest)
             && let Some(reply) = self.reply_to(&packet)
         {
+            if !reply.data.is_empty() && !self.work_time.get().is_zero() {
+                actix_rt::time::sleep(self.work_time.get()).await;
+            }
             let to = SocketAddrV4::new(*packet.from.ip(), self.caller_port);
             let datagram = self.codec.encode(&reply);
             if let Err(e) = self.socket.try_send_to(&datagram, to.into()) {
