--- a/crates/currantgate-placement/tests/load/hard.rs
+++ b/crates/currantgate-placement/tests/load/hard.rs
@@ -107,7 +107,7 @@
 }
 
 /// Guards against queues at some upstreams while others idle, as each of many entries
-/// sees few flows, and against refusals that returning callers keep up.
+/// sees few flows, and against refusals that last because refused callers return.
 #[test]
 fn many_entries_at_high_load_come_close_to_one_queue() {
     let scenario = Scenario::grown(0.9);
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -110,7 +110,7 @@
     );
 }
 
-/// Guards against entries that wait for the figures of a domain without entries for good,
+/// Guards against entries that wait forever for the figures of a domain without entries,
 /// and against a domain that is published as vacant while its entries have another
 /// collector.
 #[test]
@@ -138,7 +138,6 @@
     let start = Instant::now();
     let other = DomainDemand {
         domain: "b".into(),
-        position: None,
         ..figure(1)
     };
     let mut view = DemandView::default();
@@ -168,7 +167,6 @@
     let start = Instant::now();
     let other = DomainDemand {
         domain: "b".into(),
-        position: None,
         ..figure(1)
     };
     let mut view = DemandView::default();
