--- a/crates/currantgate-control/src/evacuation/published.rs
+++ b/crates/currantgate-control/src/evacuation/published.rs
@@ -10,7 +10,7 @@
 const RETURNED_TIME: Duration = Duration::from_secs(60);
 
 /// Difference up to which two ends of a domain count as the same one. Each transfer makes
-/// an end later by the time on the way; without a tolerance, two VMs would update each other
+/// an end later by the transit time; without a tolerance, two VMs would update each other
 /// without end.
 const END_TOLERANCE: Duration = Duration::from_secs(2);
 
--- a/crates/currantgate-control/tests/evacuation.rs
+++ b/crates/currantgate-control/tests/evacuation.rs
@@ -33,7 +33,7 @@
     evacuations.iter().map(|(domain, _)| domain).collect()
 }
 
-/// Guards against an order that is lost or turned around on the way to a voter, and
+/// Guards against an order that is lost or reordered in transit to a voter, and
 /// against a resent start that moves the time since which a domain is evacuated.
 #[test]
 fn orders_reach_every_voter_in_log_order_and_may_be_resent() {
--- a/crates/currantgate-warmup/tests/holder.rs
+++ b/crates/currantgate-warmup/tests/holder.rs
@@ -67,7 +67,7 @@
     assert!(!holder.try_use(sent, KEY), "requested before a suspension");
 }
 
-/// Guards against entries that ask a leader which does not answer ever so often.
+/// Guards against entries that send too many requests to a leader which does not answer.
 #[test]
 fn unanswered_requests_become_rare() {
     let (mut holder, sent, _) = requesting();
--- a/crates/currantgate/src/feed/permits.rs
+++ b/crates/currantgate/src/feed/permits.rs
@@ -71,7 +71,7 @@
         self.update(now, lease_term);
         let current = self.issuer.as_mut();
         let Some((_, issuer)) = current.filter(|(term, _)| Some(*term) == lease_term) else {
-            // Usual for a moment after a change of the leader.
+            // Expected until requesters know a new leader.
             log::debug!("a request for permits is ignored: no permits are issued here");
             return None;
         };
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -110,7 +110,7 @@
     );
 }
 
-/// Guards against entries that wait for the figures of a domain without entries for good,
+/// Guards against entries that wait forever for the figures of a domain without entries,
 /// and against a domain that is published as vacant while its entries have another
 /// collector.
 #[test]
