Entries report their open flows in evacuated domains

Operators could not tell when an evacuated failure domain is empty: the status had no number of the flows that are still open there, and each entry's own metric had to be read.

An entry that holds evacuations now reports its open flows by domain to all control VMs with an open feed, at most once a second and only where the number is not known (`FeedRequest::EvacuatedFlows`, the last variant). A control VM keeps the last report of each feed and drops it with the feed. `currantgate status` requests the reports with a call of its own, since a new field in the answer to `Call::Evacuations` would change its encoding, and sums them over all control VMs, with each entry once. An entry without a report, or with one from another revision of the evacuations, is counted as unknown.

--- a/crates/currantgate-cli/src/cmd/mod.rs
+++ b/crates/currantgate-cli/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod entry;
 pub(crate) mod evacuate;
 pub(crate) mod explain;
+mod open_flows;
 mod operator;
 pub(crate) mod relay;
 pub(crate) mod replace;
--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -7,7 +7,7 @@
 use currantgate_control::{Freshness, RolloutStatus};
 use serde_json::{Value, json};
 
-use super::operator;
+use super::{open_flows, operator};
 use crate::error::CommandError;
 
 /// Number of hexadecimal digits of a digest in the table.
@@ -23,17 +23,25 @@
 /// Runs the `status` subcommand.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
-    let (statuses, evacuations) =
-        operator::run(async { (client.status().await, client.evacuations().await) });
+    let (statuses, evacuations, flows) = operator::run(async {
+        (
+            client.status().await,
+            client.evacuations().await,
+            client.evacuated_flows().await,
+        )
+    });
+    let open_flows = open_flows::sum(&evacuations, &flows);
     if matches.get_flag("json") {
         let mut answers: Vec<_> = statuses.iter().map(to_json).collect();
         for (answer, (_, evacuations)) in answers.iter_mut().zip(&evacuations) {
             answer["evacuations"] = json!(evacuations.as_ref().ok());
+            answer["open_flows"] = json!(open_flows);
         }
         println!("{}", Value::from(answers));
     } else {
         print_table(&statuses);
         print_evacuations(&evacuations);
+        open_flows::print(&open_flows, &flows);
     }
     let is_present = statuses.iter().any(|(_, status)| {
         let consensus = status.as_ref().ok().and_then(|s| s.consensus.as_ref());
--- a/crates/currantgate/src/control/call.rs
+++ b/crates/currantgate/src/control/call.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuation::EvacuationReply;
-use crate::feed::{EvacuationStatus, FleetStatus};
+use crate::feed::{EntryFlows, EvacuationStatus, FleetStatus};
 
 /// Path of streams between control VMs.
 pub(super) const PEER_PATH: &str = "/v1/peer";
@@ -45,6 +45,9 @@
     Evacuate(EvacuationOrder),
     /// Returns the status of the evacuations.
     Evacuations,
+    /// Returns the open flows of entries in evacuated domains. A call of its own, so that the
+    /// answer to [`Call::Evacuations`] stays as commands of earlier builds expect it.
+    EvacuatedFlows,
 }
 
 /// The answer to a [`Call`].
@@ -64,6 +67,7 @@
     NotAVoter,
     Evacuation(EvacuationReply),
     Evacuations(EvacuationStatus),
+    EvacuatedFlows(Vec<EntryFlows>),
 }
 
 /// The status of one control or fan-out VM.
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -14,7 +14,7 @@
 use super::ClientError;
 use super::call::{CALL_PATH, Call, NodeStatus, Reply};
 use super::evacuation::EvacuationReply;
-use crate::feed::EvacuationStatus;
+use crate::feed::{EntryFlows, EvacuationStatus};
 
 /// Time within which a control VM must reply to a change.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -133,6 +133,21 @@
         found
     }
 
+    /// Returns the entries that each control VM feeds, with their open flows in evacuated
+    /// domains, or why they were not received.
+    pub async fn evacuated_flows(&self) -> Vec<(SocketAddr, Result<Vec<EntryFlows>, ClientError>)> {
+        let mut found = Vec::new();
+        for server in &self.servers {
+            let flows = match self.request(*server, &Call::EvacuatedFlows).await {
+                Ok(Reply::EvacuatedFlows(flows)) => Ok(flows),
+                Ok(_) => Err(ClientError::UnexpectedReply(*server)),
+                Err(e) => Err(e),
+            };
+            found.push((*server, flows));
+        }
+        found
+    }
+
     /// Sends a change to one control VM after the other until one decides or `deadline`
     /// passes.
     async fn change(&self, call: &Call, deadline: Instant) -> Result<ApplyOutcome, ClientError> {
@@ -335,7 +350,10 @@
         | Reply::Confirmed(_)
         | Reply::FoundRevision(_)
         | Reply::Status(_)
-        | Reply::Evacuations(_) => Attempt::Failed("its reply does not match the request".into()),
+        | Reply::Evacuations(_)
+        | Reply::EvacuatedFlows(_) => {
+            Attempt::Failed("its reply does not match the request".into())
+        }
     }
 }
 
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -17,7 +17,7 @@
 use tracing::debug_span;
 
 use super::call::{Envelope, NodeStatus, Reply};
-use super::daemon::{EvacuationStatusSource, Extension, FleetStatusSource};
+use super::daemon::{EvacuatedFlowsSource, EvacuationStatusSource, Extension, FleetStatusSource};
 use super::evacuation::{EvacuationReply, LocalEvacuations};
 use super::leader_log::LeaderLog;
 use super::metrics::ControlMetrics;
@@ -50,6 +50,7 @@
     fleet: Option<FleetStatusSource>,
     domains: Option<Vec<Box<str>>>,
     evacuation_status: Option<EvacuationStatusSource>,
+    evacuated_flows: Option<EvacuatedFlowsSource>,
     evacuations: watch::Sender<LocalEvacuations>,
     leader_log: LeaderLog,
     next_request: RequestId,
@@ -87,6 +88,7 @@
             fleet: extension.fleet.clone(),
             domains: extension.domains.clone(),
             evacuation_status: extension.evacuations.clone(),
+            evacuated_flows: extension.evacuated_flows.clone(),
             evacuations,
             leader_log: LeaderLog::default(),
             next_request: 0,
@@ -192,6 +194,12 @@
         Reply::Evacuations(status.unwrap_or_default())
     }
 
+    /// Returns the open flows of entries in evacuated domains.
+    pub(super) fn evacuated_flows(&self) -> Reply {
+        let flows = self.evacuated_flows.as_ref().map(|flows| flows());
+        Reply::EvacuatedFlows(flows.unwrap_or_default())
+    }
+
     /// Checks that a failure domain exists and that this VM can have it evacuated now. A
     /// domain that has left the settings while it is evacuated counts as existing, so that
     /// its evacuation can be ended.
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -25,7 +25,7 @@
 use super::publishing::{Publishing, run_publisher_timers};
 use super::writer::{self, Confirmations};
 use crate::entry::announcement_server;
-use crate::feed::{EvacuationStatus, FleetStatus};
+use crate::feed::{EntryFlows, EvacuationStatus, FleetStatus};
 
 /// How a control VM obtains its state when it starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +50,9 @@
 /// Source of the status of the evacuations that a control VM serves.
 pub(crate) type EvacuationStatusSource = Rc<dyn Fn() -> EvacuationStatus>;
 
+/// Source of the open flows of entries in evacuated domains that a control VM serves.
+pub(crate) type EvacuatedFlowsSource = Rc<dyn Fn() -> Vec<EntryFlows>>;
+
 /// The parts that a program adds to a control VM.
 pub(crate) struct Extension {
     /// Validates a site file before it is proposed.
@@ -63,6 +66,8 @@
     pub(crate) domains: Option<Vec<Box<str>>>,
     /// Returns the status of the evacuations, for operators.
     pub(crate) evacuations: Option<EvacuationStatusSource>,
+    /// Returns the open flows of entries in evacuated domains, for operators.
+    pub(crate) evacuated_flows: Option<EvacuatedFlowsSource>,
 }
 
 /// Validates a site file in the format of this crate.
@@ -102,6 +107,7 @@
             fleet: None,
             domains: None,
             evacuations: None,
+            evacuated_flows: None,
         };
         Self::run(settings, opened, (address, listener), extension)
     }
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -133,7 +133,8 @@
             | Call::FindRevision(_)
             | Call::Replace(_)
             | Call::Evacuate(_)
-            | Call::Evacuations => Reply::NotAVoter,
+            | Call::Evacuations
+            | Call::EvacuatedFlows => Reply::NotAVoter,
         }
     }
 }
--- a/crates/currantgate/src/control/incoming_streams.rs
+++ b/crates/currantgate/src/control/incoming_streams.rs
@@ -61,6 +61,7 @@
         Call::FindRevision(revision) => return Some(core.borrow().find_revision(revision)),
         Call::Status => return Some(core.borrow().status()),
         Call::Evacuations => return Some(core.borrow().evacuation_status()),
+        Call::EvacuatedFlows => return Some(core.borrow().evacuated_flows()),
         Call::Evacuate(order) => {
             return Some(Reply::Evacuation(execute_order(core, order).await));
         }
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::client::{FeedShared, run_feed};
+use super::evacuated_flows::EvacuatedFlows;
 use super::message::{FeedHello, FeedMessage, FeedRequest};
 use super::revision_tracker::UpdateRequest;
 
@@ -169,9 +170,7 @@
     /// Returns the control VM that merges observations for this process, if a feed is
     /// open.
     pub(crate) fn collector(&self) -> Option<SocketAddr> {
-        let connected = self.links.iter().filter(|(_, link)| link.is_connected);
-        let connected = connected.map(|(address, _)| *address);
-        choose_collector(&self.shared.hello.domain, connected)
+        choose_collector(&self.shared.hello.domain, self.connected())
     }
 
     /// Reports observations to a control VM. A report that can't be queued is dropped.
@@ -214,6 +213,22 @@
         self.queue(to, request)
     }
 
+    /// Returns the control VMs from which a feed is open.
+    pub(crate) fn connected(&self) -> impl Iterator<Item = SocketAddr> {
+        let connected = self.links.iter().filter(|(_, link)| link.is_connected);
+        connected.map(|(address, _)| *address)
+    }
+
+    /// Reports open flows in evacuated domains to a control VM; returns whether the report
+    /// is queued.
+    pub(crate) fn report_evacuated_flows(&self, to: SocketAddr, flows: EvacuatedFlows) -> bool {
+        let request = FeedRequest::EvacuatedFlows {
+            revision: self.shared.revision.get(),
+            flows,
+        };
+        self.queue(to, request)
+    }
+
     /// Queues a request for the feed of a control VM; returns whether there was room.
     fn queue(&self, to: SocketAddr, request: FeedRequest) -> bool {
         let link = self.links.get(&to);
--- a/crates/currantgate/src/feed/listeners.rs
+++ b/crates/currantgate/src/feed/listeners.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use super::evacuated_flows::{EntryFlows, EvacuatedFlows};
 use super::message::FeedHello;
 use super::status::{
     EvacuationListener, FleetStatus, ListenerStatus, ServiceStatus, UpstreamSlots,
@@ -21,6 +22,8 @@
     sent_change: ChangeNumber,
     /// Revision of the evacuations that it has confirmed.
     evacuations: u64,
+    /// Open flows in evacuated domains that it has reported last.
+    evacuated_flows: Option<EvacuatedFlows>,
 }
 
 /// The processes that receive a feed, with their last message and what they have
@@ -46,6 +49,7 @@
             last_message: now,
             sent_change: 0,
             evacuations: 0,
+            evacuated_flows: None,
         };
         self.feeds.insert(self.last_id, listener);
         self.last_id
@@ -89,6 +93,23 @@
         }
     }
 
+    pub(super) fn record_evacuated_flows(&mut self, id: FeedId, flows: EvacuatedFlows) {
+        if let Some(listener) = self.feeds.get_mut(&id) {
+            listener.evacuated_flows = Some(flows);
+        }
+    }
+
+    /// Returns the entries with what they have reported of their flows in evacuated domains.
+    /// An entry whose lost feed has not timed out yet is listed once for each feed.
+    pub(super) fn evacuated_flows(&self) -> Vec<EntryFlows> {
+        let entries = self.feeds.values().filter(|l| l.hello.control.is_none());
+        let entries = entries.map(|listener| EntryFlows {
+            name: listener.hello.name.clone(),
+            report: listener.evacuated_flows.clone(),
+        });
+        entries.collect()
+    }
+
     /// Returns what each listener holds of the evacuations.
     pub(super) fn evacuations(&self) -> Vec<EvacuationListener> {
         let listeners = self.feeds.values().map(|listener| EvacuationListener {
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -11,6 +11,8 @@
 use currantgate_warmup::{Permit, PermitsRequest, RequestNumber};
 use serde::{Deserialize, Serialize};
 
+use super::evacuated_flows::EvacuatedFlows;
+
 /// The path of feeds.
 pub(crate) const FEED_PATH: &str = "/v1/feed";
 
@@ -76,6 +78,14 @@
         /// Whether the listener has had a feed from a VM in contact with a quorum.
         had_quorum: bool,
     },
+    /// Reports the open flows of an entry in evacuated domains. Sent only while the entry
+    /// holds evacuations, as control VMs of earlier builds close the feed on it.
+    EvacuatedFlows {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// The open flows, which replace those of the last report.
+        flows: EvacuatedFlows,
+    },
 }
 
 impl FeedRequest {
@@ -86,7 +96,8 @@
             | Self::Observations { revision, .. }
             | Self::WarmupPermits { revision, .. }
             | Self::Demand { revision, .. }
-            | Self::Evacuations { revision, .. } => *revision,
+            | Self::Evacuations { revision, .. }
+            | Self::EvacuatedFlows { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
--- a/crates/currantgate/src/feed/mod.rs
+++ b/crates/currantgate/src/feed/mod.rs
@@ -8,7 +8,9 @@
 
 mod client;
 mod demand_publisher;
+mod evacuated_flows;
 pub(crate) mod evacuations;
+mod flow_reports;
 mod links;
 mod listeners;
 mod message;
@@ -21,6 +23,8 @@
 mod status;
 
 pub use demand_publisher::DemandPublisher;
+pub use evacuated_flows::{EntryFlows, EvacuatedFlows, OpenFlows};
+pub use flow_reports::FlowReports;
 pub(crate) use links::{FeedEvent, FeedLinks, FeedLinksSettings};
 pub(crate) use message::{EvacuationState, FEED_PATH, FeedHello, FeedMessage, Heartbeat};
 pub(crate) use permits::PermitCounts;
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -175,6 +175,11 @@
                 listeners.record_evacuations(self.id, evacuations);
                 Ok(())
             }
+            FeedRequest::EvacuatedFlows { flows, .. } => {
+                let mut listeners = self.source.listeners.borrow_mut();
+                listeners.record_evacuated_flows(self.id, flows);
+                Ok(())
+            }
             FeedRequest::WarmupPermits { request, .. } => self.send_permits(&request).await,
             FeedRequest::Demand {
                 period_ms, demand, ..
--- a/crates/currantgate/src/feed/source.rs
+++ b/crates/currantgate/src/feed/source.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::demand_publisher::DemandPublisher;
+use super::evacuated_flows::EntryFlows;
 use super::evacuations;
 use super::listeners::{FeedId, Listeners, list_slots};
 use super::message::{EvacuationState, FeedHello, Heartbeat};
@@ -111,6 +112,11 @@
         }
     }
 
+    /// Returns the entries with what they have reported of their flows in evacuated domains.
+    pub(crate) fn evacuated_flows(&self) -> Vec<EntryFlows> {
+        self.listeners.borrow().evacuated_flows()
+    }
+
     /// Returns the evacuations if they have changed since change `sent`, which is updated.
     pub(super) fn take_unsent_evacuations(&self, sent: &mut u64) -> Option<EvacuationState> {
         let evacuations = self.evacuations.borrow();
--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -41,8 +41,9 @@
 };
 pub use entry::{Entry, EntryError, EntrySockets};
 pub use feed::{
-    DemandPublisher, EvacuatedDomain, EvacuationListener, EvacuationStatus, FleetStatus,
-    ListenerStatus, PublishedDemand, SentDemand, ServiceLoad, ServiceStatus, UpstreamSlots,
+    DemandPublisher, EntryFlows, EvacuatedDomain, EvacuatedFlows, EvacuationListener,
+    EvacuationStatus, FleetStatus, FlowReports, ListenerStatus, OpenFlows, PublishedDemand,
+    SentDemand, ServiceLoad, ServiceStatus, UpstreamSlots,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
 pub use process::{wait_for_stop_signal, watch_settings};
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -264,6 +264,7 @@
     // closure.
     let fleet = Rc::downgrade(&source);
     let evacuations = fleet.clone();
+    let evacuated_flows = fleet.clone();
     let serve = move |incoming: IncomingStream| {
         let source = Rc::clone(&source);
         async move {
@@ -291,6 +292,12 @@
                 .map(|source| source.evacuation_status())
                 .unwrap_or_default()
         })),
+        evacuated_flows: Some(Rc::new(move || {
+            evacuated_flows
+                .upgrade()
+                .map(|source| source.evacuated_flows())
+                .unwrap_or_default()
+        })),
     }
 }
 
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -32,8 +32,8 @@
 use super::stall_detector::StallDetector;
 use super::unsent_demand::UnsentDemand;
 use crate::feed::{
-    EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
-    RevisionTracker,
+    EvacuatedFlows, EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings,
+    FeedMessage, FlowReports, RevisionTracker,
 };
 
 /// Interval at which flows whose callers have given up are expired, a small part
@@ -126,6 +126,7 @@
             packets,
             view: UpstreamView::new(settings.view.clone()),
             evacuations: EvacuationView::default(),
+            flow_reports: FlowReports::new(Instant::now()),
             revisions: RevisionTracker::default(),
             refresh_timer: ViewRefreshTimer::new(Instant::now()),
             routed_upstreams: 0,
@@ -195,6 +196,7 @@
     packets: PacketSocket<F>,
     view: UpstreamView,
     evacuations: EvacuationView,
+    flow_reports: FlowReports,
     revisions: RevisionTracker,
     refresh_timer: ViewRefreshTimer,
     /// Number of upstreams in the view that the router was last updated from.
@@ -250,6 +252,7 @@
                 _ = flow_interval.tick() => {
                     self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
+                    self.report_evacuated_flows();
                     self.update_upstreams_if_due();
                 }
                 () = wait_until(permits_due) => self.request_permits(),
@@ -278,6 +281,7 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                self.flow_reports.remove(from);
                 self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
                 if self.collector == Some(from) {
@@ -363,6 +367,31 @@
         }
     }
 
+    /// Reports the open flows in evacuated domains to the control VMs that don't know their
+    /// number yet.
+    fn report_evacuated_flows(&mut self) {
+        let now = Instant::now();
+        let evacuated = self.evacuations.evacuated();
+        if evacuated.len() == 0 || !self.flow_reports.is_due(now) {
+            return;
+        }
+        let router = &self.routing.router;
+        let open = evacuated.map(|domain| (domain.clone(), router.open_flows_in(domain)));
+        let report = EvacuatedFlows {
+            evacuations: self.evacuations.revision(),
+            open: open.filter(|(_, flows)| *flows > 0).collect(),
+        };
+        let due = self
+            .flow_reports
+            .take_due(now, &report, self.links.connected());
+        for to in due {
+            if !self.links.report_evacuated_flows(to, report.clone()) {
+                self.flow_reports.remove(to);
+                log::debug!("a report of flows in evacuated domains to {to} is sent later");
+            }
+        }
+    }
+
     /// Returns when the next request for permits may be due: nothing while no upstream is
     /// cold or no leader is known.
     fn next_permits_request_at(&mut self) -> Option<Instant> {
