Status requests its answers at the same time, lists lagging VMs only if any

`currantgate status` asked for the status, then for the evacuations and the open flows, so that a control VM that does not answer cost a timeout of a second for each. It also ended a line with an empty list when all VMs hold the evacuations.

The three requests now run concurrently, and the list is printed only if a VM lags.

`status_requests_all_answers_at_the_same_time` failed before (the first connection had ended when the third was opened) and passes now. All tests of currantgate-cli pass.

--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -24,10 +24,10 @@
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
     let (statuses, evacuations, flows) = operator::run(async {
-        (
-            client.status().await,
-            client.evacuations().await,
-            client.evacuated_flows().await,
+        tokio::join!(
+            client.status(),
+            client.evacuations(),
+            client.evacuated_flows()
         )
     });
     let open_flows = open_flows::sum(&evacuations, &flows);
@@ -172,12 +172,14 @@
             .iter()
             .filter(|l| l.revision < status.revision);
         let lagging: Vec<_> = lagging.map(|listener| &*listener.name).collect();
-        println!(
-            "held by {} of {} listeners; not by: {}",
-            status.listeners.len() - lagging.len(),
-            status.listeners.len(),
-            lagging.join(", ")
-        );
+        let listeners = status.listeners.len();
+        let held = listeners - lagging.len();
+        if lagging.is_empty() {
+            println!("held by {held} of {listeners} listeners");
+        } else {
+            let lagging = lagging.join(", ");
+            println!("held by {held} of {listeners} listeners; not by: {lagging}");
+        }
     }
 }
 
--- a/crates/currantgate-cli/tests/control.rs
+++ b/crates/currantgate-cli/tests/control.rs
@@ -1,6 +1,7 @@
 //! Three control VMs and an entry as real processes on loopback.
 
 use std::fs;
+use std::io::{ErrorKind, Read as _};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -300,3 +301,25 @@
     let applied = site.apply(&second, "1");
     assert_eq!(exit_code(&applied), 0, "{applied:?}");
 }
+
+/// Guards against a status that waits for one timeout after the other at a control VM that
+/// does not answer.
+#[test]
+fn status_requests_all_answers_at_the_same_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let mut status = Command::new(env!("CARGO_BIN_EXE_currantgate"))
+        .args(["status", "--json", "--servers", &address])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut connections = [(); 3].map(|()| listener.accept().unwrap().0);
+    // The first bytes of the requests are in the buffers, or an end after a timeout.
+    for connection in &mut connections {
+        connection.set_nonblocking(true).unwrap();
+        let end = connection.read_to_end(&mut Vec::new());
+        assert_eq!(end.unwrap_err().kind(), ErrorKind::WouldBlock);
+    }
+    status.wait().unwrap();
+}
