DemandView alone decides which figures of demand are out of date

Two types had a rule for the age of figures: `DemandView` (2 s since they were measured, and a domain without entries is forgotten with its last figure) and `FleetDemand` (`max_age`, `forget_after`: 2 and 10 s since their arrival). After a domain had been forgotten by the view, its zero figure stayed in `FleetDemand` and was out of date there from 2 to 10 s, in which the entry had no shares although its view was current.

`FleetDemand` now keeps figures until they are replaced or cleared, and both settings are removed. The view is checked before each first packet and clears the figures when they are out of date. The zero figure of a forgotten domain may stay, as it adds nothing to any sum.

The times themselves are covered by the tests of `DemandView`, and by the new `there_are_shares_whenever_the_view_is_current`, which compares both types each 250 ms for 15 s.

--- a/crates/currantgate-capacity/src/fleet_demand.rs
+++ b/crates/currantgate-capacity/src/fleet_demand.rs
@@ -8,13 +8,6 @@
 use crate::water_filling::{DomainLoad, divide};
 use crate::{DemandSettings, DomainDemand, Priority, ServiceDemand, ServiceShares};
 
-/// Figures of a domain and the time of their arrival.
-#[derive(Clone, Debug)]
-struct Figures {
-    at: Instant,
-    demand: DomainDemand,
-}
-
 /// Slots of the upstreams of one failure domain.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct DomainSlots {
@@ -52,10 +45,14 @@
 }
 
 /// The demand of all failure domains, as published by their collectors.
+///
+/// Figures stay until they are replaced or cleared: when they are out of date is decided by
+/// their receiver alone, which clears them then. With a second rule here, the zero figure of
+/// a domain without entries was out of date after the receiver had forgotten that domain.
 #[derive(Clone, Debug)]
 pub struct FleetDemand {
     settings: DemandSettings,
-    domains: IndexMap<Box<str>, Figures>,
+    domains: IndexMap<Box<str>, DomainDemand>,
     work: IndexMap<Box<str>, WorkEstimate>,
 }
 
@@ -70,12 +67,8 @@
     }
 
     /// Replaces the figures of a domain.
-    pub fn update(&mut self, now: Instant, demand: DomainDemand) {
-        let forget_after = self.settings.forget_after;
-        self.domains
-            .retain(|_, figures| now.saturating_duration_since(figures.at) < forget_after);
-        let domain = demand.domain.clone();
-        self.domains.insert(domain, Figures { at: now, demand });
+    pub fn update(&mut self, demand: DomainDemand) {
+        self.domains.insert(demand.domain.clone(), demand);
     }
 
     /// Removes the figures of all domains.
@@ -83,32 +76,9 @@
         self.domains.clear();
     }
 
-    /// Returns the figures of a domain unless they are out of date.
-    pub fn domain(&self, now: Instant, domain: &str) -> Option<&DomainDemand> {
-        let figures = self.domains.get(domain)?;
-        self.is_current(now, figures).then_some(&figures.demand)
-    }
-
-    /// Returns the age of the oldest figures that are not forgotten.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        let ages = self.domains.values();
-        ages.map(|figures| now.saturating_duration_since(figures.at))
-            .max()
-    }
-
-    fn is_current(&self, now: Instant, figures: &Figures) -> bool {
-        now.saturating_duration_since(figures.at) < self.settings.max_age
-    }
-
     /// Returns the shares of a service; nothing without slots, or while the figures of
-    /// the entry's domain are missing or those of any domain are out of date.
+    /// the entry's domain are missing.
     pub fn shares(&mut self, now: Instant, view: &EntryView<'_>) -> Option<ServiceShares> {
-        let forget_after = self.settings.forget_after;
-        let known = self.domains.values();
-        let mut kept = known.filter(|f| now.saturating_duration_since(f.at) < forget_after);
-        if !kept.all(|figures| self.is_current(now, figures)) {
-            return None;
-        }
         let own_slots = view.slots.iter();
         let slots_by_domain: IndexMap<&str, DomainSlots> = own_slots
             .map(|(domain, slots)| (&**domain, self.known_slots(view, domain, *slots)))
@@ -118,7 +88,7 @@
         if slots <= 0.0 {
             return None;
         }
-        let own = view.domain.and_then(|domain| self.domain(now, domain));
+        let own = view.domain.and_then(|domain| self.domains.get(domain));
         let own_entries = f64::from(own?.entries.max(1));
         let work_ms = self.update_work(now, view.service, slots)?;
         let mut classes: BTreeMap<Priority, f64> = BTreeMap::new();
@@ -129,11 +99,11 @@
         let mut own_arrivals = 0.0;
         let mut entries = 0.0;
         for figures in self.domains.values() {
-            let domain = &*figures.demand.domain;
+            let domain = &*figures.domain;
             let is_own = view.domain == Some(domain);
             let change = if is_own { view.change } else { 1.0 };
-            entries += f64::from(figures.demand.entries);
-            let Some(service) = service_demand(&figures.demand, view.service) else {
+            entries += f64::from(figures.entries);
+            let Some(service) = service_demand(figures, view.service) else {
                 continue;
             };
             let mut arrivals = 0.0;
@@ -184,7 +154,7 @@
         if view.domain == Some(domain) {
             return slots;
         }
-        let demand = self.domains.get(domain).map(|figures| &figures.demand);
+        let demand = self.domains.get(domain);
         let service = demand.and_then(|demand| service_demand(demand, view.service));
         match service.map(|service| f64::from(service.slots)) {
             Some(published) if published > 0.0 && published < slots.effective => DomainSlots {
@@ -202,7 +172,7 @@
     fn update_work(&mut self, now: Instant, service: &str, slots: f64) -> Option<f64> {
         let figures = self.domains.values();
         let all: Vec<_> = figures
-            .filter_map(|figures| service_demand(&figures.demand, service))
+            .filter_map(|figures| service_demand(figures, service))
             .collect();
         let completions: f64 = all.iter().map(|s| f64::from(s.completions)).sum();
         let slot_ms: f64 = all.iter().map(|s| f64::from(s.slot_ms)).sum();
--- a/crates/currantgate-capacity/src/settings.rs
+++ b/crates/currantgate-capacity/src/settings.rs
@@ -8,11 +8,6 @@
     /// Time over which the reports of an entry are averaged. It holds two reports, so
     /// that a delayed one doesn't make the entry drop out.
     pub window: Duration,
-    /// Age from which a domain's figures are not used.
-    pub max_age: Duration,
-    /// Age from which a domain without new figures counts as one without callers. Its
-    /// entries then had the time to reach another collector.
-    pub forget_after: Duration,
     /// Part of its slots that a domain's own demand may use before flows go to other
     /// domains. The rest absorbs random variation within the domain.
     pub local_fill: f64,
@@ -27,8 +22,6 @@
     fn default() -> Self {
         Self {
             window: Duration::from_secs(1),
-            max_age: Duration::from_secs(2),
-            forget_after: Duration::from_secs(10),
             local_fill: 0.7,
             work_time_constant: Duration::from_secs(2),
             loaded_work_time_constant: Duration::from_secs(60),
--- a/crates/currantgate-placement/src/placement/shared_decisions.rs
+++ b/crates/currantgate-placement/src/placement/shared_decisions.rs
@@ -20,12 +20,13 @@
             .collect()
     }
 
-    /// Applies the published demand of a failure domain.
+    /// Applies the published demand of a failure domain. It is used until it is replaced or
+    /// cleared.
     pub fn update_demand(&mut self, now: Instant, demand: &DomainDemand) {
         let Some(fleet) = &mut self.fleet_demand else {
             return;
         };
-        fleet.update(now, demand.clone());
+        fleet.update(demand.clone());
         // Only the entries of a domain have a position there. In an evacuated domain no
         // upstream tells which one it is.
         if demand.position.is_some() && self.own_domain.as_ref() != Some(&demand.domain) {
@@ -75,11 +76,6 @@
         }
     }
 
-    /// Returns the age of the oldest published demand that is not forgotten.
-    pub fn demand_age(&self, now: Instant) -> Option<Duration> {
-        self.fleet_demand.as_ref()?.age(now)
-    }
-
     /// Returns how new flows of a service are divided among failure domains; nothing
     /// while the entry decides by its own flows alone.
     pub fn shares(&self, service: &str) -> Option<&ServiceShares> {
--- a/crates/currantgate/src/token_entry/demand_view.rs
+++ b/crates/currantgate/src/token_entry/demand_view.rs
@@ -6,7 +6,7 @@
 use currantgate_capacity::DomainDemand;
 use indexmap::IndexMap;
 
-/// Age from which the figure of a domain is no longer used.
+/// Age from which the figure of a domain is no longer used. Placement has no rule of its own.
 const FIGURE_LIFETIME: Duration = Duration::from_secs(2);
 
 /// The newest figure of a failure domain from one control VM.
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -7,7 +7,10 @@
 
 use currantgate::DemandChange::{OutOfDate, Renewed};
 use currantgate::{DemandPublisher, DemandView, PublishedDemand, SentDemand, UnsentDemand};
-use currantgate_capacity::{ClassDemand, DomainDemand, Priority, ServiceDemand};
+use currantgate_capacity::{
+    ClassDemand, DemandSettings, DomainDemand, DomainSlots, EntryView, FleetDemand, Priority,
+    ServiceDemand,
+};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -159,6 +162,53 @@
     assert_eq!(view.demands().count(), 1);
 }
 
+/// Guards against shares that are missing while the view is current, as the zero figure of a
+/// domain that the view has forgotten still counted as out of date.
+#[test]
+fn there_are_shares_whenever_the_view_is_current() {
+    let start = Instant::now();
+    let own = DomainDemand {
+        services: vec![service_demand(&[0])],
+        ..figure(1)
+    };
+    let vacant = DomainDemand {
+        domain: "b".into(),
+        ..figure(0)
+    };
+    let slots = DomainSlots {
+        effective: 10.0,
+        flows: 10.0,
+    };
+    let slots = ["a", "b"].map(|domain| (domain.into(), slots)).into();
+    let entry = EntryView {
+        service: "booking",
+        domain: Some("a"),
+        slots: &slots,
+        change: 1.0,
+        relative_demand: 1.0,
+    };
+    let mut view = DemandView::default();
+    let mut fleet = FleetDemand::new(DemandSettings::default());
+    view.record(start, control(1), Duration::ZERO, vacant);
+    for step in 0..60 {
+        let now = start + ms(250) * step;
+        // Reports end after 12 s.
+        if step < 48 {
+            view.record(now, control(1), Duration::ZERO, own.clone());
+        }
+        match view.update(now) {
+            Some(Renewed(demands)) => demands
+                .into_iter()
+                .for_each(|demand| fleet.update(demand.clone())),
+            Some(OutOfDate) => fleet.clear(),
+            None => {}
+        }
+        let has_shares = fleet.shares(now, &entry).is_some();
+        assert_eq!(has_shares, view.is_current(now), "after {step} steps");
+    }
+    assert!(!view.is_current(start + ms(14_750)));
+}
+
 /// Guards against placement that keeps the shares of an outdated view, or goes without the
 /// figures that were received while the view was out of date, and against ages that do not
 /// include the time before a figure was sent.
