Demand reports are validated once, by the publisher

The publisher rejects a report with a negative or infinite number or a non-number, and the control VM logs it.

The check of the publisher is kept, as it is the one that is logged; the collector copies reports as they are. The test of invalid reports now covers the number of slots too: with the check of slots removed it fails.

--- a/crates/currantgate-capacity/src/collector.rs
+++ b/crates/currantgate-capacity/src/collector.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{ClassDemand, DemandSettings, DomainDemand, ServiceDemand};
+use crate::{DemandSettings, DomainDemand, ServiceDemand};
 
 /// Identifies an entry, the same whenever it connects.
 pub type ReporterId = u64;
@@ -47,7 +47,8 @@
 
     /// Adds the report of an entry of a failure domain, which covers `period`.
     ///
-    /// Values that are negative or no numbers are ignored.
+    /// All numbers have to be finite and not negative, which the receiver of the report has
+    /// checked.
     pub fn record(
         &mut self,
         now: Instant,
@@ -64,7 +65,7 @@
             known.domain = domain.into();
             known.reports.clear();
         }
-        let services = report.iter().take(MAX_SERVICES).map(sanitize).collect();
+        let services = report.iter().take(MAX_SERVICES).cloned().collect();
         known.reports.push_back(Report {
             at: now,
             period,
@@ -146,28 +147,6 @@
     }
 }
 
-/// Returns a service's report with 0 in place of negative values and non-numbers.
-fn sanitize(service: &ServiceDemand) -> ServiceDemand {
-    let valid = |value: f32| {
-        if value.is_finite() {
-            value.max(0.0)
-        } else {
-            0.0
-        }
-    };
-    let classes = service.classes.iter().map(|class| ClassDemand {
-        arrivals: valid(class.arrivals),
-        ..*class
-    });
-    ServiceDemand {
-        service: service.service.clone(),
-        classes: classes.collect(),
-        completions: valid(service.completions),
-        slot_ms: valid(service.slot_ms),
-        slots: valid(service.slots),
-    }
-}
-
 /// Adds a service's demand times `factor` to sums.
 fn add(sums: &mut Vec<ServiceDemand>, service: &ServiceDemand, factor: f32) {
     let index = sums.iter().position(|sum| sum.service == service.service);
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -284,10 +284,11 @@
     assert!(publisher.record(start, 0, "a", ms(500), &[service_demand(&[0])]));
     assert!(publisher.record(start, 1, "a", ms(20), &[]));
     for number in [f32::NAN, f32::INFINITY, -1.0] {
-        let mut report = [(); 3].map(|()| service_demand(&[0]));
+        let mut report = [(); 4].map(|()| service_demand(&[0]));
         report[0].classes[0].arrivals = number;
         report[1].completions = number;
         report[2].slot_ms = number;
+        report[3].slots = number;
         for invalid in report {
             assert!(!publisher.record(start, 2, "a", ms(500), &[invalid]));
         }
