Status as JSON tells whose open flows are missing

The table names each control VM whose entries are not counted, but `--json` had only the sums: with a control VM of an earlier build, which answers the status and not this request, a script could take a domain for empty.

Each element now has `open_flows_error`, null or the reason.

`status_requests_all_answers_at_the_same_time` checks it at a control VM that does not answer. Tests run: all of currantgate-cli pass, and `evacuation` (13), `logs` (1) and `packets` (19) of currantgate-platform.

--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -37,6 +37,10 @@
             answer["evacuations"] = json!(evacuations.as_ref().ok());
             answer["open_flows"] = json!(open_flows);
         }
+        for (answer, (_, flows)) in answers.iter_mut().zip(&flows) {
+            let error = flows.as_ref().err().map(ClientError::to_string);
+            answer["open_flows_error"] = json!(error);
+        }
         println!("{}", Value::from(answers));
     } else {
         print_table(&statuses);
--- a/crates/currantgate-cli/tests/control.rs
+++ b/crates/currantgate-cli/tests/control.rs
@@ -303,14 +303,14 @@
 }
 
 /// Guards against a status that waits for one timeout after the other at a control VM that
-/// does not answer.
+/// does not answer, and against sums of open flows that don't tell that its part is missing.
 #[test]
 fn status_requests_all_answers_at_the_same_time() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let mut status = Command::new(env!("CARGO_BIN_EXE_currantgate"))
+    let status = Command::new(env!("CARGO_BIN_EXE_currantgate"))
         .args(["status", "--json", "--servers", &address])
-        .stdout(Stdio::null())
+        .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
@@ -321,5 +321,7 @@
         let end = connection.read_to_end(&mut Vec::new());
         assert_eq!(end.unwrap_err().kind(), ErrorKind::WouldBlock);
     }
-    status.wait().unwrap();
+    let output = status.wait_with_output().unwrap();
+    let answers: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(answers[0]["open_flows_error"].is_string(), "{answers}");
 }
