Evacuation docs: which open flows the reports lack

A record of a flow expires 200 ms after its route's timeout, so that a flow which outlasts it is not counted.

--- a/crates/currantgate/src/feed/flow_reports.rs
+++ b/crates/currantgate/src/feed/flow_reports.rs
@@ -7,8 +7,8 @@
 
 use super::evacuated_flows::EvacuatedFlows;
 
-/// Shortest interval between two reports. Operators wait for the end of flows that last
-/// seconds to hours.
+/// Shortest interval between two reports, which limits the bytes of control while the
+/// number of flows changes all the time.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The reports that an entry has sent to control VMs, which decide when it sends the next.
