Detect an entry's own limit, and pace new flows there

Cause: an entry that gets more than its processor or link carries delays or loses all packets, those of open flows included.

Change: `CapacityLimit` learns of the receive queue (not found empty for 200 ms, of which the process ran for 8 ms, with 128 packets in a row) and of failed sends. It then takes new flows at a rate that falls by 0.2 with each new sign and grows by 0.3 per second without one, until 1.5 s after the last sign. Of the other first packets, resets may be 0.02 of all sends, and the rest is dropped. Copies of a packet that this entry has dropped are taken only when no new flow needs the rate: placing them like unknown flows only delays the load. A flow whose first packet could not be sent is forgotten (`record_unsent`), so that the missing answer does not count against its upstream.

--- /dev/null
+++ b/crates/currantgate-token/src/capacity_limit/detector.rs
@@ -0,0 +1,172 @@
+//! The detector of an entry's own limit.
+
+use std::time::Instant;
+
+use super::dropped_flows::DroppedFlows;
+use super::flow_pace::FlowPace;
+use super::receive_queue::ReceiveQueue;
+use super::reset_budget::ResetBudget;
+use super::taken_rate::TakenRate;
+use super::{CapacityLimitSettings, LimitAdmission, LimitCause, LimitChange};
+use crate::FirstPacket;
+
+/// Detects that an entry's processor or link is the bottleneck, and decides then which new
+/// flows are taken.
+///
+/// Packets of open flows and retransmissions of first packets are not decided about here.
+#[derive(Debug)]
+pub struct CapacityLimit {
+    settings: CapacityLimitSettings,
+    queue: ReceiveQueue,
+    /// Time until which the link's buffer counts as full.
+    full_until: Option<Instant>,
+    /// Whether the receive queue shows that the processor is at its limit.
+    is_queue_long: bool,
+    resets: ResetBudget,
+    taken: TakenRate,
+    dropped: DroppedFlows,
+    /// Nothing while the entry is not at its limit.
+    limited: Option<Limited>,
+    changes: Vec<LimitChange>,
+}
+
+/// The state of an entry at its limit.
+#[derive(Debug)]
+struct Limited {
+    cause: LimitCause,
+    pace: FlowPace,
+    ends_at: Instant,
+}
+
+impl CapacityLimit {
+    /// Returns a detector of an entry that is not at its limit.
+    pub fn new(now: Instant, settings: CapacityLimitSettings) -> Self {
+        Self {
+            settings,
+            queue: ReceiveQueue::default(),
+            full_until: None,
+            is_queue_long: false,
+            resets: ResetBudget::default(),
+            taken: TakenRate::new(now),
+            dropped: DroppedFlows::default(),
+            limited: None,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Records that a packet was read from the receive queue.
+    pub fn record_packet(&mut self, now: Instant) {
+        self.is_queue_long = self.queue.record_packet(now, &self.settings);
+        if self.is_queue_long {
+            self.record_sign(now, LimitCause::Processor);
+        }
+    }
+
+    /// Records that a read found the receive queue empty.
+    pub fn record_empty(&mut self, now: Instant) {
+        self.update(now);
+        self.queue.record_empty();
+        self.is_queue_long = false;
+    }
+
+    /// Records that the system took a packet to send.
+    pub fn record_sent(&mut self) {
+        self.resets.record_sent(&self.settings);
+    }
+
+    /// Records that the system did not take a packet, as the link's buffer is full.
+    pub fn record_full(&mut self, now: Instant) {
+        self.update(now);
+        self.full_until = Some(now + self.settings.full_time);
+        self.record_sign(now, LimitCause::Link);
+    }
+
+    /// Decides about the first packet of a flow that the entry has no record of.
+    ///
+    /// A retransmission is taken and counts as a new flow, unless this entry has dropped the
+    /// packet before. Then it may be dropped again, but is not refused: another entry may have
+    /// placed another copy.
+    pub fn admit(&mut self, now: Instant, packet: &FirstPacket) -> LimitAdmission {
+        self.update(now);
+        let is_copy = packet.retransmissions > 0;
+        let is_due = match &mut self.limited {
+            Some(limited) if is_copy && self.dropped.contains(now, &packet.flow) => {
+                limited.pace.try_take_late()
+            }
+            Some(limited) if is_copy => {
+                limited.pace.take();
+                true
+            }
+            Some(limited) => limited.pace.try_take(),
+            None => true,
+        };
+        if is_due {
+            self.dropped.remove(&packet.flow);
+            self.taken.record(now);
+            return LimitAdmission::Take;
+        }
+        // While the link's buffer is full, a reset would be lost, or keep out a packet of
+        // an open flow.
+        if !is_copy && !self.is_link_full(now) && self.resets.try_use() {
+            return LimitAdmission::Refuse;
+        }
+        self.dropped.insert(now, packet.flow);
+        LimitAdmission::Drop
+    }
+
+    /// Returns the resource that is the bottleneck while new flows are limited.
+    pub fn cause(&mut self, now: Instant) -> Option<LimitCause> {
+        self.update(now);
+        self.limited.as_ref().map(|limited| limited.cause)
+    }
+
+    /// Returns and removes the starts and ends of the limit since the last call.
+    pub fn take_changes(&mut self, now: Instant) -> Vec<LimitChange> {
+        self.update(now);
+        std::mem::take(&mut self.changes)
+    }
+
+    fn is_link_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
+    fn record_sign(&mut self, now: Instant, cause: LimitCause) {
+        self.update(now);
+        let ends_at = now + self.settings.hold_time;
+        if let Some(limited) = &mut self.limited {
+            limited.ends_at = ends_at;
+            if limited.cause != cause {
+                limited.cause = cause;
+                self.changes.push(LimitChange::Started(cause));
+            }
+            return;
+        }
+        let rate = self.taken.per_second(now);
+        self.limited = Some(Limited {
+            cause,
+            pace: FlowPace::new(now, rate, &self.settings),
+            ends_at,
+        });
+        self.changes.push(LimitChange::Started(cause));
+    }
+
+    /// Ends the limit if its time has passed, and updates the pace of new flows otherwise.
+    fn update(&mut self, now: Instant) {
+        let share = if self.is_link_full(now) {
+            0.0
+        } else if self.is_queue_long {
+            self.settings.busy_share
+        } else {
+            1.0
+        };
+        let Some(limited) = &mut self.limited else {
+            return;
+        };
+        if now >= limited.ends_at {
+            self.limited = None;
+            self.changes.push(LimitChange::Ended);
+            return;
+        }
+        limited.pace.update(now, share, &self.settings);
+    }
+}
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -87,6 +87,8 @@
     OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
+    /// this entry's processor or link is at its limit
+    EntryLimit,
 }
 
 /// Reason to drop a packet.
@@ -104,4 +106,6 @@
     OnlyCold,
     /// the flow can't be placed, and its packet may have waited longer than a copy
     Delayed,
+    /// this entry's processor or link is at its limit, and resets are limited
+    EntryLimit,
 }
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -7,6 +7,7 @@
 //! beside the buckets of `currantgate-flow`; see `docs/design/flow-routing.md` for when
 //! each fits.
 
+mod capacity_limit;
 mod decision;
 mod flow;
 mod flow_table;
@@ -18,6 +19,9 @@
 mod upstreams;
 mod warmup;
 
+pub use capacity_limit::{
+    CapacityLimit, CapacityLimitSettings, LimitAdmission, LimitCause, LimitChange,
+};
 pub use decision::{
     Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
 };
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 
+use crate::capacity_limit::{CapacityLimit, CapacityLimitSettings, LimitAdmission};
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
 use crate::upstreams::TokenMap;
 use crate::warmup::Warmup;
@@ -41,6 +42,8 @@
     displaced_services: IndexSet<Box<str>>,
     /// Cold upstreams and the permits for them, where their new flows are limited.
     warmup: Option<Warmup>,
+    /// Detector of the entry's own limit, where new flows are limited by it.
+    capacity_limit: Option<CapacityLimit>,
     /// Duration of the last completed handshake that was not taken yet.
     handshake_time: Option<Duration>,
 }
@@ -60,6 +63,7 @@
             evacuated: IndexSet::new(),
             displaced_services: IndexSet::new(),
             warmup: None,
+            capacity_limit: None,
             handshake_time: None,
         }
     }
@@ -70,6 +74,17 @@
         self.warmup = Some(Warmup::new(now, limit, seed));
     }
 
+    /// Limits new flows while the entry's processor or link is the bottleneck, by the reads
+    /// and sends that [`Self::capacity_limit`] is told.
+    pub fn watch_capacity(&mut self, now: Instant, settings: CapacityLimitSettings) {
+        self.capacity_limit = Some(CapacityLimit::new(now, settings));
+    }
+
+    /// Returns the detector of the entry's own limit, where new flows are limited by it.
+    pub fn capacity_limit(&mut self) -> Option<&mut CapacityLimit> {
+        self.capacity_limit.as_mut()
+    }
+
     /// Returns the warm-up of a service if the new flows of its cold upstreams are limited.
     pub fn limited_warmup(&self, service: &str) -> Option<&ServiceWarmup> {
         self.warmup.as_ref()?;
@@ -214,6 +229,12 @@
             self.placement
                 .record_no_answer(now, record.token, record.priority, record.sent);
         }
+        if tracked.is_none()
+            && let Some(limit) = &mut self.capacity_limit
+            && let Some(decision) = not_taken(limit.admit(now, &packet))
+        {
+            return unplaced(decision, class, is_new);
+        }
         let unanswered_by = tracked.map(|(_, record)| record.token);
         let request = PlacementRequest {
             service: &route.services[service].0,
@@ -278,6 +299,19 @@
         Decision::Forward(hop)
     }
 
+    /// Forgets a flow that was placed at `now` or later if its first packet could not be sent, so that
+    /// the missing answer does not count against the upstream. A retransmission is placed
+    /// like that of any unknown flow.
+    pub fn record_unsent(&mut self, now: Instant, flow: &FlowId) {
+        let tracked = self.flows.get(flow);
+        if let Some((FlowState::Opening, record)) = tracked
+            && record.sent >= now
+        {
+            self.flows.remove(flow);
+            self.placement.cancel(record.token, record.priority);
+        }
+    }
+
     /// Decides about a later packet of a flow.
     ///
     /// The token alone determines the upstream. The record of the flow, if there is
@@ -449,6 +483,16 @@
     }
 }
 
+/// Returns the decision about a flow that is not taken at the entry's own limit. It is made
+/// before placement, so that the flow does not count as demand.
+fn not_taken(admission: LimitAdmission) -> Option<Decision> {
+    match admission {
+        LimitAdmission::Take => None,
+        LimitAdmission::Refuse => Some(Decision::Reset(ResetReason::EntryLimit)),
+        LimitAdmission::Drop => Some(Decision::Drop(DropReason::EntryLimit)),
+    }
+}
+
 /// Returns a decision made without placement.
 fn unplaced(decision: Decision, class: Option<FlowClass>, is_new: bool) -> FirstPacketDecision {
     FirstPacketDecision {
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -119,7 +119,10 @@
         let figures = figures();
         let overload = match reason {
             ResetReason::Overloaded(overload) => Some(overload),
-            ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => None,
+            ResetReason::NoRoute
+            | ResetReason::NoUpstream
+            | ResetReason::OnlyCold
+            | ResetReason::EntryLimit => None,
         };
         log::info!(
             event = "refused",
