Reduce the pace of new flows while an overload lasts

Cause: the rate of new flows fell only when signs of a limit started. Once the receive queue had become long, callers retransmitted, and it stayed long. The limit also ended 1.5 s after the last sign while flows were still refused, and the entry was flooded.

Change: the rate falls each 400 ms while signs last, starts from half of the rate before, and grows faster the longer there is no sign, until the limit ends after 1.8 s. 0.3 of the rate is taken while the queue is long. The lowest rate is 20 flows per second.

--- a/crates/currantgate-token/src/capacity_limit/flow_pace.rs
+++ b/crates/currantgate-token/src/capacity_limit/flow_pace.rs
@@ -8,8 +8,8 @@
 /// core in each 100 ms.
 const MAX_SAVED_SECONDS: f64 = 0.1;
 
-/// Takes new flows at a rate that falls when signs of a limit start, and grows while there
-/// are none. While signs last, a part of the rate is taken.
+/// Takes new flows at a rate that falls while there are signs of a limit, and grows while there
+/// are none.
 #[derive(Debug)]
 pub(super) struct FlowPace {
     per_second: f64,
@@ -18,16 +18,23 @@
     updated_at: Instant,
     /// Part of the rate at which flows are taken; 1 without a sign of a limit.
     share: f64,
+    /// When signs of a limit ended or started.
+    changed_at: Instant,
+    /// When the rate is reduced again if signs last until then.
+    reduced_again_at: Instant,
 }
 
 impl FlowPace {
     /// Returns a pace after the first sign of a limit, with the rate of flows until then.
     pub(super) fn new(now: Instant, per_second: f64, settings: &CapacityLimitSettings) -> Self {
+        let reduced = per_second * settings.first_reduction;
         Self {
-            per_second: (per_second * settings.reduction).max(settings.min_flows_per_second),
+            per_second: reduced.max(settings.min_flows_per_second),
             available: 0.0,
             updated_at: now,
             share: 0.0,
+            changed_at: now,
+            reduced_again_at: now + settings.reduction_interval,
         }
     }
 
@@ -38,14 +45,20 @@
         self.updated_at = self.updated_at.max(now);
         let was_free = self.share >= 1.0;
         if was_free {
-            self.per_second *= 1.0 + settings.growth_per_second * elapsed;
+            let free_seconds = now.saturating_duration_since(self.changed_at).as_secs_f64();
+            let growth = settings.growth_per_second + settings.growth_acceleration * free_seconds;
+            self.per_second *= 1.0 + growth * elapsed;
         }
         let available = self.available + self.per_second * self.share * elapsed;
         self.available = available.min(self.max_saved());
-        if was_free && share < 1.0 {
+        if share < 1.0 && (was_free || now >= self.reduced_again_at) {
+            self.reduced_again_at = now + settings.reduction_interval;
             let reduced = self.per_second * settings.reduction;
             self.per_second = reduced.max(settings.min_flows_per_second);
         }
+        if was_free != (share >= 1.0) {
+            self.changed_at = now;
+        }
         self.share = share;
     }
 
@@ -63,7 +76,7 @@
         self.available >= self.max_saved() && self.try_take()
     }
 
-    /// Counts a retransmitted first packet, which is taken in any case.
+    /// Counts a retransmission of an unknown flow, which is taken in any case.
     pub(super) fn take(&mut self) {
         self.available = (self.available - 1.0).max(-self.max_saved());
     }
--- a/crates/currantgate-token/src/capacity_limit/settings.rs
+++ b/crates/currantgate-token/src/capacity_limit/settings.rs
@@ -27,14 +27,22 @@
     /// Time after the last sign of a limit until new flows are no longer limited. It must be
     /// shorter than 2 s. With a load just above the limit, signs come about once a second.
     pub hold_time: Duration,
-    /// Part of the previous rate of new flows that is taken after a sign of a limit.
+    /// Part of the rate of new flows before the first sign of a limit that is taken after it.
+    pub first_reduction: f64,
+    /// Part of the previous rate of new flows that is taken after another sign of a limit.
     pub reduction: f64,
+    /// Time after which the rate is reduced again if signs of a limit last. The open flows
+    /// of the previous rate have mostly ended then.
+    pub reduction_interval: Duration,
     /// Part of the allowed rate at which new flows are taken while the receive queue shows a
     /// limit of the processor. With none, the processor idles once the queue is empty. While
     /// the link's buffer is full, none are taken, as each costs packets of open flows.
     pub busy_share: f64,
     /// Growth of the allowed rate a second without a sign of a limit.
     pub growth_per_second: f64,
+    /// Growth of that growth a second, so that the rate is many times higher when it ends to
+    /// be limited. With a fixed growth, an entry that had reduced it too much was flooded then.
+    pub growth_acceleration: f64,
     /// Lowest allowed rate of new flows a second. With fewer, the entry could not notice
     /// that it can take more.
     pub min_flows_per_second: f64,
@@ -52,11 +60,14 @@
             max_step: Duration::from_millis(1),
             stall_time: Duration::from_millis(500),
             full_time: Duration::from_millis(100),
-            hold_time: Duration::from_millis(1_500),
+            hold_time: Duration::from_millis(1_800),
+            first_reduction: 0.5,
             reduction: 0.8,
-            busy_share: 0.7,
+            reduction_interval: Duration::from_millis(400),
+            busy_share: 0.3,
             growth_per_second: 0.3,
-            min_flows_per_second: 5.0,
+            growth_acceleration: 1.0,
+            min_flows_per_second: 20.0,
             resets_per_send: 0.02,
         }
     }
