Entries that share demand watch their own limit

Cause: nothing told the detector of an entry's limit what the packet socket sees, and neither metrics nor logs showed that an entry is the bottleneck.

A first packet that finds the link's buffer full is forgotten by the router. No system call is added. Other sites watch nothing, and serve no new metric.

A full send buffer was not tried with a real socket, as loopback takes a packet out of it at once.

--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -13,7 +13,7 @@
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
-use currantgate_token::{TokenRouter, TokenUpstream};
+use currantgate_token::{CapacityLimitSettings, TokenRouter, TokenUpstream};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
@@ -25,6 +25,7 @@
 use super::demand_view::DemandView;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
+use super::limit_monitor::LimitMonitor;
 use super::metrics::TokenEntryMetrics;
 use super::packet_socket::PacketSocket;
 use super::routing::{Routing, SharedDemand};
@@ -108,6 +109,7 @@
         let demand = demand_metrics.clone();
         let demand = demand.map(|metrics| SharedDemand {
             view: DemandView::default(),
+            limit: LimitMonitor::new(Instant::now(), metrics.limit.clone()),
             monitor: DemandMonitor::new(Instant::now(), metrics),
         });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
@@ -250,6 +252,7 @@
                 _ = flow_interval.tick() => {
                     self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
+                    self.routing.update_limit(Instant::now());
                     self.update_upstreams_if_due();
                 }
                 () = wait_until(permits_due) => self.request_permits(),
@@ -553,7 +556,8 @@
 }
 
 /// Returns a router with the given settings. If entries share their demand, flows are
-/// placed by shares, and those that last too long are reported before they end.
+/// placed by shares, those that last too long are reported before they end, and new ones
+/// are limited while the entry's processor or link is the bottleneck.
 fn new_router(settings: &TokenEntrySettings) -> TokenRouter {
     let mut routing = settings.routing.clone();
     let mut placement = settings.placement.clone();
@@ -561,7 +565,11 @@
         placement.demand.get_or_insert_default();
         routing.overdue_factor.get_or_insert(OVERDUE_FACTOR);
     }
-    TokenRouter::new(routing, placement)
+    let mut router = TokenRouter::new(routing, placement);
+    if settings.is_demand_shared {
+        router.watch_capacity(Instant::now(), CapacityLimitSettings::default());
+    }
+    router
 }
 
 /// Converts an upstream for the router, with a target for new flows if it takes
--- a/crates/currantgate/src/token_entry/demand_metrics.rs
+++ b/crates/currantgate/src/token_entry/demand_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::limit_metrics::LimitMetrics;
 use super::service_load::ServiceLoad;
 
 /// Labels of one service in one failure domain.
@@ -42,6 +43,8 @@
     age: FloatGauge,
     is_current: Gauge,
     fallbacks: Counter,
+    /// Metrics of the entry's own limit, which is watched where demand is shared.
+    pub(super) limit: LimitMetrics,
 }
 
 impl DemandMetrics {
@@ -93,6 +96,7 @@
             "Times that the entry went back to its own flows alone, as the view was old",
             self.fallbacks.clone(),
         );
+        self.limit.register(registry);
     }
 
     /// Returns the counter of the flows of a service that are placed in a domain.
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -9,6 +9,8 @@
 mod demand_view;
 mod error;
 mod format;
+mod limit_metrics;
+mod limit_monitor;
 mod metrics;
 mod packet_socket;
 mod routing;
--- a/crates/currantgate/src/token_entry/packet_socket.rs
+++ b/crates/currantgate/src/token_entry/packet_socket.rs
@@ -4,11 +4,10 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Instant;
 
-use currantgate_token::{Decision, FlowId};
+use currantgate_token::Decision;
 use tokio::net::UdpSocket;
 
-use super::format::WireFormat;
-use super::metrics::TokenEntryMetrics;
+use super::format::{Packet, WireFormat};
 use super::routing::Routing;
 
 /// Bytes read of a datagram. Longer datagrams are truncated, and are then rejected
@@ -66,8 +65,18 @@
         let now = Instant::now();
         for _ in 0..MAX_BATCH {
             match self.socket.try_recv(&mut self.buf[F::HEADROOM..]) {
-                Ok(len) => self.handle(now, len, routing),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Ok(len) => {
+                    if let Some(limit) = routing.router.capacity_limit() {
+                        limit.record_packet(Instant::now());
+                    }
+                    self.handle(now, len, routing);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if let Some(limit) = routing.router.capacity_limit() {
+                        limit.record_empty(Instant::now());
+                    }
+                    return;
+                }
                 // An ICMP error for an earlier packet that was sent to a closed
                 // port.
                 Err(e) => log::debug!("receiving a packet failed: {e}"),
@@ -85,22 +94,39 @@
         match decision {
             Decision::Forward(hop) => {
                 self.format.write_hop(&mut self.buf[..end], &hop);
-                self.send(&self.buf[..end], hop.address, &routing.metrics);
+                let was_full = self.send(&self.buf[..end], hop.address, routing);
+                if was_full && let Packet::First(_) = packet {
+                    routing.router.record_unsent(now, &flow);
+                }
+            }
+            Decision::Reset(_) => {
+                let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
+                self.send(&self.format.build_reset(&flow), caller, routing);
             }
-            Decision::Reset(_) => self.send_reset(&flow, &routing.metrics),
             Decision::Drop(_) => {}
         }
     }
 
-    fn send_reset(&self, flow: &FlowId, metrics: &TokenEntryMetrics) {
-        let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
-        self.send(&self.format.build_reset(flow), caller, metrics);
-    }
-
-    fn send(&self, packet: &[u8], to: SocketAddrV4, metrics: &TokenEntryMetrics) {
-        if let Err(e) = self.socket.try_send_to(packet, to.into()) {
-            metrics.count_failed_send();
+    /// Sends a packet; returns whether the link's buffer was full, where the entry's own
+    /// limit is watched.
+    fn send(&self, packet: &[u8], to: SocketAddrV4, routing: &mut Routing) -> bool {
+        let result = self.socket.try_send_to(packet, to.into());
+        if let Err(e) = &result {
+            routing.metrics.count_failed_send();
             log::debug!("sending a packet to {to} failed: {e}");
         }
+        let Some(limit) = routing.router.capacity_limit() else {
+            return false;
+        };
+        match result {
+            Ok(_) => limit.record_sent(),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                limit.record_full(Instant::now());
+                return true;
+            }
+            // An ICMP error for an earlier packet, or an address that can't be reached.
+            Err(_) => {}
+        }
+        false
     }
 }
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -12,6 +12,7 @@
 use super::demand_monitor::DemandMonitor;
 use super::demand_view::{DemandChange, DemandView};
 use super::format::{MalformedPacket, Packet};
+use super::limit_monitor::LimitMonitor;
 use super::metrics::TokenEntryMetrics;
 use super::stall_detector::StallDetector;
 
@@ -35,6 +36,7 @@
 pub(super) struct SharedDemand {
     pub(super) view: DemandView,
     pub(super) monitor: DemandMonitor,
+    pub(super) limit: LimitMonitor,
 }
 
 impl Routing {
@@ -146,7 +148,7 @@
 
     /// Passes changes of the view of demand to the router.
     fn refresh_demand(&mut self, now: Instant) {
-        let Some(SharedDemand { view, monitor }) = &mut self.demand else {
+        let Some(SharedDemand { view, monitor, .. }) = &mut self.demand else {
             return;
         };
         match view.update(now) {
@@ -166,7 +168,7 @@
     /// Updates the log and the metrics of shared demand; returns whether entries share it.
     pub(super) fn update_demand(&mut self, now: Instant) -> bool {
         self.refresh_demand(now);
-        if let Some(SharedDemand { view, monitor }) = &mut self.demand {
+        if let Some(SharedDemand { view, monitor, .. }) = &mut self.demand {
             monitor.update(now, view, &self.router);
         }
         self.demand.is_some()
@@ -191,6 +193,14 @@
         self.decisions.log_malformed(now, len, reason);
     }
 
+    /// Updates the log and the metrics of the entry's own limit, where it is watched.
+    pub(super) fn update_limit(&mut self, now: Instant) {
+        let limit = self.router.capacity_limit();
+        if let (Some(shared), Some(limit)) = (&mut self.demand, limit) {
+            shared.limit.update(now, limit);
+        }
+    }
+
     /// Removes flows whose callers have given up.
     pub(super) fn expire_flows(&mut self, now: Instant) {
         self.router.record_overdue(now);
