Keep the causes of an entry's limit apart

Cause: with one cause at a time, signs of the processor and of the link that alternate by packet would each have counted as a start, and stored a change.

Change: each cause has its own end. Metrics and log lines tell the start and the end of each.

--- a/crates/currantgate-token/src/capacity_limit/detector.rs
+++ b/crates/currantgate-token/src/capacity_limit/detector.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use indexmap::IndexMap;
+
 use super::dropped_flows::DroppedFlows;
 use super::flow_pace::FlowPace;
 use super::receive_queue::ReceiveQueue;
@@ -25,19 +27,13 @@
     resets: ResetBudget,
     taken: TakenRate,
     dropped: DroppedFlows,
-    /// Nothing while the entry is not at its limit.
-    limited: Option<Limited>,
+    /// Causes of the limit, and when each ends to limit new flows.
+    causes: IndexMap<LimitCause, Instant>,
+    /// Nothing while there is no cause.
+    pace: Option<FlowPace>,
     changes: Vec<LimitChange>,
 }
 
-/// The state of an entry at its limit.
-#[derive(Debug)]
-struct Limited {
-    cause: LimitCause,
-    pace: FlowPace,
-    ends_at: Instant,
-}
-
 impl CapacityLimit {
     /// Returns a detector of an entry that is not at its limit.
     pub fn new(now: Instant, settings: CapacityLimitSettings) -> Self {
@@ -49,7 +45,8 @@
             resets: ResetBudget::default(),
             taken: TakenRate::new(now),
             dropped: DroppedFlows::default(),
-            limited: None,
+            causes: IndexMap::new(),
+            pace: None,
             changes: Vec::new(),
         }
     }
@@ -89,15 +86,15 @@
     pub fn admit(&mut self, now: Instant, packet: &FirstPacket) -> LimitAdmission {
         self.update(now);
         let is_copy = packet.retransmissions > 0;
-        let is_due = match &mut self.limited {
-            Some(limited) if is_copy && self.dropped.contains(now, &packet.flow) => {
-                limited.pace.try_take_late()
+        let is_due = match &mut self.pace {
+            Some(pace) if is_copy && self.dropped.contains(now, &packet.flow) => {
+                pace.try_take_late()
             }
-            Some(limited) if is_copy => {
-                limited.pace.take();
+            Some(pace) if is_copy => {
+                pace.take();
                 true
             }
-            Some(limited) => limited.pace.try_take(),
+            Some(pace) => pace.try_take(),
             None => true,
         };
         if is_due {
@@ -114,10 +111,10 @@
         LimitAdmission::Drop
     }
 
-    /// Returns the resource that is the bottleneck while new flows are limited.
-    pub fn cause(&mut self, now: Instant) -> Option<LimitCause> {
+    /// Returns whether new flows are limited as a resource is the bottleneck.
+    pub fn is_limited_by(&mut self, now: Instant, cause: LimitCause) -> bool {
         self.update(now);
-        self.limited.as_ref().map(|limited| limited.cause)
+        self.causes.contains_key(&cause)
     }
 
     /// Returns and removes the starts and ends of the limit since the last call.
@@ -133,25 +130,27 @@
     fn record_sign(&mut self, now: Instant, cause: LimitCause) {
         self.update(now);
         let ends_at = now + self.settings.hold_time;
-        if let Some(limited) = &mut self.limited {
-            limited.ends_at = ends_at;
-            if limited.cause != cause {
-                limited.cause = cause;
-                self.changes.push(LimitChange::Started(cause));
-            }
-            return;
+        if self.causes.insert(cause, ends_at).is_none() {
+            self.changes.push(LimitChange::Started(cause));
         }
         let rate = self.taken.per_second(now);
-        self.limited = Some(Limited {
-            cause,
-            pace: FlowPace::new(now, rate, &self.settings),
-            ends_at,
-        });
-        self.changes.push(LimitChange::Started(cause));
+        let new_pace = || FlowPace::new(now, rate, &self.settings);
+        self.pace.get_or_insert_with(new_pace);
     }
 
-    /// Ends the limit if its time has passed, and updates the pace of new flows otherwise.
+    /// Ends causes whose time has passed, and updates the pace of new flows.
     fn update(&mut self, now: Instant) {
+        let changes = &mut self.changes;
+        self.causes.retain(|cause, ends_at| {
+            let lasts = now < *ends_at;
+            if !lasts {
+                changes.push(LimitChange::Ended(*cause));
+            }
+            lasts
+        });
+        if self.causes.is_empty() {
+            self.pace = None;
+        }
         let share = if self.is_link_full(now) {
             0.0
         } else if self.is_queue_long {
@@ -159,14 +158,8 @@
         } else {
             1.0
         };
-        let Some(limited) = &mut self.limited else {
-            return;
-        };
-        if now >= limited.ends_at {
-            self.limited = None;
-            self.changes.push(LimitChange::Ended);
-            return;
+        if let Some(pace) = &mut self.pace {
+            pace.update(now, share, &self.settings);
         }
-        limited.pace.update(now, share, &self.settings);
     }
 }
--- a/crates/currantgate-token/src/capacity_limit/limit_change.rs
+++ b/crates/currantgate-token/src/capacity_limit/limit_change.rs
@@ -2,11 +2,11 @@
 
 use crate::LimitCause;
 
-/// A start or an end of the state in which an entry limits its new flows.
+/// A start or an end of the time in which a resource limits an entry's new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitChange {
-    /// New flows are limited, or the cause has changed.
+    /// The resource limits new flows.
     Started(LimitCause),
-    /// New flows are no longer limited.
-    Ended,
+    /// The resource no longer limits new flows.
+    Ended(LimitCause),
 }
--- a/crates/currantgate-token/tests/capacity_limit/properties.rs
+++ b/crates/currantgate-token/tests/capacity_limit/properties.rs
@@ -96,12 +96,13 @@
                     last_sign = Some(now);
                 }
                 Step::First(port, copy) => {
-                    let cause = limit.cause(now);
+                    let causes = LimitCause::ALL;
+                    let is_limited = causes.into_iter().any(|c| limit.is_limited_by(now, c));
                     let has_sign = last_sign.is_some_and(|at| now < at + MAX_PERSISTENCE);
-                    prop_assert!(cause.is_none() || has_sign, "the limit outlasts its cause");
+                    prop_assert!(!is_limited || has_sign, "the limit outlasts its cause");
                     let admission = limit.admit(now, &first_packet(port, copy));
                     let is_taken = admission == LimitAdmission::Take;
-                    prop_assert!(is_taken || cause.is_some(), "refused without a cause");
+                    prop_assert!(is_taken || is_limited, "refused without a cause");
                     prop_assert!(
                         is_taken || copy == 0 || dropped.contains(&port),
                         "a retransmission of an unknown flow was not taken"
@@ -123,11 +124,11 @@
 /// Guards against a limit that is not noticed or has the wrong cause, and against one for
 /// packets that arrived while the process was stopped.
 #[rstest::rstest]
-#[case::paused(96, Some(LimitCause::Processor))]
-#[case::stopped(600, None)]
+#[case::paused(96, true)]
+#[case::stopped(600, false)]
 fn a_queue_that_is_not_emptied_shows_a_limit_of_the_processor(
     #[case] pause_ms: u64,
-    #[case] cause: Option<LimitCause>,
+    #[case] is_limited: bool,
 ) {
     let mut now = Instant::now();
     let mut limit = CapacityLimit::new(now, CapacityLimitSettings::default());
@@ -138,7 +139,8 @@
         }
         now += Duration::from_millis(pause_ms);
     }
-    assert_eq!(limit.cause(now), cause);
+    assert_eq!(limit.is_limited_by(now, LimitCause::Processor), is_limited);
+    assert!(!limit.is_limited_by(now, LimitCause::Link));
     limit.record_full(now);
-    assert_eq!(limit.cause(now), Some(LimitCause::Link));
+    assert!(limit.is_limited_by(now, LimitCause::Link));
 }
--- a/crates/currantgate/src/token_entry/limit_metrics.rs
+++ b/crates/currantgate/src/token_entry/limit_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the entry's own limit.
 
-use currantgate_token::LimitCause;
+use currantgate_token::{LimitCause, LimitChange};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -58,14 +58,15 @@
         );
     }
 
-    pub(super) fn count_start(&self, cause: LimitCause) {
-        self.starts.get_or_create(&cause.into()).inc();
-    }
-
-    pub(super) fn set_cause(&self, current: Option<LimitCause>) {
-        for cause in LimitCause::ALL {
-            let gauge = self.at_limit.get_or_create(&cause.into());
-            gauge.set(i64::from(current == Some(cause)));
+    pub(super) fn record_change(&self, change: LimitChange) {
+        let (cause, is_at_limit) = match change {
+            LimitChange::Started(cause) => (cause.into(), true),
+            LimitChange::Ended(cause) => (cause.into(), false),
+        };
+        let gauge = self.at_limit.get_or_create(&cause);
+        gauge.set(i64::from(is_at_limit));
+        if is_at_limit {
+            self.starts.get_or_create(&cause).inc();
         }
     }
 }
--- a/crates/currantgate/src/token_entry/limit_monitor.rs
+++ b/crates/currantgate/src/token_entry/limit_monitor.rs
@@ -31,15 +31,8 @@
 
     /// Updates the metrics, and logs what has changed since the last call.
     pub(super) fn update(&mut self, now: Instant, limit: &mut CapacityLimit) {
-        let changes = limit.take_changes(now);
-        if changes.is_empty() {
-            return;
-        }
-        self.metrics.set_cause(limit.cause(now));
-        for change in changes {
-            if let LimitChange::Started(cause) = change {
-                self.metrics.count_start(cause);
-            }
+        for change in limit.take_changes(now) {
+            self.metrics.record_change(change);
             if let Some(left_out) = self.limiter.try_acquire(now) {
                 log_change(change, left_out);
             }
@@ -55,10 +48,11 @@
             left_out = left_out;
             "this entry is at the limit of its {cause}, new flows are limited"
         ),
-        LimitChange::Ended => log::info!(
+        LimitChange::Ended(cause) => log::info!(
             event = "limit",
+            cause:% = cause,
             left_out = left_out;
-            "this entry is no longer at its limit"
+            "this entry is no longer at the limit of its {cause}"
         ),
     }
 }
