Correct two doc comments on an entry's limit

Cause: the comment of the detector left out that it may drop retransmissions of packets that the entry has dropped, and one line was too long.

Result: `cargo test -p currantgate-token -p currantgate-log` passes.

--- a/crates/currantgate-token/src/capacity_limit/detector.rs
+++ b/crates/currantgate-token/src/capacity_limit/detector.rs
@@ -15,7 +15,7 @@
 /// Detects that an entry's processor or link is the bottleneck, and decides then which new
 /// flows are taken.
 ///
-/// Packets of open flows and retransmissions of first packets are not decided about here.
+/// Only the first packets of flows that the entry has no record of are decided about here.
 #[derive(Debug)]
 pub struct CapacityLimit {
     settings: CapacityLimitSettings,
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -299,9 +299,9 @@
         Decision::Forward(hop)
     }
 
-    /// Forgets a flow that was placed at `now` or later if its first packet could not be sent, so that
-    /// the missing answer does not count against the upstream. A retransmission is placed
-    /// like that of any unknown flow.
+    /// Forgets a flow that was placed at `now` or later and whose first packet could not be
+    /// sent, so that the missing answer does not count against the upstream. A retransmission
+    /// is placed like that of any unknown flow.
     pub fn record_unsent(&mut self, now: Instant, flow: &FlowId) {
         let tracked = self.flows.get(flow);
         if let Some((FlowState::Opening, record)) = tracked
