--- a/crates/currantgate-observation/src/fleet.rs
+++ b/crates/currantgate-observation/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::threshold::Threshold;
 use crate::upstream_record::UpstreamRecord;
-use crate::{FleetSettings, Observation, SlowUpstream, UpstreamKey};
+use crate::{FleetSettings, Observation, SlowUpstream, UnansweredPackets, UpstreamKey};
 
 /// Identifies an entry, the same whenever it connects.
 pub type ReporterId = u64;
@@ -34,7 +34,13 @@
     settings: FleetSettings,
     upstreams: IndexMap<UpstreamKey, UpstreamRecord>,
     updated_at: Instant,
-    /// Slow upstreams at the last update, replaced only when they change.
+    /// Threshold of the last update.
+    threshold: Threshold,
+    /// Whether an upstream was found unresponsive since the last list.
+    is_list_outdated: bool,
+    /// Time before which no further list is made between two updates.
+    next_list_at: Instant,
+    /// Slow upstreams at the last list, replaced only when they change.
     slow: Rc<[SlowUpstream]>,
 }
 
@@ -42,9 +48,12 @@
     /// Returns an empty state.
     pub fn new(now: Instant, settings: FleetSettings) -> Self {
         Self {
+            threshold: Threshold::new(&[], 0.0, &settings),
             settings,
             upstreams: IndexMap::new(),
             updated_at: now,
+            is_list_outdated: false,
+            next_list_at: now,
             slow: Rc::default(),
         }
     }
@@ -62,12 +71,30 @@
             if observation.flows == 0 || !observation.slowness_sum.is_finite() {
                 continue;
             }
-            let is_full = self.upstreams.len() >= self.settings.max_upstreams;
-            let record = match self.upstreams.entry(observation.key) {
-                Entry::Vacant(_) if is_full => continue,
-                entry => entry.or_insert_with(|| UpstreamRecord::new(now, &self.settings)),
-            };
-            record.add(now, reporter, observation, &self.settings);
+            let settings = &self.settings;
+            if let Some(record) = record_of(&mut self.upstreams, now, observation.key, settings) {
+                record.add(now, reporter, observation, settings);
+            }
+        }
+    }
+
+    /// Adds an entry's report of first packets that were not answered. The same ones are
+    /// part of its next report of observations.
+    ///
+    /// An upstream that several entries find unresponsive gets the highest slowness at
+    /// once, without waiting for the next merge.
+    pub fn record_unanswered(
+        &mut self,
+        now: Instant,
+        reporter: ReporterId,
+        report: &[UnansweredPackets],
+    ) {
+        let settings = &self.settings;
+        for packets in report {
+            let record = record_of(&mut self.upstreams, now, packets.key, settings);
+            let is_unresponsive =
+                record.is_some_and(|r| r.add_unanswered(now, reporter, packets.count, settings));
+            self.is_list_outdated |= is_unresponsive;
         }
     }
 
@@ -80,6 +107,8 @@
             let period = now - self.updated_at;
             self.updated_at = now;
             self.update(now, period);
+        } else if self.is_list_outdated && now >= self.next_list_at {
+            self.update_list(now);
         }
         Rc::clone(&self.slow)
     }
@@ -94,7 +123,15 @@
             .retain(|_, record| now < record.updated_at + settings.forget_after);
         let records = self.upstreams.values();
         let slownesses: Vec<_> = records.map(|r| r.slowness(now, settings)).collect();
-        let threshold = Threshold::new(&slownesses, load, settings);
+        self.threshold = Threshold::new(&slownesses, load, settings);
+        self.update_list(now);
+    }
+
+    fn update_list(&mut self, now: Instant) {
+        let settings = &self.settings;
+        let threshold = self.threshold;
+        self.is_list_outdated = false;
+        self.next_list_at = now + settings.min_list_interval;
         let mut slow: Vec<_> = self
             .upstreams
             .iter_mut()
@@ -124,3 +161,18 @@
         weighted / f64::max(flows, 1.0)
     }
 }
+
+/// Returns the record of an upstream, a new one if there is none; nothing if there are too
+/// many.
+fn record_of<'a>(
+    upstreams: &'a mut IndexMap<UpstreamKey, UpstreamRecord>,
+    now: Instant,
+    key: UpstreamKey,
+    settings: &FleetSettings,
+) -> Option<&'a mut UpstreamRecord> {
+    let is_full = upstreams.len() >= settings.max_upstreams;
+    match upstreams.entry(key) {
+        Entry::Vacant(_) if is_full => None,
+        entry => Some(entry.or_insert_with(|| UpstreamRecord::new(now, settings))),
+    }
+}
--- a/crates/currantgate-observation/src/settings.rs
+++ b/crates/currantgate-observation/src/settings.rs
@@ -40,6 +40,17 @@
     /// Number of entries that must find an upstream slow. A single one may have a
     /// bad link of its own.
     pub min_reporters: usize,
+    /// Time for which a reported unanswered first packet counts.
+    pub unanswered_lifetime: Duration,
+    /// Part of the usual flows of that time that must be unanswered. Single packets are
+    /// lost on the network.
+    pub unanswered_share: f64,
+    /// Time after which answered flows that are reported show that an unresponsive upstream
+    /// answers again. Those that are reported earlier may have been answered before: a
+    /// report covers 500 ms, and a first packet is unanswered for 200 ms.
+    pub answer_delay: Duration,
+    /// Least time between two lists, however many upstreams are found unresponsive.
+    pub min_list_interval: Duration,
     /// Time for which an entry's finding counts.
     pub finding_lifetime: Duration,
     /// Time in which the excess of a mean over 1 falls to a third without new flows,
@@ -70,6 +81,10 @@
             normal_share: 0.45,
             finding_slowness: 1.8,
             min_reporters: 2,
+            unanswered_lifetime: Duration::from_millis(500),
+            unanswered_share: 0.2,
+            answer_delay: Duration::from_millis(1_000),
+            min_list_interval: Duration::from_millis(100),
             finding_lifetime: Duration::from_secs(10),
             fade_time: Duration::from_secs(15),
             forget_after: Duration::from_secs(60),
--- a/crates/currantgate-observation/src/upstream_record.rs
+++ b/crates/currantgate-observation/src/upstream_record.rs
@@ -1,5 +1,6 @@
 //! The merged observations of one upstream.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use crate::threshold::Threshold;
@@ -21,6 +22,18 @@
     }
 }
 
+/// Most reports of unanswered first packets that are kept of one upstream, the newest ones.
+const MAX_UNANSWERED_REPORTS: usize = 64;
+
+/// First packets of one entry that were not answered.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    reporter: ReporterId,
+    count: u8,
+    /// Time until which they count.
+    until: Instant,
+}
+
 /// The merged observations of one upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamRecord {
@@ -34,6 +47,12 @@
     is_slow: bool,
     /// Entries that found the upstream slow, with the time until which this counts.
     findings: Vec<(ReporterId, Instant)>,
+    /// Flows that the last update with flows has merged.
+    last_flows: f64,
+    unanswered: Vec<Unanswered>,
+    /// Set while the upstream is unresponsive: the time from which reports of answered
+    /// flows show that it answers again.
+    answers_count_from: Option<Instant>,
 }
 
 impl UpstreamRecord {
@@ -45,6 +64,9 @@
             weight_left: settings.max_burst_weight,
             is_slow: false,
             findings: Vec::new(),
+            last_flows: 0.0,
+            unanswered: Vec::new(),
+            answers_count_from: None,
         }
     }
 
@@ -79,6 +101,41 @@
         self.pending.busy_s += f64::from(observation.busy_ms) / 1_000.0;
     }
 
+    /// Adds first packets of one entry that were not answered; tells whether the upstream
+    /// has become unresponsive.
+    ///
+    /// That takes several entries, and a part of the flows that the upstream usually gets,
+    /// as single packets are lost on the network.
+    pub(crate) fn add_unanswered(
+        &mut self,
+        now: Instant,
+        reporter: ReporterId,
+        count: u8,
+        settings: &FleetSettings,
+    ) -> bool {
+        self.unanswered.retain(|u| now < u.until);
+        self.unanswered.push(Unanswered {
+            reporter,
+            count,
+            until: now + settings.unanswered_lifetime,
+        });
+        let surplus = self.unanswered.len().saturating_sub(MAX_UNANSWERED_REPORTS);
+        self.unanswered.drain(..surplus);
+        let reporters: HashSet<_> = self.unanswered.iter().map(|u| u.reporter).collect();
+        let packets: f64 = self.unanswered.iter().map(|u| f64::from(u.count)).sum();
+        if reporters.len() < settings.min_reporters
+            || packets < settings.unanswered_share * self.last_flows
+        {
+            return false;
+        }
+        let was_unresponsive = self.answers_count_from.is_some();
+        self.answers_count_from = Some(now + settings.answer_delay);
+        self.excess = settings.max_slowness - 1.0;
+        self.updated_at = now;
+        self.is_slow = true;
+        !was_unresponsive
+    }
+
     /// Merges the observations of the time since the last update, of length `period`,
     /// into the mean.
     ///
@@ -91,7 +148,18 @@
         if flows == 0.0 {
             return;
         }
+        self.last_flows = flows;
         let observed = pending.slowness_sum / flows / pending.occupancy(period).max(1.0);
+        if let Some(from) = self.answers_count_from
+            && observed < settings.finding_slowness
+        {
+            if now >= from {
+                self.answers_count_from = None;
+                self.excess = (observed - 1.0).max(0.0);
+                self.updated_at = now;
+            }
+            return;
+        }
         let weight = 1.0 - (1.0 - settings.flow_weight).powf(flows);
         let weight = weight.min(self.refill_weight(now, settings));
         self.weight_left -= weight;
--- a/crates/currantgate-observation/tests/fleet.rs
+++ b/crates/currantgate-observation/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use currantgate_observation::{
     FleetObservations, FleetSettings, NORMAL_SLOWNESS, Observation, ObservationLog, ReporterId,
-    SlowUpstream, UpstreamKey, slowness_changes,
+    SlowUpstream, UnansweredPackets, UpstreamKey, slowness_changes,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -53,6 +53,20 @@
         }
     }
 
+    /// Reports first packets to the suspect that were not answered, and returns whether it is
+    /// listed as slow a short time later, without a merge.
+    fn report_unanswered(&mut self, reporter: ReporterId, count: u8) -> bool {
+        let packets = UnansweredPackets {
+            key: SUSPECT,
+            count,
+        };
+        self.observations
+            .record_unanswered(self.now, reporter, &[packets]);
+        self.now += Duration::from_millis(100);
+        let slow = self.observations.slow_upstreams(self.now);
+        slow.iter().any(|upstream| upstream.key == SUSPECT)
+    }
+
     /// Lets the time until the next merge pass, and returns the slow upstreams.
     fn tick(&mut self) -> Vec<UpstreamKey> {
         for healthy in 10..20 {
@@ -272,3 +286,37 @@
     }
     assert_eq!(slow.len(), expected, "{slow:?}");
 }
+
+/// Guards against flows that are sent to an unresponsive upstream until the next merge, and
+/// against one that is avoided although it answers again.
+#[test]
+fn an_unresponsive_upstream_is_listed_until_answers_are_reported() {
+    let mut fleet = Fleet::new(FleetSettings::with_demand());
+    fleet.report_from(8, SUSPECT, 1.0);
+    assert_eq!(fleet.tick(), []);
+    assert!(!fleet.report_unanswered(1, 1));
+    assert!(fleet.report_unanswered(2, 1));
+    // These flows were answered before the upstream became unresponsive.
+    fleet.report_from(8, SUSPECT, 1.0);
+    assert_eq!(fleet.tick(), [SUSPECT]);
+    fleet.now += Duration::from_millis(600);
+    fleet.report_from(2, SUSPECT, 1.0);
+    assert_eq!(fleet.tick(), []);
+}
+
+/// Guards against upstreams that are avoided for the bad link of one entry, or for single
+/// packets that were lost on the network.
+#[rstest]
+#[case::single_entry(&[1], 20)]
+#[case::lost_packets(&[1, 2, 3], 1)]
+fn a_few_unanswered_packets_make_no_upstream_slow(
+    #[case] reporters: &[ReporterId],
+    #[case] count: u8,
+) {
+    let mut fleet = Fleet::new(FleetSettings::with_demand());
+    fleet.report_from(20, SUSPECT, 1.0);
+    assert_eq!(fleet.tick(), []);
+    for reporter in reporters {
+        assert!(!fleet.report_unanswered(*reporter, count));
+    }
+}
