Tell all entries of slow upstreams, and report unanswered first packets soon

Cause: a control VM sends its list of slow upstreams only to the entries that report to it, and an entry uses only the list of its own collector, while an overloaded domain sends over half of its flows to others. An unanswered first packet is noticed when the caller retransmits it after 200 ms, and waits up to 500 ms for a report and as long for a merge, and the list waits for the next message on each feed.

Change, where entries share their demand: a control VM to which demand is reported sends its list to all entries, and a change wakes all feeds. The list is empty 2 s after the last report of demand, when another control VM has become the collector. Entries keep the list of each control VM until its feed ends and use the highest slowness. A first packet without an answer after 100 ms is reported at once (FeedRequest::Unanswered, last variant), at most each 100 ms. Checks that are themselves late, or made while packets wait, don't count. Elsewhere nothing is sent or used differently.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::FleetDemand;
-use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
+use currantgate_observation::{
+    NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream, UnansweredLog,
+};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +41,8 @@
     suspicion_changes: Vec<SuspicionChange>,
     /// Flows that ended and were not reported to the fleet yet.
     observations: ObservationLog,
+    /// First packets with a late answer that were not reported yet.
+    unanswered: UnansweredLog,
     /// Upstreams that the fleet observes as slow.
     fleet_slowness: IndexMap<TargetKey, f64>,
     /// Cold upstreams that get new flows only with a permit.
@@ -64,6 +68,7 @@
             domains: IndexMap::new(),
             suspicion_changes: Vec::new(),
             observations: ObservationLog::default(),
+            unanswered: UnansweredLog::default(),
             fleet_slowness: IndexMap::new(),
             permits: Permits::default(),
             fleet_demand,
@@ -156,6 +161,11 @@
         self.observations.take()
     }
 
+    /// Returns the log of unanswered first packets that the fleet is told of soon.
+    pub fn unanswered(&mut self) -> &mut UnansweredLog {
+        &mut self.unanswered
+    }
+
     /// Sets which upstreams get new flows only with a permit while they are cold.
     pub fn set_limited(&mut self, keys: impl IntoIterator<Item = TargetKey>) {
         self.permits.limited = keys.into_iter().collect();
@@ -387,6 +397,16 @@
         self.cancel(key, priority);
     }
 
+    /// Records that a first packet sent at `sent` has no answer yet after a multiple of the
+    /// usual time. If several entries report this, the fleet avoids the upstream; this entry
+    /// does so itself once the caller retransmits.
+    pub fn record_late_answer(&mut self, key: TargetKey, sent: Instant) {
+        let candidate = self.candidates.get(&key);
+        if candidate.is_some_and(|candidate| !candidate.has_answered_since(sent)) {
+            self.unanswered.record(key);
+        }
+    }
+
     /// Removes a placed flow of which no answer will be recorded.
     pub fn cancel(&mut self, key: TargetKey, priority: Priority) {
         self.settle_first_packet(key);
--- a/crates/currantgate-token/src/flow_table.rs
+++ b/crates/currantgate-token/src/flow_table.rs
@@ -1,7 +1,7 @@
 //! Table of the flows that this entry has opened.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
 use ahash::RandomState;
@@ -47,6 +47,9 @@
     deadlines: BinaryHeap<Reverse<(Instant, FlowId)>>,
     /// Times at which established flows become overdue, where that is tracked.
     overdue_times: BinaryHeap<Reverse<(Instant, FlowId)>>,
+    /// Opening flows by the time until which an answer is expected, where that is tracked.
+    /// The last part is the time at which the first packet was sent.
+    answer_times: VecDeque<(Instant, FlowId, Instant)>,
 }
 
 impl FlowTable {
@@ -98,6 +101,34 @@
         None
     }
 
+    /// Sets the time until which an answer to a flow's first packet, sent at `sent`, is
+    /// expected. Times are set in ascending order.
+    pub(crate) fn track_answer(&mut self, flow: FlowId, sent: Instant, due: Instant) {
+        self.answer_times.push_back((due, flow, sent));
+    }
+
+    /// Returns the earliest time until which an answer is expected that has not arrived.
+    pub(crate) fn next_answer_time(&mut self) -> Option<Instant> {
+        while let Some((due, flow, sent)) = self.answer_times.front() {
+            let opening = self.opening.get(flow);
+            if opening.is_some_and(|record| record.sent == *sent) {
+                return Some(*due);
+            }
+            self.answer_times.pop_front();
+        }
+        None
+    }
+
+    /// Returns the record of an opening flow whose answer is late since the last call, if
+    /// there is one, and until when it was expected.
+    pub(crate) fn pop_late_answer(&mut self, now: Instant) -> Option<(Instant, FlowRecord)> {
+        if self.next_answer_time()? > now {
+            return None;
+        }
+        let (due, flow, _) = self.answer_times.pop_front()?;
+        Some((due, *self.opening.get(&flow)?))
+    }
+
     /// Removes a flow and returns its record.
     pub(crate) fn remove(&mut self, flow: &FlowId) -> Option<FlowRecord> {
         let opening = self.opening.swap_remove(flow);
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{DomainDemand, ServiceDemand};
-use currantgate_observation::{Observation, SlowUpstream};
+use currantgate_observation::{Observation, SlowUpstream, UnansweredLog};
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, ServiceShares, SuspicionChange, Target,
 };
@@ -20,6 +20,10 @@
     LaterPacket, ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
 };
 
+/// Time by which the check for late answers may itself be late. After a longer pause of the
+/// process, answers may wait in the receive queue.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(20);
+
 /// Decides for each packet to which upstream it goes, or why it goes to none.
 #[derive(Debug)]
 pub struct TokenRouter {
@@ -275,6 +279,10 @@
             return Decision::Forward(hop);
         }
         self.flows.insert(flow, record);
+        if let Some(timeout) = self.settings.answer_timeout {
+            self.flows
+                .track_answer(flow, record.sent, record.sent + timeout);
+        }
         Decision::Forward(hop)
     }
 
@@ -329,6 +337,22 @@
         }
     }
 
+    /// Returns the time at which [`Self::record_late_answers`] is due, if answers are
+    /// expected.
+    pub fn next_answer_time(&mut self) -> Option<Instant> {
+        self.flows.next_answer_time()
+    }
+
+    /// Records which upstreams have left first packets unanswered for too long. All packets
+    /// that have arrived must have been routed before.
+    pub fn record_late_answers(&mut self, now: Instant) {
+        while let Some((due, record)) = self.flows.pop_late_answer(now) {
+            if now <= due + MAX_CHECK_DELAY {
+                self.placement.record_late_answer(record.token, record.sent);
+            }
+        }
+    }
+
     /// Removes and returns a flow whose caller has given up, if there is one.
     pub fn pop_expired(&mut self, now: Instant) -> Option<ExpiredFlow> {
         let (flow, state, record) = self.flows.pop_expired(now)?;
@@ -364,16 +388,16 @@
         self.placement.take_observations()
     }
 
+    /// Returns the log of unanswered first packets that are reported soon.
+    pub fn unanswered(&mut self) -> &mut UnansweredLog {
+        self.placement.unanswered()
+    }
+
     /// Applies changes of what all entries observe of upstreams.
     pub fn update_slow_upstreams(&mut self, changes: &[SlowUpstream]) {
         self.placement.update_fleet_slowness(changes);
     }
 
-    /// Forgets what all entries observe of upstreams.
-    pub fn clear_slow_upstreams(&mut self) {
-        self.placement.clear_fleet_slowness();
-    }
-
     /// Returns the upstreams that are slow by what all entries observe.
     pub fn slow_upstreams(&self) -> impl ExactSizeIterator<Item = Token> {
         self.placement.fleet_slow()
--- a/crates/currantgate-token/src/settings.rs
+++ b/crates/currantgate-token/src/settings.rs
@@ -22,6 +22,9 @@
     /// An upstream that takes requests and never answers ends no flow until its callers
     /// give up.
     pub overdue_factor: Option<f64>,
+    /// Time after which a first packet without an answer is reported; below the time after
+    /// which callers retransmit. `None` to learn of it only from the retransmission.
+    pub answer_timeout: Option<Duration>,
     /// Key of the hash that selects a service of a route; the same on all entries of a
     /// site.
     pub hash_key: [u8; 16],
@@ -34,6 +37,7 @@
             duplicate_window: Duration::from_millis(120),
             expiry_grace: Duration::from_millis(200),
             overdue_factor: None,
+            answer_timeout: None,
             hash_key: [0; 16],
         }
     }
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -385,6 +385,39 @@
     assert_eq!(entry.router.take_observations(), []);
 }
 
+/// Guards against unresponsive upstreams that are noticed only when callers retransmit, and
+/// against reports after a pause of the process, in which answers were not read.
+#[rstest]
+#[case::late(Some(100), 0, 1)]
+#[case::not_tracked(None, 0, 0)]
+#[case::late_check(Some(100), 50, 0)]
+fn a_late_answer_is_reported_before_the_caller_retransmits(
+    #[case] timeout_ms: Option<u64>,
+    #[case] check_delay_ms: u64,
+    #[case] reports: usize,
+) {
+    let settings = TokenSettings {
+        answer_timeout: timeout_ms.map(Duration::from_millis),
+        ..TokenSettings::default()
+    };
+    let mut entry = Entry::with_settings(settings, 1..=2, 1);
+    let answered = entry.open_flow(1);
+    entry.send_later(1, answered.token, false);
+    entry.now += Duration::from_millis(1);
+    let chosen = entry.open_flow(2);
+    let due = timeout_ms.map(|ms| entry.now + Duration::from_millis(ms));
+    assert_eq!(entry.router.next_answer_time(), due);
+    entry.now += Duration::from_millis(99);
+    entry.router.record_late_answers(entry.now);
+    assert_eq!(entry.router.unanswered().due_at(entry.now), None);
+    entry.now += Duration::from_millis(1 + check_delay_ms);
+    entry.router.record_late_answers(entry.now);
+    let reported = entry.router.unanswered().take(entry.now);
+    let keys: Vec<_> = reported.iter().map(|packets| packets.key).collect();
+    assert_eq!(keys, vec![chosen.token; reports]);
+    assert_eq!(entry.router.next_answer_time(), None);
+}
+
 #[test]
 fn a_flow_expires_after_its_callers_timeout() {
     let mut entry = Entry::new(1..=2, 1);
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -8,7 +8,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, Secret};
-use currantgate_observation::{Observation, choose_collector};
+use currantgate_observation::{Observation, UnansweredPackets, choose_collector};
 use currantgate_warmup::PermitsRequest;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
@@ -185,6 +185,18 @@
         }
     }
 
+    /// Reports first packets that were not answered. A report that can't be queued is
+    /// dropped, as the next report of observations includes what it tells.
+    pub(crate) fn report_unanswered(&self, to: SocketAddr, upstreams: Vec<UnansweredPackets>) {
+        let request = FeedRequest::Unanswered {
+            revision: self.shared.revision.get(),
+            upstreams,
+        };
+        if !self.queue(to, request) {
+            log::debug!("a report of unanswered packets to {to} is dropped");
+        }
+    }
+
     /// Requests permits for cold upstreams from the leader. A request that can't be sent at
     /// once is dropped: its permits would have expired when the feed opens.
     pub(crate) fn request_permits(&self, to: SocketAddr, request: PermitsRequest) {
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -6,7 +6,7 @@
 
 use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, RevisionId, VoterId};
-use currantgate_observation::{Observation, SlowUpstream};
+use currantgate_observation::{Observation, SlowUpstream, UnansweredPackets};
 use currantgate_registry::{EvacuationUpdate, Record};
 use currantgate_warmup::{Permit, PermitsRequest, RequestNumber};
 use serde::{Deserialize, Serialize};
@@ -76,6 +76,14 @@
         /// Whether the listener has had a feed from a VM in contact with a quorum.
         had_quorum: bool,
     },
+    /// Reports first packets that were not answered, soon after it is noticed. Sent only by
+    /// entries that share their demand.
+    Unanswered {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// The upstreams that did not answer.
+        upstreams: Vec<UnansweredPackets>,
+    },
 }
 
 impl FeedRequest {
@@ -86,7 +94,8 @@
             | Self::Observations { revision, .. }
             | Self::WarmupPermits { revision, .. }
             | Self::Demand { revision, .. }
-            | Self::Evacuations { revision, .. } => *revision,
+            | Self::Evacuations { revision, .. }
+            | Self::Unanswered { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
@@ -117,7 +126,8 @@
     /// A requested update, as [`currantgate_control::Update::pack`] returns it.
     Update(Arc<[u8]>),
     /// Changes of which upstreams are slow by what entries have observed, for those that
-    /// report observations. The first such message on a feed lists all.
+    /// report observations; for all entries if demand is reported to the control VM. The
+    /// first such message on a feed lists all.
     SlowUpstreams(Vec<SlowUpstream>),
     /// The evacuated failure domains, whole. Sent when the feed opens and on each
     /// change, once an order was accepted.
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -88,8 +88,8 @@
     needs_no_hold: bool,
     /// Number of the newest change of upstreams that has been sent.
     sent_change: ChangeNumber,
-    /// Slow upstreams as the listener knows them; nothing while it has not reported
-    /// any observations.
+    /// Slow upstreams as the listener knows them; nothing while it gets none, as it has not
+    /// reported any observations and demand is not shared.
     sent_slow: Option<Rc<[SlowUpstream]>>,
     sent_demand: SentDemand,
     /// Limits the lines about rejected reports, as an entry sends two a second.
@@ -165,6 +165,12 @@
                 self.sent_slow.get_or_insert_default();
                 Ok(())
             }
+            FeedRequest::Unanswered { upstreams, .. } => {
+                let now = std::time::Instant::now();
+                let mut merged = self.source.observations.borrow_mut();
+                merged.record_unanswered(now, reporter_id(&self.hello.name), &upstreams);
+                Ok(())
+            }
             FeedRequest::Evacuations {
                 evacuations,
                 had_quorum,
@@ -229,8 +235,12 @@
         }
     }
 
-    /// Sends changes of the slow upstreams to a listener that reports what it observes.
+    /// Sends changes of the slow upstreams to a listener that reports what it observes. Where
+    /// demand is shared, all entries get them, as each sends flows to all domains.
     async fn send_slow_upstreams(&mut self) -> Result<(), TransportError> {
+        if self.hello.control.is_none() && self.source.is_demand_shared() {
+            self.sent_slow.get_or_insert_default();
+        }
         let Some(sent) = &mut self.sent_slow else {
             return Ok(());
         };
--- a/crates/currantgate/src/feed/source.rs
+++ b/crates/currantgate/src/feed/source.rs
@@ -27,6 +27,11 @@
 /// Time for which a control VM is listed in heartbeats after its last message.
 const CONTROL_LISTING_TIME: Duration = Duration::from_secs(10);
 
+/// Time without a report of demand after which the list of slow upstreams is empty: four
+/// reports of an entry. When another control VM merges the reports, this list would no longer
+/// change, while all entries use it.
+const REPORTS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The state that a control VM sends on all its feeds.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<UpstreamRegistry>,
@@ -47,8 +52,11 @@
     permits: RefCell<LeaderPermits>,
     /// Demand of the callers of the entries that report here.
     pub(super) demand: RefCell<DemandPublisher>,
-    /// Whether an entry has reported demand, and so measures slowness by work.
-    is_demand_shared: Cell<bool>,
+    /// Time until which the last report of demand counts; nothing before an entry has
+    /// reported any, and so measures slowness by work.
+    reports_end_at: Cell<Option<std::time::Instant>>,
+    /// Slow upstreams that the feeds send, replaced only when they change.
+    slow: RefCell<Rc<[SlowUpstream]>>,
 }
 
 impl FeedSource {
@@ -69,7 +77,8 @@
             )),
             permits: RefCell::new(LeaderPermits::new()),
             demand: RefCell::new(DemandPublisher::new(std::time::Instant::now())),
-            is_demand_shared: Cell::new(false),
+            reports_end_at: Cell::new(None),
+            slow: RefCell::default(),
         }
     }
 
@@ -91,9 +100,29 @@
     }
 
     /// Returns the upstreams that are slow by what entries have observed.
+    ///
+    /// Where demand is shared, a change wakes all feeds, so that they send it at once.
     pub(crate) fn slow_upstreams(&self) -> Rc<[SlowUpstream]> {
-        let mut observations = self.observations.borrow_mut();
-        observations.slow_upstreams(std::time::Instant::now())
+        let now = std::time::Instant::now();
+        let slow = self.observations.borrow_mut().slow_upstreams(now);
+        let Some(reports_end_at) = self.reports_end_at.get() else {
+            return slow;
+        };
+        let slow = if now < reports_end_at {
+            slow
+        } else {
+            Rc::default()
+        };
+        if **self.slow.borrow() != *slow {
+            *self.slow.borrow_mut() = slow;
+            self.notify();
+        }
+        Rc::clone(&self.slow.borrow())
+    }
+
+    /// Returns whether an entry has reported demand to this control VM.
+    pub(super) fn is_demand_shared(&self) -> bool {
+        self.reports_end_at.get().is_some()
     }
 
     /// Returns the evacuations that are published.
@@ -148,11 +177,12 @@
         period: Duration,
         report: &[ServiceDemand],
     ) -> bool {
-        if !self.is_demand_shared.replace(true) {
+        let now = std::time::Instant::now();
+        let reports_end_at = Some(now + REPORTS_TIMEOUT);
+        if self.reports_end_at.replace(reports_end_at).is_none() {
             let settings = FleetSettings::with_demand();
             self.observations.borrow_mut().set_settings(settings);
         }
-        let now = std::time::Instant::now();
         let reporter = reporter_id(&from.name);
         let mut demand = self.demand.borrow_mut();
         demand.record(now, reporter, &from.domain, period, report)
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -9,6 +9,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::DomainDemand;
 use currantgate_log::{RateLimit, RateLimiter};
+use currantgate_observation::{SlowUpstream, SlownessView};
 use currantgate_placement::Target;
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
@@ -59,6 +60,10 @@
 /// single requests lasts up to six times the mean.
 const OVERDUE_FACTOR: f64 = 8.0;
 
+/// Time after which a first packet without an answer is reported: over ten times that of a
+/// handshake, and half of that after which callers retransmit.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -131,6 +136,7 @@
             routed_upstreams: 0,
             links,
             collector: None,
+            slowness: SlownessView::default(),
             leader: None,
             unsent_demand: UnsentDemand::new(Instant::now()),
             unsent_log: RateLimiter::new(UNSENT_LOG_LIMIT, Instant::now()),
@@ -202,6 +208,9 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    /// Lists of slow upstreams: that of the collector, or those of all control VMs if demand
+    /// is shared.
+    slowness: SlownessView<SocketAddr>,
     /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
     /// it.
     leader: Option<SocketAddr>,
@@ -227,6 +236,8 @@
         let mut stall_detector = StallDetector::new(Instant::now());
         loop {
             let permits_due = self.next_permits_request_at();
+            let answer_due = self.routing.router.next_answer_time();
+            let unanswered_due = self.routing.router.unanswered().due_at(Instant::now());
             tokio::select! {
                 readable = self.packets.readable() => match readable {
                     Ok(()) => {
@@ -253,6 +264,14 @@
                     self.update_upstreams_if_due();
                 }
                 () = wait_until(permits_due) => self.request_permits(),
+                () = wait_until(answer_due) => {
+                    self.routing.detect_stall(&mut stall_detector);
+                    // An answer may have arrived that was not read yet.
+                    if self.packets.process_batch(&mut self.routing) {
+                        self.routing.router.record_late_answers(Instant::now());
+                    }
+                }
+                () = wait_until(unanswered_due) => self.report_unanswered(),
                 _ = observation_interval.tick() => {
                     self.report_observations();
                     self.report_demand();
@@ -280,10 +299,9 @@
                 self.revisions.remove(from);
                 self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
-                if self.collector == Some(from) {
-                    self.collector = None;
-                    self.routing.clear_slow_upstreams(now);
-                }
+                self.collector.take_if(|collector| *collector == from);
+                let changes = self.slowness.remove(&from);
+                self.apply_slowness(now, &changes);
             }
             FeedEvent::Message(from, FeedMessage::Heartbeat(heartbeat)) => {
                 self.routing.decisions.view_at = now;
@@ -303,8 +321,9 @@
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
-                if self.collector == Some(from) {
-                    self.routing.update_slow_upstreams(now, &slow);
+                if self.collector == Some(from) || self.routing.demand.is_some() {
+                    let changes = self.slowness.apply(from, &slow);
+                    self.apply_slowness(now, &changes);
                 }
             }
             FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
@@ -346,6 +365,13 @@
         }
     }
 
+    /// Passes changes of the merged list of slow upstreams to the router.
+    fn apply_slowness(&mut self, now: Instant, changes: &[SlowUpstream]) {
+        if !changes.is_empty() {
+            self.routing.update_slow_upstreams(now, changes);
+        }
+    }
+
     /// Applies a newer state of the evacuated domains at once, as control VMs have
     /// acknowledged the order already. So are later ends of evacuations in a state that is
     /// not newer, as the upstreams of these domains may be cold.
@@ -383,15 +409,21 @@
 
     /// Reports what was observed of upstreams since the last call.
     ///
-    /// When the collector changes, the slow upstreams are cleared, as the previous one
-    /// sends no more changes. The first report to a collector is sent even if it is
+    /// When the collector changes, the list of the previous one is dropped, as it sends no
+    /// more changes; unless demand is shared, as it then sends them to all entries. The first
+    /// report to a collector is sent even if it is
     /// empty, because the collector sends its slow upstreams only to reporters.
     fn report_observations(&mut self) {
         let collector = self.links.collector();
         let is_first = collector != self.collector;
         if is_first {
-            self.collector = collector;
-            self.routing.clear_slow_upstreams(Instant::now());
+            let previous = std::mem::replace(&mut self.collector, collector);
+            if let Some(previous) = previous
+                && self.routing.demand.is_none()
+            {
+                let changes = self.slowness.remove(&previous);
+                self.apply_slowness(Instant::now(), &changes);
+            }
         }
         let observations = self.routing.router.take_observations();
         if let Some(collector) = collector
@@ -401,6 +433,15 @@
         }
     }
 
+    /// Reports first packets that were not answered. Without a collector, the report is
+    /// dropped: it would be out of date when there is one.
+    fn report_unanswered(&mut self) {
+        let unanswered = self.routing.router.unanswered().take(Instant::now());
+        if let Some(collector) = self.collector {
+            self.links.report_unanswered(collector, unanswered);
+        }
+    }
+
     /// Reports the demand of this entry's callers since the last call, if entries share
     /// it. The report is sent even if there is no demand, as a domain without reports
     /// would have no figure, and the entries would not know that its slots are free. The
@@ -560,6 +601,7 @@
     if settings.is_demand_shared {
         placement.demand.get_or_insert_default();
         routing.overdue_factor.get_or_insert(OVERDUE_FACTOR);
+        routing.answer_timeout.get_or_insert(ANSWER_TIMEOUT);
     }
     TokenRouter::new(routing, placement)
 }
--- a/crates/currantgate/src/token_entry/packet_socket.rs
+++ b/crates/currantgate/src/token_entry/packet_socket.rs
@@ -61,18 +61,20 @@
         self.socket.readable().await
     }
 
-    /// Processes the packets that have arrived, at most one batch.
-    pub(super) fn process_batch(&mut self, routing: &mut Routing) {
+    /// Processes the packets that have arrived, at most one batch; returns whether there are
+    /// no more.
+    pub(super) fn process_batch(&mut self, routing: &mut Routing) -> bool {
         let now = Instant::now();
         for _ in 0..MAX_BATCH {
             match self.socket.try_recv(&mut self.buf[F::HEADROOM..]) {
                 Ok(len) => self.handle(now, len, routing),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 // An ICMP error for an earlier packet that was sent to a closed
                 // port.
                 Err(e) => log::debug!("receiving a packet failed: {e}"),
             }
         }
+        false
     }
 
     fn handle(&mut self, now: Instant, len: usize, routing: &mut Routing) {
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -119,15 +119,9 @@
     /// Applies changes of what all entries observe of upstreams.
     pub(super) fn update_slow_upstreams(&mut self, now: Instant, changes: &[SlowUpstream]) {
         self.router.update_slow_upstreams(changes);
-        self.publish_slow_upstreams(now);
-    }
-
-    /// Forgets what all entries observe of upstreams.
-    pub(super) fn clear_slow_upstreams(&mut self, now: Instant) {
-        if self.router.slow_upstreams().len() > 0 {
-            self.router.clear_slow_upstreams();
-            self.publish_slow_upstreams(now);
-        }
+        let count = self.router.slow_upstreams().len();
+        self.metrics.set_slow_upstreams(count);
+        self.decisions.log_slow_upstreams(now, &self.router);
     }
 
     /// Takes the demand of a failure domain's callers, if entries share it.
@@ -172,12 +166,6 @@
         self.demand.is_some()
     }
 
-    fn publish_slow_upstreams(&mut self, now: Instant) {
-        let count = self.router.slow_upstreams().len();
-        self.metrics.set_slow_upstreams(count);
-        self.decisions.log_slow_upstreams(now, &self.router);
-    }
-
     fn log_suspicion_changes(&mut self, now: Instant) {
         for change in self.router.take_suspicion_changes() {
             self.decisions
