--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -264,7 +264,7 @@
         } else {
             self.settings.probe_share
         };
-        let is_probe = !self.fleet_slowness.is_empty() && self.rng.random_bool(probe_share);
+        let is_probe = self.has_slow_upstreams(domain) && self.rng.random_bool(probe_share);
         let mut best: Option<Rank> = None;
         let mut chosen = None;
         let mut ties = 0;
@@ -304,6 +304,17 @@
         chosen.zip(best)
     }
 
+    /// Tells whether the fleet observes upstreams as slow, in a failure domain if one is given.
+    /// Probes without need would only miss the slots that are reserved for this entry.
+    fn has_slow_upstreams(&self, domain: Option<usize>) -> bool {
+        let Some(domain) = domain else {
+            return !self.fleet_slowness.is_empty();
+        };
+        let slow = self.fleet_slowness.keys();
+        let mut candidates = slow.filter_map(|key| self.candidates.get(key));
+        candidates.any(|candidate| candidate.domain == domain)
+    }
+
     /// Returns the health of an upstream, in which its domain counts, too.
     fn health(&self, now: Instant, candidate: &Candidate) -> Health {
         let domain = &self.domains[candidate.domain];
--- a/crates/currantgate-placement/tests/load/hard.rs
+++ b/crates/currantgate-placement/tests/load/hard.rs
@@ -140,6 +140,19 @@
     assert_overload_targets(&report, &[4, 5, 7], 0.5);
 }
 
+/// Guards against entries that go on sending flows to upstreams which the entries of another
+/// domain know to be unresponsive.
+#[test]
+fn unresponsive_upstreams_are_known_to_all_entries_soon() {
+    let scenario = Scenario::half_dark();
+    let report = simulate(&scenario, Policy::Demand);
+    let known_ms = report.unresponsive_known_ms.unwrap_or(f64::INFINITY);
+    let took_ms = known_ms - scenario.disturbed_from_ms;
+    println!("known after {took_ms:.0} ms");
+    // A handshake takes 7 ms, so the first unanswered packet is one from the start on.
+    assert!(took_ms <= 700.0, "{took_ms} ms");
+}
+
 /// Guards against queues at slow upstreams, which shed what waits there.
 #[test]
 fn uneven_upstreams_keep_goodput_near_capacity() {
--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -3,10 +3,14 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::ops::Range;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{DemandCollector, DemandSettings, DomainDemand};
-use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, slowness_changes};
+use currantgate_observation::{
+    FleetObservations, FleetSettings, SlowUpstream, SlownessView, UnansweredPackets,
+    slowness_changes,
+};
 use currantgate_placement::{
     Placement, PlacementRequest, PlacementSettings, Refusal, Suspect, SuspicionChange, Target,
     TargetKey,
@@ -47,6 +51,17 @@
 /// receive it, in milliseconds: half of the interval of publishing, and the delay.
 const PUBLISH_DELAY_MS: f64 = 255.0;
 
+/// Time from the entries' reports until the collectors merge them, in milliseconds: half of
+/// the interval of merging, as entries and collectors keep no common time.
+const MERGE_DELAY_MS: f64 = 250.0;
+
+/// Time that a message between an entry and a collector takes, in milliseconds: the delay
+/// between two domains, and as much until the process runs.
+const CONTROL_DELAY_MS: f64 = 1.0;
+
+/// Time after which an entry reports a first packet without an answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: f64 = 100.0;
+
 /// Time until which entries learn which upstreams are slow, in milliseconds: what
 /// they observe takes half of a second to reach a control VM and as much to return.
 const LEARNING_TIME_MS: f64 = 2_000.0;
@@ -69,7 +84,7 @@
     flows: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Event {
     /// A caller sends a first packet.
     Attempt {
@@ -84,6 +99,16 @@
     End(Request),
     /// Entries exchange what they observe.
     Report,
+    /// A first packet has had no answer for too long.
+    LateAnswer(Request),
+    /// An entry reports first packets that were not answered.
+    ReportUnanswered(usize),
+    /// The collector of an entry receives this report.
+    ReceiveUnanswered(usize, Vec<UnansweredPackets>),
+    /// Collectors merge what entries have observed.
+    Merge,
+    /// All entries receive the slow upstreams of the collector of a domain.
+    ReceiveSlow(usize, Vec<SlowUpstream>),
     /// Collectors publish the demand.
     Publish,
     /// Entries receive the oldest published demand.
@@ -105,8 +130,12 @@
     /// Merged observations of the entries of each domain.
     fleets: [FleetObservations; DOMAINS],
     /// Slow upstreams at the last merge, by domain.
-    slow: [Vec<SlowUpstream>; DOMAINS],
-    /// Changes of these that entries are told next.
+    slow: [Rc<[SlowUpstream]>; DOMAINS],
+    /// Lists of all collectors, merged at each entry that shares its demand.
+    views: Vec<SlownessView<usize>>,
+    /// Whether an entry's report of unanswered first packets is scheduled.
+    reports_unanswered: Vec<bool>,
+    /// Changes of these lists that entries are told next where they don't share demand.
     changes: [Vec<SlowUpstream>; DOMAINS],
     /// Collectors of the demand of each domain.
     collectors: Vec<DemandCollector>,
@@ -159,6 +188,8 @@
             placement
         };
         let entries = (0..scenario.entries).map(entry).collect();
+        let views = vec![SlownessView::default(); scenario.entries];
+        let reports_unanswered = vec![false; scenario.entries];
         let fleet_settings = if policy == Policy::Demand {
             FleetSettings::with_demand()
         } else {
@@ -176,7 +207,9 @@
             rng,
             entries,
             fleets: std::array::from_fn(|_| FleetObservations::new(start, fleet_settings.clone())),
-            slow: Default::default(),
+            slow: std::array::from_fn(|_| Rc::from([])),
+            views,
+            reports_unanswered,
             changes: Default::default(),
             collectors: vec![DemandCollector::new(DemandSettings::default()); domains],
             figures: VecDeque::new(),
@@ -212,6 +245,25 @@
                 }
                 Some(Event::End(request)) => self.record_end(now_ms, &request),
                 Some(Event::Report) => self.exchange_observations(now_ms),
+                Some(Event::LateAnswer(request)) => {
+                    let sent = self.at(request.sent_ms);
+                    self.entries[request.entry].record_late_answer(request.key, sent);
+                    self.schedule_unanswered(now_ms, request.entry);
+                }
+                Some(Event::ReportUnanswered(entry)) => self.report_unanswered(now_ms, entry),
+                Some(Event::ReceiveUnanswered(entry, report)) => {
+                    let now = self.at(now_ms);
+                    let fleet = &mut self.fleets[entry % self.scenario.site.domains];
+                    fleet.record_unanswered(now, entry as u64, &report);
+                    self.publish_slow(now_ms);
+                }
+                Some(Event::Merge) => self.publish_slow(now_ms),
+                Some(Event::ReceiveSlow(domain, changes)) => {
+                    for (placement, view) in self.entries.iter_mut().zip(&mut self.views) {
+                        placement.update_fleet_slowness(&view.apply(domain, &changes));
+                    }
+                    self.record_known(now_ms);
+                }
                 Some(Event::Publish) => {
                     let now = self.at(now_ms);
                     let collectors = self.collectors.iter_mut();
@@ -324,7 +376,9 @@
             let observations = placement.take_observations();
             let domain = n % self.scenario.site.domains;
             self.fleets[domain].record(now, n as u64, &observations);
-            placement.update_fleet_slowness(&self.changes[domain]);
+            if self.policy == Policy::Shared {
+                placement.update_fleet_slowness(&self.changes[domain]);
+            }
             let demand = placement.take_demand();
             self.collectors[domain].record(
                 now,
@@ -334,19 +388,73 @@
                 &demand,
             );
         }
-        for (n, fleet) in self.fleets.iter_mut().enumerate() {
-            let slow = fleet.slow_upstreams(now).to_vec();
-            self.changes[n] = slowness_changes(&self.slow[n], &slow);
-            self.slow[n] = slow;
+        if self.policy == Policy::Shared {
+            for (n, fleet) in self.fleets.iter_mut().enumerate() {
+                let slow = fleet.slow_upstreams(now);
+                self.changes[n] = slowness_changes(&self.slow[n], &slow);
+                self.slow[n] = slow;
+            }
         }
         if now_ms < self.duration_ms {
             self.schedule(now_ms + REPORT_INTERVAL_MS, Event::Report);
             if self.policy == Policy::Demand {
+                self.schedule(now_ms + MERGE_DELAY_MS, Event::Merge);
                 self.schedule(now_ms + PUBLISH_DELAY_MS, Event::Publish);
             }
         }
     }
 
+    /// Schedules the report of an entry that has unanswered first packets.
+    fn schedule_unanswered(&mut self, now_ms: f64, entry: usize) {
+        let now = self.at(now_ms);
+        if let Some(due) = self.entries[entry].unanswered().due_at(now)
+            && !std::mem::replace(&mut self.reports_unanswered[entry], true)
+        {
+            let due_ms = due.saturating_duration_since(self.start).as_secs_f64() * 1_000.0;
+            self.schedule(due_ms.max(now_ms), Event::ReportUnanswered(entry));
+        }
+    }
+
+    /// Sends the report of an entry to the collector of its domain.
+    fn report_unanswered(&mut self, now_ms: f64, entry: usize) {
+        self.reports_unanswered[entry] = false;
+        let now = self.at(now_ms);
+        let report = self.entries[entry].unanswered().take(now);
+        let event = Event::ReceiveUnanswered(entry, report);
+        self.schedule(now_ms + CONTROL_DELAY_MS, event);
+    }
+
+    /// Sends changes of the collectors' slow upstreams to all entries.
+    fn publish_slow(&mut self, now_ms: f64) {
+        let now = self.at(now_ms);
+        for n in 0..self.fleets.len() {
+            let slow = self.fleets[n].slow_upstreams(now);
+            let changes = slowness_changes(&self.slow[n], &slow);
+            self.slow[n] = slow;
+            if !changes.is_empty() {
+                self.schedule(now_ms + CONTROL_DELAY_MS, Event::ReceiveSlow(n, changes));
+            }
+        }
+    }
+
+    /// Records when all entries have learned which upstreams are unresponsive.
+    fn record_known(&mut self, now_ms: f64) {
+        let scenario = &self.scenario;
+        let first = scenario.upstreams - scenario.unresponsive_upstreams;
+        let mut unresponsive = first..scenario.upstreams;
+        let is_listed = |placement: &Placement, n: usize| {
+            let mut slow = placement.fleet_slow();
+            slow.any(|key| key == n as TargetKey)
+        };
+        let mut entries = self.entries.iter();
+        if scenario.is_disturbed(now_ms)
+            && entries.all(|entry| unresponsive.clone().all(|n| is_listed(entry, n)))
+            && unresponsive.next().is_some()
+        {
+            self.report.unresponsive_known_ms.get_or_insert(now_ms);
+        }
+    }
+
     /// Tells the entries the demand of all domains that was published first.
     fn deliver_demand(&mut self, now_ms: f64) {
         let now = self.at(now_ms);
@@ -425,6 +533,9 @@
             self.scenario.packet_loss > 0.0 && self.rng.random_bool(self.scenario.packet_loss);
         self.report.lost += u32::from(is_lost);
         if is_lost || self.is_unresponsive(now_ms, request.key) {
+            if self.policy == Policy::Demand {
+                self.schedule(now_ms + ANSWER_TIMEOUT_MS, Event::LateAnswer(request));
+            }
             return self.retransmit(request, retransmissions);
         }
         let delay_ms = self.handshake_ms(&request);
--- a/crates/currantgate-placement/tests/load/simulation/report.rs
+++ b/crates/currantgate-placement/tests/load/simulation/report.rs
@@ -70,6 +70,8 @@
     pub(crate) false_suspicions: u32,
     /// Suspicions, at single entries, of failure domains that are reachable.
     pub(crate) false_domain_suspicions: u32,
+    /// Time from which all entries know all unresponsive upstreams.
+    pub(crate) unresponsive_known_ms: Option<f64>,
     /// Most flows that one upstream had at a time while it was warming up.
     pub(crate) max_flows_at_cold: usize,
     /// First packets by the upstream that they were sent to, without those of the
