Own domain's upstreams count as its collector lists them

Cause: entries that are cut off from a domain find all of its upstreams unresponsive. With the highest slowness of all lists, the entries of that domain would avoid their own upstreams, which they reach; a cut between two domains would take both out of use.

Change: SlownessView knows the entry's collector and which upstreams are of its own domain, and uses only the collector's list for these. docs/design/overload.md says the highest of all lists; it stays so for the other domains. The same in the simulation.

--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -188,7 +188,10 @@
             placement
         };
         let entries = (0..scenario.entries).map(entry).collect();
-        let views = vec![SlownessView::default(); scenario.entries];
+        let mut views = vec![SlownessView::default(); scenario.entries];
+        for (n, view) in views.iter_mut().enumerate() {
+            view.set_collector(Some(n % domains), |_| false);
+        }
         let reports_unanswered = vec![false; scenario.entries];
         let fleet_settings = if policy == Policy::Demand {
             FleetSettings::with_demand()
@@ -259,8 +262,12 @@
                 }
                 Some(Event::Merge) => self.publish_slow(now_ms),
                 Some(Event::ReceiveSlow(domain, changes)) => {
-                    for (placement, view) in self.entries.iter_mut().zip(&mut self.views) {
-                        placement.update_fleet_slowness(&view.apply(domain, &changes));
+                    let domains = self.scenario.site.domains;
+                    let views = self.views.iter_mut().enumerate();
+                    for (placement, (n, view)) in self.entries.iter_mut().zip(views) {
+                        let is_local = |key| key as usize % domains == n % domains;
+                        let changes = view.apply(domain, &changes, is_local);
+                        placement.update_fleet_slowness(&changes);
                     }
                     self.record_known(now_ms);
                 }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -9,7 +9,7 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::DomainDemand;
 use currantgate_log::{RateLimit, RateLimiter};
-use currantgate_observation::{SlowUpstream, SlownessView};
+use currantgate_observation::{SlowUpstream, SlownessView, UpstreamKey};
 use currantgate_placement::Target;
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
@@ -300,8 +300,11 @@
                 self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
                 self.collector.take_if(|collector| *collector == from);
-                let changes = self.slowness.remove(&from);
-                self.apply_slowness(now, &changes);
+                self.update_slowness(now, |view, is_local| view.remove(&from, is_local));
+                let collector = self.collector;
+                self.update_slowness(now, |view, is_local| {
+                    view.set_collector(collector, is_local)
+                });
             }
             FeedEvent::Message(from, FeedMessage::Heartbeat(heartbeat)) => {
                 self.routing.decisions.view_at = now;
@@ -322,8 +325,7 @@
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
                 if self.collector == Some(from) || self.routing.demand.is_some() {
-                    let changes = self.slowness.apply(from, &slow);
-                    self.apply_slowness(now, &changes);
+                    self.update_slowness(now, |view, is_local| view.apply(from, &slow, is_local));
                 }
             }
             FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
@@ -365,10 +367,24 @@
         }
     }
 
-    /// Passes changes of the merged list of slow upstreams to the router.
-    fn apply_slowness(&mut self, now: Instant, changes: &[SlowUpstream]) {
+    /// Updates the lists of slow upstreams, and passes changes of the merged one to the router.
+    fn update_slowness(
+        &mut self,
+        now: Instant,
+        update: impl FnOnce(
+            &mut SlownessView<SocketAddr>,
+            &dyn Fn(UpstreamKey) -> bool,
+        ) -> Vec<SlowUpstream>,
+    ) {
+        let Routing { router, demand, .. } = &self.routing;
+        // Without shared demand, the collector's list is the only one.
+        let is_local = |key| {
+            let location = router.upstream_location(key);
+            demand.is_some() && location.is_some_and(|(_, domain)| *domain == *self.domain)
+        };
+        let changes = update(&mut self.slowness, &is_local);
         if !changes.is_empty() {
-            self.routing.update_slow_upstreams(now, changes);
+            self.routing.update_slow_upstreams(now, &changes);
         }
     }
 
@@ -417,12 +433,15 @@
         let collector = self.links.collector();
         let is_first = collector != self.collector;
         if is_first {
+            let now = Instant::now();
             let previous = std::mem::replace(&mut self.collector, collector);
+            self.update_slowness(now, |view, is_local| {
+                view.set_collector(collector, is_local)
+            });
             if let Some(previous) = previous
                 && self.routing.demand.is_none()
             {
-                let changes = self.slowness.remove(&previous);
-                self.apply_slowness(Instant::now(), &changes);
+                self.update_slowness(now, |view, is_local| view.remove(&previous, is_local));
             }
         }
         let observations = self.routing.router.take_observations();
