--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::FleetDemand;
-use currantgate_observation::{NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream};
+use currantgate_observation::{
+    NORMAL_SLOWNESS, Observation, ObservationLog, SlowUpstream, UnansweredLog,
+};
 use indexmap::IndexMap;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +41,8 @@
     suspicion_changes: Vec<SuspicionChange>,
     /// Flows that ended and were not reported to the fleet yet.
     observations: ObservationLog,
+    /// First packets with a late answer that were not reported yet.
+    unanswered: UnansweredLog,
     /// Upstreams that the fleet observes as slow.
     fleet_slowness: IndexMap<TargetKey, f64>,
     /// Cold upstreams that get new flows only with a permit.
@@ -64,6 +68,7 @@
             domains: IndexMap::new(),
             suspicion_changes: Vec::new(),
             observations: ObservationLog::default(),
+            unanswered: UnansweredLog::default(),
             fleet_slowness: IndexMap::new(),
             permits: Permits::default(),
             fleet_demand,
@@ -156,6 +161,11 @@
         self.observations.take()
     }
 
+    /// Returns the log of unanswered first packets that the fleet is told of soon.
+    pub fn unanswered(&mut self) -> &mut UnansweredLog {
+        &mut self.unanswered
+    }
+
     /// Sets which upstreams get new flows only with a permit while they are cold.
     pub fn set_limited(&mut self, keys: impl IntoIterator<Item = TargetKey>) {
         self.permits.limited = keys.into_iter().collect();
@@ -254,7 +264,7 @@
         } else {
             self.settings.probe_share
         };
-        let is_probe = !self.fleet_slowness.is_empty() && self.rng.random_bool(probe_share);
+        let is_probe = self.has_slow_upstreams(domain) && self.rng.random_bool(probe_share);
         let mut best: Option<Rank> = None;
         let mut chosen = None;
         let mut ties = 0;
@@ -294,6 +304,17 @@
         chosen.zip(best)
     }
 
+    /// Tells whether the fleet observes upstreams as slow, in a failure domain if one is given.
+    /// Probes without need would only miss the slots that are reserved for this entry.
+    fn has_slow_upstreams(&self, domain: Option<usize>) -> bool {
+        let Some(domain) = domain else {
+            return !self.fleet_slowness.is_empty();
+        };
+        let slow = self.fleet_slowness.keys();
+        let mut candidates = slow.filter_map(|key| self.candidates.get(key));
+        candidates.any(|candidate| candidate.domain == domain)
+    }
+
     /// Returns the health of an upstream, in which its domain counts, too.
     fn health(&self, now: Instant, candidate: &Candidate) -> Health {
         let domain = &self.domains[candidate.domain];
@@ -387,6 +408,16 @@
         self.cancel(key, priority);
     }
 
+    /// Records that a first packet sent at `sent` has no answer yet after a multiple of the
+    /// usual time. If several entries report this, the fleet avoids the upstream; this entry
+    /// does so itself once the caller retransmits.
+    pub fn record_late_answer(&mut self, key: TargetKey, sent: Instant) {
+        let candidate = self.candidates.get(&key);
+        if candidate.is_some_and(|candidate| !candidate.has_answered_since(sent)) {
+            self.unanswered.record(key);
+        }
+    }
+
     /// Removes a placed flow of which no answer will be recorded.
     pub fn cancel(&mut self, key: TargetKey, priority: Priority) {
         self.settle_first_packet(key);
