Open flows: the choice of the newest evacuations is tested

`currantgate status` takes the evacuated domains from the control VM with the newest revision. That choice was in the command and in no test, and the test of the platform had a copy of the call with the revision of a single VM.

`each_entry_counts_once_and_unknown_ones_are_not_zero` has two control VMs with older states, and fails if the oldest one is chosen.

--- a/crates/currantgate-cli/src/cmd/open_flows.rs
+++ b/crates/currantgate-cli/src/cmd/open_flows.rs
@@ -7,23 +7,14 @@
 /// Answers of all control VMs, or why they were not received.
 type Answers<T> = [(SocketAddr, Result<T, ClientError>)];
 
-/// Returns the open flows of each domain that is evacuated by the newest state of which a
-/// control VM knows.
+/// Sums what the control VMs that answered know of open flows in evacuated domains.
 pub(super) fn sum(
     evacuations: &Answers<EvacuationStatus>,
     flows: &Answers<Vec<EntryFlows>>,
 ) -> Vec<OpenFlows> {
-    let known = evacuations
-        .iter()
-        .filter_map(|(_, status)| status.as_ref().ok());
-    let Some(newest) = known.max_by_key(|status| status.revision) else {
-        return Vec::new();
-    };
-    let evacuated = newest.evacuated.iter().map(|evacuated| &*evacuated.domain);
-    let entries = flows
-        .iter()
-        .filter_map(|(_, entries)| entries.as_ref().ok());
-    OpenFlows::sum(newest.revision, evacuated, entries.flatten())
+    let statuses = evacuations.iter().flat_map(|(_, status)| status);
+    let entries = flows.iter().flat_map(|(_, entries)| entries).flatten();
+    OpenFlows::sum(statuses, entries)
 }
 
 /// Prints the open flows of evacuated domains, if there are any such domains, and which
--- a/crates/currantgate/tests/evacuated_flows.rs
+++ b/crates/currantgate/tests/evacuated_flows.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use currantgate::{EntryFlows, EvacuatedFlows, FlowReports, OpenFlows};
+use currantgate::{
+    EntryFlows, EvacuatedDomain, EvacuatedFlows, EvacuationStatus, FlowReports, OpenFlows,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -21,10 +23,10 @@
     }
 }
 
-fn entry(name: &str, report: Option<EvacuatedFlows>) -> EntryFlows {
-    EntryFlows {
-        name: name.into(),
-        report,
+fn evacuated(domain: &str) -> EvacuatedDomain {
+    EvacuatedDomain {
+        domain: domain.into(),
+        since_ms: None,
     }
 }
 
@@ -52,21 +54,35 @@
 
 /// Guards against a domain that seems empty, or to have more flows than it has, by entries
 /// that several control VMs know, that have not reported, or whose report is from before
-/// the last order.
+/// the last order, and against a control VM that has not learned of the last order.
 #[test]
 fn each_entry_counts_once_and_unknown_ones_are_not_zero() {
     let entries = [
         // Control VM 1.
-        entry("e1", Some(report(7, &[("a", 3), ("b", 1)]))),
-        entry("e2", Some(report(7, &[]))),
-        entry("earlier-build", None),
-        entry("lagging", Some(report(6, &[("a", 9)]))),
-        entry("e4", None),
+        ("e1", Some(report(7, &[("a", 3), ("b", 1)]))),
+        ("e2", Some(report(7, &[]))),
+        ("earlier-build", None),
+        ("lagging", Some(report(6, &[("a", 9)]))),
+        ("e4", None),
         // Control VM 2, which has the newer report of e1 and an earlier one of e2.
-        entry("e1", Some(report(7, &[("a", 2)]))),
-        entry("e2", Some(report(6, &[("a", 9)]))),
-        entry("earlier-build", None),
-        entry("e4", Some(report(7, &[("a", 4)]))),
+        ("e1", Some(report(7, &[("a", 2)]))),
+        ("e2", Some(report(6, &[("a", 9)]))),
+        ("earlier-build", None),
+        ("e4", Some(report(7, &[("a", 4)]))),
+    ];
+    let entries = entries.map(|(name, report)| EntryFlows {
+        name: name.into(),
+        report,
+    });
+    let status = |revision, domains: &[&str]| EvacuationStatus {
+        revision,
+        evacuated: domains.iter().map(|d| evacuated(d)).collect(),
+        ..EvacuationStatus::default()
+    };
+    let statuses = [
+        status(6, &["a"]),
+        status(7, &["a", "b", "c"]),
+        status(0, &[]),
     ];
     let sum = |domain: &str, flows| OpenFlows {
         domain: domain.into(),
@@ -75,7 +91,7 @@
         unknown: 2,
     };
     assert_eq!(
-        OpenFlows::sum(7, ["a", "b", "c"], &entries),
+        OpenFlows::sum(&statuses, &entries),
         [sum("a", 7), sum("b", 1), sum("c", 0)]
     );
 }
