A domain that is lost with its collector becomes vacant

Only a control VM that had reports of a domain published it as vacant once its entries were gone.

All control VMs with reports of any domain now also publish a domain as vacant for 10 s once its last feed has ended there, with the existing rule that a figure with more entries goes first. A vacancy that has started already is not prolonged. Without any report, as at sites that don't share demand, nothing is published.

`a_domain_that_is_lost_with_its_collector_becomes_vacant` failed before for shared demand (out of date after 3 s, when the feeds have ended) and passes now; its case without shared demand passed before and passes now.

Tests run: all of currantgate, and `shared_demand` (11), `whole_path` (10) and `evacuation` (13) of currantgate-platform pass.

--- a/crates/currantgate/src/feed/demand_publisher.rs
+++ b/crates/currantgate/src/feed/demand_publisher.rs
@@ -5,7 +5,7 @@
 
 use bincode::error::EncodeError;
 use currantgate_capacity::{DemandCollector, DemandSettings, DomainDemand, ServiceDemand};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::published_demand::PublishedDemand;
 
@@ -21,9 +21,9 @@
 /// Shortest period of a report that is merged: half of the interval of reports.
 const MIN_REPORT_PERIOD: Duration = Duration::from_millis(250);
 
-/// Time after the last report of a domain has expired for which the domain is published
-/// without demand, if none of its entries has a feed. Entries would otherwise wait for
-/// figures of a domain that has no entries any more.
+/// Time for which a domain is published without demand after its last report has expired or
+/// else its last feed has ended, if none of its entries has a feed. Entries would otherwise wait
+/// for figures of a domain that has no entries any more.
 const VACANCY_TIME: Duration = Duration::from_secs(10);
 
 /// The demand that a control VM merges and publishes.
@@ -32,9 +32,14 @@
     collector: DemandCollector,
     /// Time from which each domain with reports is published.
     complete_at: IndexMap<Box<str>, Instant>,
-    /// Time until which each domain whose reports have expired may be published without
-    /// demand.
+    /// Time until which each domain whose reports have expired, or whose feeds have ended,
+    /// may be published without demand.
     vacant_until: IndexMap<Box<str>, Instant>,
+    /// Domains of which entries had a feed at the last update.
+    fed_domains: IndexSet<Box<str>>,
+    /// Whether any entry has reported demand here. Without reports nothing is published, as
+    /// entries may not share their demand.
+    has_reports: bool,
     /// Time from which the published demand is replaced.
     update_due: Instant,
     published: Rc<[Rc<PublishedDemand>]>,
@@ -47,6 +52,8 @@
             collector: DemandCollector::new(DemandSettings::default()),
             complete_at: IndexMap::new(),
             vacant_until: IndexMap::new(),
+            fed_domains: IndexSet::new(),
+            has_reports: false,
             update_due: now,
             published: Rc::default(),
         }
@@ -73,6 +80,7 @@
             self.complete_at
                 .insert(domain.into(), now + COLLECTION_TIME);
         }
+        self.has_reports = true;
         self.collector.record(now, reporter, domain, period, report);
         true
     }
@@ -89,12 +97,13 @@
             self.update_due = now + UPDATE_INTERVAL;
             let merged = self.collector.published(now);
             self.update_domains(now, &merged);
+            self.update_fed_domains(now, entries_by_domain);
             let complete_at = &self.complete_at;
             let complete = merged
                 .into_iter()
                 .filter(|d| complete_at.get(&d.domain).is_some_and(|at| now >= *at));
             // Entries with a feed may report to another collector.
-            let vacant = self.vacant_until.keys();
+            let vacant = self.vacant_until.keys().filter(|_| self.has_reports);
             let vacant = vacant.filter(|domain| !entries_by_domain.contains_key(*domain));
             let vacant = vacant.map(|domain| DomainDemand {
                 domain: domain.clone(),
@@ -117,6 +126,18 @@
         self.collector.position(reporter)
     }
 
+    /// Marks the domains whose last feed has ended as vacant. Their collector may have failed
+    /// together with their entries, and no other control VM had their reports.
+    fn update_fed_domains(&mut self, now: Instant, entries_by_domain: &IndexMap<Box<str>, usize>) {
+        let is_fed = |domain: &str| entries_by_domain.contains_key(domain);
+        let lost = self.fed_domains.extract_if(.., |domain| !is_fed(domain));
+        for domain in lost {
+            let until = now + VACANCY_TIME;
+            self.vacant_until.entry(domain).or_insert(until);
+        }
+        self.fed_domains.extend(entries_by_domain.keys().cloned());
+    }
+
     /// Tracks which domains have reports, and which had them until a short time ago.
     fn update_domains(&mut self, now: Instant, merged: &[DomainDemand]) {
         let has_reports = |domain: &str| merged.iter().any(|d| *d.domain == *domain);
--- a/crates/currantgate/tests/shared_demand.rs
+++ b/crates/currantgate/tests/shared_demand.rs
@@ -11,6 +11,7 @@
     ClassDemand, DemandSettings, DomainDemand, DomainSlots, EntryView, FleetDemand, Priority,
     ServiceDemand,
 };
+use rstest::rstest;
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -133,6 +134,34 @@
     }
 }
 
+/// Guards against entries without shares for as long as a domain is gone whose collector
+/// has failed together with its entries, and against figures where no demand is shared.
+#[rstest]
+#[case::shared(true)]
+#[case::not_shared(false)]
+fn a_domain_that_is_lost_with_its_collector_becomes_vacant(#[case] is_demand_shared: bool) {
+    let start = Instant::now();
+    let mut publisher = DemandPublisher::new(start);
+    let mut view = DemandView::default();
+    // The last figure of the lost collector.
+    view.record(start, control(1), Duration::ZERO, figure(50));
+    for step in 0..80 {
+        let now = start + ms(250) * step;
+        if is_demand_shared && step % 2 == 0 {
+            publisher.record(now, 0, "b", REPORT_INTERVAL, &[]);
+        }
+        // The feeds of the lost entries time out after 3 s.
+        let fed = if step < 12 { &["a", "b"][..] } else { &["b"] };
+        let feeds = fed.iter().map(|domain| ((*domain).into(), 1)).collect();
+        for figure in publisher.published(now, &feeds).iter() {
+            view.record(now, control(2), Duration::ZERO, figure.demand.clone());
+        }
+        view.update(now);
+        let is_current = step < 8 || (is_demand_shared && step >= 12);
+        assert_eq!(view.is_current(now), is_current, "after {step} steps");
+    }
+}
+
 /// Passes a change of the view on as an entry does, and checks that there are shares of
 /// domain `b` exactly while the view is current.
 fn update_shares(view: &mut DemandView, fleet: &mut FleetDemand, now: Instant) {
