Don't take a stop of the process for a limit of its processor

Cause: the packets that arrive while the process is stopped for 150 to 500 ms keep the queue from being empty for longer than 200 ms, so that an entry below its limit refused new flows. Change: after such a pause the queue must be busy for four times the pause longer.

--- a/crates/currantgate-token/src/capacity_limit/receive_queue.rs
+++ b/crates/currantgate-token/src/capacity_limit/receive_queue.rs
@@ -1,12 +1,14 @@
 //! What an entry's reads tell about its receive queue.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::CapacityLimitSettings;
 
 /// The receive queue, as far as reads show it.
 #[derive(Debug, Default)]
 pub(super) struct ReceiveQueue {
+    /// When the last packet was read.
+    last_read: Option<Instant>,
     /// Nothing since the queue was found empty.
     busy: Option<BusyPeriod>,
 }
@@ -14,11 +16,11 @@
 /// A time in which the receive queue has not been found empty.
 #[derive(Debug)]
 struct BusyPeriod {
+    started: Instant,
     /// When the queue will have been busy for long enough to show a limit.
     long_at: Instant,
     /// The same by the time in which the process ran; each pause moves it.
     long_running_at: Instant,
-    last_read: Instant,
     packets: u32,
 }
 
@@ -26,19 +28,21 @@
     /// Records that a packet was read; returns whether the queue shows that the processor
     /// is at its limit.
     pub(super) fn record_packet(&mut self, now: Instant, settings: &CapacityLimitSettings) -> bool {
-        let is_continued = |busy: &BusyPeriod| now < busy.last_read + settings.stall_time;
-        let Some(busy) = self.busy.as_mut().filter(|busy| is_continued(busy)) else {
+        let last_read = self.last_read.unwrap_or(now).min(now);
+        self.last_read = Some(now);
+        let step = now - last_read;
+        let long_time = settings.busy_time + work_off_time(step, settings);
+        let Some(busy) = self.busy.as_mut().filter(|_| step < settings.stall_time) else {
             self.busy = Some(BusyPeriod {
-                long_at: now + settings.busy_time,
+                started: now,
+                long_at: now + long_time,
                 long_running_at: now + settings.busy_running_time,
-                last_read: now,
                 packets: 1,
             });
             return false;
         };
-        let step = now.saturating_duration_since(busy.last_read);
+        busy.long_at = busy.long_at.max(busy.started + long_time);
         busy.long_running_at += step.saturating_sub(settings.max_step);
-        busy.last_read = busy.last_read.max(now);
         busy.packets = busy.packets.saturating_add(1);
         busy.packets >= settings.busy_packets && now >= busy.long_at.max(busy.long_running_at)
     }
@@ -48,3 +52,13 @@
         self.busy = None;
     }
 }
+
+/// Returns the time in which an entry below its limit reads the packets that arrived within
+/// a pause of the process.
+fn work_off_time(pause: Duration, settings: &CapacityLimitSettings) -> Duration {
+    if (settings.long_pause..settings.stall_time).contains(&pause) {
+        pause * settings.work_off_factor
+    } else {
+        Duration::ZERO
+    }
+}
--- a/crates/currantgate-token/src/capacity_limit/settings.rs
+++ b/crates/currantgate-token/src/capacity_limit/settings.rs
@@ -18,6 +18,12 @@
     /// Longest time between two packets that counts as running time. The rest is a pause of
     /// the process.
     pub max_step: Duration,
+    /// Shortest pause that is longer than those of a process that gets a part of a core in
+    /// each 100 ms. The packets that arrived within it are no sign of overload.
+    pub long_pause: Duration,
+    /// Multiple of a long pause by which the queue must have been busy for longer: at 0.8 of
+    /// what the processor carries, it takes four times the pause to work off the packets.
+    pub work_off_factor: u32,
     /// Time without a packet after which the queue is watched anew: the process was
     /// stopped, and the packets that arrived meanwhile are no sign of overload.
     pub stall_time: Duration,
@@ -58,6 +64,8 @@
             busy_running_time: Duration::from_millis(8),
             busy_packets: 128,
             max_step: Duration::from_millis(1),
+            long_pause: Duration::from_millis(150),
+            work_off_factor: 4,
             stall_time: Duration::from_millis(500),
             full_time: Duration::from_millis(100),
             hold_time: Duration::from_millis(1_800),
--- a/crates/currantgate-token/tests/capacity_limit/main.rs
+++ b/crates/currantgate-token/tests/capacity_limit/main.rs
@@ -131,9 +131,11 @@
 }
 
 /// Guards against pauses of the process that look like an overload: at 90 % of what the
-/// processor carries, packets wait for a pause of 96 ms in each 100 ms.
+/// processor carries, packets wait for a pause of 96 ms in each 100 ms; and a longer stop of
+/// the process fills the queue for longer than it lasts.
 #[rstest]
 #[case::slices(SMALL_CORE, 0.9, 0)]
+#[case::stop(0.1, 0.7, 300)]
 fn pauses_of_the_process_are_no_limit(
     #[case] part: f64,
     #[case] load: f64,
