Log whether an entry came to its limit or left it

Cause: the start and the end of a limit differed only in the text and the level of their lines, which a program that reads the JSON log can't rely on. Change: field `is_at_limit`. Measured: all tests of currantgate-token and currantgate, and the platform's tests shared_demand, logs and packets pass.

--- a/crates/currantgate/src/token_entry/limit_monitor.rs
+++ b/crates/currantgate/src/token_entry/limit_monitor.rs
@@ -45,12 +45,14 @@
         LimitChange::Started(cause) => log::warn!(
             event = "limit",
             cause:% = cause,
+            is_at_limit = true,
             left_out = left_out;
             "this entry is at the limit of its {cause}, new flows are limited"
         ),
         LimitChange::Ended(cause) => log::info!(
             event = "limit",
             cause:% = cause,
+            is_at_limit = false,
             left_out = left_out;
             "this entry is no longer at the limit of its {cause}"
         ),
