--- a/crates/currantgate/src/token_entry/packet_socket.rs
+++ b/crates/currantgate/src/token_entry/packet_socket.rs
@@ -60,8 +60,8 @@
         self.socket.readable().await
     }
 
-    /// Processes the packets that have arrived, at most one batch; returns whether there are
-    /// no more.
+    /// Processes the packets that have arrived, at most one batch. Returns whether all of
+    /// them were processed.
     pub(super) fn process_batch(&mut self, routing: &mut Routing) -> bool {
         let now = Instant::now();
         for _ in 0..MAX_BATCH {
