--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -135,7 +135,7 @@
         ),
     ];
     for (name, scenario) in scenarios {
-        for policy in [Policy::Shared, Policy::Demand] {
+        for policy in [Policy::Shared, Policy::DemandWithoutQueue, Policy::Demand] {
             let report = simulate(&scenario, policy);
             let kinds = [false, true].map(|kind| {
                 let outcome = report.select(|_, _, k| k == kind);
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod permits;
 mod placement;
 mod recent_durations;
+mod recent_priorities;
 mod refusal;
 mod request;
 mod reservation;
@@ -27,6 +28,7 @@
 mod suspicion;
 mod suspicion_change;
 mod target;
+mod waiting;
 
 pub use admission_settings::AdmissionSettings;
 pub use currantgate_capacity::{
@@ -39,3 +41,7 @@
 pub use sharing_settings::SharingSettings;
 pub use suspicion_change::{Suspect, SuspicionChange};
 pub use target::{Placed, Target, TargetKey};
+pub use waiting::{
+    Departure, DepartureReason, WaitEstimate, WaitingAdmission, WaitingFlow, WaitingFlows,
+    WaitingQueue, WaitingSettings,
+};
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -1,6 +1,7 @@
 //! The choice of an upstream for a new flow.
 
 mod shared_decisions;
+mod waiting_decisions;
 
 use std::mem;
 use std::time::{Duration, Instant};
@@ -214,6 +215,7 @@
             return Err(Refusal::Overloaded(overload));
         }
         service.admission.record_open(request.priority);
+        service.recent_priorities.push(request.priority);
         let candidate = &mut self.candidates[&chosen];
         candidate.flows += 1;
         candidate.suspicion.record_first_packet();
@@ -408,6 +410,7 @@
             admission.record_end(now, priority, duration, max_samples);
             service.recent_durations.push(now, duration);
         }
+        self.redraw_rounding(key);
         let reference = self.reference_duration(key);
         if let (Some(reference), Some(candidate)) = (reference, self.candidates.get_mut(&key)) {
             let duration_ratio = duration.as_secs_f64() / reference.as_secs_f64().max(f64::EPSILON);
--- /dev/null
+++ b/crates/currantgate-placement/src/placement/waiting_decisions.rs
@@ -0,0 +1,106 @@
+//! What the queue of waiting flows asks of placement. See `docs/design/overload.md`.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt as _;
+
+use super::Placement;
+use crate::share_admission::flow_limit;
+use crate::{Overload, PlacementRequest, Priority, TargetKey, WaitEstimate};
+
+impl Placement {
+    /// Counts the arrival of a flow that is not placed, as others wait before it. Returns
+    /// the overload by which it may be refused, if any.
+    pub(crate) fn count_arrival(
+        &mut self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+    ) -> Option<Overload> {
+        self.update_shares(now, request);
+        let admission = &self.settings.admission;
+        let service = self.services.get_mut(request.service)?;
+        // Without shares, the entry goes by these statistics, which are kept up to date.
+        service.admission.check_overload(now, request, admission);
+        let settings = &self.settings.sharing;
+        let shares = service.sharing.shares()?;
+        let competing_flows = service.admission.competing_flows(request.priority);
+        let late_factor = self.settings.admission.late_target_factor;
+        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let may_refuse = service
+            .share_admission
+            .may_refuse(now, request, shares, settings);
+        may_refuse.then(|| Overload {
+            competing_flows,
+            flow_limit: limit as u32,
+            median_duration: Duration::try_from_secs_f64(shares.work_ms / 1_000.0)
+                .unwrap_or(Duration::MAX),
+        })
+    }
+
+    /// Counts a refused flow, so that no more are refused than exceed the fleet's capacity.
+    pub(crate) fn record_refusal(&mut self, service: &str, priority: Priority) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.share_admission.record_refusal(priority);
+        }
+    }
+
+    /// Takes back the count of a refused flow, as it waits.
+    pub(crate) fn cancel_refusal(&mut self, service: &str, priority: Priority) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.share_admission.cancel_refusal(priority);
+        }
+    }
+
+    /// Returns what is known about the wait of a flow; nothing while the entry decides by
+    /// its own flows alone.
+    pub(crate) fn wait_estimate(
+        &self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+    ) -> Option<WaitEstimate> {
+        let service = self.services.get(request.service)?;
+        let shares = service.sharing.shares()?;
+        let settings = &self.settings.sharing;
+        let late_factor = self.settings.admission.late_target_factor;
+        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let durations = &service.recent_durations;
+        let time_at_upstream = durations.median()?;
+        Some(WaitEstimate {
+            // Little's law: `limit` flows are open for this time each.
+            interval: time_at_upstream.div_f64(limit.max(1.0)),
+            since_last_end: now.saturating_duration_since(durations.last_at()?),
+            time_at_upstream,
+            higher_share: service.recent_priorities.share_above(request.priority),
+        })
+    }
+
+    /// Draws how the limit of waiting flows is rounded, after the end of a flow.
+    pub(super) fn redraw_rounding(&mut self, key: TargetKey) {
+        if self.fleet_demand.is_some() {
+            let rounding = self.rng.random_range(0.0..1.0);
+            if let Some(service) = self.service(key) {
+                service.share_admission.set_rounding(rounding);
+            }
+        }
+    }
+
+    /// Tells whether a waiting flow may be placed: the entry's open flows are below its
+    /// limit, or there are no shares any more and thus no limit.
+    pub(crate) fn has_room(&mut self, now: Instant, request: &PlacementRequest<'_>) -> bool {
+        self.update_shares(now, request);
+        let Some(service) = self.services.get(request.service) else {
+            return true;
+        };
+        let Some(shares) = service.sharing.shares() else {
+            return true;
+        };
+        let settings = &self.settings.sharing;
+        let late_factor = self.settings.admission.late_target_factor;
+        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let competing = f64::from(service.admission.competing_flows(request.priority));
+        let competing = competing * (1.0 - service.stuck_share());
+        // Drawn once for each flow that ends, as this is asked far more often.
+        let rounding = service.share_admission.rounding();
+        competing.round() < (limit + rounding).floor()
+    }
+}
--- a/crates/currantgate-placement/src/recent_durations.rs
+++ b/crates/currantgate-placement/src/recent_durations.rs
@@ -25,6 +25,11 @@
         self.durations.push(now, duration, MAX_DURATIONS);
     }
 
+    /// Returns the time of the last end.
+    pub(crate) fn last_at(&self) -> Option<Instant> {
+        self.durations.last_at()
+    }
+
     /// Returns the median; nothing while there are too few durations.
     pub(crate) fn median(&self) -> Option<Duration> {
         if self.durations.len() < MIN_DURATIONS {
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -7,6 +7,7 @@
 use crate::admission::Admission;
 use crate::demand_log::DemandLog;
 use crate::recent_durations::RecentDurations;
+use crate::recent_priorities::RecentPriorities;
 use crate::share_admission::ShareAdmission;
 use crate::sharing::Sharing;
 use crate::{SharingSettings, TargetKey};
@@ -20,6 +21,7 @@
     pub(crate) ordered: Vec<(usize, TargetKey)>,
     pub(crate) admission: Admission,
     pub(crate) recent_durations: RecentDurations,
+    pub(crate) recent_priorities: RecentPriorities,
     /// Demand that was not reported yet.
     pub(crate) demand_log: DemandLog,
     pub(crate) sharing: Sharing,
--- a/crates/currantgate-placement/src/share_admission.rs
+++ b/crates/currantgate-placement/src/share_admission.rs
@@ -14,6 +14,8 @@
     excess: BTreeMap<Priority, f64>,
     /// Slot times of the flows that ended.
     slot_times: SlidingWindow<Duration>,
+    /// What is added to the limit of waiting flows before it is rounded down, from 0 to 1.
+    rounding: f64,
 }
 
 impl ShareAdmission {
@@ -58,6 +60,24 @@
         }
     }
 
+    /// Takes back the count of a refused flow.
+    pub(crate) fn cancel_refusal(&mut self, priority: Priority) {
+        if let Some(sum) = self.excess.get_mut(&priority) {
+            *sum += 1.0;
+        }
+    }
+
+    /// Returns what is added to a limit before it is rounded down.
+    pub(crate) fn rounding(&self) -> f64 {
+        self.rounding
+    }
+
+    /// Sets what is added to a limit before it is rounded down: drawn evenly from 0 to 1, a
+    /// fractional limit is met on average.
+    pub(crate) fn set_rounding(&mut self, rounding: f64) {
+        self.rounding = rounding;
+    }
+
     fn are_queues_long(
         &mut self,
         now: Instant,
--- a/crates/currantgate-placement/src/sliding_window.rs
+++ b/crates/currantgate-placement/src/sliding_window.rs
@@ -49,6 +49,11 @@
         self.events.len() as f64 * windows
     }
 
+    /// Returns the time of the newest event.
+    pub(crate) fn last_at(&self) -> Option<Instant> {
+        self.events.back().map(|(at, _)| *at)
+    }
+
     /// Returns the number of events that are kept.
     pub(crate) fn len(&self) -> usize {
         self.events.len()
--- /dev/null
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -0,0 +1,231 @@
+//! Decisions about the flows that wait.
+
+use std::collections::VecDeque;
+use std::hash::Hash;
+use std::time::Instant;
+
+use super::{
+    Departure, DepartureReason, WaitEstimate, WaitingAdmission, WaitingFlow, WaitingQueue,
+    WaitingSettings,
+};
+use crate::sliding_window::SlidingWindow;
+use crate::{Placement, PlacementRequest, Refusal};
+
+/// Most flows whose outcome is kept.
+const MAX_OUTCOMES: usize = 256;
+
+/// Decides which flows wait and when they leave. `K` identifies a flow.
+///
+/// Flows wait only while the placement decides by the demand of all entries.
+#[derive(Clone, Debug)]
+pub struct WaitingFlows<K> {
+    settings: WaitingSettings,
+    queue: WaitingQueue<K>,
+    /// Flows that were displaced and have not been returned yet.
+    displaced: VecDeque<WaitingFlow<K>>,
+    /// Services of which a flow leaves though the entry is at its limit.
+    beyond_limit: VecDeque<Box<str>>,
+    /// Which of the last flows were refused.
+    outcomes: SlidingWindow<bool>,
+}
+
+impl<K: Copy + Eq + Hash> WaitingFlows<K> {
+    /// Returns an empty queue.
+    pub fn new(settings: WaitingSettings) -> Self {
+        Self {
+            settings,
+            queue: WaitingQueue::default(),
+            displaced: VecDeque::new(),
+            beyond_limit: VecDeque::new(),
+            outcomes: SlidingWindow::default(),
+        }
+    }
+
+    /// Returns the number of flows that wait.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Tells whether no flow waits and none is left to be refused.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.displaced.is_empty()
+    }
+
+    /// Tells whether a flow waits, or was displaced and is not refused yet.
+    pub fn contains(&self, key: &K) -> bool {
+        self.queue.contains(key) || self.displaced.iter().any(|flow| flow.key == *key)
+    }
+
+    /// Places a new flow, lets it wait or refuses it. `bytes` is the length of its first
+    /// packet.
+    ///
+    /// A flow does not overtake another one of its service that waits, unless its priority
+    /// is higher.
+    pub fn place(
+        &mut self,
+        now: Instant,
+        placement: &mut Placement,
+        request: &PlacementRequest<'_>,
+        key: K,
+        bytes: usize,
+    ) -> WaitingAdmission {
+        let admission = self.place_or_wait(now, placement, request, key, bytes);
+        let is_refused = matches!(admission, WaitingAdmission::Refused(_));
+        self.outcomes.push(now, is_refused, MAX_OUTCOMES);
+        admission
+    }
+
+    /// Returns the part of the latency target within which an answer must be expected for a
+    /// flow to wait.
+    fn expected_factor(&mut self, now: Instant) -> f64 {
+        let settings = &self.settings;
+        self.outcomes.evict_expired(now, settings.retry_window);
+        let refused = self.outcomes.events().filter(|refused| *refused).count();
+        let refused_share = refused as f64 / self.outcomes.len().max(1) as f64;
+        let weight = (refused_share / settings.retries_share).min(1.0);
+        let range = settings.expected_factor - settings.expected_factor_with_retries;
+        settings.expected_factor - weight * range
+    }
+
+    fn place_or_wait(
+        &mut self,
+        now: Instant,
+        placement: &mut Placement,
+        request: &PlacementRequest<'_>,
+        key: K,
+        bytes: usize,
+    ) -> WaitingAdmission {
+        let ahead = self.queue.ahead(request.service, request.priority);
+        if ahead == 0 {
+            return match placement.place(now, request) {
+                Ok(placed) => WaitingAdmission::Placed(placed),
+                Err(Refusal::Overloaded(_))
+                    if self.try_wait(now, placement, request, ahead, key, bytes) =>
+                {
+                    placement.cancel_refusal(request.service, request.priority);
+                    WaitingAdmission::Waits
+                }
+                Err(refusal) => WaitingAdmission::Refused(refusal),
+            };
+        }
+        let overload = placement.count_arrival(now, request);
+        if self.try_wait(now, placement, request, ahead, key, bytes) {
+            return WaitingAdmission::Waits;
+        }
+        if let Some(overload) = overload {
+            placement.record_refusal(request.service, request.priority);
+
+            return WaitingAdmission::Refused(Refusal::Overloaded(overload));
+        }
+        // No more flows are refused than exceed the fleet's capacity: one is placed beyond
+        // the limit. It is the first one that waits, so that none overtakes it.
+        if let Some(estimate) = placement.wait_estimate(now, request)
+            && self.push(now, &estimate, request, key, bytes)
+        {
+            self.beyond_limit.push_back(request.service.into());
+            return WaitingAdmission::Waits;
+        }
+        let request = PlacementRequest {
+            may_refuse: false,
+            ..*request
+        };
+        match placement.place(now, &request) {
+            Ok(placed) => WaitingAdmission::Placed(placed),
+            Err(refusal) => WaitingAdmission::Refused(refusal),
+        }
+    }
+
+    /// Adds a flow to the queue if it is expected to be answered in time and the queue has
+    /// a place for it.
+    fn try_wait(
+        &mut self,
+        now: Instant,
+        placement: &Placement,
+        request: &PlacementRequest<'_>,
+        ahead: usize,
+        key: K,
+        bytes: usize,
+    ) -> bool {
+        let Some(estimate) = placement.wait_estimate(now, request) else {
+            return false;
+        };
+        let factor = self.expected_factor(now);
+        if !estimate.is_in_time(ahead, request.latency_target.mul_f64(factor)) {
+            return false;
+        }
+        self.push(now, &estimate, request, key, bytes)
+    }
+
+    /// Adds a flow to the queue if it has a place for it.
+    fn push(
+        &mut self,
+        now: Instant,
+        estimate: &WaitEstimate,
+        request: &PlacementRequest<'_>,
+        key: K,
+        bytes: usize,
+    ) -> bool {
+        let max_wait = estimate.max_wait(request.latency_target, &self.settings);
+        let flow = WaitingFlow {
+            key,
+            service: request.service.into(),
+            priority: request.priority,
+            latency_target: request.latency_target,
+            bytes,
+            arrived: now,
+            deadline: now + max_wait,
+        };
+        match self.queue.push(flow, &self.settings) {
+            Ok(displaced) => {
+                self.displaced.extend(displaced);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Removes and returns the next flow that leaves the queue now, if there is one.
+    pub fn next_departure(
+        &mut self,
+        now: Instant,
+        placement: &mut Placement,
+    ) -> Option<Departure<K>> {
+        if let Some(flow) = self.displaced.pop_front() {
+            return Some(refused(flow, DepartureReason::Displaced, placement));
+        }
+        if let Some(flow) = self.queue.pop_expired(now) {
+            return Some(refused(flow, DepartureReason::MaxWait, placement));
+        }
+        let beyond_limit = self.beyond_limit.pop_front();
+        let mut heads = self.queue.heads().into_iter();
+        let head = heads.find(|flow| {
+            beyond_limit.as_ref() == Some(&flow.service) || placement.has_room(now, &flow.request())
+        })?;
+        let key = head.key;
+        let reason = DepartureReason::Room;
+        let flow = self.queue.remove(&key)?;
+        Some(Departure { flow, reason })
+    }
+
+    /// Removes and returns the first flow, whether there is room for it or not.
+    pub fn pop_first(&mut self) -> Option<WaitingFlow<K>> {
+        self.displaced
+            .pop_front()
+            .or_else(|| self.queue.pop_first())
+    }
+
+    /// Returns the time at which the next flow reaches its maximum wait.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.queue.next_deadline()
+    }
+}
+
+/// Returns the departure of a flow that is refused.
+fn refused<K>(
+    flow: WaitingFlow<K>,
+    reason: DepartureReason,
+    placement: &mut Placement,
+) -> Departure<K> {
+    placement.record_refusal(&flow.service, flow.priority);
+    Departure { flow, reason }
+}
--- a/crates/currantgate-placement/tests/load/main.rs
+++ b/crates/currantgate-placement/tests/load/main.rs
@@ -5,6 +5,7 @@
 
 mod hard;
 mod simulation;
+mod waiting;
 
 use std::ops::Range;
 
--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -1,15 +1,15 @@
 //! Simulation in virtual time of entries that place flows on upstreams with queues.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{DemandCollector, DemandSettings, DomainDemand};
 use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, slowness_changes};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Refusal, Suspect, SuspicionChange, Target,
-    TargetKey,
+    DepartureReason, Placement, PlacementRequest, PlacementSettings, Refusal, Suspect,
+    SuspicionChange, Target, TargetKey, WaitingAdmission, WaitingFlows, WaitingSettings,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -51,6 +51,13 @@
 /// they observe takes half of a second to reach a control VM and as much to return.
 const LEARNING_TIME_MS: f64 = 2_000.0;
 
+/// Interval at which an entry checks the flows that wait, besides the ends of flows, in
+/// milliseconds.
+const WAITING_CHECK_MS: f64 = 10.0;
+
+/// Length of a first packet in bytes.
+const FIRST_PACKET_BYTES: usize = 64;
+
 /// Share of its requests that a failing upstream fails, as the users' benchmark does.
 const FAILING_SHARE: f64 = 0.5;
 
@@ -82,6 +89,8 @@
     Answer(Request),
     /// The entry sees the end of a flow that was ended at the given time.
     End(Request),
+    /// An entry checks the flows that wait.
+    CheckWaiting(usize),
     /// Entries exchange what they observe.
     Report,
     /// Collectors publish the demand.
@@ -102,6 +111,10 @@
     duration_ms: f64,
     rng: ChaCha8Rng,
     entries: Vec<Placement>,
+    /// Flows that wait at each entry, by number.
+    waiting: Vec<WaitingFlows<u64>>,
+    waiting_requests: BTreeMap<u64, Request>,
+    next_waiting: u64,
     /// Merged observations of the entries of each domain.
     fleets: [FleetObservations; DOMAINS],
     /// Slow upstreams at the last merge, by domain.
@@ -146,10 +159,13 @@
         let entry = |entry| {
             let mut settings = PlacementSettings {
                 seed: rng.random(),
-                demand: (policy == Policy::Demand).then(DemandSettings::default),
+                demand: (policy.shares_demand()).then(DemandSettings::default),
                 ..PlacementSettings::default()
             };
-            if !matches!(policy, Policy::Admission | Policy::Shared | Policy::Demand) {
+            if !matches!(
+                policy,
+                Policy::Admission | Policy::Shared | Policy::DemandWithoutQueue | Policy::Demand
+            ) {
                 let never = Duration::from_secs(24 * 60 * 60);
                 settings.admission.overload_after_growth = never;
                 settings.admission.overload_after_late = never;
@@ -159,7 +175,9 @@
             placement
         };
         let entries = (0..scenario.entries).map(entry).collect();
-        let fleet_settings = if policy == Policy::Demand {
+        let waiting = WaitingFlows::new(WaitingSettings::default());
+        let waiting = vec![waiting; scenario.entries];
+        let fleet_settings = if policy.shares_demand() {
             FleetSettings::with_demand()
         } else {
             FleetSettings::default()
@@ -175,6 +193,9 @@
             duration_ms,
             rng,
             entries,
+            waiting,
+            waiting_requests: BTreeMap::new(),
+            next_waiting: 0,
             fleets: std::array::from_fn(|_| FleetObservations::new(start, fleet_settings.clone())),
             slow: Default::default(),
             changes: Default::default(),
@@ -194,7 +215,10 @@
 
     fn run(mut self) -> Report {
         self.schedule_arrivals();
-        if matches!(self.policy, Policy::Shared | Policy::Demand) {
+        if matches!(
+            self.policy,
+            Policy::Shared | Policy::DemandWithoutQueue | Policy::Demand
+        ) {
             self.schedule(0.0, Event::Report);
         }
         while let Some(Reverse((micros, index))) = self.events.pop() {
@@ -211,6 +235,10 @@
                     self.enqueue(now_ms, request);
                 }
                 Some(Event::End(request)) => self.record_end(now_ms, &request),
+                Some(Event::CheckWaiting(entry)) => {
+                    self.release_waiting(now_ms, entry);
+                    self.check_waiting_later(now_ms, entry);
+                }
                 Some(Event::Report) => self.exchange_observations(now_ms),
                 Some(Event::Publish) => {
                     let now = self.at(now_ms);
@@ -341,7 +369,7 @@
         }
         if now_ms < self.duration_ms {
             self.schedule(now_ms + REPORT_INTERVAL_MS, Event::Report);
-            if self.policy == Policy::Demand {
+            if self.policy.shares_demand() {
                 self.schedule(now_ms + PUBLISH_DELAY_MS, Event::Publish);
             }
         }
@@ -395,24 +423,95 @@
     fn uses_placement(&self) -> bool {
         matches!(
             self.policy,
-            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand
+            Policy::LeastLoad
+                | Policy::Admission
+                | Policy::Shared
+                | Policy::DemandWithoutQueue
+                | Policy::Demand
         )
     }
 
     /// Sends a first packet, or retransmits it when the one before was not answered.
-    fn attempt(&mut self, now_ms: f64, mut request: Request, retransmissions: usize) {
+    fn attempt(&mut self, now_ms: f64, request: Request, retransmissions: usize) {
         self.report.attempts += u32::from(retransmissions == 0);
         if self.is_in_outage(now_ms) {
             return self.retransmit(request, retransmissions);
         }
+        if self.policy == Policy::Demand && retransmissions == 0 {
+            return self.place_or_wait(now_ms, request);
+        }
         match self.choose(now_ms, &request, retransmissions) {
-            Ok(key) => request.key = key,
-            Err(Refusal::Overloaded(_)) => {
-                self.record(&request, |outcome| outcome.refused += 1);
-                return self.retry(now_ms, request);
-            }
+            Ok(key) => self.forward(now_ms, Request { key, ..request }, retransmissions),
+            Err(Refusal::Overloaded(_)) => self.refuse(now_ms, request),
             Err(Refusal::NoUpstream | Refusal::OnlyCold) => unreachable!("there are upstreams"),
         }
+    }
+
+    /// Places a new flow, lets it wait at its entry or refuses it.
+    fn place_or_wait(&mut self, now_ms: f64, request: Request) {
+        let now = self.at(now_ms);
+        let (entry, number) = (request.entry, self.next_waiting);
+        self.next_waiting += 1;
+        let was_empty = self.waiting[entry].is_empty();
+        let placement_request = PlacementRequest {
+            service: "booking",
+            priority: request.priority(),
+            latency_target: millis(request.kind.latency_target_ms),
+            may_refuse: true,
+            tried: &[],
+        };
+        let placement = &mut self.entries[entry];
+        let bytes = FIRST_PACKET_BYTES;
+        let admission =
+            self.waiting[entry].place(now, placement, &placement_request, number, bytes);
+        match admission {
+            WaitingAdmission::Placed(placed) => {
+                let key = placed.key;
+                self.forward(now_ms, Request { key, ..request }, 0);
+            }
+            WaitingAdmission::Waits => {
+                self.waiting_requests.insert(number, request);
+                if was_empty {
+                    self.check_waiting_later(now_ms, entry);
+                }
+            }
+            WaitingAdmission::Refused(_) => self.refuse(now_ms, request),
+        }
+        self.release_waiting(now_ms, entry);
+    }
+
+    /// Places or refuses the flows that leave the queue of an entry.
+    fn release_waiting(&mut self, now_ms: f64, entry: usize) {
+        let now = self.at(now_ms);
+        while let Some(departure) =
+            self.waiting[entry].next_departure(now, &mut self.entries[entry])
+        {
+            let number = departure.flow.key;
+            let request = self.waiting_requests.remove(&number).expect("it waits");
+            let wait_ms = now_ms - request.attempt_ms;
+            self.report.waits.push((now_ms, wait_ms));
+            if departure.reason != DepartureReason::Room {
+                self.report.refused_after_wait += 1;
+                self.refuse(now_ms, request);
+                continue;
+            }
+            let placed = self.entries[entry].place(now, &departure.flow.request());
+            let key = placed.expect("it may not be refused").key;
+            // Callers have sent copies meanwhile, which the entry has absorbed.
+            let copies = RETRANSMIT_AFTER_MS.iter().skip(1);
+            let copies = copies.filter(|after| **after <= wait_ms).count();
+            self.forward(now_ms, Request { key, ..request }, copies);
+        }
+    }
+
+    fn check_waiting_later(&mut self, now_ms: f64, entry: usize) {
+        if !self.waiting[entry].is_empty() {
+            self.schedule(now_ms + WAITING_CHECK_MS, Event::CheckWaiting(entry));
+        }
+    }
+
+    /// Forwards a first packet to the upstream of its request.
+    fn forward(&mut self, now_ms: f64, mut request: Request, retransmissions: usize) {
         request.sent_ms = now_ms;
         if request.domain == 0 {
             let is_spilled = !(request.key as usize).is_multiple_of(self.scenario.site.domains);
@@ -465,7 +564,11 @@
         match self.policy {
             Policy::OneQueue => Ok(0),
             Policy::Hash => Ok(self.rng.random_range(0..self.scenario.upstreams) as TargetKey),
-            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand => {
+            Policy::LeastLoad
+            | Policy::Admission
+            | Policy::Shared
+            | Policy::DemandWithoutQueue
+            | Policy::Demand => {
                 let (now, sent) = (self.at(now_ms), self.at(request.sent_ms));
                 let was_placed = retransmissions > 0 && !self.is_in_outage(request.sent_ms);
                 let tried = was_placed.then_some(request.key);
@@ -525,6 +628,13 @@
         }
     }
 
+    /// Refuses a flow at its entry; the caller is told that the request has not run.
+    fn refuse(&mut self, now_ms: f64, request: Request) {
+        self.record(&request, |outcome| outcome.refused += 1);
+        self.report.add_refusal(now_ms);
+        self.retry(now_ms, request);
+    }
+
     /// Schedules a retry after a backoff, unless retries or time have run out.
     fn retry(&mut self, now_ms: f64, mut request: Request) {
         let pause = RETRY_BACKOFF_MS * f64::from(1 << request.retries);
@@ -654,7 +764,8 @@
             outcome.served += u32::from(took_ms <= caller_timeout_ms);
         });
         if took_ms <= latency_target_ms {
-            self.report.add_work(now_ms, request.work_ms);
+            self.report
+                .add_work(now_ms, request.work_ms, request.kind.is_idempotent);
         }
         self.end_flow(now_ms, &request);
         while let Some(next) = self.upstreams[request.key as usize].waiting.pop_front() {
@@ -690,6 +801,7 @@
             let duration = millis(now_ms - request.sent_ms);
             let placement = &mut self.entries[request.entry];
             placement.record_end(now, request.key, request.priority(), duration);
+            self.release_waiting(now_ms, request.entry);
         }
     }
 }
--- a/crates/currantgate-placement/tests/load/simulation/report.rs
+++ b/crates/currantgate-placement/tests/load/simulation/report.rs
@@ -59,6 +59,15 @@
     /// Work of the requests answered in target, in milliseconds, by the tenth of a
     /// second in which it was done.
     pub(crate) work_in_target_ms: Vec<f64>,
+    /// The same of idempotent requests alone.
+    pub(crate) idempotent_work_ms: Vec<f64>,
+    /// Flows that entries refused by the tenth of a second.
+    pub(crate) refusals: Vec<u32>,
+    /// Waits at entries: the time at which each ended, and how long it was, in
+    /// milliseconds.
+    pub(crate) waits: Vec<(f64, f64)>,
+    /// Flows that were refused after a wait.
+    pub(crate) refused_after_wait: u32,
     /// First packets of the callers of the first domain by the tenth of a second: all,
     /// and those that were sent to other domains.
     pub(crate) spillover: Vec<(u32, u32)>,
@@ -116,12 +125,16 @@
     }
 
     /// Adds the work of a request that was answered in target.
-    pub(super) fn add_work(&mut self, now_ms: f64, work_ms: f64) {
-        let tenth = (now_ms / 100.0) as usize;
-        if self.work_in_target_ms.len() <= tenth {
-            self.work_in_target_ms.resize(tenth + 1, 0.0);
+    pub(super) fn add_work(&mut self, now_ms: f64, work_ms: f64, is_idempotent: bool) {
+        *at_tenth(&mut self.work_in_target_ms, now_ms) += work_ms;
+        if is_idempotent {
+            *at_tenth(&mut self.idempotent_work_ms, now_ms) += work_ms;
         }
-        self.work_in_target_ms[tenth] += work_ms;
+    }
+
+    /// Counts a refusal.
+    pub(super) fn add_refusal(&mut self, now_ms: f64) {
+        *at_tenth(&mut self.refusals, now_ms) += 1;
     }
 
     /// Returns the mean number of slots that did work in target in a range of tenths of
@@ -154,3 +167,12 @@
         shares.fold(1.0, f64::min)
     }
 }
+
+/// Returns the value of the tenth of a second that a time is in.
+fn at_tenth<T: Clone + Default>(values: &mut Vec<T>, now_ms: f64) -> &mut T {
+    let tenth = (now_ms / 100.0) as usize;
+    if values.len() <= tenth {
+        values.resize(tenth + 1, T::default());
+    }
+    &mut values[tenth]
+}
--- a/crates/currantgate-placement/tests/load/simulation/scenario.rs
+++ b/crates/currantgate-placement/tests/load/simulation/scenario.rs
@@ -19,12 +19,22 @@
     Admission,
     /// The same, with what the entries of each domain observe merged and shared.
     Shared,
-    /// The same, with the demand of all domains published to all entries.
+    /// The same, with the demand of all domains published to all entries. Flows beyond the
+    /// limit are refused on arrival.
+    DemandWithoutQueue,
+    /// The same, and flows beyond the limit wait at the entry.
     Demand,
     /// One queue for all slots, which is the upper bound of any placement.
     OneQueue,
 }
 
+impl Policy {
+    /// Tells whether entries decide by the demand of all of them.
+    pub(crate) fn shares_demand(self) -> bool {
+        matches!(self, Self::DemandWithoutQueue | Self::Demand)
+    }
+}
+
 /// Domains, delays and kinds of requests of a site; times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Site {
--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -1,7 +1,7 @@
 //! Routing decisions and their reasons.
 
 use std::net::SocketAddrV4;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_placement::{Overload, Placed, Priority};
 use displaydoc::Display;
@@ -38,6 +38,18 @@
     /// Whether the packet is the first copy as far as this entry knows, so that counting
     /// such decisions counts each flow once.
     pub is_new: bool,
+    /// How long the flow has waited at this entry; nothing if it has not.
+    pub waited: Option<Duration>,
+}
+
+/// A flow that has left the queue of this entry, with the decision about the first packet
+/// that was kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitingDeparture {
+    /// The flow.
+    pub flow: FlowId,
+    /// The decision: never [`Decision::Wait`].
+    pub decided: FirstPacketDecision,
 }
 
 /// Service and priority of a flow. [`TokenRouter::service_name`] returns the name of the
@@ -74,6 +86,10 @@
     Reset(ResetReason),
     /// Drop the packet: a reset could end a flow that is open.
     Drop(DropReason),
+    /// Keep the packet: the flow waits, and [`TokenRouter::next_departure`] returns it later.
+    ///
+    /// [`TokenRouter::next_departure`]: crate::TokenRouter::next_departure
+    Wait,
 }
 
 /// Reason to reset a flow.
@@ -87,6 +103,10 @@
     OnlyCold,
     /// the service answers late and has enough requests that go before
     Overloaded(Overload),
+    /// the flow has waited as long as it could and still be answered in time
+    WaitedTooLong,
+    /// a flow of higher priority has its place in the full queue
+    Displaced,
 }
 
 /// Reason to drop a packet.
@@ -104,4 +124,6 @@
     OnlyCold,
     /// the flow can't be placed, and its packet may have waited longer than a copy
     Delayed,
+    /// the flow waits, and an earlier copy of its first packet is kept
+    Waiting,
 }
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub use decision::{
     Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
+    WaitingDeparture,
 };
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -6,7 +6,9 @@
 use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_observation::{Observation, SlowUpstream};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Refusal, ServiceShares, SuspicionChange, Target,
+    DepartureReason, Placed, Placement, PlacementRequest, PlacementSettings, Refusal,
+    ServiceShares, SuspicionChange, Target, WaitingAdmission, WaitingFlow, WaitingFlows,
+    WaitingSettings,
 };
 use currantgate_warmup::{PermitHolder, WarmupLimit};
 use indexmap::IndexSet;
@@ -18,6 +20,7 @@
 use crate::{
     Decision, DropReason, ExpiredFlow, FirstPacket, FirstPacketDecision, FlowClass, FlowId,
     LaterPacket, ResetReason, RouteTable, ServiceWarmup, Token, TokenSettings, TokenUpstream,
+    WaitingDeparture,
 };
 
 /// Decides for each packet to which upstream it goes, or why it goes to none.
@@ -34,6 +37,8 @@
     /// Time until which packets may have waited in the receive queue.
     catching_up_until: Option<Instant>,
     flows: FlowTable,
+    /// New flows beyond the entry's limit.
+    waiting: WaitingFlows<FlowId>,
     /// Failure domains whose upstreams get no new flows.
     evacuated: IndexSet<Box<str>>,
     /// Services that would have upstreams in the entry's own domain if that were not
@@ -57,6 +62,7 @@
             upstreams_complete: false,
             catching_up_until: None,
             flows: FlowTable::default(),
+            waiting: WaitingFlows::new(WaitingSettings::default()),
             evacuated: IndexSet::new(),
             displaced_services: IndexSet::new(),
             warmup: None,
@@ -178,15 +184,51 @@
     /// and the flow is placed on another one if there is one. A copy is never reset for want
     /// of an upstream, since one may have answered an earlier copy.
     pub fn route_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
-        let mut decided = self.place_first(now, packet);
-        let is_catching_up = self.catching_up_until.is_some_and(|until| now < until);
+        self.decide_first(now, packet, None)
+    }
+
+    /// Decides like [`Self::route_first`], except that a new flow beyond the entry's limit
+    /// may wait. `len` is the length of the first packet, which the caller of this method
+    /// keeps until [`Self::next_departure`] returns the flow.
+    ///
+    /// Flows wait only while the entry decides by the demand of all entries.
+    pub fn route_first_or_wait(
+        &mut self,
+        now: Instant,
+        packet: FirstPacket,
+        len: usize,
+    ) -> FirstPacketDecision {
+        self.decide_first(now, packet, Some(len))
+    }
+
+    fn decide_first(
+        &mut self,
+        now: Instant,
+        packet: FirstPacket,
+        len: Option<usize>,
+    ) -> FirstPacketDecision {
+        let is_catching_up = self.is_catching_up(now);
+        let len = len.filter(|_| !is_catching_up);
+        let mut decided = self.place_first(now, packet, len);
         if is_catching_up && let Decision::Reset(_) = decided.decision {
             decided.decision = Decision::Drop(DropReason::Delayed);
         }
         decided
     }
 
-    fn place_first(&mut self, now: Instant, packet: FirstPacket) -> FirstPacketDecision {
+    fn is_catching_up(&self, now: Instant) -> bool {
+        self.catching_up_until.is_some_and(|until| now < until)
+    }
+
+    fn place_first(
+        &mut self,
+        now: Instant,
+        packet: FirstPacket,
+        len: Option<usize>,
+    ) -> FirstPacketDecision {
+        if self.waiting.contains(&packet.flow) {
+            return unplaced(Decision::Drop(DropReason::Waiting), None, false);
+        }
         let tracked = self.flows.get(&packet.flow);
         let is_new = packet.retransmissions == 0 && tracked.is_none();
         let Some(route) = self.routes.get(&packet.flow.service) else {
@@ -226,22 +268,137 @@
             warmup.holder.record_flow(now, request.service);
             self.placement.set_permitted(warmup.holder.permitted(now));
         }
-        let placed = self.placement.place(now, &request);
-        if let (Some(warmup), Ok(placed)) = (&mut self.warmup, &placed) {
-            // There are no permits for warm upstreams.
-            warmup.used_permits += u64::from(warmup.holder.try_use(now, placed.key));
-        }
+        let placement = &mut self.placement;
+        let placed = match len.filter(|_| is_new) {
+            None => placement.place(now, &request),
+            Some(len) => {
+                let waiting = &mut self.waiting;
+                match waiting.place(now, placement, &request, packet.flow, len) {
+                    WaitingAdmission::Placed(placed) => Ok(placed),
+                    WaitingAdmission::Refused(refusal) => Err(refusal),
+                    WaitingAdmission::Waits => return unplaced(Decision::Wait, class, false),
+                }
+            }
+        };
         let is_displaced = placed.is_ok() && self.displaced_services.contains(request.service);
-        let decision = match placed {
+        let record = FlowRecord {
+            token: 0,
+            priority,
+            sent: now,
+            latency_target: route.latency_target,
+            deadline,
+        };
+        FirstPacketDecision {
+            decision: self.conclude(now, packet.flow, record, placed, is_new),
+            placed: placed.ok(),
+            unanswered_by,
+            is_displaced,
+            class,
+            is_new,
+            waited: None,
+        }
+    }
+
+    /// Removes and returns the next flow that leaves the queue now, if there is one. It is to
+    /// be called after packets and changes of demand, and every 10 ms while flows wait.
+    pub fn next_departure(&mut self, now: Instant) -> Option<WaitingDeparture> {
+        // Another entry may have placed a copy of the first packet while this one was stopped.
+        if self.is_catching_up(now) {
+            let waiting = self.waiting.pop_first()?;
+            let decision = Decision::Drop(DropReason::Delayed);
+            return Some(departure(now, &waiting, unplaced(decision, None, true)));
+        }
+        let left = self.waiting.next_departure(now, &mut self.placement)?;
+        let decided = match left.reason {
+            DepartureReason::Room => self.place_waiting(now, &left.flow),
+            DepartureReason::MaxWait => self.refuse_waiting(&left.flow, ResetReason::WaitedTooLong),
+            DepartureReason::Displaced => self.refuse_waiting(&left.flow, ResetReason::Displaced),
+        };
+        Some(departure(now, &left.flow, decided))
+    }
+
+    /// Tells whether flows wait or were displaced and are not refused yet.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Returns the number of flows that wait.
+    pub fn waiting_flows(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Places a flow that has waited by the rules for new flows.
+    fn place_waiting(
+        &mut self,
+        now: Instant,
+        waiting: &WaitingFlow<FlowId>,
+    ) -> FirstPacketDecision {
+        let class = self.class_of(waiting);
+        let Some(route) = self.routes.get(&waiting.key.service) else {
+            let decision = if self.routes_current {
+                Decision::Reset(ResetReason::NoRoute)
+            } else {
+                Decision::Drop(DropReason::RoutesOutOfDate)
+            };
+            return unplaced(decision, None, true);
+        };
+        let record = FlowRecord {
+            token: 0,
+            priority: waiting.priority,
+            sent: now,
+            latency_target: waiting.latency_target,
+            deadline: waiting.arrived + route.timeout + self.settings.expiry_grace,
+        };
+        if let Some(warmup) = &mut self.warmup {
+            self.placement.set_permitted(warmup.holder.permitted(now));
+        }
+        let placed = self.placement.place(now, &waiting.request());
+        FirstPacketDecision {
+            decision: self.conclude(now, waiting.key, record, placed, true),
+            placed: placed.ok(),
+            unanswered_by: None,
+            is_displaced: placed.is_ok() && self.displaced_services.contains(&waiting.service),
+            class,
+            is_new: true,
+            waited: None,
+        }
+    }
+
+    fn refuse_waiting(
+        &self,
+        waiting: &WaitingFlow<FlowId>,
+        reason: ResetReason,
+    ) -> FirstPacketDecision {
+        unplaced(Decision::Reset(reason), self.class_of(waiting), true)
+    }
+
+    /// Returns the class of a flow that has waited, if its route still has the service.
+    fn class_of(&self, waiting: &WaitingFlow<FlowId>) -> Option<FlowClass> {
+        let route = self.routes.get(&waiting.key.service)?;
+        let mut services = route.services.iter();
+        let service = services.position(|(name, _)| *name == waiting.service)?;
+        let priority = waiting.priority;
+        Some(FlowClass { service, priority })
+    }
+
+    /// Applies the outcome of the placement of a flow. `record` is that of the flow, without
+    /// the token of its upstream.
+    fn conclude(
+        &mut self,
+        now: Instant,
+        flow: FlowId,
+        record: FlowRecord,
+        placed: Result<Placed, Refusal>,
+        is_new: bool,
+    ) -> Decision {
+        match placed {
             Ok(placed) => {
-                let record = FlowRecord {
-                    token: placed.key,
-                    priority,
-                    sent: now,
-                    latency_target: route.latency_target,
-                    deadline,
-                };
-                self.forward_first(packet.flow, record)
+                if let Some(warmup) = &mut self.warmup {
+                    // There are no permits for warm upstreams.
+                    warmup.used_permits += u64::from(warmup.holder.try_use(now, placed.key));
+                }
+                let token = placed.key;
+                self.forward_first(flow, FlowRecord { token, ..record })
             }
             Err(Refusal::NoUpstream | Refusal::OnlyCold) if !self.upstreams_complete => {
                 Decision::Drop(DropReason::UpstreamsIncomplete)
@@ -252,14 +409,6 @@
             Err(Refusal::Overloaded(overload)) => {
                 Decision::Reset(ResetReason::Overloaded(overload))
             }
-        };
-        FirstPacketDecision {
-            decision,
-            placed: placed.ok(),
-            unanswered_by,
-            is_displaced,
-            class,
-            is_new,
         }
     }
 
@@ -458,5 +607,19 @@
         is_displaced: false,
         class,
         is_new,
+        waited: None,
+    }
+}
+
+/// Returns the departure of a flow that has waited.
+fn departure(
+    now: Instant,
+    waiting: &WaitingFlow<FlowId>,
+    decided: FirstPacketDecision,
+) -> WaitingDeparture {
+    let waited = Some(now.saturating_duration_since(waiting.arrived));
+    WaitingDeparture {
+        flow: waiting.key,
+        decided: FirstPacketDecision { waited, ..decided },
     }
 }
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -55,6 +55,10 @@
     interval: Duration::from_secs(10),
 };
 
+/// Interval at which the flows that wait are checked, besides after packets: one leaves at
+/// most this time after the limit has risen or its maximum wait has passed.
+const WAITING_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Multiple of the usual duration after which a flow counts against its upstream. Work of
 /// single requests lasts up to six times the mean.
 const OVERDUE_FACTOR: f64 = 8.0;
@@ -225,6 +229,8 @@
         observation_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         let mut stall_detector = StallDetector::new(Instant::now());
+        let mut waiting_interval = actix_rt::time::interval(WAITING_CHECK_INTERVAL);
+        waiting_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let permits_due = self.next_permits_request_at();
             tokio::select! {
@@ -232,6 +238,7 @@
                     Ok(()) => {
                         self.routing.detect_stall(&mut stall_detector);
                         self.packets.process_batch(&mut self.routing);
+                        self.release_waiting();
                     }
                     Err(e) => log::error!("waiting for packets failed: {e}"),
                 },
@@ -246,12 +253,18 @@
                     }
                     self.update_upstreams_if_due();
                     self.update_routes_state();
+                    self.routing.detect_stall(&mut stall_detector);
+                    self.release_waiting();
                 }
                 _ = flow_interval.tick() => {
                     self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
                     self.update_upstreams_if_due();
                 }
+                _ = waiting_interval.tick(), if self.routing.router.has_waiting() => {
+                    self.routing.detect_stall(&mut stall_detector);
+                    self.release_waiting();
+                }
                 () = wait_until(permits_due) => self.request_permits(),
                 _ = observation_interval.tick() => {
                     self.report_observations();
@@ -270,6 +283,14 @@
         }
     }
 
+    /// Forwards or resets the flows that have waited and leave the queue now.
+    fn release_waiting(&mut self) {
+        if self.routing.router.has_waiting() {
+            self.packets
+                .release_waiting(Instant::now(), &mut self.routing);
+        }
+    }
+
     fn handle_event(&mut self, event: FeedEvent) {
         self.links.handle_event(&event);
         let now = Instant::now();
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -1,7 +1,7 @@
 //! The log of a token entry's decisions about flows.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_control::Revision;
 use currantgate_log::{RateLimit, RateLimiter};
@@ -65,8 +65,9 @@
     ) {
         match decided.decision {
             Decision::Forward(_) => self.log_placed(now, flow, decided, figures, router),
-            Decision::Reset(reason) => self.log_refused(now, flow, reason, figures),
+            Decision::Reset(reason) => self.log_refused(now, flow, reason, decided.waited, figures),
             Decision::Drop(reason) => self.log_dropped(now, flow, 0, reason),
+            Decision::Wait => {}
         }
     }
 
@@ -93,6 +94,7 @@
             after_silence_of = decided.unanswered_by.map_or("", name),
             flows = placed.flows,
             load = placed.load,
+            waited_ms = decided.waited.map(millis),
             is_doubtful = placed.is_unhealthy,
             evacuated = if decided.is_displaced { &*self.domain } else { "" },
             service = figures.service.as_deref(),
@@ -111,6 +113,7 @@
         now: Instant,
         flow: &FlowId,
         reason: ResetReason,
+        waited: Option<Duration>,
         figures: impl FnOnce() -> DemandFigures,
     ) {
         let Some(left_out) = self.refused.try_acquire(now) else {
@@ -119,13 +122,18 @@
         let figures = figures();
         let overload = match reason {
             ResetReason::Overloaded(overload) => Some(overload),
-            ResetReason::NoRoute | ResetReason::NoUpstream | ResetReason::OnlyCold => None,
+            ResetReason::NoRoute
+            | ResetReason::NoUpstream
+            | ResetReason::OnlyCold
+            | ResetReason::WaitedTooLong
+            | ResetReason::Displaced => None,
         };
         log::info!(
             event = "refused",
             flow:% = flow,
             ahead = overload.map(|o| o.competing_flows),
             room = overload.map(|o| o.flow_limit),
+            waited_ms = waited.map(millis),
             open_for_ms = overload.map(|o| millis(o.median_duration)),
             service = figures.service.as_deref(),
             is_idempotent = figures.priority.map(|p| p.is_idempotent),
@@ -297,6 +305,6 @@
     }
 }
 
-fn millis(time: std::time::Duration) -> u64 {
+fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -148,6 +148,7 @@
             }
             Decision::Reset(reason) => self.count_reset(*reason),
             Decision::Drop(reason) => self.count_drop(*reason),
+            Decision::Wait => {}
         }
     }
 
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -17,6 +17,7 @@
 mod shares_log;
 mod stall_detector;
 mod unsent_demand;
+mod waiting_packets;
 
 pub use daemon::TokenEntry;
 pub use demand_view::{DemandChange, DemandView};
--- a/crates/currantgate/src/token_entry/packet_socket.rs
+++ b/crates/currantgate/src/token_entry/packet_socket.rs
@@ -10,6 +10,7 @@
 use super::format::WireFormat;
 use super::metrics::TokenEntryMetrics;
 use super::routing::Routing;
+use super::waiting_packets::WaitingPackets;
 
 /// Bytes read of a datagram. Longer datagrams are truncated, and are then rejected
 /// as malformed.
@@ -28,6 +29,7 @@
     port: u16,
     format: F,
     buf: Vec<u8>,
+    waiting: WaitingPackets,
 }
 
 impl<F: WireFormat> PacketSocket<F> {
@@ -46,6 +48,7 @@
             port,
             format,
             buf: vec![0; F::HEADROOM + MAX_DATAGRAM_BYTES],
+            waiting: WaitingPackets::default(),
         })
     }
 
@@ -81,7 +84,7 @@
             Ok(packet) => packet,
             Err(reason) => return routing.record_malformed(now, len, reason),
         };
-        let (flow, decision) = routing.decide(now, packet);
+        let (flow, decision) = routing.decide(now, packet, len);
         match decision {
             Decision::Forward(hop) => {
                 self.format.write_hop(&mut self.buf[..end], &hop);
@@ -89,6 +92,27 @@
             }
             Decision::Reset(_) => self.send_reset(&flow, &routing.metrics),
             Decision::Drop(_) => {}
+            Decision::Wait => self.waiting.insert(flow, &self.buf[F::HEADROOM..end]),
+        }
+    }
+
+    /// Forwards or resets the flows that have waited and leave the queue now.
+    pub(super) fn release_waiting(&mut self, now: Instant, routing: &mut Routing) {
+        while let Some((flow, decision)) = routing.next_departure(now) {
+            let Some(packet) = self.waiting.remove(&flow) else {
+                log::error!("the first packet of waiting flow {flow} is missing");
+                continue;
+            };
+            match decision {
+                Decision::Forward(hop) => {
+                    let end = F::HEADROOM + packet.len();
+                    self.buf[F::HEADROOM..end].copy_from_slice(&packet);
+                    self.format.write_hop(&mut self.buf[..end], &hop);
+                    self.send(&self.buf[..end], hop.address, &routing.metrics);
+                }
+                Decision::Reset(_) => self.send_reset(&flow, &routing.metrics),
+                Decision::Drop(_) | Decision::Wait => {}
+            }
         }
     }
 
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -5,7 +5,7 @@
 
 use currantgate_capacity::DomainDemand;
 use currantgate_observation::SlowUpstream;
-use currantgate_token::{Decision, FlowId, TokenRouter};
+use currantgate_token::{Decision, FirstPacketDecision, FlowId, TokenRouter};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 
 use super::decision_log::DecisionLog;
@@ -39,25 +39,23 @@
 
 impl Routing {
     /// Routes a packet, and logs and counts the decision.
-    pub(super) fn decide(&mut self, now: Instant, packet: Packet) -> (FlowId, Decision) {
+    /// `len` is the length of the packet as it was received.
+    pub(super) fn decide(
+        &mut self,
+        now: Instant,
+        packet: Packet,
+        len: usize,
+    ) -> (FlowId, Decision) {
         let (flow, decision) = match packet {
             Packet::First(packet) => {
                 let now = self.check_permits(now);
                 self.refresh_demand(now);
-                let decided = self.router.route_first(now, packet);
-                if let Some(shared) = &mut self.demand {
-                    let monitor = &mut shared.monitor;
-                    monitor.count_decision(&packet.flow, &decided, &self.router);
-                }
-                let (demand, router) = (self.demand.as_ref(), &self.router);
-                let figures = || {
-                    let figures = |shared: &SharedDemand| {
-                        DemandMonitor::figures(now, &packet.flow, &decided, &shared.view, router)
-                    };
-                    demand.map(figures).unwrap_or_default()
+                let decided = if self.demand.is_some() {
+                    self.router.route_first_or_wait(now, packet, len)
+                } else {
+                    self.router.route_first(now, packet)
                 };
-                self.decisions
-                    .log_first_packet(now, &packet.flow, &decided, figures, router);
+                self.record_first(now, &packet.flow, &decided);
                 (packet.flow, decided.decision)
             }
             Packet::Later(packet) => {
@@ -77,6 +75,40 @@
         (flow, decision)
     }
 
+    /// Returns the next flow that has waited and leaves the queue now, and the decision about
+    /// its first packet.
+    pub(super) fn next_departure(&mut self, now: Instant) -> Option<(FlowId, Decision)> {
+        if !self.router.has_waiting() {
+            return None;
+        }
+        let now = self.check_permits(now);
+        self.refresh_demand(now);
+        let departure = self.router.next_departure(now)?;
+        if let Some(shared) = &self.demand {
+            shared.monitor.count_departure(&departure.decided);
+        }
+        self.record_first(now, &departure.flow, &departure.decided);
+        self.metrics.count_decision(&departure.decided.decision);
+        Some((departure.flow, departure.decided.decision))
+    }
+
+    /// Logs and counts the decision about a first packet.
+    fn record_first(&mut self, now: Instant, flow: &FlowId, decided: &FirstPacketDecision) {
+        if let Some(shared) = &mut self.demand {
+            let monitor = &mut shared.monitor;
+            monitor.count_decision(flow, decided, &self.router);
+        }
+        let (demand, router) = (self.demand.as_ref(), &self.router);
+        let figures = || {
+            let figures = |shared: &SharedDemand| {
+                DemandMonitor::figures(now, flow, decided, &shared.view, router)
+            };
+            demand.map(figures).unwrap_or_default()
+        };
+        self.decisions
+            .log_first_packet(now, flow, decided, figures, router);
+    }
+
     /// Drops permits for cold upstreams after a suspension of the VM. Returns the current
     /// time where there are permits: `now` is that of a batch of packets, in which the
     /// process may have been stopped.
