Expected waits follow the measured rate of departures

Cause: half of the flows of a half-dark fleet are open at upstreams that never answer.

Refusals after a wait count as refusals for the shorter bound.

--- a/crates/currantgate-cli/tests/explain.rs
+++ b/crates/currantgate-cli/tests/explain.rs
@@ -6,7 +6,7 @@
 
 const ENTRY: &str = r#"{"time":"2026-01-02T03:04:05.100Z","level":"INFO","process":"entry-1","module":"m","message":"upstream has another standing","event":"standing","upstream":"i-1","standing":"Ready"}
 not a line of ours
-  12.5 entry-1 {"time":"2026-01-02T03:04:06.000Z","level":"INFO","process":"entry-1","module":"m","message":"flow is placed","event":"placed","flow":"100.64.0.7:40001>198.18.0.1:443","upstream":"i-1","flows":2}
+  12.5 entry-1 {"time":"2026-01-02T03:04:06.000Z","level":"INFO","process":"entry-1","module":"m","message":"flow is placed","event":"placed","flow":"100.64.0.7:40001>198.18.0.1:443","upstream":"i-1","flows":2,"waited_ms":35}
 {"time":"2026-01-02T03:04:07.700Z","level":"INFO","process":"entry-1","module":"m","message":"flow has not ended within its caller's time","event":"expired","flow":"100.64.0.7:40001>198.18.0.1:443","upstream":"i-1","was_answered":false}
 "#;
 
@@ -35,7 +35,9 @@
     assert_eq!(lines.len(), 4, "{text}");
     assert!(lines[0].contains("standing=Ready"), "{text}");
     assert!(
-        lines[1].contains("flow is placed") && lines[1].contains("flows=2"),
+        lines[1].contains("flow is placed")
+            && lines[1].contains("flows=2")
+            && lines[1].contains("waited_ms=35"),
         "{text}"
     );
     assert!(
--- a/crates/currantgate-placement/src/waiting/mod.rs
+++ b/crates/currantgate-placement/src/waiting/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod departure;
+mod departure_rate;
 mod estimate;
 mod flow;
 mod queue;
--- a/crates/currantgate-placement/src/waiting/queue.rs
+++ b/crates/currantgate-placement/src/waiting/queue.rs
@@ -56,6 +56,11 @@
         self.positions.contains_key(key)
     }
 
+    /// Tells whether a flow of a service waits.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.flows.values().any(|flow| *flow.service == *service)
+    }
+
     /// Returns the number of flows of a service that leave before a new one of the given
     /// priority.
     pub fn ahead(&self, service: &str, priority: Priority) -> usize {
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -4,6 +4,9 @@
 use std::hash::Hash;
 use std::time::Instant;
 
+use indexmap::IndexMap;
+
+use super::departure_rate::DepartureRate;
 use super::{
     Departure, DepartureReason, WaitEstimate, WaitingAdmission, WaitingFlow, WaitingQueue,
     WaitingSettings,
@@ -25,6 +28,8 @@
     displaced: VecDeque<WaitingFlow<K>>,
     /// Services of which a flow leaves though the entry is at its limit.
     beyond_limit: VecDeque<Box<str>>,
+    /// Rates of the services of which flows wait.
+    rates: IndexMap<Box<str>, DepartureRate>,
     /// Which of the last flows were refused.
     outcomes: SlidingWindow<bool>,
 }
@@ -37,6 +42,7 @@
             queue: WaitingQueue::default(),
             displaced: VecDeque::new(),
             beyond_limit: VecDeque::new(),
+            rates: IndexMap::new(),
             outcomes: SlidingWindow::default(),
         }
     }
@@ -72,9 +78,22 @@
         let admission = self.place_or_wait(now, placement, request, key, bytes);
         let is_refused = matches!(admission, WaitingAdmission::Refused(_));
         self.outcomes.push(now, is_refused, MAX_OUTCOMES);
+        if !self.queue.has_service(request.service) {
+            self.rates.swap_remove(request.service);
+        } else if let WaitingAdmission::Placed(_) = admission {
+            self.record_placed(now, request.service);
+        }
         admission
     }
 
+    /// Counts a flow that is placed while others of its service wait.
+    fn record_placed(&mut self, now: Instant, service: &str) {
+        if !self.rates.contains_key(service) {
+            self.rates.insert(service.into(), DepartureRate::default());
+        }
+        self.rates[service].record(now);
+    }
+
     /// Returns the part of the latency target within which an answer must be expected for a
     /// flow to wait.
     fn expected_factor(&mut self, now: Instant) -> f64 {
@@ -146,9 +165,14 @@
         key: K,
         bytes: usize,
     ) -> bool {
-        let Some(estimate) = placement.wait_estimate(now, request) else {
+        let Some(mut estimate) = placement.wait_estimate(now, request) else {
             return false;
         };
+        // Durations leave out flows that get no answer. The measured rate includes them.
+        let rate = self.rates.get(request.service);
+        if let Some(interval) = rate.and_then(|rate| rate.interval(now)) {
+            estimate.interval = estimate.interval.max(interval);
+        }
         let factor = self.expected_factor(now);
         if !estimate.is_in_time(ahead, request.latency_target.mul_f64(factor)) {
             return false;
@@ -191,9 +215,11 @@
         placement: &mut Placement,
     ) -> Option<Departure<K>> {
         if let Some(flow) = self.displaced.pop_front() {
+            self.outcomes.push(now, true, MAX_OUTCOMES);
             return Some(refused(flow, DepartureReason::Displaced, placement));
         }
         if let Some(flow) = self.queue.pop_expired(now) {
+            self.outcomes.push(now, true, MAX_OUTCOMES);
             return Some(refused(flow, DepartureReason::MaxWait, placement));
         }
         let beyond_limit = self.beyond_limit.pop_front();
@@ -204,6 +230,7 @@
         let key = head.key;
         let reason = DepartureReason::Room;
         let flow = self.queue.remove(&key)?;
+        self.record_placed(now, &flow.service);
         Some(Departure { flow, reason })
     }
 
