--- a/crates/currantgate-placement/src/waiting/queue.rs
+++ b/crates/currantgate-placement/src/waiting/queue.rs
@@ -139,9 +139,4 @@
         }
         heads
     }
-
-    /// Returns the first deadline.
-    pub fn next_deadline(&self) -> Option<Instant> {
-        self.flows.values().map(|flow| flow.deadline).min()
-    }
 }
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -133,7 +133,6 @@
         }
         if let Some(overload) = overload {
             placement.record_refusal(request.service, request.priority);
-
             return WaitingAdmission::Refused(Refusal::Overloaded(overload));
         }
         // No more flows are refused than exceed the fleet's capacity: one is placed beyond
@@ -240,11 +239,6 @@
             .pop_front()
             .or_else(|| self.queue.pop_first())
     }
-
-    /// Returns the time at which the next flow reaches its maximum wait.
-    pub fn next_deadline(&self) -> Option<Instant> {
-        self.queue.next_deadline()
-    }
 }
 
 /// Returns the departure of a flow that is refused.
--- a/crates/currantgate-token/tests/waiting.rs
+++ b/crates/currantgate-token/tests/waiting.rs
@@ -207,36 +207,27 @@
     assert!(matches!(copy, Decision::Forward(_)), "{copy:?}");
 }
 
-/// Guards against flows that are held until they miss their target, and against a refusal
-/// that comes later than it is known.
-#[test]
-fn a_flow_is_refused_at_its_maximum_wait() {
+/// Guards against flows that are held until they miss their target, and against a reset of a
+/// flow whose retransmission another entry may have placed while this one was stopped.
+#[rstest]
+#[case::running(false, Decision::Reset(ResetReason::WaitedTooLong))]
+#[case::was_stopped(true, Decision::Drop(DropReason::Delayed))]
+fn a_flow_is_not_held_past_its_maximum_wait(#[case] was_stopped: bool, #[case] expected: Decision) {
     let mut entry = Entry::at_limit(true);
     // At most 450 ms, which is less than the target of 500 ms without the 40 ms upstream.
     entry.now += ms(449);
     entry.update_demand();
     assert_eq!(entry.departures(), []);
     entry.now += ms(1);
+    if was_stopped {
+        entry.router.set_catching_up_until(entry.now + ms(200));
+    }
     let left = entry.departures();
-    let reason = Decision::Reset(ResetReason::WaitedTooLong);
     assert_eq!(left.len(), 1);
-    assert_eq!(left[0].decided.decision, reason);
+    assert_eq!(left[0].decided.decision, expected);
     assert!(!entry.router.has_waiting());
 }
 
-/// Guards against a reset of a flow whose retransmission another entry may have placed while
-/// this one was stopped.
-#[test]
-fn waiting_flows_are_dropped_without_a_reset_after_a_stop() {
-    let mut entry = Entry::at_limit(true);
-    entry.now += ms(1_000);
-    entry.router.set_catching_up_until(entry.now + ms(200));
-    let left = entry.departures();
-    assert_eq!(left.len(), 1);
-    let reason = Decision::Drop(DropReason::Delayed);
-    assert_eq!(left[0].decided.decision, reason);
-}
-
 /// Guards against flows that wait by figures that no longer hold.
 #[rstest]
 #[case::cleared(true)]
@@ -245,10 +236,9 @@
     let mut entry = Entry::at_limit(is_demand_shared);
     entry.router.clear_demand();
     let left = entry.departures();
-    let forwarded = left
-        .iter()
-        .filter(|d| matches!(d.decided.decision, Decision::Forward(_)));
-    assert_eq!(forwarded.count(), usize::from(is_demand_shared));
+    assert_eq!(left.len(), usize::from(is_demand_shared));
+    let is_forwarded = |d: &WaitingDeparture| matches!(d.decided.decision, Decision::Forward(_));
+    assert!(left.iter().all(is_forwarded), "{left:?}");
     for _ in 0..50 {
         let (_, decision) = entry.arrive();
         assert_ne!(decision, Decision::Wait);
