--- a/crates/currantgate-token/src/decision.rs
+++ b/crates/currantgate-token/src/decision.rs
@@ -107,6 +107,8 @@
     WaitedTooLong,
     /// a flow of higher priority has its place in the full queue
     Displaced,
+    /// this entry's processor or link is at its limit
+    EntryLimit,
 }
 
 /// Reason to drop a packet.
@@ -126,4 +128,6 @@
     Delayed,
     /// the flow waits, and an earlier copy of its first packet is kept
     Waiting,
+    /// this entry's processor or link is at its limit, and resets are limited
+    EntryLimit,
 }
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{DomainDemand, ServiceDemand};
-use currantgate_observation::{Observation, SlowUpstream};
+use currantgate_observation::{Observation, SlowUpstream, UnansweredLog};
 use currantgate_placement::{
     DepartureReason, Placed, Placement, PlacementRequest, PlacementSettings, Refusal,
     ServiceShares, SuspicionChange, Target, WaitingAdmission, WaitingFlow, WaitingFlows,
@@ -14,6 +14,7 @@
 use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 
+use crate::capacity_limit::{CapacityLimit, CapacityLimitSettings, LimitAdmission};
 use crate::flow_table::{FlowRecord, FlowState, FlowTable};
 use crate::upstreams::TokenMap;
 use crate::warmup::Warmup;
@@ -23,6 +24,10 @@
     WaitingDeparture,
 };
 
+/// Time by which the check for late answers may itself be late. After a longer pause of the
+/// process, answers may wait in the receive queue.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(20);
+
 /// Decides for each packet to which upstream it goes, or why it goes to none.
 #[derive(Debug)]
 pub struct TokenRouter {
@@ -46,6 +51,8 @@
     displaced_services: IndexSet<Box<str>>,
     /// Cold upstreams and the permits for them, where their new flows are limited.
     warmup: Option<Warmup>,
+    /// Detector of the entry's own limit, where new flows are limited by it.
+    capacity_limit: Option<CapacityLimit>,
     /// Duration of the last completed handshake that was not taken yet.
     handshake_time: Option<Duration>,
 }
@@ -66,6 +73,7 @@
             evacuated: IndexSet::new(),
             displaced_services: IndexSet::new(),
             warmup: None,
+            capacity_limit: None,
             handshake_time: None,
         }
     }
@@ -76,6 +84,17 @@
         self.warmup = Some(Warmup::new(now, limit, seed));
     }
 
+    /// Limits new flows while the entry's processor or link is the bottleneck, by the reads
+    /// and sends that [`Self::capacity_limit`] is told.
+    pub fn watch_capacity(&mut self, now: Instant, settings: CapacityLimitSettings) {
+        self.capacity_limit = Some(CapacityLimit::new(now, settings));
+    }
+
+    /// Returns the detector of the entry's own limit, where new flows are limited by it.
+    pub fn capacity_limit(&mut self) -> Option<&mut CapacityLimit> {
+        self.capacity_limit.as_mut()
+    }
+
     /// Returns the warm-up of a service if the new flows of its cold upstreams are limited.
     pub fn limited_warmup(&self, service: &str) -> Option<&ServiceWarmup> {
         self.warmup.as_ref()?;
@@ -256,6 +275,12 @@
             self.placement
                 .record_no_answer(now, record.token, record.priority, record.sent);
         }
+        if tracked.is_none()
+            && let Some(limit) = &mut self.capacity_limit
+            && let Some(decision) = not_taken(limit.admit(now, &packet))
+        {
+            return unplaced(decision, class, is_new);
+        }
         let unanswered_by = tracked.map(|(_, record)| record.token);
         let request = PlacementRequest {
             service: &route.services[service].0,
@@ -424,9 +449,26 @@
             return Decision::Forward(hop);
         }
         self.flows.insert(flow, record);
+        if let Some(timeout) = self.settings.answer_timeout {
+            self.flows
+                .track_answer(flow, record.sent, record.sent + timeout);
+        }
         Decision::Forward(hop)
     }
 
+    /// Forgets a flow that was placed at `now` or later and whose first packet could not be
+    /// sent, so that the missing answer does not count against the upstream. A retransmission
+    /// is placed like that of any unknown flow.
+    pub fn record_unsent(&mut self, now: Instant, flow: &FlowId) {
+        let tracked = self.flows.get(flow);
+        if let Some((FlowState::Opening, record)) = tracked
+            && record.sent >= now
+        {
+            self.flows.remove(flow);
+            self.placement.cancel(record.token, record.priority);
+        }
+    }
+
     /// Decides about a later packet of a flow.
     ///
     /// The token alone determines the upstream. The record of the flow, if there is
@@ -478,6 +520,22 @@
         }
     }
 
+    /// Returns the time at which [`Self::record_late_answers`] is due, if answers are
+    /// expected.
+    pub fn next_answer_time(&mut self) -> Option<Instant> {
+        self.flows.next_answer_time()
+    }
+
+    /// Records which upstreams have left first packets unanswered for too long. All packets
+    /// that have arrived must have been routed before.
+    pub fn record_late_answers(&mut self, now: Instant) {
+        while let Some((due, record)) = self.flows.pop_late_answer(now) {
+            if now <= due + MAX_CHECK_DELAY {
+                self.placement.record_late_answer(record.token, record.sent);
+            }
+        }
+    }
+
     /// Removes and returns a flow whose caller has given up, if there is one.
     pub fn pop_expired(&mut self, now: Instant) -> Option<ExpiredFlow> {
         let (flow, state, record) = self.flows.pop_expired(now)?;
@@ -513,16 +571,16 @@
         self.placement.take_observations()
     }
 
+    /// Returns the log of unanswered first packets that are reported soon.
+    pub fn unanswered(&mut self) -> &mut UnansweredLog {
+        self.placement.unanswered()
+    }
+
     /// Applies changes of what all entries observe of upstreams.
     pub fn update_slow_upstreams(&mut self, changes: &[SlowUpstream]) {
         self.placement.update_fleet_slowness(changes);
     }
 
-    /// Forgets what all entries observe of upstreams.
-    pub fn clear_slow_upstreams(&mut self) {
-        self.placement.clear_fleet_slowness();
-    }
-
     /// Returns the upstreams that are slow by what all entries observe.
     pub fn slow_upstreams(&self) -> impl ExactSizeIterator<Item = Token> {
         self.placement.fleet_slow()
@@ -598,6 +656,16 @@
     }
 }
 
+/// Returns the decision about a flow that is not taken at the entry's own limit. It is made
+/// before placement, so that the flow does not count as demand.
+fn not_taken(admission: LimitAdmission) -> Option<Decision> {
+    match admission {
+        LimitAdmission::Take => None,
+        LimitAdmission::Refuse => Some(Decision::Reset(ResetReason::EntryLimit)),
+        LimitAdmission::Drop => Some(Decision::Drop(DropReason::EntryLimit)),
+    }
+}
+
 /// Returns a decision made without placement.
 fn unplaced(decision: Decision, class: Option<FlowClass>, is_new: bool) -> FirstPacketDecision {
     FirstPacketDecision {
--- a/crates/currantgate/src/feed/message.rs
+++ b/crates/currantgate/src/feed/message.rs
@@ -6,11 +6,13 @@
 
 use currantgate_capacity::ServiceDemand;
 use currantgate_control::{Revision, RevisionId, VoterId};
-use currantgate_observation::{Observation, SlowUpstream};
+use currantgate_observation::{Observation, SlowUpstream, UnansweredPackets};
 use currantgate_registry::{EvacuationUpdate, Record};
 use currantgate_warmup::{Permit, PermitsRequest, RequestNumber};
 use serde::{Deserialize, Serialize};
 
+use super::evacuated_flows::EvacuatedFlows;
+
 /// The path of feeds.
 pub(crate) const FEED_PATH: &str = "/v1/feed";
 
@@ -76,6 +78,22 @@
         /// Whether the listener has had a feed from a VM in contact with a quorum.
         had_quorum: bool,
     },
+    /// Reports the open flows of an entry in evacuated domains. Sent only while the entry
+    /// holds evacuations, as control VMs of earlier builds close the feed on it.
+    EvacuatedFlows {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// The open flows, which replace those of the last report.
+        flows: EvacuatedFlows,
+    },
+    /// Reports first packets that were not answered, soon after it is noticed. Sent only by
+    /// entries that share their demand.
+    Unanswered {
+        /// Revision that the listener holds.
+        revision: Revision,
+        /// The upstreams that did not answer.
+        upstreams: Vec<UnansweredPackets>,
+    },
 }
 
 impl FeedRequest {
@@ -86,7 +104,9 @@
             | Self::Observations { revision, .. }
             | Self::WarmupPermits { revision, .. }
             | Self::Demand { revision, .. }
-            | Self::Evacuations { revision, .. } => *revision,
+            | Self::Evacuations { revision, .. }
+            | Self::EvacuatedFlows { revision, .. }
+            | Self::Unanswered { revision, .. } => *revision,
             Self::Update { base, .. } => base.revision,
         }
     }
@@ -117,7 +137,8 @@
     /// A requested update, as [`currantgate_control::Update::pack`] returns it.
     Update(Arc<[u8]>),
     /// Changes of which upstreams are slow by what entries have observed, for those that
-    /// report observations. The first such message on a feed lists all.
+    /// report observations; for all entries if demand is reported to the control VM. The
+    /// first such message on a feed lists all.
     SlowUpstreams(Vec<SlowUpstream>),
     /// The evacuated failure domains, whole. Sent when the feed opens and on each
     /// change, once an order was accepted.
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -9,11 +9,12 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::DomainDemand;
 use currantgate_log::{RateLimit, RateLimiter};
+use currantgate_observation::{SlowUpstream, SlownessView, UpstreamKey};
 use currantgate_placement::Target;
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
-use currantgate_token::{TokenRouter, TokenUpstream};
+use currantgate_token::{CapacityLimitSettings, TokenRouter, TokenUpstream};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
@@ -25,6 +26,7 @@
 use super::demand_view::DemandView;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
+use super::limit_monitor::LimitMonitor;
 use super::metrics::TokenEntryMetrics;
 use super::packet_socket::PacketSocket;
 use super::routing::{Routing, SharedDemand};
@@ -32,8 +34,8 @@
 use super::stall_detector::StallDetector;
 use super::unsent_demand::UnsentDemand;
 use crate::feed::{
-    EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings, FeedMessage,
-    RevisionTracker,
+    EvacuatedFlows, EvacuationState, FeedEvent, FeedHello, FeedLinks, FeedLinksSettings,
+    FeedMessage, FlowReports, RevisionTracker,
 };
 
 /// Interval at which flows whose callers have given up are expired, a small part
@@ -63,6 +65,10 @@
 /// single requests lasts up to six times the mean.
 const OVERDUE_FACTOR: f64 = 8.0;
 
+/// Time after which a first packet without an answer is reported: over ten times that of a
+/// handshake, and half of that after which callers retransmit.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -112,6 +118,7 @@
         let demand = demand_metrics.clone();
         let demand = demand.map(|metrics| SharedDemand {
             view: DemandView::default(),
+            limit: LimitMonitor::new(Instant::now(), metrics.limit.clone()),
             monitor: DemandMonitor::new(Instant::now(), metrics),
         });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
@@ -130,11 +137,13 @@
             packets,
             view: UpstreamView::new(settings.view.clone()),
             evacuations: EvacuationView::default(),
+            flow_reports: FlowReports::new(Instant::now()),
             revisions: RevisionTracker::default(),
             refresh_timer: ViewRefreshTimer::new(Instant::now()),
             routed_upstreams: 0,
             links,
             collector: None,
+            slowness: SlownessView::default(),
             leader: None,
             unsent_demand: UnsentDemand::new(Instant::now()),
             unsent_log: RateLimiter::new(UNSENT_LOG_LIMIT, Instant::now()),
@@ -199,6 +208,7 @@
     packets: PacketSocket<F>,
     view: UpstreamView,
     evacuations: EvacuationView,
+    flow_reports: FlowReports,
     revisions: RevisionTracker,
     refresh_timer: ViewRefreshTimer,
     /// Number of upstreams in the view that the router was last updated from.
@@ -206,6 +216,9 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    /// Lists of slow upstreams: that of the collector, or those of all control VMs if demand
+    /// is shared.
+    slowness: SlownessView<SocketAddr>,
     /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
     /// it.
     leader: Option<SocketAddr>,
@@ -233,6 +246,8 @@
         waiting_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let permits_due = self.next_permits_request_at();
+            let answer_due = self.routing.router.next_answer_time();
+            let unanswered_due = self.routing.router.unanswered().due_at(Instant::now());
             tokio::select! {
                 readable = self.packets.readable() => match readable {
                     Ok(()) => {
@@ -259,6 +274,8 @@
                 _ = flow_interval.tick() => {
                     self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
+                    self.routing.update_limit(Instant::now());
+                    self.report_evacuated_flows();
                     self.update_upstreams_if_due();
                 }
                 _ = waiting_interval.tick(), if self.routing.router.has_waiting() => {
@@ -266,6 +283,14 @@
                     self.release_waiting();
                 }
                 () = wait_until(permits_due) => self.request_permits(),
+                () = wait_until(answer_due) => {
+                    self.routing.detect_stall(&mut stall_detector);
+                    // An answer may have arrived that was not read yet.
+                    if self.packets.process_batch(&mut self.routing) {
+                        self.routing.router.record_late_answers(Instant::now());
+                    }
+                }
+                () = wait_until(unanswered_due) => self.report_unanswered(),
                 _ = observation_interval.tick() => {
                     self.report_observations();
                     self.report_demand();
@@ -299,12 +324,15 @@
             FeedEvent::Disconnected(from) => {
                 self.view.source_disconnected(now, from);
                 self.revisions.remove(from);
+                self.flow_reports.remove(from);
                 self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
-                if self.collector == Some(from) {
-                    self.collector = None;
-                    self.routing.clear_slow_upstreams(now);
-                }
+                self.collector.take_if(|collector| *collector == from);
+                self.update_slowness(now, |view, is_local| view.remove(&from, is_local));
+                let collector = self.collector;
+                self.update_slowness(now, |view, is_local| {
+                    view.set_collector(collector, is_local)
+                });
             }
             FeedEvent::Message(from, FeedMessage::Heartbeat(heartbeat)) => {
                 self.routing.decisions.view_at = now;
@@ -324,8 +352,8 @@
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
-                if self.collector == Some(from) {
-                    self.routing.update_slow_upstreams(now, &slow);
+                if self.collector == Some(from) || self.routing.demand.is_some() {
+                    self.update_slowness(now, |view, is_local| view.apply(from, &slow, is_local));
                 }
             }
             FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
@@ -367,6 +395,27 @@
         }
     }
 
+    /// Updates the lists of slow upstreams, and passes changes of the merged one to the router.
+    fn update_slowness(
+        &mut self,
+        now: Instant,
+        update: impl FnOnce(
+            &mut SlownessView<SocketAddr>,
+            &dyn Fn(UpstreamKey) -> bool,
+        ) -> Vec<SlowUpstream>,
+    ) {
+        let Routing { router, demand, .. } = &self.routing;
+        // Without shared demand, the collector's list is the only one.
+        let is_local = |key| {
+            let location = router.upstream_location(key);
+            demand.is_some() && location.is_some_and(|(_, domain)| *domain == *self.domain)
+        };
+        let changes = update(&mut self.slowness, &is_local);
+        if !changes.is_empty() {
+            self.routing.update_slow_upstreams(now, &changes);
+        }
+    }
+
     /// Applies a newer state of the evacuated domains at once, as control VMs have
     /// acknowledged the order already. So are later ends of evacuations in a state that is
     /// not newer, as the upstreams of these domains may be cold.
@@ -384,6 +433,31 @@
         }
     }
 
+    /// Reports the open flows in evacuated domains to the control VMs that don't know their
+    /// number yet.
+    fn report_evacuated_flows(&mut self) {
+        let now = Instant::now();
+        let evacuated = self.evacuations.evacuated();
+        if evacuated.len() == 0 || !self.flow_reports.is_due(now) {
+            return;
+        }
+        let router = &self.routing.router;
+        let open = evacuated.map(|domain| (domain.clone(), router.open_flows_in(domain)));
+        let report = EvacuatedFlows {
+            evacuations: self.evacuations.revision(),
+            open: open.filter(|(_, flows)| *flows > 0).collect(),
+        };
+        let due = self
+            .flow_reports
+            .take_due(now, &report, self.links.connected());
+        for to in due {
+            if !self.links.report_evacuated_flows(to, report.clone()) {
+                self.flow_reports.remove(to);
+                log::debug!("a report of flows in evacuated domains to {to} is sent later");
+            }
+        }
+    }
+
     /// Returns when the next request for permits may be due: nothing while no upstream is
     /// cold or no leader is known.
     fn next_permits_request_at(&mut self) -> Option<Instant> {
@@ -404,15 +478,24 @@
 
     /// Reports what was observed of upstreams since the last call.
     ///
-    /// When the collector changes, the slow upstreams are cleared, as the previous one
-    /// sends no more changes. The first report to a collector is sent even if it is
+    /// When the collector changes, the list of the previous one is dropped, as it sends no
+    /// more changes; unless demand is shared, as it then sends them to all entries. The first
+    /// report to a collector is sent even if it is
     /// empty, because the collector sends its slow upstreams only to reporters.
     fn report_observations(&mut self) {
         let collector = self.links.collector();
         let is_first = collector != self.collector;
         if is_first {
-            self.collector = collector;
-            self.routing.clear_slow_upstreams(Instant::now());
+            let now = Instant::now();
+            let previous = std::mem::replace(&mut self.collector, collector);
+            self.update_slowness(now, |view, is_local| {
+                view.set_collector(collector, is_local)
+            });
+            if let Some(previous) = previous
+                && self.routing.demand.is_none()
+            {
+                self.update_slowness(now, |view, is_local| view.remove(&previous, is_local));
+            }
         }
         let observations = self.routing.router.take_observations();
         if let Some(collector) = collector
@@ -422,6 +505,15 @@
         }
     }
 
+    /// Reports first packets that were not answered. Without a collector, the report is
+    /// dropped: it would be out of date when there is one.
+    fn report_unanswered(&mut self) {
+        let unanswered = self.routing.router.unanswered().take(Instant::now());
+        if let Some(collector) = self.collector {
+            self.links.report_unanswered(collector, unanswered);
+        }
+    }
+
     /// Reports the demand of this entry's callers since the last call, if entries share
     /// it. The report is sent even if there is no demand, as a domain without reports
     /// would have no figure, and the entries would not know that its slots are free. The
@@ -574,15 +666,21 @@
 }
 
 /// Returns a router with the given settings. If entries share their demand, flows are
-/// placed by shares, and those that last too long are reported before they end.
+/// placed by shares, those that last too long are reported before they end, and new ones
+/// are limited while the entry's processor or link is the bottleneck.
 fn new_router(settings: &TokenEntrySettings) -> TokenRouter {
     let mut routing = settings.routing.clone();
     let mut placement = settings.placement.clone();
     if settings.is_demand_shared {
         placement.demand.get_or_insert_default();
         routing.overdue_factor.get_or_insert(OVERDUE_FACTOR);
+        routing.answer_timeout.get_or_insert(ANSWER_TIMEOUT);
+    }
+    let mut router = TokenRouter::new(routing, placement);
+    if settings.is_demand_shared {
+        router.watch_capacity(Instant::now(), CapacityLimitSettings::default());
     }
-    TokenRouter::new(routing, placement)
+    router
 }
 
 /// Converts an upstream for the router, with a target for new flows if it takes
--- a/crates/currantgate/src/token_entry/decision_log.rs
+++ b/crates/currantgate/src/token_entry/decision_log.rs
@@ -126,7 +126,8 @@
             | ResetReason::NoUpstream
             | ResetReason::OnlyCold
             | ResetReason::WaitedTooLong
-            | ResetReason::Displaced => None,
+            | ResetReason::Displaced
+            | ResetReason::EntryLimit => None,
         };
         log::info!(
             event = "refused",
--- a/crates/currantgate/src/token_entry/demand_metrics.rs
+++ b/crates/currantgate/src/token_entry/demand_metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::limit_metrics::LimitMetrics;
 use super::service_load::ServiceLoad;
 
 /// Labels of one service in one failure domain.
@@ -48,6 +49,8 @@
     wait_seconds: Histogram,
     refused_after_wait: Counter,
     displaced: Counter,
+    /// Metrics of the entry's own limit, which is watched where demand is shared.
+    pub(super) limit: LimitMetrics,
 }
 
 impl Default for DemandMetrics {
@@ -67,6 +70,7 @@
             wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 10)),
             refused_after_wait: Counter::default(),
             displaced: Counter::default(),
+            limit: LimitMetrics::default(),
         }
     }
 }
@@ -140,6 +144,7 @@
             "New flows that were refused as one of higher priority had their place in the queue",
             self.displaced.clone(),
         );
+        self.limit.register(registry);
     }
 
     /// Returns the counter of the flows of a service that are placed in a domain.
