--- a/crates/currantgate-placement/src/sharing_settings.rs
+++ b/crates/currantgate-placement/src/sharing_settings.rs
@@ -62,7 +62,7 @@
             dead_slowness: 4.6,
             probe_share: 0.02,
             unreserved_penalty: 2.0,
-            flows_per_slot: 2.2,
+            flows_per_slot: 2.6,
             capacity_margin: 1.2,
             excess_factor: 1.1,
             max_excess: 4.0,
--- a/crates/currantgate-placement/src/waiting/settings.rs
+++ b/crates/currantgate-placement/src/waiting/settings.rs
@@ -15,16 +15,15 @@
     /// Part of the latency target within which the answer must be expected when a flow
     /// starts to wait. The rest is for errors of the estimate.
     pub expected_factor: f64,
-    /// The same while this entry refuses many flows. Most arriving flows are then retries,
-    /// whose callers have lost a part of the target with earlier attempts: at 0.5 instead of
-    /// 0.2, 0.841 instead of 0.94 of the goodput of idempotent requests remains in a burst.
-    pub expected_factor_with_retries: f64,
-    /// Part of the flows that is refused from which this holds in full; below, the factor
-    /// lies between the two. Single refusals don't end the waits of a burst: with a threshold
-    /// of 0, 15 flows of a burst of one domain are refused instead of 7.
-    pub retries_share: f64,
-    /// Time after a refusal within which its caller retries.
-    pub retry_window: Duration,
+    /// The same from `overload` on. Most arriving flows are then retries, whose callers have
+    /// lost a part of the target with earlier attempts.
+    pub overload_expected_factor: f64,
+    /// Demand of the fleet relative to its slots up to which `expected_factor` holds.
+    /// Arrivals include retries: of the first attempts, 0.02 may exceed the slots.
+    pub full_load: f64,
+    /// Demand from which `overload_expected_factor` holds; between the two, the factor lies
+    /// between both.
+    pub overload: f64,
 }
 
 impl Default for WaitingSettings {
@@ -36,9 +35,9 @@
                 std::env::var("MAXW").map_or(450, |v| v.parse().unwrap()),
             ),
             expected_factor: 0.8,
-            expected_factor_with_retries: 0.2,
-            retries_share: 0.2,
-            retry_window: Duration::from_millis(500),
+            overload_expected_factor: 0.2,
+            full_load: 1.1,
+            overload: 1.3,
         }
     }
 }
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -11,12 +11,8 @@
     Departure, DepartureReason, WaitEstimate, WaitingAdmission, WaitingFlow, WaitingQueue,
     WaitingSettings,
 };
-use crate::sliding_window::SlidingWindow;
 use crate::{Placement, PlacementRequest, Refusal};
 
-/// Most flows whose outcome is kept.
-const MAX_OUTCOMES: usize = 256;
-
 /// Decides which flows wait and when they leave. `K` identifies a flow.
 ///
 /// Flows wait only while the placement decides by the demand of all entries.
@@ -30,8 +26,6 @@
     beyond_limit: VecDeque<Box<str>>,
     /// Rates of the services of which flows wait.
     rates: IndexMap<Box<str>, DepartureRate>,
-    /// Which of the last flows were refused.
-    outcomes: SlidingWindow<bool>,
 }
 
 impl<K: Copy + Eq + Hash> WaitingFlows<K> {
@@ -43,7 +37,6 @@
             displaced: VecDeque::new(),
             beyond_limit: VecDeque::new(),
             rates: IndexMap::new(),
-            outcomes: SlidingWindow::default(),
         }
     }
 
@@ -76,8 +69,6 @@
         bytes: usize,
     ) -> WaitingAdmission {
         let admission = self.place_or_wait(now, placement, request, key, bytes);
-        let is_refused = matches!(admission, WaitingAdmission::Refused(_));
-        self.outcomes.push(now, is_refused, MAX_OUTCOMES);
         if !self.queue.has_service(request.service) {
             self.rates.swap_remove(request.service);
         } else if let WaitingAdmission::Placed(_) = admission {
@@ -96,14 +87,15 @@
 
     /// Returns the part of the latency target within which an answer must be expected for a
     /// flow to wait.
-    fn expected_factor(&mut self, now: Instant) -> f64 {
+    ///
+    /// Near the capacity of the fleet, a wait bridges the time until a slot is free. Far above
+    /// it the queue stays full however long it is, and long waits only make all answers late.
+    fn expected_factor(&self, load: f64) -> f64 {
         let settings = &self.settings;
-        self.outcomes.evict_expired(now, settings.retry_window);
-        let refused = self.outcomes.events().filter(|refused| *refused).count();
-        let refused_share = refused as f64 / self.outcomes.len().max(1) as f64;
-        let weight = (refused_share / settings.retries_share).min(1.0);
-        let range = settings.expected_factor - settings.expected_factor_with_retries;
-        settings.expected_factor - weight * range
+        let range = settings.overload - settings.full_load;
+        let weight = ((load - settings.full_load) / range).clamp(0.0, 1.0);
+        let factors = settings.expected_factor - settings.overload_expected_factor;
+        settings.expected_factor - weight * factors
     }
 
     fn place_or_wait(
@@ -172,7 +164,8 @@
         if let Some(interval) = rate.and_then(|rate| rate.interval(now)) {
             estimate.interval = estimate.interval.max(interval);
         }
-        let factor = self.expected_factor(now);
+        let load = placement.shares(request.service).map_or(0.0, |shares| shares.load);
+        let factor = self.expected_factor(load);
         if !estimate.is_in_time(ahead, request.latency_target.mul_f64(factor)) {
             return false;
         }
@@ -214,11 +207,9 @@
         placement: &mut Placement,
     ) -> Option<Departure<K>> {
         if let Some(flow) = self.displaced.pop_front() {
-            self.outcomes.push(now, true, MAX_OUTCOMES);
             return Some(refused(flow, DepartureReason::Displaced, placement));
         }
         if let Some(flow) = self.queue.pop_expired(now) {
-            self.outcomes.push(now, true, MAX_OUTCOMES);
             return Some(refused(flow, DepartureReason::MaxWait, placement));
         }
         let beyond_limit = self.beyond_limit.pop_front();
--- a/crates/currantgate-placement/tests/waiting.rs
+++ b/crates/currantgate-placement/tests/waiting.rs
@@ -11,9 +11,9 @@
     max_bytes: 600,
     max_wait: Duration::from_millis(450),
     expected_factor: 0.8,
-    expected_factor_with_retries: 0.2,
-    retries_share: 0.2,
-    retry_window: Duration::from_millis(500),
+    overload_expected_factor: 0.2,
+    full_load: 1.1,
+    overload: 1.3,
 };
 
 fn flow(key: u32, start: Instant, arrived_ms: u64, level: u32, bytes: usize) -> WaitingFlow<u32> {
