Simulated refusal on arrival reports unanswered packets early, too

Cause: the comparison without waiting flows left out the early reports, so that half-dark fleets looked worse with it.

--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -128,6 +128,7 @@
             "five times all, eight times one kind",
             Scenario::hard_burst(),
         ),
+        ("the same near capacity", Scenario::full_burst()),
         ("three times all, half dark", Scenario::half_dark()),
         (
             "six times one domain, uneven upstreams",
--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -639,7 +639,7 @@
             self.scenario.packet_loss > 0.0 && self.rng.random_bool(self.scenario.packet_loss);
         self.report.lost += u32::from(is_lost);
         if is_lost || self.is_unresponsive(now_ms, request.key) {
-            if self.policy == Policy::Demand {
+            if self.policy.shares_demand() {
                 self.schedule(now_ms + ANSWER_TIMEOUT_MS, Event::LateAnswer(request));
             }
             return self.retransmit(request, retransmissions);
