--- a/crates/currantgate-placement/benches/placement/main.rs
+++ b/crates/currantgate-placement/benches/placement/main.rs
@@ -128,6 +128,7 @@
             "five times all, eight times one kind",
             Scenario::hard_burst(),
         ),
+        ("the same near capacity", Scenario::full_burst()),
         ("three times all, half dark", Scenario::half_dark()),
         (
             "six times one domain, uneven upstreams",
@@ -135,7 +136,7 @@
         ),
     ];
     for (name, scenario) in scenarios {
-        for policy in [Policy::Shared, Policy::Demand] {
+        for policy in [Policy::Shared, Policy::DemandWithoutQueue, Policy::Demand] {
             let report = simulate(&scenario, policy);
             let kinds = [false, true].map(|kind| {
                 let outcome = report.select(|_, _, k| k == kind);
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -24,6 +24,7 @@
 };
 pub use decision::{
     Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
+    WaitingDeparture,
 };
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
--- a/crates/currantgate/src/token_entry/packet_socket.rs
+++ b/crates/currantgate/src/token_entry/packet_socket.rs
@@ -4,11 +4,12 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Instant;
 
-use currantgate_token::Decision;
+use currantgate_token::{Decision, FlowId, NextHop};
 use tokio::net::UdpSocket;
 
 use super::format::{Packet, WireFormat};
 use super::routing::Routing;
+use super::waiting_packets::WaitingPackets;
 
 /// Bytes read of a datagram. Longer datagrams are truncated, and are then rejected
 /// as malformed.
@@ -27,6 +28,7 @@
     port: u16,
     format: F,
     buf: Vec<u8>,
+    waiting: WaitingPackets,
 }
 
 impl<F: WireFormat> PacketSocket<F> {
@@ -45,6 +47,7 @@
             port,
             format,
             buf: vec![0; F::HEADROOM + MAX_DATAGRAM_BYTES],
+            waiting: WaitingPackets::default(),
         })
     }
 
@@ -92,23 +95,53 @@
             Ok(packet) => packet,
             Err(reason) => return routing.record_malformed(now, len, reason),
         };
-        let (flow, decision) = routing.decide(now, packet);
+        let (flow, decision) = routing.decide(now, packet, len);
         match decision {
             Decision::Forward(hop) => {
-                self.format.write_hop(&mut self.buf[..end], &hop);
-                let was_full = self.send(&self.buf[..end], hop.address, routing);
+                let was_full = self.forward(end, &hop, routing);
                 if was_full && let Packet::First(_) = packet {
                     routing.router.record_unsent(now, &flow);
                 }
             }
-            Decision::Reset(_) => {
-                let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
-                self.send(&self.format.build_reset(&flow), caller, routing);
-            }
+            Decision::Reset(_) => self.send_reset(&flow, routing),
             Decision::Drop(_) => {}
+            Decision::Wait => self.waiting.insert(flow, &self.buf[F::HEADROOM..end]),
         }
     }
 
+    /// Forwards or resets the flows that have waited and leave the queue now.
+    pub(super) fn release_waiting(&mut self, now: Instant, routing: &mut Routing) {
+        while let Some((flow, decision)) = routing.next_departure(now) {
+            let Some(packet) = self.waiting.remove(&flow) else {
+                log::error!("the first packet of waiting flow {flow} is missing");
+                continue;
+            };
+            match decision {
+                Decision::Forward(hop) => {
+                    let end = F::HEADROOM + packet.len();
+                    self.buf[F::HEADROOM..end].copy_from_slice(&packet);
+                    if self.forward(end, &hop, routing) {
+                        routing.router.record_unsent(now, &flow);
+                    }
+                }
+                Decision::Reset(_) => self.send_reset(&flow, routing),
+                Decision::Drop(_) | Decision::Wait => {}
+            }
+        }
+    }
+
+    /// Forwards the packet that ends at `end` in the buffer; returns whether the link's buffer
+    /// was full, where the entry's own limit is watched.
+    fn forward(&mut self, end: usize, hop: &NextHop, routing: &mut Routing) -> bool {
+        self.format.write_hop(&mut self.buf[..end], hop);
+        self.send(&self.buf[..end], hop.address, routing)
+    }
+
+    fn send_reset(&self, flow: &FlowId, routing: &mut Routing) {
+        let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
+        self.send(&self.format.build_reset(flow), caller, routing);
+    }
+
     /// Sends a packet; returns whether the link's buffer was full, where the entry's own
     /// limit is watched.
     fn send(&self, packet: &[u8], to: SocketAddrV4, routing: &mut Routing) -> bool {
