Flows wait longer near the capacity of the fleet

Change: 0.7 of the target up to 1.25 times the slots, and 0.15 from 1.35 times on. The environment variable of a trial is removed from the settings.

--- a/crates/currantgate-placement/src/waiting/settings.rs
+++ b/crates/currantgate-placement/src/waiting/settings.rs
@@ -18,8 +18,9 @@
     /// The same from `overload` on. Most arriving flows are then retries, whose callers have
     /// lost a part of the target with earlier attempts.
     pub overload_expected_factor: f64,
-    /// Demand of the fleet relative to its slots up to which `expected_factor` holds.
-    /// Arrivals include retries: of the first attempts, 0.02 may exceed the slots.
+    /// Demand of the fleet relative to its slots up to which `expected_factor` holds. It
+    /// includes retries: if each refused flow returns twice, first attempts exceed the slots
+    /// by 0.01 at 1.25.
     pub full_load: f64,
     /// Demand from which `overload_expected_factor` holds; between the two, the factor lies
     /// between both.
@@ -31,13 +32,11 @@
         Self {
             max_flows: 256,
             max_bytes: 512 << 10,
-            max_wait: Duration::from_millis(
-                std::env::var("MAXW").map_or(450, |v| v.parse().unwrap()),
-            ),
-            expected_factor: 0.8,
-            overload_expected_factor: 0.2,
-            full_load: 1.1,
-            overload: 1.3,
+            max_wait: Duration::from_millis(450),
+            expected_factor: 0.7,
+            overload_expected_factor: 0.15,
+            full_load: 1.25,
+            overload: 1.35,
         }
     }
 }
