No reset of a waiting flow that another entry may have placed

Cause: while a flow waits for up to 450 ms, its caller retransmits after 200 ms. If the fabric hands the retransmission to another entry, that one places the flow, and a refusal here would reset a flow that may be open. Change: a flow that is refused later than a retransmission is due is dropped without a reset, unless the retransmission arrived here.

--- a/crates/currantgate-placement/src/waiting/flow.rs
+++ b/crates/currantgate-placement/src/waiting/flow.rs
@@ -21,6 +21,8 @@
     pub arrived: Instant,
     /// Time from which the flow would miss its latency target: it is refused then.
     pub deadline: Instant,
+    /// Whether a retransmission of the first packet has arrived meanwhile.
+    pub is_retransmitted: bool,
 }
 
 impl<K> WaitingFlow<K> {
--- a/crates/currantgate-placement/src/waiting/queue.rs
+++ b/crates/currantgate-placement/src/waiting/queue.rs
@@ -56,6 +56,11 @@
         self.positions.contains_key(key)
     }
 
+    /// Returns a flow that waits.
+    pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut WaitingFlow<K>> {
+        self.flows.get_mut(self.positions.get(key)?)
+    }
+
     /// Tells whether a flow of a service waits.
     pub fn has_service(&self, service: &str) -> bool {
         self.flows.values().any(|flow| *flow.service == *service)
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -50,9 +50,12 @@
         self.queue.is_empty() && self.displaced.is_empty()
     }
 
-    /// Tells whether a flow waits, or was displaced and is not refused yet.
-    pub fn contains(&self, key: &K) -> bool {
-        self.queue.contains(key) || self.displaced.iter().any(|flow| flow.key == *key)
+    /// Records a retransmission of the first packet of a flow; tells whether the flow waits, or
+    /// was displaced and is not refused yet.
+    pub fn record_retransmission(&mut self, key: &K) -> bool {
+        let displaced = self.displaced.iter_mut().find(|flow| flow.key == *key);
+        let flow = self.queue.get_mut(key).or(displaced);
+        flow.map(|flow| flow.is_retransmitted = true).is_some()
     }
 
     /// Places a new flow, lets it wait or refuses it. `bytes` is the length of its first
@@ -192,6 +195,7 @@
             bytes,
             arrived: now,
             deadline: now + max_wait,
+            is_retransmitted: false,
         };
         match self.queue.push(flow, &self.settings) {
             Ok(displaced) => {
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -245,7 +245,7 @@
         packet: FirstPacket,
         len: Option<usize>,
     ) -> FirstPacketDecision {
-        if self.waiting.contains(&packet.flow) {
+        if self.waiting.record_retransmission(&packet.flow) {
             return unplaced(Decision::Drop(DropReason::Waiting), None, false);
         }
         let tracked = self.flows.get(&packet.flow);
@@ -336,8 +336,12 @@
         let left = self.waiting.next_departure(now, &mut self.placement)?;
         let decided = match left.reason {
             DepartureReason::Room => self.place_waiting(now, &left.flow),
-            DepartureReason::MaxWait => self.refuse_waiting(&left.flow, ResetReason::WaitedTooLong),
-            DepartureReason::Displaced => self.refuse_waiting(&left.flow, ResetReason::Displaced),
+            DepartureReason::MaxWait => {
+                self.refuse_waiting(now, &left.flow, ResetReason::WaitedTooLong)
+            }
+            DepartureReason::Displaced => {
+                self.refuse_waiting(now, &left.flow, ResetReason::Displaced)
+            }
         };
         Some(departure(now, &left.flow, decided))
     }
@@ -389,12 +393,23 @@
         }
     }
 
+    /// Refuses a flow that has waited. It is dropped without a reset if a retransmission is due
+    /// that did not arrive here: the fabric may have handed it to another entry, which has
+    /// placed it.
     fn refuse_waiting(
         &self,
+        now: Instant,
         waiting: &WaitingFlow<FlowId>,
         reason: ResetReason,
     ) -> FirstPacketDecision {
-        unplaced(Decision::Reset(reason), self.class_of(waiting), true)
+        let may_be_elsewhere =
+            !waiting.is_retransmitted && now >= waiting.arrived + self.settings.duplicate_window;
+        let decision = if may_be_elsewhere {
+            Decision::Drop(DropReason::Delayed)
+        } else {
+            Decision::Reset(reason)
+        };
+        unplaced(decision, self.class_of(waiting), true)
     }
 
     /// Returns the class of a flow that has waited, if its route still has the service.
--- a/crates/currantgate-token/tests/waiting.rs
+++ b/crates/currantgate-token/tests/waiting.rs
@@ -208,12 +208,22 @@
 }
 
 /// Guards against flows that are held until they miss their target, and against a reset of a
-/// flow whose retransmission another entry may have placed while this one was stopped.
+/// flow whose retransmission another entry may have placed, as this one was stopped or the
+/// fabric hands the flow to others now.
 #[rstest]
-#[case::running(false, Decision::Reset(ResetReason::WaitedTooLong))]
-#[case::was_stopped(true, Decision::Drop(DropReason::Delayed))]
-fn a_flow_is_not_held_past_its_maximum_wait(#[case] was_stopped: bool, #[case] expected: Decision) {
+#[case::running(false, true, Decision::Reset(ResetReason::WaitedTooLong))]
+#[case::was_stopped(true, true, Decision::Drop(DropReason::Delayed))]
+#[case::fabric_changed(false, false, Decision::Drop(DropReason::Delayed))]
+fn a_flow_is_not_held_past_its_maximum_wait(
+    #[case] was_stopped: bool,
+    #[case] is_retransmitted: bool,
+    #[case] expected: Decision,
+) {
     let mut entry = Entry::at_limit(true);
+    if is_retransmitted {
+        let copy = entry.send_first(entry.next - 1, 1);
+        assert_eq!(copy, Decision::Drop(DropReason::Waiting));
+    }
     // At most 450 ms, which is less than the target of 500 ms without the 40 ms upstream.
     entry.now += ms(449);
     entry.update_demand();
