--- a/crates/currantgate-token/src/capacity_limit/admission.rs
+++ b/crates/currantgate-token/src/capacity_limit/admission.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitAdmission {
     /// The flow is placed.
-    Take,
+    Admit,
     /// The flow is refused with a reset.
     Refuse,
     /// The first packet is dropped without a reset, as resets would use too much of what
--- a/crates/currantgate-token/src/capacity_limit/flow_pace.rs
+++ b/crates/currantgate-token/src/capacity_limit/admission_rate.rs
@@ -11,7 +11,7 @@
 /// Takes new flows at a rate that falls while there are signs of a limit, and grows while there
 /// are none.
 #[derive(Debug)]
-pub(super) struct FlowPace {
+pub(super) struct AdmissionRate {
     per_second: f64,
     /// Flows that may be taken now; less than 0 after retransmissions beyond the rate.
     available: f64,
@@ -24,8 +24,8 @@
     reduced_again_at: Instant,
 }
 
-impl FlowPace {
-    /// Returns a pace after the first sign of a limit, with the rate of flows until then.
+impl AdmissionRate {
+    /// Returns the rate after the first sign of a limit, from the flows a second until then.
     pub(super) fn new(now: Instant, per_second: f64, settings: &CapacityLimitSettings) -> Self {
         let reduced = per_second * settings.first_reduction;
         Self {
@@ -63,7 +63,7 @@
     }
 
     /// Takes a new flow if the rate allows it.
-    pub(super) fn try_take(&mut self) -> bool {
+    pub(super) fn try_admit(&mut self) -> bool {
         let is_allowed = self.available >= 1.0;
         if is_allowed {
             self.available -= 1.0;
@@ -72,12 +72,12 @@
     }
 
     /// Takes a flow that was dropped before if no new flow needs the rate.
-    pub(super) fn try_take_late(&mut self) -> bool {
-        self.available >= self.max_saved() && self.try_take()
+    pub(super) fn try_admit_late(&mut self) -> bool {
+        self.available >= self.max_saved() && self.try_admit()
     }
 
     /// Counts a retransmission of an unknown flow, which is taken in any case.
-    pub(super) fn take(&mut self) {
+    pub(super) fn record_admitted(&mut self) {
         self.available = (self.available - 1.0).max(-self.max_saved());
     }
 
--- a/crates/currantgate-token/src/capacity_limit/taken_rate.rs
+++ b/crates/currantgate-token/src/capacity_limit/admitted_rate.rs
@@ -8,14 +8,14 @@
 
 /// Counts the new flows that an entry takes.
 #[derive(Debug)]
-pub(super) struct TakenRate {
+pub(super) struct AdmittedRate {
     period_end: Instant,
     flows: u32,
     /// Flows in the previous period.
     previous: u32,
 }
 
-impl TakenRate {
+impl AdmittedRate {
     pub(super) fn new(now: Instant) -> Self {
         Self {
             period_end: now + PERIOD,
--- a/crates/currantgate-token/src/capacity_limit/detector.rs
+++ b/crates/currantgate-token/src/capacity_limit/detector.rs
@@ -4,11 +4,11 @@
 
 use indexmap::IndexMap;
 
+use super::admission_rate::AdmissionRate;
+use super::admitted_rate::AdmittedRate;
 use super::dropped_flows::DroppedFlows;
-use super::flow_pace::FlowPace;
 use super::receive_queue::ReceiveQueue;
 use super::reset_budget::ResetBudget;
-use super::taken_rate::TakenRate;
 use super::{CapacityLimitSettings, LimitAdmission, LimitCause, LimitChange};
 use crate::FirstPacket;
 
@@ -25,12 +25,12 @@
     /// Whether the receive queue shows that the processor is at its limit.
     is_queue_long: bool,
     resets: ResetBudget,
-    taken: TakenRate,
+    admitted: AdmittedRate,
     dropped: DroppedFlows,
     /// Causes of the limit, and when each ends to limit new flows.
     causes: IndexMap<LimitCause, Instant>,
     /// Nothing while there is no cause.
-    pace: Option<FlowPace>,
+    rate: Option<AdmissionRate>,
     changes: Vec<LimitChange>,
 }
 
@@ -43,10 +43,10 @@
             full_until: None,
             is_queue_long: false,
             resets: ResetBudget::default(),
-            taken: TakenRate::new(now),
+            admitted: AdmittedRate::new(now),
             dropped: DroppedFlows::default(),
             causes: IndexMap::new(),
-            pace: None,
+            rate: None,
             changes: Vec::new(),
         }
     }
@@ -86,21 +86,21 @@
     pub fn admit(&mut self, now: Instant, packet: &FirstPacket) -> LimitAdmission {
         self.update(now);
         let is_copy = packet.retransmissions > 0;
-        let is_due = match &mut self.pace {
-            Some(pace) if is_copy && self.dropped.contains(now, &packet.flow) => {
-                pace.try_take_late()
+        let is_due = match &mut self.rate {
+            Some(rate) if is_copy && self.dropped.contains(now, &packet.flow) => {
+                rate.try_admit_late()
             }
-            Some(pace) if is_copy => {
-                pace.take();
+            Some(rate) if is_copy => {
+                rate.record_admitted();
                 true
             }
-            Some(pace) => pace.try_take(),
+            Some(rate) => rate.try_admit(),
             None => true,
         };
         if is_due {
             self.dropped.remove(&packet.flow);
-            self.taken.record(now);
-            return LimitAdmission::Take;
+            self.admitted.record(now);
+            return LimitAdmission::Admit;
         }
         // While the link's buffer is full, a reset would be lost, or keep out a packet of
         // an open flow.
@@ -133,12 +133,12 @@
         if self.causes.insert(cause, ends_at).is_none() {
             self.changes.push(LimitChange::Started(cause));
         }
-        let rate = self.taken.per_second(now);
-        let new_pace = || FlowPace::new(now, rate, &self.settings);
-        self.pace.get_or_insert_with(new_pace);
+        let rate = self.admitted.per_second(now);
+        let new_rate = || AdmissionRate::new(now, rate, &self.settings);
+        self.rate.get_or_insert_with(new_rate);
     }
 
-    /// Ends causes whose time has passed, and updates the pace of new flows.
+    /// Ends causes whose time has passed, and updates the rate of new flows.
     fn update(&mut self, now: Instant) {
         let changes = &mut self.changes;
         self.causes.retain(|cause, ends_at| {
@@ -149,7 +149,7 @@
             lasts
         });
         if self.causes.is_empty() {
-            self.pace = None;
+            self.rate = None;
         }
         let share = if self.is_link_full(now) {
             0.0
@@ -158,8 +158,8 @@
         } else {
             1.0
         };
-        if let Some(pace) = &mut self.pace {
-            pace.update(now, share, &self.settings);
+        if let Some(rate) = &mut self.rate {
+            rate.update(now, share, &self.settings);
         }
     }
 }
--- a/crates/currantgate-token/src/capacity_limit/mod.rs
+++ b/crates/currantgate-token/src/capacity_limit/mod.rs
@@ -4,15 +4,15 @@
 //! link is the bottleneck, and then paces new flows. See `docs/design/capacity.md`.
 
 mod admission;
+mod admission_rate;
+mod admitted_rate;
 mod cause;
 mod detector;
 mod dropped_flows;
-mod flow_pace;
 mod limit_change;
 mod receive_queue;
 mod reset_budget;
 mod settings;
-mod taken_rate;
 
 pub use admission::LimitAdmission;
 pub use cause::LimitCause;
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -277,7 +277,7 @@
         }
         if tracked.is_none()
             && let Some(limit) = &mut self.capacity_limit
-            && let Some(decision) = not_taken(limit.admit(now, &packet))
+            && let Some(decision) = not_admitted(limit.admit(now, &packet))
         {
             return unplaced(decision, class, is_new);
         }
@@ -673,9 +673,9 @@
 
 /// Returns the decision about a flow that is not taken at the entry's own limit. It is made
 /// before placement, so that the flow does not count as demand.
-fn not_taken(admission: LimitAdmission) -> Option<Decision> {
+fn not_admitted(admission: LimitAdmission) -> Option<Decision> {
     match admission {
-        LimitAdmission::Take => None,
+        LimitAdmission::Admit => None,
         LimitAdmission::Refuse => Some(Decision::Reset(ResetReason::EntryLimit)),
         LimitAdmission::Drop => Some(Decision::Drop(DropReason::EntryLimit)),
     }
--- a/crates/currantgate-token/tests/capacity_limit/main.rs
+++ b/crates/currantgate-token/tests/capacity_limit/main.rs
@@ -79,10 +79,10 @@
     let answers = played.requests.iter().filter(|(at, answered)| {
         answered.is_some_and(|answered| answered < *at + LATENCY_TARGET && is_hard(answered))
     });
-    let not_taken = played.first_packets.iter();
-    let not_taken = not_taken.filter(|(at, is_taken)| !is_taken && is_hard(*at));
+    let not_admitted = played.first_packets.iter();
+    let not_admitted = not_admitted.filter(|(at, is_taken)| !is_taken && is_hard(*at));
     let seconds = HARD.end - HARD.start;
-    let read_part = not_taken.count() as f64 / seconds * READ_TIME.as_secs_f64();
+    let read_part = not_admitted.count() as f64 / seconds * READ_TIME.as_secs_f64();
     let link_capacity = played.link / PACKET_BYTES.iter().sum::<f64>();
     let capacity = processor_capacity(played.part - read_part).min(link_capacity);
     let goodput = answers.count() as f64 / seconds / capacity;
--- a/crates/currantgate-token/tests/capacity_limit/properties.rs
+++ b/crates/currantgate-token/tests/capacity_limit/properties.rs
@@ -90,7 +90,7 @@
                     let has_sign = last_sign.is_some_and(|at| now < at + MAX_PERSISTENCE);
                     prop_assert!(!is_limited || has_sign, "the limit outlasts its cause");
                     let admission = limit.admit(now, &first_packet(caller, copy));
-                    let is_taken = admission == LimitAdmission::Take;
+                    let is_taken = admission == LimitAdmission::Admit;
                     prop_assert!(is_taken || is_limited, "refused without a cause");
                     prop_assert!(
                         is_taken || copy == 0 || dropped.contains(&caller),
--- a/crates/currantgate-token/tests/capacity_limit/simulation.rs
+++ b/crates/currantgate-token/tests/capacity_limit/simulation.rs
@@ -180,12 +180,12 @@
             Some((start, limit)) if !self.flows[flow].delivered[0] => {
                 limit.admit(*start + self.now, &first_packet(caller, copy))
             }
-            _ => LimitAdmission::Take,
+            _ => LimitAdmission::Admit,
         };
-        let is_taken = admission == LimitAdmission::Take;
+        let is_taken = admission == LimitAdmission::Admit;
         self.first_packets.push((self.now, is_taken));
         match admission {
-            LimitAdmission::Take => self.forward(flow, step),
+            LimitAdmission::Admit => self.forward(flow, step),
             LimitAdmission::Refuse => self.reset(flow),
             LimitAdmission::Drop => {}
         }
