--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -7,7 +7,7 @@
 use currantgate_control::{Freshness, RolloutStatus};
 use serde_json::{Value, json};
 
-use super::operator;
+use super::{open_flows, operator};
 use crate::error::CommandError;
 
 /// Number of hexadecimal digits of a digest in the table.
@@ -23,17 +23,29 @@
 /// Runs the `status` subcommand.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
-    let (statuses, evacuations) =
-        operator::run(async { (client.status().await, client.evacuations().await) });
+    let (statuses, evacuations, flows) = operator::run(async {
+        tokio::join!(
+            client.status(),
+            client.evacuations(),
+            client.evacuated_flows()
+        )
+    });
+    let open_flows = open_flows::sum(&evacuations, &flows);
     if matches.get_flag("json") {
         let mut answers: Vec<_> = statuses.iter().map(to_json).collect();
         for (answer, (_, evacuations)) in answers.iter_mut().zip(&evacuations) {
             answer["evacuations"] = json!(evacuations.as_ref().ok());
+            answer["open_flows"] = json!(open_flows);
+        }
+        for (answer, (_, flows)) in answers.iter_mut().zip(&flows) {
+            let error = flows.as_ref().err().map(ClientError::to_string);
+            answer["open_flows_error"] = json!(error);
         }
         println!("{}", Value::from(answers));
     } else {
         print_table(&statuses);
         print_evacuations(&evacuations);
+        open_flows::print(&open_flows, &flows);
     }
     let is_present = statuses.iter().any(|(_, status)| {
         let consensus = status.as_ref().ok().and_then(|s| s.consensus.as_ref());
@@ -164,12 +176,14 @@
             .iter()
             .filter(|l| l.revision < status.revision);
         let lagging: Vec<_> = lagging.map(|listener| &*listener.name).collect();
-        println!(
-            "held by {} of {} listeners; not by: {}",
-            status.listeners.len() - lagging.len(),
-            status.listeners.len(),
-            lagging.join(", ")
-        );
+        let listeners = status.listeners.len();
+        let held = listeners - lagging.len();
+        if lagging.is_empty() {
+            println!("held by {held} of {listeners} listeners");
+        } else {
+            let lagging = lagging.join(", ");
+            println!("held by {held} of {listeners} listeners; not by: {lagging}");
+        }
     }
 }
 
