--- a/crates/currantgate-placement/tests/load/simulation/mod.rs
+++ b/crates/currantgate-placement/tests/load/simulation/mod.rs
@@ -1,15 +1,19 @@
 //! Simulation in virtual time of entries that place flows on upstreams with queues.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::ops::Range;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::{DemandCollector, DemandSettings, DomainDemand};
-use currantgate_observation::{FleetObservations, FleetSettings, SlowUpstream, slowness_changes};
+use currantgate_observation::{
+    FleetObservations, FleetSettings, SlowUpstream, SlownessView, UnansweredPackets,
+    slowness_changes,
+};
 use currantgate_placement::{
-    Placement, PlacementRequest, PlacementSettings, Refusal, Suspect, SuspicionChange, Target,
-    TargetKey,
+    DepartureReason, Placement, PlacementRequest, PlacementSettings, Refusal, Suspect,
+    SuspicionChange, Target, TargetKey, WaitingAdmission, WaitingFlows, WaitingSettings,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -47,10 +51,28 @@
 /// receive it, in milliseconds: half of the interval of publishing, and the delay.
 const PUBLISH_DELAY_MS: f64 = 255.0;
 
+/// Time from the entries' reports until the collectors merge them, in milliseconds: half of
+/// the interval of merging, as entries and collectors keep no common time.
+const MERGE_DELAY_MS: f64 = 250.0;
+
+/// Time that a message between an entry and a collector takes, in milliseconds: the delay
+/// between two domains, and as much until the process runs.
+const CONTROL_DELAY_MS: f64 = 1.0;
+
+/// Time after which an entry reports a first packet without an answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: f64 = 100.0;
+
 /// Time until which entries learn which upstreams are slow, in milliseconds: what
 /// they observe takes half of a second to reach a control VM and as much to return.
 const LEARNING_TIME_MS: f64 = 2_000.0;
 
+/// Interval at which an entry checks the flows that wait, besides the ends of flows, in
+/// milliseconds.
+const WAITING_CHECK_MS: f64 = 10.0;
+
+/// Length of a first packet in bytes.
+const FIRST_PACKET_BYTES: usize = 64;
+
 /// Share of its requests that a failing upstream fails, as the users' benchmark does.
 const FAILING_SHARE: f64 = 0.5;
 
@@ -69,7 +91,7 @@
     flows: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Event {
     /// A caller sends a first packet.
     Attempt {
@@ -82,8 +104,20 @@
     Answer(Request),
     /// The entry sees the end of a flow that was ended at the given time.
     End(Request),
+    /// An entry checks the flows that wait.
+    CheckWaiting(usize),
     /// Entries exchange what they observe.
     Report,
+    /// A first packet has had no answer for too long.
+    LateAnswer(Request),
+    /// An entry reports first packets that were not answered.
+    ReportUnanswered(usize),
+    /// The collector of an entry receives this report.
+    ReceiveUnanswered(usize, Vec<UnansweredPackets>),
+    /// Collectors merge what entries have observed.
+    Merge,
+    /// All entries receive the slow upstreams of the collector of a domain.
+    ReceiveSlow(usize, Vec<SlowUpstream>),
     /// Collectors publish the demand.
     Publish,
     /// Entries receive the oldest published demand.
@@ -102,11 +136,19 @@
     duration_ms: f64,
     rng: ChaCha8Rng,
     entries: Vec<Placement>,
+    /// Flows that wait at each entry, by number.
+    waiting: Vec<WaitingFlows<u64>>,
+    waiting_requests: BTreeMap<u64, Request>,
+    next_waiting: u64,
     /// Merged observations of the entries of each domain.
     fleets: [FleetObservations; DOMAINS],
     /// Slow upstreams at the last merge, by domain.
-    slow: [Vec<SlowUpstream>; DOMAINS],
-    /// Changes of these that entries are told next.
+    slow: [Rc<[SlowUpstream]>; DOMAINS],
+    /// Lists of all collectors, merged at each entry that shares its demand.
+    views: Vec<SlownessView<usize>>,
+    /// Whether an entry's report of unanswered first packets is scheduled.
+    reports_unanswered: Vec<bool>,
+    /// Changes of these lists that entries are told next where they don't share demand.
     changes: [Vec<SlowUpstream>; DOMAINS],
     /// Collectors of the demand of each domain.
     collectors: Vec<DemandCollector>,
@@ -146,10 +188,13 @@
         let entry = |entry| {
             let mut settings = PlacementSettings {
                 seed: rng.random(),
-                demand: (policy == Policy::Demand).then(DemandSettings::default),
+                demand: (policy.shares_demand()).then(DemandSettings::default),
                 ..PlacementSettings::default()
             };
-            if !matches!(policy, Policy::Admission | Policy::Shared | Policy::Demand) {
+            if !matches!(
+                policy,
+                Policy::Admission | Policy::Shared | Policy::DemandWithoutQueue | Policy::Demand
+            ) {
                 let never = Duration::from_secs(24 * 60 * 60);
                 settings.admission.overload_after_growth = never;
                 settings.admission.overload_after_late = never;
@@ -159,7 +204,14 @@
             placement
         };
         let entries = (0..scenario.entries).map(entry).collect();
-        let fleet_settings = if policy == Policy::Demand {
+        let waiting = WaitingFlows::new(WaitingSettings::default());
+        let waiting = vec![waiting; scenario.entries];
+        let mut views = vec![SlownessView::default(); scenario.entries];
+        for (n, view) in views.iter_mut().enumerate() {
+            view.set_collector(Some(n % domains), |_| false);
+        }
+        let reports_unanswered = vec![false; scenario.entries];
+        let fleet_settings = if policy.shares_demand() {
             FleetSettings::with_demand()
         } else {
             FleetSettings::default()
@@ -175,8 +227,13 @@
             duration_ms,
             rng,
             entries,
+            waiting,
+            waiting_requests: BTreeMap::new(),
+            next_waiting: 0,
             fleets: std::array::from_fn(|_| FleetObservations::new(start, fleet_settings.clone())),
-            slow: Default::default(),
+            slow: std::array::from_fn(|_| Rc::from([])),
+            views,
+            reports_unanswered,
             changes: Default::default(),
             collectors: vec![DemandCollector::new(DemandSettings::default()); domains],
             figures: VecDeque::new(),
@@ -194,7 +251,10 @@
 
     fn run(mut self) -> Report {
         self.schedule_arrivals();
-        if matches!(self.policy, Policy::Shared | Policy::Demand) {
+        if matches!(
+            self.policy,
+            Policy::Shared | Policy::DemandWithoutQueue | Policy::Demand
+        ) {
             self.schedule(0.0, Event::Report);
         }
         while let Some(Reverse((micros, index))) = self.events.pop() {
@@ -211,7 +271,34 @@
                     self.enqueue(now_ms, request);
                 }
                 Some(Event::End(request)) => self.record_end(now_ms, &request),
+                Some(Event::CheckWaiting(entry)) => {
+                    self.release_waiting(now_ms, entry);
+                    self.check_waiting_later(now_ms, entry);
+                }
                 Some(Event::Report) => self.exchange_observations(now_ms),
+                Some(Event::LateAnswer(request)) => {
+                    let sent = self.at(request.sent_ms);
+                    self.entries[request.entry].record_late_answer(request.key, sent);
+                    self.schedule_unanswered(now_ms, request.entry);
+                }
+                Some(Event::ReportUnanswered(entry)) => self.report_unanswered(now_ms, entry),
+                Some(Event::ReceiveUnanswered(entry, report)) => {
+                    let now = self.at(now_ms);
+                    let fleet = &mut self.fleets[entry % self.scenario.site.domains];
+                    fleet.record_unanswered(now, entry as u64, &report);
+                    self.publish_slow(now_ms);
+                }
+                Some(Event::Merge) => self.publish_slow(now_ms),
+                Some(Event::ReceiveSlow(domain, changes)) => {
+                    let domains = self.scenario.site.domains;
+                    let views = self.views.iter_mut().enumerate();
+                    for (placement, (n, view)) in self.entries.iter_mut().zip(views) {
+                        let is_local = |key| key as usize % domains == n % domains;
+                        let changes = view.apply(domain, &changes, is_local);
+                        placement.update_fleet_slowness(&changes);
+                    }
+                    self.record_known(now_ms);
+                }
                 Some(Event::Publish) => {
                     let now = self.at(now_ms);
                     let collectors = self.collectors.iter_mut();
@@ -324,7 +411,9 @@
             let observations = placement.take_observations();
             let domain = n % self.scenario.site.domains;
             self.fleets[domain].record(now, n as u64, &observations);
-            placement.update_fleet_slowness(&self.changes[domain]);
+            if self.policy == Policy::Shared {
+                placement.update_fleet_slowness(&self.changes[domain]);
+            }
             let demand = placement.take_demand();
             self.collectors[domain].record(
                 now,
@@ -334,19 +423,73 @@
                 &demand,
             );
         }
-        for (n, fleet) in self.fleets.iter_mut().enumerate() {
-            let slow = fleet.slow_upstreams(now).to_vec();
-            self.changes[n] = slowness_changes(&self.slow[n], &slow);
-            self.slow[n] = slow;
+        if self.policy == Policy::Shared {
+            for (n, fleet) in self.fleets.iter_mut().enumerate() {
+                let slow = fleet.slow_upstreams(now);
+                self.changes[n] = slowness_changes(&self.slow[n], &slow);
+                self.slow[n] = slow;
+            }
         }
         if now_ms < self.duration_ms {
             self.schedule(now_ms + REPORT_INTERVAL_MS, Event::Report);
-            if self.policy == Policy::Demand {
+            if self.policy.shares_demand() {
+                self.schedule(now_ms + MERGE_DELAY_MS, Event::Merge);
                 self.schedule(now_ms + PUBLISH_DELAY_MS, Event::Publish);
             }
         }
     }
 
+    /// Schedules the report of an entry that has unanswered first packets.
+    fn schedule_unanswered(&mut self, now_ms: f64, entry: usize) {
+        let now = self.at(now_ms);
+        if let Some(due) = self.entries[entry].unanswered().due_at(now)
+            && !std::mem::replace(&mut self.reports_unanswered[entry], true)
+        {
+            let due_ms = due.saturating_duration_since(self.start).as_secs_f64() * 1_000.0;
+            self.schedule(due_ms.max(now_ms), Event::ReportUnanswered(entry));
+        }
+    }
+
+    /// Sends the report of an entry to the collector of its domain.
+    fn report_unanswered(&mut self, now_ms: f64, entry: usize) {
+        self.reports_unanswered[entry] = false;
+        let now = self.at(now_ms);
+        let report = self.entries[entry].unanswered().take(now);
+        let event = Event::ReceiveUnanswered(entry, report);
+        self.schedule(now_ms + CONTROL_DELAY_MS, event);
+    }
+
+    /// Sends changes of the collectors' slow upstreams to all entries.
+    fn publish_slow(&mut self, now_ms: f64) {
+        let now = self.at(now_ms);
+        for n in 0..self.fleets.len() {
+            let slow = self.fleets[n].slow_upstreams(now);
+            let changes = slowness_changes(&self.slow[n], &slow);
+            self.slow[n] = slow;
+            if !changes.is_empty() {
+                self.schedule(now_ms + CONTROL_DELAY_MS, Event::ReceiveSlow(n, changes));
+            }
+        }
+    }
+
+    /// Records when all entries have learned which upstreams are unresponsive.
+    fn record_known(&mut self, now_ms: f64) {
+        let scenario = &self.scenario;
+        let first = scenario.upstreams - scenario.unresponsive_upstreams;
+        let mut unresponsive = first..scenario.upstreams;
+        let is_listed = |placement: &Placement, n: usize| {
+            let mut slow = placement.fleet_slow();
+            slow.any(|key| key == n as TargetKey)
+        };
+        let mut entries = self.entries.iter();
+        if scenario.is_disturbed(now_ms)
+            && entries.all(|entry| unresponsive.clone().all(|n| is_listed(entry, n)))
+            && unresponsive.next().is_some()
+        {
+            self.report.unresponsive_known_ms.get_or_insert(now_ms);
+        }
+    }
+
     /// Tells the entries the demand of all domains that was published first.
     fn deliver_demand(&mut self, now_ms: f64) {
         let now = self.at(now_ms);
@@ -395,24 +538,95 @@
     fn uses_placement(&self) -> bool {
         matches!(
             self.policy,
-            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand
+            Policy::LeastLoad
+                | Policy::Admission
+                | Policy::Shared
+                | Policy::DemandWithoutQueue
+                | Policy::Demand
         )
     }
 
     /// Sends a first packet, or retransmits it when the one before was not answered.
-    fn attempt(&mut self, now_ms: f64, mut request: Request, retransmissions: usize) {
+    fn attempt(&mut self, now_ms: f64, request: Request, retransmissions: usize) {
         self.report.attempts += u32::from(retransmissions == 0);
         if self.is_in_outage(now_ms) {
             return self.retransmit(request, retransmissions);
         }
+        if self.policy == Policy::Demand && retransmissions == 0 {
+            return self.place_or_wait(now_ms, request);
+        }
         match self.choose(now_ms, &request, retransmissions) {
-            Ok(key) => request.key = key,
-            Err(Refusal::Overloaded(_)) => {
-                self.record(&request, |outcome| outcome.refused += 1);
-                return self.retry(now_ms, request);
-            }
+            Ok(key) => self.forward(now_ms, Request { key, ..request }, retransmissions),
+            Err(Refusal::Overloaded(_)) => self.refuse(now_ms, request),
             Err(Refusal::NoUpstream | Refusal::OnlyCold) => unreachable!("there are upstreams"),
         }
+    }
+
+    /// Places a new flow, lets it wait at its entry or refuses it.
+    fn place_or_wait(&mut self, now_ms: f64, request: Request) {
+        let now = self.at(now_ms);
+        let (entry, number) = (request.entry, self.next_waiting);
+        self.next_waiting += 1;
+        let was_empty = self.waiting[entry].is_empty();
+        let placement_request = PlacementRequest {
+            service: "booking",
+            priority: request.priority(),
+            latency_target: millis(request.kind.latency_target_ms),
+            may_refuse: true,
+            tried: &[],
+        };
+        let placement = &mut self.entries[entry];
+        let bytes = FIRST_PACKET_BYTES;
+        let admission =
+            self.waiting[entry].place(now, placement, &placement_request, number, bytes);
+        match admission {
+            WaitingAdmission::Placed(placed) => {
+                let key = placed.key;
+                self.forward(now_ms, Request { key, ..request }, 0);
+            }
+            WaitingAdmission::Waits => {
+                self.waiting_requests.insert(number, request);
+                if was_empty {
+                    self.check_waiting_later(now_ms, entry);
+                }
+            }
+            WaitingAdmission::Refused(_) => self.refuse(now_ms, request),
+        }
+        self.release_waiting(now_ms, entry);
+    }
+
+    /// Places or refuses the flows that leave the queue of an entry.
+    fn release_waiting(&mut self, now_ms: f64, entry: usize) {
+        let now = self.at(now_ms);
+        while let Some(departure) =
+            self.waiting[entry].next_departure(now, &mut self.entries[entry])
+        {
+            let number = departure.flow.key;
+            let request = self.waiting_requests.remove(&number).expect("it waits");
+            let wait_ms = now_ms - request.attempt_ms;
+            self.report.waits.push((now_ms, wait_ms));
+            if departure.reason != DepartureReason::Room {
+                self.report.refused_after_wait += 1;
+                self.refuse(now_ms, request);
+                continue;
+            }
+            let placed = self.entries[entry].place(now, &departure.flow.request());
+            let key = placed.expect("it may not be refused").key;
+            // Callers have sent copies meanwhile, which the entry has absorbed.
+            let copies = RETRANSMIT_AFTER_MS.iter().skip(1);
+            let copies = copies.filter(|after| **after <= wait_ms).count();
+            self.forward(now_ms, Request { key, ..request }, copies);
+        }
+    }
+
+    fn check_waiting_later(&mut self, now_ms: f64, entry: usize) {
+        if !self.waiting[entry].is_empty() {
+            self.schedule(now_ms + WAITING_CHECK_MS, Event::CheckWaiting(entry));
+        }
+    }
+
+    /// Forwards a first packet to the upstream of its request.
+    fn forward(&mut self, now_ms: f64, mut request: Request, retransmissions: usize) {
         request.sent_ms = now_ms;
         if request.domain == 0 {
             let is_spilled = !(request.key as usize).is_multiple_of(self.scenario.site.domains);
@@ -425,6 +639,9 @@
             self.scenario.packet_loss > 0.0 && self.rng.random_bool(self.scenario.packet_loss);
         self.report.lost += u32::from(is_lost);
         if is_lost || self.is_unresponsive(now_ms, request.key) {
+            if self.policy.shares_demand() {
+                self.schedule(now_ms + ANSWER_TIMEOUT_MS, Event::LateAnswer(request));
+            }
             return self.retransmit(request, retransmissions);
         }
         let delay_ms = self.handshake_ms(&request);
@@ -465,7 +682,11 @@
         match self.policy {
             Policy::OneQueue => Ok(0),
             Policy::Hash => Ok(self.rng.random_range(0..self.scenario.upstreams) as TargetKey),
-            Policy::LeastLoad | Policy::Admission | Policy::Shared | Policy::Demand => {
+            Policy::LeastLoad
+            | Policy::Admission
+            | Policy::Shared
+            | Policy::DemandWithoutQueue
+            | Policy::Demand => {
                 let (now, sent) = (self.at(now_ms), self.at(request.sent_ms));
                 let was_placed = retransmissions > 0 && !self.is_in_outage(request.sent_ms);
                 let tried = was_placed.then_some(request.key);
@@ -525,6 +746,13 @@
         }
     }
 
+    /// Refuses a flow at its entry; the caller is told that the request has not run.
+    fn refuse(&mut self, now_ms: f64, request: Request) {
+        self.record(&request, |outcome| outcome.refused += 1);
+        self.report.add_refusal(now_ms);
+        self.retry(now_ms, request);
+    }
+
     /// Schedules a retry after a backoff, unless retries or time have run out.
     fn retry(&mut self, now_ms: f64, mut request: Request) {
         let pause = RETRY_BACKOFF_MS * f64::from(1 << request.retries);
@@ -654,7 +882,8 @@
             outcome.served += u32::from(took_ms <= caller_timeout_ms);
         });
         if took_ms <= latency_target_ms {
-            self.report.add_work(now_ms, request.work_ms);
+            self.report
+                .add_work(now_ms, request.work_ms, request.kind.is_idempotent);
         }
         self.end_flow(now_ms, &request);
         while let Some(next) = self.upstreams[request.key as usize].waiting.pop_front() {
@@ -690,6 +919,7 @@
             let duration = millis(now_ms - request.sent_ms);
             let placement = &mut self.entries[request.entry];
             placement.record_end(now, request.key, request.priority(), duration);
+            self.release_waiting(now_ms, request.entry);
         }
     }
 }
--- a/crates/currantgate-token/src/lib.rs
+++ b/crates/currantgate-token/src/lib.rs
@@ -7,6 +7,7 @@
 //! beside the buckets of `currantgate-flow`; see `docs/design/flow-routing.md` for when
 //! each fits.
 
+mod capacity_limit;
 mod decision;
 mod flow;
 mod flow_table;
@@ -18,8 +19,12 @@
 mod upstreams;
 mod warmup;
 
+pub use capacity_limit::{
+    CapacityLimit, CapacityLimitSettings, LimitAdmission, LimitCause, LimitChange,
+};
 pub use decision::{
     Decision, DropReason, ExpiredFlow, FirstPacketDecision, FlowClass, NextHop, ResetReason,
+    WaitingDeparture,
 };
 pub use flow::{FlowId, Token};
 pub use packet::{FirstPacket, LaterPacket};
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -5,8 +5,9 @@
 
 use currantgate_placement::{PlacementSettings, Target};
 use currantgate_token::{
-    Decision, DropReason, FirstPacket, FirstPacketDecision, FlowId, LaterPacket, NextHop,
-    ResetReason, Route, RouteTable, ServiceWarmup, TokenRouter, TokenSettings, TokenUpstream,
+    CapacityLimitSettings, Decision, DropReason, FirstPacket, FirstPacketDecision, FlowId,
+    LaterPacket, NextHop, ResetReason, Route, RouteTable, ServiceWarmup, TokenRouter,
+    TokenSettings, TokenUpstream,
 };
 use currantgate_warmup::{Permit, WarmupLimit};
 use proptest::prelude::*;
@@ -385,6 +386,39 @@
     assert_eq!(entry.router.take_observations(), []);
 }
 
+/// Guards against unresponsive upstreams that are noticed only when callers retransmit, and
+/// against reports after a pause of the process, in which answers were not read.
+#[rstest]
+#[case::late(Some(100), 0, 1)]
+#[case::not_tracked(None, 0, 0)]
+#[case::late_check(Some(100), 50, 0)]
+fn a_late_answer_is_reported_before_the_caller_retransmits(
+    #[case] timeout_ms: Option<u64>,
+    #[case] check_delay_ms: u64,
+    #[case] reports: usize,
+) {
+    let settings = TokenSettings {
+        answer_timeout: timeout_ms.map(Duration::from_millis),
+        ..TokenSettings::default()
+    };
+    let mut entry = Entry::with_settings(settings, 1..=2, 1);
+    let answered = entry.open_flow(1);
+    entry.send_later(1, answered.token, false);
+    entry.now += Duration::from_millis(1);
+    let chosen = entry.open_flow(2);
+    let due = timeout_ms.map(|ms| entry.now + Duration::from_millis(ms));
+    assert_eq!(entry.router.next_answer_time(), due);
+    entry.now += Duration::from_millis(99);
+    entry.router.record_late_answers(entry.now);
+    assert_eq!(entry.router.unanswered().due_at(entry.now), None);
+    entry.now += Duration::from_millis(1 + check_delay_ms);
+    entry.router.record_late_answers(entry.now);
+    let reported = entry.router.unanswered().take(entry.now);
+    let keys: Vec<_> = reported.iter().map(|packets| packets.key).collect();
+    assert_eq!(keys, vec![chosen.token; reports]);
+    assert_eq!(entry.router.next_answer_time(), None);
+}
+
 #[test]
 fn a_flow_expires_after_its_callers_timeout() {
     let mut entry = Entry::new(1..=2, 1);
@@ -879,3 +913,55 @@
         .collect();
     assert_eq!(chosen, [2, 1, 1, 1, 1, 1, 1, 1, 1]);
 }
+
+/// Returns an entry that watches its own limit, with an open flow 0.
+fn entry_with_limit() -> (Entry, NextHop) {
+    let mut entry = Entry::new(1..=5, 1);
+    let settings = CapacityLimitSettings::default();
+    entry.router.watch_capacity(entry.now, settings);
+    let hop = entry.open_flow(0);
+    (entry, hop)
+}
+
+/// Guards against an entry at its limit that drops or resets open flows or copies of their
+/// first packets, that goes on to take new flows, or that never resets one.
+#[test]
+fn an_entry_at_its_limit_takes_no_new_flows_and_serves_open_ones() {
+    let (mut entry, hop) = entry_with_limit();
+    let limit = entry.router.capacity_limit().unwrap();
+    (0..50).for_each(|_| limit.record_sent());
+    limit.record_full(entry.now);
+    let dropped = Decision::Drop(DropReason::EntryLimit);
+    assert_eq!(entry.send_first(1, 0), dropped);
+    assert_eq!(entry.send_first(0, 1), Decision::Forward(hop));
+    let later = entry.send_later(0, hop.token, false);
+    assert_eq!(later, Decision::Forward(hop));
+    // An unknown flow may have been placed by another entry before.
+    assert!(matches!(entry.send_first(2, 1), Decision::Forward(_)));
+    assert_eq!(entry.send_first(1, 1), dropped);
+    // The link's buffer is no longer full.
+    entry.now += Duration::from_millis(100);
+    let reset = Decision::Reset(ResetReason::EntryLimit);
+    assert_eq!(entry.send_first(3, 0), reset);
+    assert_eq!(entry.send_first(4, 0), dropped);
+    entry.now += Duration::from_secs(2);
+    assert!(matches!(entry.send_first(1, 2), Decision::Forward(_)));
+    assert!(matches!(entry.send_first(5, 0), Decision::Forward(_)));
+}
+
+/// Guards against an upstream that is avoided because the entry could not send to it.
+#[test]
+fn a_first_packet_that_was_not_sent_does_not_count_against_its_upstream() {
+    let (mut entry, _) = entry_with_limit();
+    entry.now += Duration::from_millis(200);
+    entry.open_flow(1);
+    entry.router.record_unsent(entry.now, &flow(1));
+    // The first packet of the open flow was sent before.
+    entry.router.record_unsent(entry.now, &flow(0));
+    assert_eq!(entry.router.tracked_flows(), 1);
+    entry.now += Duration::from_millis(200);
+    let copy = entry.decide_first(1, 1);
+    assert!(matches!(copy.decision, Decision::Forward(_)));
+    assert_eq!(copy.unanswered_by, None);
+    assert_eq!(entry.router.take_suspicion_changes(), []);
+}
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -9,11 +9,12 @@
 use actix_rt::task::JoinHandle;
 use currantgate_capacity::DomainDemand;
 use currantgate_log::{RateLimit, RateLimiter};
+use currantgate_observation::{SlowUpstream, SlownessView, UpstreamKey};
 use currantgate_placement::Target;
 use currantgate_registry::{
     Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
 };
-use currantgate_token::{TokenRouter, TokenUpstream};
+use currantgate_token::{CapacityLimitSettings, TokenRouter, TokenUpstream};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
@@ -25,6 +26,7 @@
 use super::demand_view::DemandView;
 use super::error::TokenEntryError;
 use super::format::WireFormat;
+use super::limit_monitor::LimitMonitor;
 use super::metrics::TokenEntryMetrics;
 use super::packet_socket::PacketSocket;
 use super::routing::{Routing, SharedDemand};
@@ -55,10 +57,18 @@
     interval: Duration::from_secs(10),
 };
 
+/// Interval at which the flows that wait are checked, besides after packets: one leaves at
+/// most this time after the limit has risen or its maximum wait has passed.
+const WAITING_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Multiple of the usual duration after which a flow counts against its upstream. Work of
 /// single requests lasts up to six times the mean.
 const OVERDUE_FACTOR: f64 = 8.0;
 
+/// Time after which a first packet without an answer is reported: over ten times that of a
+/// handshake, and half of that after which callers retransmit.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time for which packets are still forwarded once the entry reports that it is
 /// not ready: the fabric checks readiness twice a second and stops sending packets
 /// after two misses, plus some slack.
@@ -108,6 +118,7 @@
         let demand = demand_metrics.clone();
         let demand = demand.map(|metrics| SharedDemand {
             view: DemandView::default(),
+            limit: LimitMonitor::new(Instant::now(), metrics.limit.clone()),
             monitor: DemandMonitor::new(Instant::now(), metrics),
         });
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
@@ -132,6 +143,7 @@
             routed_upstreams: 0,
             links,
             collector: None,
+            slowness: SlownessView::default(),
             leader: None,
             unsent_demand: UnsentDemand::new(Instant::now()),
             unsent_log: RateLimiter::new(UNSENT_LOG_LIMIT, Instant::now()),
@@ -204,6 +216,9 @@
     links: FeedLinks,
     /// Control VM to which observations are reported.
     collector: Option<SocketAddr>,
+    /// Lists of slow upstreams: that of the collector, or those of all control VMs if demand
+    /// is shared.
+    slowness: SlownessView<SocketAddr>,
     /// Control VM that issues permits for cold upstreams, by the last heartbeat that named
     /// it.
     leader: Option<SocketAddr>,
@@ -227,13 +242,24 @@
         observation_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routes_interval = actix_rt::time::interval(ROUTES_CHECK_INTERVAL);
         let mut stall_detector = StallDetector::new(Instant::now());
+        let mut waiting_interval = actix_rt::time::interval(WAITING_CHECK_INTERVAL);
+        waiting_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let permits_due = self.next_permits_request_at();
+            let answer_due = self.routing.router.next_answer_time();
+            let unanswered_due = self.routing.router.unanswered().due_at(Instant::now());
             tokio::select! {
                 readable = self.packets.readable() => match readable {
                     Ok(()) => {
                         self.routing.detect_stall(&mut stall_detector);
-                        self.packets.process_batch(&mut self.routing);
+                        let is_queue_empty = self.packets.process_batch(&mut self.routing);
+                        self.release_waiting();
+                        if !is_queue_empty {
+                            // The runtime polls timers, feeds and the socket's send buffer
+                            // only between two turns of a task, and waiting for a socket that
+                            // is readable does not end a turn.
+                            actix_rt::task::yield_now().await;
+                        }
                     }
                     Err(e) => log::error!("waiting for packets failed: {e}"),
                 },
@@ -248,14 +274,29 @@
                     }
                     self.update_upstreams_if_due();
                     self.update_routes_state();
+                    self.routing.detect_stall(&mut stall_detector);
+                    self.release_waiting();
                 }
                 _ = flow_interval.tick() => {
                     self.routing.detect_stall(&mut stall_detector);
                     self.routing.expire_flows(Instant::now());
+                    self.routing.update_limit(Instant::now());
                     self.report_evacuated_flows();
                     self.update_upstreams_if_due();
                 }
+                _ = waiting_interval.tick(), if self.routing.router.has_waiting() => {
+                    self.routing.detect_stall(&mut stall_detector);
+                    self.release_waiting();
+                }
                 () = wait_until(permits_due) => self.request_permits(),
+                () = wait_until(answer_due) => {
+                    self.routing.detect_stall(&mut stall_detector);
+                    // An answer may have arrived that was not read yet.
+                    if self.packets.process_batch(&mut self.routing) {
+                        self.routing.router.record_late_answers(Instant::now());
+                    }
+                }
+                () = wait_until(unanswered_due) => self.report_unanswered(),
                 _ = observation_interval.tick() => {
                     self.report_observations();
                     self.report_demand();
@@ -273,6 +314,14 @@
         }
     }
 
+    /// Forwards or resets the flows that have waited and leave the queue now.
+    fn release_waiting(&mut self) {
+        if self.routing.router.has_waiting() {
+            self.packets
+                .release_waiting(Instant::now(), &mut self.routing);
+        }
+    }
+
     fn handle_event(&mut self, event: FeedEvent) {
         self.links.handle_event(&event);
         let now = Instant::now();
@@ -284,10 +333,12 @@
                 self.flow_reports.remove(from);
                 self.leader.take_if(|leader| *leader == from);
                 // The next feed starts with all slow upstreams.
-                if self.collector == Some(from) {
-                    self.collector = None;
-                    self.routing.clear_slow_upstreams(now);
-                }
+                self.collector.take_if(|collector| *collector == from);
+                self.update_slowness(now, |view, is_local| view.remove(&from, is_local));
+                let collector = self.collector;
+                self.update_slowness(now, |view, is_local| {
+                    view.set_collector(collector, is_local)
+                });
             }
             FeedEvent::Message(from, FeedMessage::Heartbeat(heartbeat)) => {
                 self.routing.decisions.view_at = now;
@@ -307,8 +358,8 @@
             }
             FeedEvent::Message(from, FeedMessage::Update(packed)) => self.apply(from, &packed),
             FeedEvent::Message(from, FeedMessage::SlowUpstreams(slow)) => {
-                if self.collector == Some(from) {
-                    self.routing.update_slow_upstreams(now, &slow);
+                if self.collector == Some(from) || self.routing.demand.is_some() {
+                    self.update_slowness(now, |view, is_local| view.apply(from, &slow, is_local));
                 }
             }
             FeedEvent::Message(from, FeedMessage::Evacuations(state)) => {
@@ -350,6 +401,27 @@
         }
     }
 
+    /// Updates the lists of slow upstreams, and passes changes of the merged one to the router.
+    fn update_slowness(
+        &mut self,
+        now: Instant,
+        update: impl FnOnce(
+            &mut SlownessView<SocketAddr>,
+            &dyn Fn(UpstreamKey) -> bool,
+        ) -> Vec<SlowUpstream>,
+    ) {
+        let Routing { router, demand, .. } = &self.routing;
+        // Without shared demand, the collector's list is the only one.
+        let is_local = |key| {
+            let location = router.upstream_location(key);
+            demand.is_some() && location.is_some_and(|(_, domain)| *domain == *self.domain)
+        };
+        let changes = update(&mut self.slowness, &is_local);
+        if !changes.is_empty() {
+            self.routing.update_slow_upstreams(now, &changes);
+        }
+    }
+
     /// Applies a newer state of the evacuated domains at once, as control VMs have
     /// acknowledged the order already. So are later ends of evacuations in a state that is
     /// not newer, as the upstreams of these domains may be cold.
@@ -412,15 +484,24 @@
 
     /// Reports what was observed of upstreams since the last call.
     ///
-    /// When the collector changes, the slow upstreams are cleared, as the previous one
-    /// sends no more changes. The first report to a collector is sent even if it is
+    /// When the collector changes, the list of the previous one is dropped, as it sends no
+    /// more changes; unless demand is shared, as it then sends them to all entries. The first
+    /// report to a collector is sent even if it is
     /// empty, because the collector sends its slow upstreams only to reporters.
     fn report_observations(&mut self) {
         let collector = self.links.collector();
         let is_first = collector != self.collector;
         if is_first {
-            self.collector = collector;
-            self.routing.clear_slow_upstreams(Instant::now());
+            let now = Instant::now();
+            let previous = std::mem::replace(&mut self.collector, collector);
+            self.update_slowness(now, |view, is_local| {
+                view.set_collector(collector, is_local)
+            });
+            if let Some(previous) = previous
+                && self.routing.demand.is_none()
+            {
+                self.update_slowness(now, |view, is_local| view.remove(&previous, is_local));
+            }
         }
         let observations = self.routing.router.take_observations();
         if let Some(collector) = collector
@@ -430,6 +511,15 @@
         }
     }
 
+    /// Reports first packets that were not answered. Without a collector, the report is
+    /// dropped: it would be out of date when there is one.
+    fn report_unanswered(&mut self) {
+        let unanswered = self.routing.router.unanswered().take(Instant::now());
+        if let Some(collector) = self.collector {
+            self.links.report_unanswered(collector, unanswered);
+        }
+    }
+
     /// Reports the demand of this entry's callers since the last call, if entries share
     /// it. The report is sent even if there is no demand, as a domain without reports
     /// would have no figure, and the entries would not know that its slots are free. The
@@ -582,15 +672,21 @@
 }
 
 /// Returns a router with the given settings. If entries share their demand, flows are
-/// placed by shares, and those that last too long are reported before they end.
+/// placed by shares, those that last too long are reported before they end, and new ones
+/// are limited while the entry's processor or link is the bottleneck.
 fn new_router(settings: &TokenEntrySettings) -> TokenRouter {
     let mut routing = settings.routing.clone();
     let mut placement = settings.placement.clone();
     if settings.is_demand_shared {
         placement.demand.get_or_insert_default();
         routing.overdue_factor.get_or_insert(OVERDUE_FACTOR);
+        routing.answer_timeout.get_or_insert(ANSWER_TIMEOUT);
+    }
+    let mut router = TokenRouter::new(routing, placement);
+    if settings.is_demand_shared {
+        router.watch_capacity(Instant::now(), CapacityLimitSettings::default());
     }
-    TokenRouter::new(routing, placement)
+    router
 }
 
 /// Converts an upstream for the router, with a target for new flows if it takes
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -9,6 +9,8 @@
 mod demand_view;
 mod error;
 mod format;
+mod limit_metrics;
+mod limit_monitor;
 mod metrics;
 mod packet_socket;
 mod routing;
@@ -17,6 +19,7 @@
 mod shares_log;
 mod stall_detector;
 mod unsent_demand;
+mod waiting_packets;
 
 pub use daemon::TokenEntry;
 pub use demand_view::{DemandChange, DemandView};
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -5,13 +5,14 @@
 
 use currantgate_capacity::DomainDemand;
 use currantgate_observation::SlowUpstream;
-use currantgate_token::{Decision, FlowId, TokenRouter};
+use currantgate_token::{Decision, FirstPacketDecision, FlowId, TokenRouter};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
 
 use super::decision_log::DecisionLog;
 use super::demand_monitor::DemandMonitor;
 use super::demand_view::{DemandChange, DemandView};
 use super::format::{MalformedPacket, Packet};
+use super::limit_monitor::LimitMonitor;
 use super::metrics::TokenEntryMetrics;
 use super::stall_detector::StallDetector;
 
@@ -35,29 +36,28 @@
 pub(super) struct SharedDemand {
     pub(super) view: DemandView,
     pub(super) monitor: DemandMonitor,
+    pub(super) limit: LimitMonitor,
 }
 
 impl Routing {
     /// Routes a packet, and logs and counts the decision.
-    pub(super) fn decide(&mut self, now: Instant, packet: Packet) -> (FlowId, Decision) {
+    /// `len` is the length of the packet as it was received.
+    pub(super) fn decide(
+        &mut self,
+        now: Instant,
+        packet: Packet,
+        len: usize,
+    ) -> (FlowId, Decision) {
         let (flow, decision) = match packet {
             Packet::First(packet) => {
                 let now = self.check_permits(now);
                 self.refresh_demand(now);
-                let decided = self.router.route_first(now, packet);
-                if let Some(shared) = &mut self.demand {
-                    let monitor = &mut shared.monitor;
-                    monitor.count_decision(&packet.flow, &decided, &self.router);
-                }
-                let (demand, router) = (self.demand.as_ref(), &self.router);
-                let figures = || {
-                    let figures = |shared: &SharedDemand| {
-                        DemandMonitor::figures(now, &packet.flow, &decided, &shared.view, router)
-                    };
-                    demand.map(figures).unwrap_or_default()
+                let decided = if self.demand.is_some() {
+                    self.router.route_first_or_wait(now, packet, len)
+                } else {
+                    self.router.route_first(now, packet)
                 };
-                self.decisions
-                    .log_first_packet(now, &packet.flow, &decided, figures, router);
+                self.record_first(now, &packet.flow, &decided);
                 (packet.flow, decided.decision)
             }
             Packet::Later(packet) => {
@@ -77,6 +77,40 @@
         (flow, decision)
     }
 
+    /// Returns the next flow that has waited and leaves the queue now, and the decision about
+    /// its first packet.
+    pub(super) fn next_departure(&mut self, now: Instant) -> Option<(FlowId, Decision)> {
+        if !self.router.has_waiting() {
+            return None;
+        }
+        let now = self.check_permits(now);
+        self.refresh_demand(now);
+        let departure = self.router.next_departure(now)?;
+        if let Some(shared) = &self.demand {
+            shared.monitor.count_departure(&departure.decided);
+        }
+        self.record_first(now, &departure.flow, &departure.decided);
+        self.metrics.count_decision(&departure.decided.decision);
+        Some((departure.flow, departure.decided.decision))
+    }
+
+    /// Logs and counts the decision about a first packet.
+    fn record_first(&mut self, now: Instant, flow: &FlowId, decided: &FirstPacketDecision) {
+        if let Some(shared) = &mut self.demand {
+            let monitor = &mut shared.monitor;
+            monitor.count_decision(flow, decided, &self.router);
+        }
+        let (demand, router) = (self.demand.as_ref(), &self.router);
+        let figures = || {
+            let figures = |shared: &SharedDemand| {
+                DemandMonitor::figures(now, flow, decided, &shared.view, router)
+            };
+            demand.map(figures).unwrap_or_default()
+        };
+        self.decisions
+            .log_first_packet(now, flow, decided, figures, router);
+    }
+
     /// Drops permits for cold upstreams after a suspension of the VM. Returns the current
     /// time where there are permits: `now` is that of a batch of packets, in which the
     /// process may have been stopped.
@@ -119,15 +153,9 @@
     /// Applies changes of what all entries observe of upstreams.
     pub(super) fn update_slow_upstreams(&mut self, now: Instant, changes: &[SlowUpstream]) {
         self.router.update_slow_upstreams(changes);
-        self.publish_slow_upstreams(now);
-    }
-
-    /// Forgets what all entries observe of upstreams.
-    pub(super) fn clear_slow_upstreams(&mut self, now: Instant) {
-        if self.router.slow_upstreams().len() > 0 {
-            self.router.clear_slow_upstreams();
-            self.publish_slow_upstreams(now);
-        }
+        let count = self.router.slow_upstreams().len();
+        self.metrics.set_slow_upstreams(count);
+        self.decisions.log_slow_upstreams(now, &self.router);
     }
 
     /// Takes the demand of a failure domain's callers, if entries share it.
@@ -146,7 +174,7 @@
 
     /// Passes changes of the view of demand to the router.
     fn refresh_demand(&mut self, now: Instant) {
-        let Some(SharedDemand { view, monitor }) = &mut self.demand else {
+        let Some(SharedDemand { view, monitor, .. }) = &mut self.demand else {
             return;
         };
         match view.update(now) {
@@ -166,18 +194,12 @@
     /// Updates the log and the metrics of shared demand; returns whether entries share it.
     pub(super) fn update_demand(&mut self, now: Instant) -> bool {
         self.refresh_demand(now);
-        if let Some(SharedDemand { view, monitor }) = &mut self.demand {
+        if let Some(SharedDemand { view, monitor, .. }) = &mut self.demand {
             monitor.update(now, view, &self.router);
         }
         self.demand.is_some()
     }
 
-    fn publish_slow_upstreams(&mut self, now: Instant) {
-        let count = self.router.slow_upstreams().len();
-        self.metrics.set_slow_upstreams(count);
-        self.decisions.log_slow_upstreams(now, &self.router);
-    }
-
     fn log_suspicion_changes(&mut self, now: Instant) {
         for change in self.router.take_suspicion_changes() {
             self.decisions
@@ -191,6 +213,14 @@
         self.decisions.log_malformed(now, len, reason);
     }
 
+    /// Updates the log and the metrics of the entry's own limit, where it is watched.
+    pub(super) fn update_limit(&mut self, now: Instant) {
+        let limit = self.router.capacity_limit();
+        if let (Some(shared), Some(limit)) = (&mut self.demand, limit) {
+            shared.limit.update(now, limit);
+        }
+    }
+
     /// Removes flows whose callers have given up.
     pub(super) fn expire_flows(&mut self, now: Instant) {
         self.router.record_overdue(now);
