One place for an entry's limit and its competing flows

Cause: admission by shares and waiting flows each computed the limit, the flows that compete for it and the overload of a refusal. clear_fleet_slowness had no caller since entries merge the lists of several control VMs. Change: methods of Service compute them; the unused method is removed. No behavior changes.

--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -144,14 +144,6 @@
         }
     }
 
-    /// Forgets what the fleet observes of upstreams.
-    pub fn clear_fleet_slowness(&mut self) {
-        self.fleet_slowness.clear();
-        for candidate in self.candidates.values_mut() {
-            candidate.fleet_slowness = f64::from(NORMAL_SLOWNESS);
-        }
-    }
-
     /// Returns the upstreams that the fleet observes as slow.
     pub fn fleet_slow(&self) -> impl ExactSizeIterator<Item = TargetKey> {
         self.fleet_slowness.keys().copied()
--- a/crates/currantgate-placement/src/placement/shared_decisions.rs
+++ b/crates/currantgate-placement/src/placement/shared_decisions.rs
@@ -1,6 +1,6 @@
 //! Decisions of placement by the demand of all entries. See `docs/design/capacity.md`.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use currantgate_capacity::DomainSlots;
 use indexmap::IndexMap;
@@ -8,7 +8,6 @@
 
 use super::Placement;
 use crate::reservation::reserved_parts;
-use crate::share_admission::flow_limit;
 use crate::{DomainDemand, Overload, PlacementRequest, ServiceDemand, ServiceShares};
 
 impl Placement {
@@ -162,23 +161,14 @@
         if !request.may_refuse || !admission.may_refuse(now, request, shares, settings) {
             return None;
         }
-        let late_factor = self.settings.admission.late_target_factor;
-        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
-        let competing_flows = service.admission.competing_flows(request.priority);
-        // Flows at upstreams that the limit doesn't count are of all priorities.
-        let stuck_share = service.stuck_share();
-        let competing_flows = (f64::from(competing_flows) * (1.0 - stuck_share)).round() as u32;
+        let limit = service.flow_limit(request, &self.settings)?;
+        let competing_flows = service.competing_flows(request.priority);
         // A fractional limit is met on average, as the limits of many entries add up.
         let flow_limit = (limit + self.rng.random_range(0.0..1.0)) as u32;
         if competing_flows < flow_limit {
             return None;
         }
         service.share_admission.record_refusal(request.priority);
-        Some(Overload {
-            competing_flows,
-            flow_limit,
-            median_duration: Duration::try_from_secs_f64(shares.work_ms / 1_000.0)
-                .unwrap_or(Duration::MAX),
-        })
+        service.overload(competing_flows, flow_limit)
     }
 }
--- a/crates/currantgate-placement/src/placement/waiting_decisions.rs
+++ b/crates/currantgate-placement/src/placement/waiting_decisions.rs
@@ -1,11 +1,10 @@
 //! What the queue of waiting flows asks of placement. See `docs/design/overload.md`.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::RngExt as _;
 
 use super::Placement;
-use crate::share_admission::flow_limit;
 use crate::{Overload, PlacementRequest, Priority, TargetKey, WaitEstimate};
 
 impl Placement {
@@ -21,20 +20,15 @@
         let service = self.services.get_mut(request.service)?;
         // Without shares, the entry goes by these statistics, which are kept up to date.
         service.admission.check_overload(now, request, admission);
-        let settings = &self.settings.sharing;
         let shares = service.sharing.shares()?;
+        let settings = &self.settings.sharing;
+        let admission = &mut service.share_admission;
+        if !admission.may_refuse(now, request, shares, settings) {
+            return None;
+        }
+        let limit = service.flow_limit(request, &self.settings)?;
         let competing_flows = service.admission.competing_flows(request.priority);
-        let late_factor = self.settings.admission.late_target_factor;
-        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
-        let may_refuse = service
-            .share_admission
-            .may_refuse(now, request, shares, settings);
-        may_refuse.then(|| Overload {
-            competing_flows,
-            flow_limit: limit as u32,
-            median_duration: Duration::try_from_secs_f64(shares.work_ms / 1_000.0)
-                .unwrap_or(Duration::MAX),
-        })
+        service.overload(competing_flows, limit as u32)
     }
 
     /// Counts a refused flow, so that no more are refused than exceed the fleet's capacity.
@@ -59,10 +53,7 @@
         request: &PlacementRequest<'_>,
     ) -> Option<WaitEstimate> {
         let service = self.services.get(request.service)?;
-        let shares = service.sharing.shares()?;
-        let settings = &self.settings.sharing;
-        let late_factor = self.settings.admission.late_target_factor;
-        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
+        let limit = service.flow_limit(request, &self.settings)?;
         let durations = &service.recent_durations;
         let time_at_upstream = durations.median()?;
         Some(WaitEstimate {
@@ -91,16 +82,11 @@
         let Some(service) = self.services.get(request.service) else {
             return true;
         };
-        let Some(shares) = service.sharing.shares() else {
+        let Some(limit) = service.flow_limit(request, &self.settings) else {
             return true;
         };
-        let settings = &self.settings.sharing;
-        let late_factor = self.settings.admission.late_target_factor;
-        let limit = flow_limit(shares, request.latency_target, late_factor, settings);
-        let competing = f64::from(service.admission.competing_flows(request.priority));
-        let competing = competing * (1.0 - service.stuck_share());
         // Drawn once for each flow that ends, as this is asked far more often.
         let rounding = service.share_admission.rounding();
-        competing.round() < (limit + rounding).floor()
+        service.competing_flows(request.priority) < (limit + rounding) as u32
     }
 }
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -8,9 +8,9 @@
 use crate::demand_log::DemandLog;
 use crate::recent_durations::RecentDurations;
 use crate::recent_priorities::RecentPriorities;
-use crate::share_admission::ShareAdmission;
+use crate::share_admission::{ShareAdmission, flow_limit};
 use crate::sharing::Sharing;
-use crate::{SharingSettings, TargetKey};
+use crate::{Overload, PlacementRequest, PlacementSettings, Priority, SharingSettings, TargetKey};
 
 /// Upstreams of a service that may get new flows, and its admission control.
 #[derive(Debug, Default)]
@@ -42,9 +42,37 @@
         self.share_admission.record_end(now, work_time, settings);
     }
 
-    /// Returns the part of the open flows that take no slots, from 0 to 1.
-    pub(crate) fn stuck_share(&self) -> f64 {
+    /// Returns the number of open flows from which this entry may refuse new ones; nothing
+    /// without shares.
+    pub(crate) fn flow_limit(
+        &self,
+        request: &PlacementRequest<'_>,
+        settings: &PlacementSettings,
+    ) -> Option<f64> {
+        let shares = self.sharing.shares()?;
+        let late_factor = settings.admission.late_target_factor;
+        let target = request.latency_target;
+        Some(flow_limit(shares, target, late_factor, &settings.sharing))
+    }
+
+    /// Returns the open flows that compete with one of the given priority. Flows that take no
+    /// slots are left out, as the limit doesn't count their upstreams; they are of all
+    /// priorities.
+    pub(crate) fn competing_flows(&self, priority: Priority) -> u32 {
         let open = self.admission.open_flows().max(1);
-        (f64::from(self.stuck_flows) / f64::from(open)).min(1.0)
+        let stuck_share = (f64::from(self.stuck_flows) / f64::from(open)).min(1.0);
+        let competing = f64::from(self.admission.competing_flows(priority));
+        (competing * (1.0 - stuck_share)).round() as u32
+    }
+
+    /// Returns the overload of an entry with the given numbers of flows; nothing without
+    /// shares.
+    pub(crate) fn overload(&self, competing_flows: u32, flow_limit: u32) -> Option<Overload> {
+        let work_seconds = self.sharing.shares()?.work_ms / 1_000.0;
+        Some(Overload {
+            competing_flows,
+            flow_limit,
+            median_duration: Duration::try_from_secs_f64(work_seconds).unwrap_or(Duration::MAX),
+        })
     }
 }
