One decision for flows without a route

Cause: new flows and flows that have waited decided it in the same five lines. No behavior changes; currantgate-token router and waiting tests pass.

--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -251,12 +251,7 @@
         let tracked = self.flows.get(&packet.flow);
         let is_new = packet.retransmissions == 0 && tracked.is_none();
         let Some(route) = self.routes.get(&packet.flow.service) else {
-            let decision = if self.routes_current {
-                Decision::Reset(ResetReason::NoRoute)
-            } else {
-                Decision::Drop(DropReason::RoutesOutOfDate)
-            };
-            return unplaced(decision, None, is_new);
+            return unplaced(self.without_route(), None, is_new);
         };
         let deadline = now + route.timeout + self.settings.expiry_grace;
         let Some(service) = route.select_service(self.flow_hash(&packet.flow)) else {
@@ -364,12 +359,7 @@
     ) -> FirstPacketDecision {
         let class = self.class_of(waiting);
         let Some(route) = self.routes.get(&waiting.key.service) else {
-            let decision = if self.routes_current {
-                Decision::Reset(ResetReason::NoRoute)
-            } else {
-                Decision::Drop(DropReason::RoutesOutOfDate)
-            };
-            return unplaced(decision, None, true);
+            return unplaced(self.without_route(), None, true);
         };
         let record = FlowRecord {
             token: 0,
@@ -421,6 +411,16 @@
         Some(FlowClass { service, priority })
     }
 
+    /// Returns the decision about a flow without a route. It is reset only if no newer routes
+    /// may have one.
+    fn without_route(&self) -> Decision {
+        if self.routes_current {
+            Decision::Reset(ResetReason::NoRoute)
+        } else {
+            Decision::Drop(DropReason::RoutesOutOfDate)
+        }
+    }
+
     /// Applies the outcome of the placement of a flow. `record` is that of the flow, without
     /// the token of its upstream.
     fn conclude(
