--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -121,31 +121,21 @@
     /// Returns the status of the evacuations on each control VM, or why it was not
     /// received.
     pub async fn evacuations(&self) -> Vec<(SocketAddr, Result<EvacuationStatus, ClientError>)> {
-        let mut found = Vec::new();
-        for server in &self.servers {
-            let status = match self.request(*server, &Call::Evacuations).await {
-                Ok(Reply::Evacuations(status)) => Ok(status),
-                Ok(_) => Err(ClientError::UnexpectedReply(*server)),
-                Err(e) => Err(e),
-            };
-            found.push((*server, status));
-        }
-        found
+        self.request_all(&Call::Evacuations, |reply| match reply {
+            Reply::Evacuations(status) => Some(status),
+            _ => None,
+        })
+        .await
     }
 
     /// Returns the entries that each control VM feeds, with their open flows in evacuated
     /// domains, or why they were not received.
     pub async fn evacuated_flows(&self) -> Vec<(SocketAddr, Result<Vec<EntryFlows>, ClientError>)> {
-        let mut found = Vec::new();
-        for server in &self.servers {
-            let flows = match self.request(*server, &Call::EvacuatedFlows).await {
-                Ok(Reply::EvacuatedFlows(flows)) => Ok(flows),
-                Ok(_) => Err(ClientError::UnexpectedReply(*server)),
-                Err(e) => Err(e),
-            };
-            found.push((*server, flows));
-        }
-        found
+        self.request_all(&Call::EvacuatedFlows, |reply| match reply {
+            Reply::EvacuatedFlows(flows) => Some(flows),
+            _ => None,
+        })
+        .await
     }
 
     /// Sends a change to one control VM after the other until one decides or `deadline`
@@ -266,6 +256,23 @@
         found
     }
 
+    /// Sends a read to each control VM. Returns the content of each reply, or why it was not
+    /// received; `content` returns nothing for a reply to another call.
+    async fn request_all<T>(
+        &self,
+        call: &Call,
+        content: impl Fn(Reply) -> Option<T>,
+    ) -> Vec<(SocketAddr, Result<T, ClientError>)> {
+        let mut found = Vec::new();
+        for server in &self.servers {
+            let reply = self.request(*server, call).await;
+            let received =
+                reply.and_then(|reply| content(reply).ok_or(ClientError::UnexpectedReply(*server)));
+            found.push((*server, received));
+        }
+        found
+    }
+
     /// Sends a read to one control VM and returns its reply.
     async fn request(&self, server: SocketAddr, call: &Call) -> Result<Reply, ClientError> {
         let reply = async {
