Arrivals at the queue of waiting flows are one value

Two comments said that reports of observations include all unanswered packets; they include those that are retransmitted.

--- a/crates/currantgate-observation/src/fleet.rs
+++ b/crates/currantgate-observation/src/fleet.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Adds an entry's report of first packets that were not answered. The same ones are
-    /// part of its next report of observations.
+    /// Adds an entry's report of first packets that were not answered for some time. Those that
+    /// are retransmitted are part of its next report of observations, too.
     ///
     /// An upstream that several entries find unresponsive gets the highest slowness at
     /// once, without waiting for the next merge.
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -13,6 +13,15 @@
 };
 use crate::{Placement, PlacementRequest, Refusal};
 
+/// The first packet of a new flow.
+struct Arrival<'a, K> {
+    now: Instant,
+    request: &'a PlacementRequest<'a>,
+    key: K,
+    /// Length of the packet.
+    bytes: usize,
+}
+
 /// Decides which flows wait and when they leave. `K` identifies a flow.
 ///
 /// Flows wait only while the placement decides by the demand of all entries.
@@ -71,7 +80,13 @@
         key: K,
         bytes: usize,
     ) -> WaitingAdmission {
-        let admission = self.place_or_wait(now, placement, request, key, bytes);
+        let arrival = Arrival {
+            now,
+            request,
+            key,
+            bytes,
+        };
+        let admission = self.place_or_wait(placement, &arrival);
         if !self.queue.has_service(request.service) {
             self.rates.swap_remove(request.service);
         } else if let WaitingAdmission::Placed(_) = admission {
@@ -103,19 +118,15 @@
 
     fn place_or_wait(
         &mut self,
-        now: Instant,
         placement: &mut Placement,
-        request: &PlacementRequest<'_>,
-        key: K,
-        bytes: usize,
+        arrival: &Arrival<'_, K>,
     ) -> WaitingAdmission {
+        let Arrival { now, request, .. } = *arrival;
         let ahead = self.queue.ahead(request.service, request.priority);
         if ahead == 0 {
             return match placement.place(now, request) {
                 Ok(placed) => WaitingAdmission::Placed(placed),
-                Err(Refusal::Overloaded(_))
-                    if self.try_wait(now, placement, request, ahead, key, bytes) =>
-                {
+                Err(Refusal::Overloaded(_)) if self.try_wait(placement, arrival, ahead) => {
                     placement.cancel_refusal(request.service, request.priority);
                     WaitingAdmission::Waits
                 }
@@ -123,7 +134,7 @@
             };
         }
         let overload = placement.count_arrival(now, request);
-        if self.try_wait(now, placement, request, ahead, key, bytes) {
+        if self.try_wait(placement, arrival, ahead) {
             return WaitingAdmission::Waits;
         }
         if let Some(overload) = overload {
@@ -133,7 +144,7 @@
         // No more flows are refused than exceed the fleet's capacity: one is placed beyond
         // the limit. It is the first one that waits, so that none overtakes it.
         if let Some(estimate) = placement.wait_estimate(now, request)
-            && self.push(now, &estimate, request, key, bytes)
+            && self.push(&estimate, arrival)
         {
             self.beyond_limit.push_back(request.service.into());
             return WaitingAdmission::Waits;
@@ -150,15 +161,8 @@
 
     /// Adds a flow to the queue if it is expected to be answered in time and the queue has
     /// a place for it.
-    fn try_wait(
-        &mut self,
-        now: Instant,
-        placement: &Placement,
-        request: &PlacementRequest<'_>,
-        ahead: usize,
-        key: K,
-        bytes: usize,
-    ) -> bool {
+    fn try_wait(&mut self, placement: &Placement, arrival: &Arrival<'_, K>, ahead: usize) -> bool {
+        let Arrival { now, request, .. } = *arrival;
         let Some(mut estimate) = placement.wait_estimate(now, request) else {
             return false;
         };
@@ -174,18 +178,17 @@
         if !estimate.is_in_time(ahead, request.latency_target.mul_f64(factor)) {
             return false;
         }
-        self.push(now, &estimate, request, key, bytes)
+        self.push(&estimate, arrival)
     }
 
     /// Adds a flow to the queue if it has a place for it.
-    fn push(
-        &mut self,
-        now: Instant,
-        estimate: &WaitEstimate,
-        request: &PlacementRequest<'_>,
-        key: K,
-        bytes: usize,
-    ) -> bool {
+    fn push(&mut self, estimate: &WaitEstimate, arrival: &Arrival<'_, K>) -> bool {
+        let Arrival {
+            now,
+            request,
+            key,
+            bytes,
+        } = *arrival;
         let max_wait = estimate.max_wait(request.latency_target, &self.settings);
         let flow = WaitingFlow {
             key,
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -185,7 +185,7 @@
     }
 
     /// Reports first packets that were not answered. A report that can't be queued is
-    /// dropped, as the next report of observations includes what it tells.
+    /// dropped: reports of observations include the packets that are retransmitted.
     pub(crate) fn report_unanswered(&self, to: SocketAddr, upstreams: Vec<UnansweredPackets>) {
         let request = FeedRequest::Unanswered {
             revision: self.shared.revision.get(),
