--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -1,5 +1,7 @@
 //! Tests of the routing of packets by tokens.
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
@@ -39,22 +41,7 @@
 
 /// Returns upstream `n` of the booking service as input of the router.
 fn upstream(n: u8, now: Instant) -> (TokenUpstream, Option<Target>) {
-    let token_upstream = TokenUpstream {
-        id: format!("i-{n:08x}").into(),
-        started_ms: n.into(),
-        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 80),
-        identity: n.into(),
-    };
-    let target = Target {
-        key: 0,
-        service: "booking".into(),
-        domain: "a".into(),
-        is_local: true,
-        slots: 3,
-        warm_at: now,
-        is_reporting: true,
-    };
-    (token_upstream, Some(target))
+    support::upstream(n, 3, now)
 }
 
 struct Entry {
--- a/crates/currantgate-token/tests/waiting.rs
+++ b/crates/currantgate-token/tests/waiting.rs
@@ -1,15 +1,17 @@
 //! Tests of flows that wait for a slot at the router.
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use currantgate_capacity::ClassDemand;
 use currantgate_placement::{
-    DemandSettings, DomainDemand, PlacementSettings, Priority, ServiceDemand, Target,
+    DemandSettings, DomainDemand, PlacementSettings, Priority, ServiceDemand,
 };
 use currantgate_token::{
     Decision, DropReason, FirstPacket, FlowId, LaterPacket, NextHop, ResetReason, Route,
-    RouteTable, TokenRouter, TokenSettings, TokenUpstream, WaitingDeparture,
+    RouteTable, TokenRouter, TokenSettings, WaitingDeparture,
 };
 use rstest::rstest;
 
@@ -62,25 +64,7 @@
         router.set_routes(RouteTable::new([(SERVICE, route)]));
         router.set_routes_current(true);
         router.set_upstreams_complete(true);
-        let upstream = |n: u8| {
-            let upstream = TokenUpstream {
-                id: format!("i-{n}").into(),
-                started_ms: n.into(),
-                address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 80),
-                identity: n.into(),
-            };
-            let target = Target {
-                key: 0,
-                service: "booking".into(),
-                domain: "a".into(),
-                is_local: true,
-                slots: 2,
-                warm_at: now,
-                is_reporting: true,
-            };
-            (upstream, Some(target))
-        };
-        router.set_upstreams((1..=4).map(upstream).collect());
+        router.set_upstreams((1..=4).map(|n| support::upstream(n, 2, now)).collect());
         let mut entry = Self {
             router,
             now,
