--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -205,7 +205,7 @@
             .or_else(|| self.choose(now, request.service, &[], None))
             .ok_or_else(|| self.refusal(request.service))?;
         let service = &mut self.services[request.service];
-        // Without shares, the entry goes by these statistics, which are kept up to date.
+        // Without shares, the entry decides by these statistics, which are always updated.
         let mut overload = service
             .admission
             .check_overload(now, request, &self.settings.admission);
--- a/crates/currantgate-placement/src/placement/waiting_decisions.rs
+++ b/crates/currantgate-placement/src/placement/waiting_decisions.rs
@@ -18,7 +18,7 @@
         self.update_shares(now, request);
         let admission = &self.settings.admission;
         let service = self.services.get_mut(request.service)?;
-        // Without shares, the entry goes by these statistics, which are kept up to date.
+        // Without shares, the entry decides by these statistics, which are always updated.
         service.admission.check_overload(now, request, admission);
         let shares = service.sharing.shares()?;
         let settings = &self.settings.sharing;
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Takes back the count of a refused flow, as it waits.
+    /// Reverts the count of a refused flow, as it waits instead.
     pub(crate) fn cancel_refusal(&mut self, service: &str, priority: Priority) {
         if let Some(service) = self.services.get_mut(service) {
             service.share_admission.cancel_refusal(priority);
--- a/crates/currantgate-placement/src/share_admission.rs
+++ b/crates/currantgate-placement/src/share_admission.rs
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Takes back the count of a refused flow.
+    /// Reverts the count of a refused flow.
     pub(crate) fn cancel_refusal(&mut self, priority: Priority) {
         if let Some(sum) = self.excess.get_mut(&priority) {
             *sum += 1.0;
--- a/crates/currantgate-token/src/capacity_limit/admission_rate.rs
+++ b/crates/currantgate-token/src/capacity_limit/admission_rate.rs
@@ -4,7 +4,7 @@
 
 use super::CapacityLimitSettings;
 
-/// Time whose flows may be saved up or owed: the pause of a process that gets a part of a
+/// Time whose flows may be accumulated or overdrawn: the pause of a process that gets a part of a
 /// core in each 100 ms.
 const MAX_SAVED_SECONDS: f64 = 0.1;
 
