Metrics of admission on all sites; late copies take four fifths of the window

Cause: waiting flows were counted only where entries share their demand, but wait on all sites now, and nothing showed the window and the preference.

Change: gauges of the window and the preference; metrics of waiting flows move from those of shared demand to those of the entry. Late copies use four fifths of the window.

--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -103,7 +103,7 @@
         if !settings.is_enabled || baseline > longest {
             return None;
         }
-        let size = self.window.size(&settings.window);
+        let size = self.window_size(settings);
         Some(if request.priority.is_idempotent {
             size
         } else {
@@ -111,10 +111,15 @@
         })
     }
 
+    /// Returns the number of flows that may be open.
+    pub(crate) fn window_size(&self, settings: &AdmissionSettings) -> f64 {
+        self.window.size(&settings.window)
+    }
+
     /// Returns the number of open flows from which flows wait that can't be answered within
     /// their latency target any more. It holds for an entry that has just started, too.
     pub(crate) fn late_flow_limit(&self, settings: &AdmissionSettings) -> f64 {
-        settings.window.late_part * self.window.size(&settings.window)
+        settings.window.late_part * self.window_size(settings)
     }
 
     /// Returns the number of open flows.
--- a/crates/currantgate-placement/src/flow_window_settings.rs
+++ b/crates/currantgate-placement/src/flow_window_settings.rs
@@ -35,7 +35,7 @@
             even_increase: 2.0,
             decrease: 0.2,
             run_once_factor: 2.0,
-            late_part: 0.75,
+            late_part: 0.8,
         }
     }
 }
--- a/crates/currantgate-placement/src/lib.rs
+++ b/crates/currantgate-placement/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod admission_settings;
+mod admission_state;
 mod arrival_history;
 mod candidate;
 mod demand_log;
@@ -36,6 +37,7 @@
 mod waiting;
 
 pub use admission_settings::AdmissionSettings;
+pub use admission_state::AdmissionState;
 pub use currantgate_capacity::{
     DemandSettings, DomainDemand, Priority, ServiceDemand, ServiceShares,
 };
--- a/crates/currantgate-placement/src/placement.rs
+++ b/crates/currantgate-placement/src/placement.rs
@@ -21,8 +21,8 @@
 use crate::service::Service;
 use crate::slowness::flow_slowness;
 use crate::{
-    Placed, PlacementRequest, PlacementSettings, Priority, Refusal, Suspect, SuspicionChange,
-    Target, TargetKey,
+    AdmissionState, Placed, PlacementRequest, PlacementSettings, Priority, Refusal, Suspect,
+    SuspicionChange, Target, TargetKey,
 };
 
 /// Most suspicion changes kept until they are taken; the oldest are dropped first.
@@ -530,6 +530,17 @@
         }
     }
 
+    /// Returns the state of the admission of each service's flows.
+    pub fn admission_states(&self) -> impl Iterator<Item = (&str, AdmissionState)> {
+        self.services.iter().map(|(name, service)| {
+            let state = AdmissionState {
+                flow_window: service.admission.window_size(&self.settings.admission),
+                domain_preference: service.domain_preference.part(),
+            };
+            (&**name, state)
+        })
+    }
+
     /// Returns the upstream with the given key.
     pub fn target(&self, key: TargetKey) -> Option<&Target> {
         self.candidates.get(&key).map(|c| &c.target)
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -6,9 +6,9 @@
 use currantgate_capacity::{DomainDemand, ServiceDemand};
 use currantgate_observation::{Observation, SlowUpstream, UnansweredLog};
 use currantgate_placement::{
-    DepartureReason, LateFlow, Placed, Placement, PlacementRequest, PlacementSettings, Refusal,
-    ServiceShares, SuspicionChange, Target, WaitingAdmission, WaitingFlow, WaitingFlows,
-    WaitingSettings,
+    AdmissionState, DepartureReason, LateFlow, Placed, Placement, PlacementRequest,
+    PlacementSettings, Refusal, ServiceShares, SuspicionChange, Target, WaitingAdmission,
+    WaitingFlow, WaitingFlows, WaitingSettings,
 };
 use currantgate_warmup::{PermitHolder, WarmupLimit};
 use indexmap::IndexSet;
@@ -380,6 +380,11 @@
         self.waiting.len()
     }
 
+    /// Returns the state of the admission of each service's flows.
+    pub fn admission_states(&self) -> impl Iterator<Item = (&str, AdmissionState)> {
+        self.placement.admission_states()
+    }
+
     /// Places a flow that has waited by the rules for new flows.
     fn place_waiting(
         &mut self,
--- a/crates/currantgate/src/token_entry/demand_metrics.rs
+++ b/crates/currantgate/src/token_entry/demand_metrics.rs
@@ -4,12 +4,10 @@
 use std::time::Duration;
 
 use currantgate_placement::Priority;
-use currantgate_token::{Decision, ResetReason};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
 use super::limit_metrics::LimitMetrics;
@@ -34,7 +32,7 @@
 type FloatGauge = Gauge<f64, AtomicU64>;
 
 /// Metrics of the shared view of load.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct DemandMetrics {
     placed: Family<Location, Counter>,
     refused: Family<RefusedClass, Counter>,
@@ -45,36 +43,10 @@
     age: FloatGauge,
     is_current: Gauge,
     fallbacks: Counter,
-    waiting: Gauge,
-    wait_seconds: Histogram,
-    refused_after_wait: Counter,
-    displaced: Counter,
     /// Metrics of the entry's own limit, which is watched where demand is shared.
     pub(super) limit: LimitMetrics,
 }
 
-impl Default for DemandMetrics {
-    fn default() -> Self {
-        Self {
-            placed: Family::default(),
-            refused: Family::default(),
-            demand_flows: Family::default(),
-            demand_slots: Family::default(),
-            slots: Family::default(),
-            weights: Family::default(),
-            age: FloatGauge::default(),
-            is_current: Gauge::default(),
-            fallbacks: Counter::default(),
-            waiting: Gauge::default(),
-            // From 1 ms to 0.5 s, after which no flow waits.
-            wait_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 10)),
-            refused_after_wait: Counter::default(),
-            displaced: Counter::default(),
-            limit: LimitMetrics::default(),
-        }
-    }
-}
-
 impl DemandMetrics {
     /// Registers all metrics under the `currantgate_entry` prefix.
     pub(super) fn register(&self, registry: &mut Registry) {
@@ -124,26 +96,6 @@
             "Times that the entry went back to its own flows alone, as the view was old",
             self.fallbacks.clone(),
         );
-        registry.register(
-            "flows_waiting",
-            "New flows that wait at this entry until it may open another one",
-            self.waiting.clone(),
-        );
-        registry.register(
-            "flow_wait_seconds",
-            "Time that new flows waited at this entry, those that were refused then included",
-            self.wait_seconds.clone(),
-        );
-        registry.register(
-            "flows_refused_after_wait",
-            "New flows that were refused after a wait, displaced ones included",
-            self.refused_after_wait.clone(),
-        );
-        registry.register(
-            "flows_displaced",
-            "New flows that were refused as one of higher priority had their place in the queue",
-            self.displaced.clone(),
-        );
         self.limit.register(registry);
     }
 
@@ -164,21 +116,6 @@
         self.refused.get_or_create_owned(&class)
     }
 
-    pub(super) fn set_waiting(&self, flows: usize) {
-        self.waiting.set(i64::try_from(flows).unwrap_or(i64::MAX));
-    }
-
-    /// Counts a flow that has waited.
-    pub(super) fn count_departure(&self, waited: Duration, decision: Decision) {
-        self.wait_seconds.observe(waited.as_secs_f64());
-        if let Decision::Reset(reason) = decision {
-            self.refused_after_wait.inc();
-            if reason == ResetReason::Displaced {
-                self.displaced.inc();
-            }
-        }
-    }
-
     pub(super) fn count_fallback(&self) {
         self.fallbacks.inc();
     }
--- a/crates/currantgate/src/token_entry/demand_monitor.rs
+++ b/crates/currantgate/src/token_entry/demand_monitor.rs
@@ -49,13 +49,6 @@
         self.metrics.count_fallback();
     }
 
-    /// Counts a flow that has waited.
-    pub(super) fn count_departure(&self, decided: &FirstPacketDecision) {
-        if let Some(waited) = decided.waited {
-            self.metrics.count_departure(waited, decided.decision);
-        }
-    }
-
     /// Replaces the slots by those of the given upstreams that report.
     pub(super) fn set_slots<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         self.slots.clear();
@@ -70,7 +63,6 @@
     pub(super) fn update(&mut self, now: Instant, view: &DemandView, router: &TokenRouter) {
         let age = view.age(now);
         self.metrics.set_view(age, view.is_current(now));
-        self.metrics.set_waiting(router.waiting_flows());
         let loads = self.loads(view, router);
         self.metrics.set_loads(&loads);
         for load in &loads {
--- a/crates/currantgate/src/token_entry/metrics.rs
+++ b/crates/currantgate/src/token_entry/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::admission_metrics::AdmissionMetrics;
 use super::format::MalformedPacket;
 
 /// Labels of packets and flows that were not forwarded.
@@ -38,6 +39,8 @@
     feeds: Gauge,
     routes_current: Gauge,
     handshake_seconds: Histogram,
+    /// Metrics of the admission of new flows.
+    pub(super) admission: AdmissionMetrics,
 }
 
 impl Default for TokenEntryMetrics {
@@ -60,6 +63,7 @@
             // From 1 ms, a round trip within a domain, to 4 s, after which callers
             // have given up.
             handshake_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 13)),
+            admission: AdmissionMetrics::default(),
         }
     }
 }
@@ -139,6 +143,7 @@
             "Time from a first packet to the sign that its upstream answered",
             self.handshake_seconds.clone(),
         );
+        self.admission.register(registry);
     }
 
     pub(super) fn count_decision(&self, decision: &Decision) {
--- a/crates/currantgate/src/token_entry/mod.rs
+++ b/crates/currantgate/src/token_entry/mod.rs
@@ -1,6 +1,7 @@
 //! The token entry, which receives packets of any format and forwards each to the
 //! upstream that its token identifies.
 
+mod admission_metrics;
 mod daemon;
 mod decision_log;
 mod demand_figures;
--- a/crates/currantgate/src/token_entry/routing.rs
+++ b/crates/currantgate/src/token_entry/routing.rs
@@ -82,8 +82,9 @@
         let now = self.check_permits(now);
         self.refresh_demand(now);
         let departure = self.router.next_departure(now)?;
-        if let Some(shared) = &self.demand {
-            shared.monitor.count_departure(&departure.decided);
+        if let Some(waited) = departure.decided.waited {
+            let decision = departure.decided.decision;
+            self.metrics.admission.count_departure(waited, decision);
         }
         self.record_first(now, &departure.flow, &departure.decided);
         self.metrics.count_decision(&departure.decided.decision);
@@ -217,8 +218,9 @@
         }
     }
 
-    /// Removes flows whose callers have given up.
+    /// Removes flows whose callers have given up, and updates the metrics of admission.
     pub(super) fn expire_flows(&mut self, now: Instant) {
+        self.metrics.admission.update(&self.router);
         self.router.record_overdue(now);
         while let Some(expired) = self.router.pop_expired(now) {
             self.metrics.count_expired(expired.was_answered);
