Late copies leave the queue where no flow ends

Cause: found on reading. Where callers keep flows open, open flows always exceed the part of the window that late copies may use, and copies after an outage would wait until their callers give up.

Change: late copies are not limited where the baseline shows flows that are kept open, and one that has waited for its latency target while no flow ended is placed.

--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -98,9 +98,7 @@
         settings: &AdmissionSettings,
     ) -> Option<f64> {
         self.stats?;
-        let baseline = self.baseline?;
-        let longest = request.latency_target.mul_f64(settings.kept_open_factor);
-        if !settings.is_enabled || baseline > longest {
+        if !settings.is_enabled || self.are_flows_kept_open(request.latency_target, settings) {
             return None;
         }
         let size = self.window_size(settings);
@@ -117,9 +115,21 @@
     }
 
     /// Returns the number of open flows from which flows wait that can't be answered within
-    /// their latency target any more. It holds for an entry that has just started, too.
-    pub(crate) fn late_flow_limit(&self, settings: &AdmissionSettings) -> f64 {
-        settings.window.late_part * self.window_size(settings)
+    /// their latency target any more; nothing while these are not limited. It holds for an
+    /// entry that has just started, too.
+    pub(crate) fn late_flow_limit(
+        &self,
+        latency_target: Duration,
+        settings: &AdmissionSettings,
+    ) -> Option<f64> {
+        let is_limited = !self.are_flows_kept_open(latency_target, settings);
+        is_limited.then(|| settings.window.late_part * self.window_size(settings))
+    }
+
+    /// Tells whether callers keep flows open on purpose, as far as that is known.
+    fn are_flows_kept_open(&self, latency_target: Duration, settings: &AdmissionSettings) -> bool {
+        let longest = latency_target.mul_f64(settings.kept_open_factor);
+        self.baseline.is_some_and(|baseline| baseline > longest)
     }
 
     /// Returns the number of open flows.
@@ -174,8 +184,8 @@
     /// Counts the arrival of a request, and returns the overload that prevents the
     /// admission of its flow, if any.
     ///
-    /// A flow counts against those of its own and of lower priority, so that flows of higher
-    /// priority are admitted first.
+    /// A flow competes only with those of its own and of higher priority, so that flows of
+    /// higher priority are admitted first.
     pub(crate) fn check_overload(
         &mut self,
         now: Instant,
--- a/crates/currantgate-placement/src/candidate.rs
+++ b/crates/currantgate-placement/src/candidate.rs
@@ -68,7 +68,8 @@
 
     /// Returns the load that one more flow would cause, in flows per slot. It is
     /// weighted by the upstream's speed and includes the penalty for another failure
-    /// domain if the flow prefers the entry's own. What the fleet observes counts unless the flow is a probe.
+    /// domain if the flow prefers the entry's own. What the fleet observes counts unless the
+    /// flow is a probe.
     pub(crate) fn load_with_one_more(
         &self,
         now: Instant,
--- a/crates/currantgate-placement/src/placement/waiting_decisions.rs
+++ b/crates/currantgate-placement/src/placement/waiting_decisions.rs
@@ -1,6 +1,6 @@
 //! What the queue of waiting flows asks of placement. See `docs/design/overload.md`.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
 
@@ -99,11 +99,18 @@
 
     /// Tells whether a flow may be placed that can't be answered within its latency target
     /// any more: the entry's open flows leave a part of its limit to those that can.
-    pub(crate) fn has_room_for_late(&self, service: &str) -> bool {
+    pub(crate) fn has_room_for_late(&self, service: &str, latency_target: Duration) -> bool {
         let Some(service) = self.services.get(service) else {
             return true;
         };
-        let limit = service.late_flow_limit(&self.settings);
-        f64::from(service.admission.open_flows()) < limit
+        let limit = service.late_flow_limit(latency_target, &self.settings);
+        limit.is_none_or(|limit| f64::from(service.admission.open_flows()) < limit)
+    }
+
+    /// Tells whether a flow of a service has ended since a time.
+    pub(crate) fn has_ended_since(&self, service: &str, since: Instant) -> bool {
+        let service = self.services.get(service);
+        let last_end = service.and_then(|service| service.recent_durations.last_at());
+        last_end.is_some_and(|at| at >= since)
     }
 }
--- a/crates/currantgate-placement/src/service.rs
+++ b/crates/currantgate-placement/src/service.rs
@@ -77,12 +77,17 @@
     }
 
     /// Returns the number of open flows from which flows wait that can't be answered within
-    /// their latency target any more.
-    pub(crate) fn late_flow_limit(&self, settings: &PlacementSettings) -> f64 {
+    /// their latency target any more; nothing while these are not limited.
+    pub(crate) fn late_flow_limit(
+        &self,
+        latency_target: Duration,
+        settings: &PlacementSettings,
+    ) -> Option<f64> {
+        let admission = &settings.admission;
         let Some(shares) = self.sharing.shares() else {
-            return self.admission.late_flow_limit(&settings.admission);
+            return self.admission.late_flow_limit(latency_target, admission);
         };
-        settings.admission.window.late_part * shares.own_share * shares.fleet_flows
+        Some(admission.window.late_part * shares.own_share * shares.fleet_flows)
     }
 
     /// Returns the demand relative to what is served: that of the fleet where it is known,
--- a/crates/currantgate-placement/src/waiting/waiting_flows.rs
+++ b/crates/currantgate-placement/src/waiting/waiting_flows.rs
@@ -112,8 +112,8 @@
         request: &PlacementRequest<'_>,
         late: LateFlow<K>,
     ) -> WaitingAdmission {
-        let has_place =
-            !self.late.has_service(request.service) && placement.has_room_for_late(request.service);
+        let has_place = !self.late.has_service(request.service)
+            && placement.has_room_for_late(request.service, request.latency_target);
         if has_place {
             return placement
                 .place(now, request)
@@ -289,7 +289,7 @@
             return self.queue.remove(&key);
         }
         let mut heads = self.late.heads().into_iter();
-        let head = heads.find(|flow| placement.has_room_for_late(&flow.service));
+        let head = heads.find(|flow| may_leave_late(now, flow, placement));
         let key = head?.key;
         self.late.remove(&key)
     }
@@ -303,6 +303,15 @@
     }
 }
 
+/// Tells whether a flow may be placed that can't be answered within its latency target any
+/// more. Where no flow has ended meanwhile, open flows say nothing about slots: callers may
+/// keep them open on purpose.
+fn may_leave_late<K>(now: Instant, flow: &WaitingFlow<K>, placement: &Placement) -> bool {
+    placement.has_room_for_late(&flow.service, flow.latency_target)
+        || (now >= flow.arrived + flow.latency_target
+            && !placement.has_ended_since(&flow.service, flow.arrived))
+}
+
 /// Returns the departure of a flow that is refused.
 fn refused<K>(
     flow: WaitingFlow<K>,
--- a/crates/currantgate-token/tests/waiting.rs
+++ b/crates/currantgate-token/tests/waiting.rs
@@ -315,12 +315,15 @@
     #[case] left_ms: u64,
 ) {
     let mut entry = started(ms(150));
-    let mut waiting = 0;
-    for n in 1_000..1_020 {
-        let decision = entry.send_first(n, retransmissions);
-        waiting += usize::from(decision == Decision::Wait);
+    for n in 0..20 {
+        entry.open_flow();
+        let decision = entry.send_first(1_000 + n, retransmissions);
+        assert!(n < 8 || decision == Decision::Wait, "{decision:?}");
     }
+    let waiting = entry.router.waiting_flows();
     entry.now += ms(left_ms - 1);
+    let (first, _) = entry.open[0];
+    entry.end_flow(first);
     assert_eq!(entry.departures(), []);
     entry.now += ms(1);
     let left = entry.departures();
@@ -332,6 +335,25 @@
     );
 }
 
+/// Guards against copies that wait until their callers give up where callers keep flows open,
+/// so that open flows say nothing about slots.
+#[test]
+fn late_copies_are_placed_where_no_flow_ends() {
+    let mut entry = started(ms(150));
+    for n in 1_000..1_020 {
+        entry.send_first(n, 1);
+    }
+    let waiting = entry.router.waiting_flows();
+    assert!(waiting > 0, "none waits");
+    entry.now += ms(149);
+    assert_eq!(entry.departures(), []);
+    entry.now += ms(1);
+    let left = entry.departures();
+    assert_eq!(left.len(), waiting);
+    let is_forwarded = |d: &WaitingDeparture| matches!(d.decided.decision, Decision::Forward(_));
+    assert!(left.iter().all(is_forwarded), "{left:?}");
+}
+
 /// Guards against copies that wait although they can still be answered in time, as where a
 /// packet was lost.
 #[test]
