--- a/crates/currantgate-placement/src/admission.rs
+++ b/crates/currantgate-placement/src/admission.rs
@@ -162,11 +162,12 @@
         let baseline = self.baseline.unwrap_or_default();
         let is_refused = duration < baseline.mul_f64(settings.refused_baseline_factor);
         let is_late = duration > duration_bound(class.latency_target, baseline, settings);
-        let is_bad = is_refused || is_late;
+        let is_late_or_refused = is_late || is_refused;
         if !flow.is_at_slow_upstream {
-            self.window.record_end(open, is_bad, &settings.window);
+            self.window
+                .record_end(open, is_late_or_refused, &settings.window);
         }
-        is_bad
+        is_late_or_refused
     }
 
     /// Returns the duration that flows of single upstreams are compared with: the
--- a/crates/currantgate-placement/src/domain_preference_settings.rs
+++ b/crates/currantgate-placement/src/domain_preference_settings.rs
@@ -8,9 +8,9 @@
     /// Part of new flows by which each late flow changes the preference: away from the
     /// own domain if it was there, and back if it was in another one.
     pub late_step: f64,
-    /// Part of new flows by which each flow in time in the own domain restores it. Four
-    /// fifths of `late_step` keep the preference while less than four in nine flows are late,
-    /// as they are where all domains have as much to do.
+    /// Part of new flows by which each flow in time in the own domain restores it. With four
+    /// fifths of `late_step` the preference lasts while less than four in nine flows are
+    /// late, which holds under a high load that is the same in all domains.
     pub recovery_step: f64,
 }
 
--- a/crates/currantgate-placement/src/ended_flow.rs
+++ b/crates/currantgate-placement/src/ended_flow.rs
@@ -12,7 +12,7 @@
     pub(crate) duration: Duration,
     /// Whether its upstream is in the entry's own failure domain.
     pub(crate) is_local: bool,
-    /// Whether the fleet observes its upstream as slow. How long its flows take then tells
-    /// nothing about queues elsewhere.
+    /// Whether the fleet observes its upstream as slow. The duration of the flow then says
+    /// nothing about queues at other upstreams.
     pub(crate) is_at_slow_upstream: bool,
 }
--- a/crates/currantgate-placement/src/flow_window.rs
+++ b/crates/currantgate-placement/src/flow_window.rs
@@ -6,8 +6,8 @@
 ///
 /// It answers the load in which callers ask for more than upstreams can do: queues there
 /// fill within a tenth of a second, before any statistics show it. Each flow that ends
-/// moves the window, as congestion control does, so that it settles where a fixed part of
-/// the flows is late, whatever the number of entries and their part of the demand is. See
+/// moves the window, as in congestion control, until a fixed part of the flows is late. This
+/// depends neither on the number of entries nor on their shares of the demand. See
 /// `docs/design/admission.md`.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct FlowWindow {
--- a/crates/currantgate-placement/src/flow_window_settings.rs
+++ b/crates/currantgate-placement/src/flow_window_settings.rs
@@ -12,8 +12,8 @@
     pub used_part: f64,
     /// Flows by which each flow in time increases the window.
     pub increase: f64,
-    /// Flows by which a whole window of flows in time increases it further. It is alike
-    /// for all entries, so that those with a small window gain on those with a large one.
+    /// Flows by which a whole window of flows in time increases it further. It is the same
+    /// for all entries, so that small windows catch up with large ones.
     pub even_increase: f64,
     /// Flows by which each late flow decreases the window.
     pub decrease: f64,
