Route packets of open flows faster on arm64

Cause: the token map hashed its integer key with ahash, whose variant without AES instructions is slow for one integer, and each packet paid for the record of an opening flow that it did not have: the record was returned by value, and the code for an answered and for an ended flow was inlined into the path of all packets.

Change: the token map uses foldhash, which the dependencies had already (tokens come from upstreams' identities, not from callers). A packet only looks up whether its flow is opening; the rest is out of line.

Not built on x86-64, which this machine can't; the change has no code for one processor.

--- a/crates/currantgate-token/src/flow_table.rs
+++ b/crates/currantgate-token/src/flow_table.rs
@@ -75,9 +75,18 @@
     }
 
     /// Marks a flow as established; returns its record if it was opening before.
+    ///
+    /// This is on the path of every packet, and few packets are of opening flows: the rest
+    /// must not pay for moving a record.
     pub(crate) fn establish(&mut self, flow: &FlowId) -> Option<FlowRecord> {
-        let record = self.opening.swap_remove(flow)?;
-        self.established.insert(*flow, record);
+        let index = self.opening.get_index_of(flow)?;
+        self.establish_at(index)
+    }
+
+    #[inline(never)]
+    fn establish_at(&mut self, index: usize) -> Option<FlowRecord> {
+        let (flow, record) = self.opening.swap_remove_index(index)?;
+        self.established.insert(flow, record);
         Some(record)
     }
 
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -539,16 +539,29 @@
     /// upstream has answered the first one.
     fn update_record(&mut self, now: Instant, packet: LaterPacket) {
         if let Some(record) = self.flows.establish(&packet.flow) {
-            let handshake_time = now.saturating_duration_since(record.sent);
-            self.handshake_time = Some(handshake_time);
-            self.placement
-                .record_handshake_time(record.token, handshake_time);
-            self.placement.record_answer(now, record.token);
-            self.track_overdue(packet.flow, &record);
+            self.record_established(now, packet.flow, &record);
         }
-        if packet.is_last
-            && let Some(record) = self.flows.remove(&packet.flow)
-        {
+        if packet.is_last {
+            self.record_last(now, &packet.flow);
+        }
+    }
+
+    /// Records the answer to a flow. Like [`Self::record_last`], it is kept out of the path
+    /// of the other packets.
+    #[inline(never)]
+    fn record_established(&mut self, now: Instant, flow: FlowId, record: &FlowRecord) {
+        let handshake_time = now.saturating_duration_since(record.sent);
+        self.handshake_time = Some(handshake_time);
+        self.placement
+            .record_handshake_time(record.token, handshake_time);
+        self.placement.record_answer(now, record.token);
+        self.track_overdue(flow, record);
+    }
+
+    /// Records the end of a flow.
+    #[inline(never)]
+    fn record_last(&mut self, now: Instant, flow: &FlowId) {
+        if let Some(record) = self.flows.remove(flow) {
             let duration = now.saturating_duration_since(record.sent);
             self.placement
                 .record_end(now, record.token, record.priority, duration);
--- a/crates/currantgate-token/src/upstreams.rs
+++ b/crates/currantgate-token/src/upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use ahash::RandomState;
+use foldhash::fast::RandomState;
 use indexmap::IndexMap;
 
 use crate::{NextHop, Token};
@@ -23,6 +23,7 @@
 /// Upstreams by token.
 #[derive(Debug, Default)]
 pub(crate) struct TokenMap {
+    /// Tokens come from upstreams' identities, not from callers, so that a fast hasher does.
     hops: IndexMap<Token, NextHop, RandomState>,
     ids: IndexMap<Token, Box<str>>,
 }
