--- a/review/standin/planned_removal.rs
+++ b/review/standin/planned_removal.rs
@@ -80,7 +80,17 @@
         fail_to_run("the first configuration is not acknowledged");
     }
 
-    let mut successors = vec![new(4, zones[0]), new(5, zones[1])];
+    // The one that answers itself leads. Its successor and that of another one are in the
+    // zones of the machines that they replace.
+    let leads = |machine: &Machine| {
+        let answer = call(machine.control_address(), "GET", READ, "");
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    let Some(leader) = machines.iter().position(leads) else {
+        fail_to_run("no node answers a read itself");
+    };
+    let second = (leader + 1) % 3;
+    let mut successors = vec![new(4, zones[leader]), new(5, zones[second])];
     for successor in &mut successors {
         successor.start(&seeds, false);
         let (name, address) = (&successor.name, successor.control_address());
@@ -99,15 +109,9 @@
 
     let mut left = all.clone();
     if is_troubled {
-        // The one that answers itself leads.
-        let leader = machines[..3].iter().position(|machine| {
-            let answer = call(machine.control_address(), "GET", READ, "");
-            answer.is_some_and(|answer| answer.status == 200)
-        });
-        let Some(leader) = leader else {
-            fail_to_run("no node answers a read itself");
-        };
-        let second = (leader + 1) % 3;
+        if !leads(&machines[leader]) {
+            fail_to_run("another node leads by now");
+        }
         for (index, pause) in [(leader, pause), (second, Duration::ZERO)] {
             let since = Instant::now();
             let machine = &mut machines[index];
