Votes of removed control VMs are handed over

Callers saw: with three control VMs and two successors that had run for 10 s, the leader was removed with SIGTERM and a second VM 3 s later.

Cause: a site kept only 2f + 1 votes, whatever number of control VMs ran. A stopping VM resigned as the leader and took its vote along; successors got a vote only after a voter was missed, and a new leader counted that time from its own election, up to 4.5 s after the removal. Evidence: the VM that is left logs the voters {1, 2, 3} to the end and no event=voters in between.

Change: a VM that stops passes its lead on (StartElection, TransferVote) and has its vote handed over before it ends (Departure, Released); all live control VMs vote, up to an odd number of nine; a voter is missed from its own last message on. A standby that does not catch up within 1 s, or whose connection has ended, is given up for another one. New metrics: voters, voter_changes.

Why it works: a removal is committed by the voters while the VM still runs, and a majority of the control VMs is a majority of the voters, so that a removal without notice leaves a quorum too.

Random schedules of the consensus now pass leads on, too.

--- a/crates/currantgate-control/src/message.rs
+++ b/crates/currantgate-control/src/message.rs
@@ -95,6 +95,32 @@
         /// Whether the receiver is not a voter yet.
         learner: bool,
     },
+    /// Asks the receiver to start an election at once: the leader of `term`, which sends it,
+    /// has resigned.
+    StartElection {
+        /// The term of the resigned leader.
+        term: Term,
+    },
+    /// Requests a vote after [`Message::StartElection`]. The previous term's leader holds no
+    /// lease any more, so that voters need not wait until its lease has expired.
+    TransferVote {
+        /// The term that the sender started.
+        term: Term,
+        /// The index of the sender's last entry.
+        last_index: Index,
+        /// The term of that entry.
+        last_term: Term,
+    },
+    /// Announces that the sender stops, and requests that its vote is handed over.
+    Departure {
+        /// The sender's term.
+        term: Term,
+    },
+    /// Replies to [`Message::Departure`]: the receiver is not a voter, and this is committed.
+    Released {
+        /// The leader's term.
+        term: Term,
+    },
 }
 
 /// The result of a message of the leader at a follower.
@@ -134,8 +160,17 @@
                 term,
                 last_index,
                 last_term,
+            }
+            | Self::TransferVote {
+                term,
+                last_index,
+                last_term,
             } => [*term, *last_index, *last_term, 0],
-            Self::PreVoteReply { term, .. } | Self::VoteReply { term, .. } => [*term, 0, 0, 0],
+            Self::PreVoteReply { term, .. }
+            | Self::VoteReply { term, .. }
+            | Self::StartElection { term }
+            | Self::Departure { term }
+            | Self::Released { term } => [*term, 0, 0, 0],
             Self::AppendReply { term, outcome, .. } => {
                 let (a, b) = outcome.numbers();
                 [*term, a, b, 0]
@@ -188,7 +223,11 @@
             | Self::VoteReply { term, .. }
             | Self::Append { term, .. }
             | Self::AppendReply { term, .. }
-            | Self::Snapshot { term, .. } => *term,
+            | Self::Snapshot { term, .. }
+            | Self::StartElection { term }
+            | Self::TransferVote { term, .. }
+            | Self::Departure { term }
+            | Self::Released { term } => *term,
         }
     }
 }
--- a/crates/currantgate-control/src/replica/election.rs
+++ b/crates/currantgate-control/src/replica/election.rs
@@ -28,18 +28,34 @@
 
     pub(super) fn start_pre_vote(&mut self, now: Instant) {
         self.reset_election_deadline(now);
-        if !self.may_vote() || !self.log.members().1.contains(self.id()) {
+        if !self.may_lead() {
             return;
         }
         self.role = Role::PreCandidate {
             granted: IndexSet::new(),
         };
-        self.request_votes(false);
+        let (last_term, last_index) = self.last_entry();
+        self.send_to_voters(&Message::PreVote {
+            term: self.hard_state.term + 1,
+            last_index,
+            last_term,
+        });
         self.receive_pre_vote_reply(now, self.id(), self.hard_state.term + 1, true);
     }
 
-    fn start_election(&mut self, now: Instant) {
-        if now < self.no_votes_until {
+    /// Starts an election for a leader that has resigned and asked this replica to succeed
+    /// it. Messages of other leaders or terms are late.
+    pub(super) fn receive_start_election(&mut self, now: Instant, from: VoterId, term: Term) {
+        let follows = matches!(self.role, Role::Follower { leader } if leader == Some(from));
+        if follows && term == self.hard_state.term && self.may_lead() {
+            self.start_election(now, true);
+        }
+    }
+
+    /// Starts an election; `is_transfer` tells that the leader of the current term has
+    /// resigned.
+    fn start_election(&mut self, now: Instant, is_transfer: bool) {
+        if now < self.no_votes_until && !is_transfer {
             return;
         }
         let hard_state = HardState {
@@ -52,26 +68,25 @@
             granted: IndexSet::new(),
         };
         self.reset_election_deadline(now);
-        self.request_votes(true);
-        self.receive_vote_reply(now, self.id(), hard_state.term, true);
-    }
-
-    fn request_votes(&mut self, binding: bool) {
         let (last_term, last_index) = self.last_entry();
-        let term = self.hard_state.term;
-        let message = if binding {
-            Message::Vote {
+        let term = hard_state.term;
+        self.send_to_voters(&if is_transfer {
+            Message::TransferVote {
                 term,
                 last_index,
                 last_term,
             }
         } else {
-            Message::PreVote {
-                term: term + 1,
+            Message::Vote {
+                term,
                 last_index,
                 last_term,
             }
-        };
+        });
+        self.receive_vote_reply(now, self.id(), hard_state.term, true);
+    }
+
+    pub(super) fn send_to_voters(&mut self, message: &Message) {
         let own = self.id();
         let others: Vec<_> = self.log.members().1.ids().filter(|id| *id != own).collect();
         for to in others {
@@ -113,7 +128,7 @@
             granted.insert(from);
         }
         if self.has_quorum_of_votes() {
-            self.start_election(now);
+            self.start_election(now, false);
         }
     }
 
@@ -124,9 +139,7 @@
         term: Term,
         last: LastEntry,
     ) {
-        // A vote now could elect a leader while another holds the lease that
-        // this replica has acknowledged.
-        if !self.may_vote() || now < self.no_votes_until {
+        if !self.may_vote() {
             return;
         }
         self.observe_term(now, term);
@@ -193,6 +206,13 @@
         }
     }
 
+    /// Returns whether the replica may start an election: it is a voter, and it is not about
+    /// to stop.
+    fn may_lead(&self) -> bool {
+        let is_voter = self.log.members().1.contains(self.id());
+        is_voter && self.may_vote() && !self.departures.is_own()
+    }
+
     /// Returns whether the replica may vote and lead. With a new disk it may not
     /// before it has received a snapshot as a learner.
     fn may_vote(&self) -> bool {
--- a/crates/currantgate-control/src/replica/leader.rs
+++ b/crates/currantgate-control/src/replica/leader.rs
@@ -34,6 +34,7 @@
             queued: VecDeque::new(),
             pending: None,
             replacement: None,
+            is_resigning: false,
             reads: Vec::new(),
         }));
         self.no_votes_until = now + MIN_ELECTION_TIMEOUT;
--- a/crates/currantgate-control/src/replica/mod.rs
+++ b/crates/currantgate-control/src/replica/mod.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/control.md`.
 
 mod commit;
+mod departure;
 mod election;
 mod evacuation;
 mod follower;
@@ -26,6 +27,7 @@
     Entry, Evacuations, HardState, Index, MIN_ELECTION_TIMEOUT, Message, Output, RecoveredState,
     ReplicaSettings, SiteState, VoterId,
 };
+use departure::Departures;
 use follower::IncomingSnapshot;
 use persistence::PendingWrites;
 use role::Role;
@@ -50,6 +52,8 @@
     /// The instant at which the replica starts a pre-vote, put off by each
     /// message of a leader and each granted vote.
     election_deadline: Instant,
+    /// The control VMs that have announced that they stop.
+    departures: Departures,
     writes: PendingWrites,
     outputs: VecDeque<Output>,
 }
@@ -82,6 +86,7 @@
             incoming: None,
             no_votes_until: now + MIN_ELECTION_TIMEOUT,
             election_deadline: now,
+            departures: Departures::default(),
             outputs: VecDeque::new(),
         };
         replica.commit_to(now, known_commit);
@@ -118,7 +123,21 @@
                 term,
                 last_index,
                 last_term,
+            } => {
+                // A vote now could elect a leader while another holds the lease that this
+                // replica has acknowledged.
+                if now >= self.no_votes_until {
+                    self.receive_vote(now, from, term, (last_term, last_index));
+                }
+            }
+            Message::TransferVote {
+                term,
+                last_index,
+                last_term,
             } => self.receive_vote(now, from, term, (last_term, last_index)),
+            Message::StartElection { term } => self.receive_start_election(now, from, term),
+            Message::Departure { .. } => self.receive_departure(now, from),
+            Message::Released { term } => self.receive_release(term),
             Message::VoteReply { term, granted } => {
                 self.receive_vote_reply(now, from, term, granted);
             }
--- a/crates/currantgate-control/src/replica/operator.rs
+++ b/crates/currantgate-control/src/replica/operator.rs
@@ -51,6 +51,9 @@
             let leader = self.leader_id();
             return Err(RefuseReason::NotLeader { leader });
         };
+        if leader.is_resigning {
+            return Err(RefuseReason::NotLeader { leader: None });
+        }
         if !self.has_lease(now) {
             return Err(RefuseReason::NoLease);
         }
@@ -71,7 +74,8 @@
             let Role::Leader(leader) = &mut self.role else {
                 return;
             };
-            if leader.pending.is_some() || self.commit < leader.first_index {
+            let is_busy = leader.pending.is_some() || leader.is_resigning;
+            if is_busy || self.commit < leader.first_index {
                 return;
             }
             let Some((id, request)) = leader.queued.pop_front() else {
@@ -180,7 +184,7 @@
             let reason = RefuseReason::NoLease;
             return self.answer_replace(id, ReplaceAnswer::Refused(reason));
         }
-        if leader_state.replacement.is_some() {
+        if leader_state.replacement.is_some() || leader_state.is_resigning {
             let reason = RefuseReason::Busy;
             return self.answer_replace(id, ReplaceAnswer::Refused(reason));
         }
--- a/crates/currantgate-control/src/replica/role.rs
+++ b/crates/currantgate-control/src/replica/role.rs
@@ -41,6 +41,8 @@
     /// The proposal that is being replicated.
     pub(super) pending: Option<PendingProposal>,
     pub(super) replacement: Option<Replacement>,
+    /// Whether the leader passes its lead on before a stop, and starts nothing new.
+    pub(super) is_resigning: bool,
     /// Reads, each with its time of arrival, that wait until a quorum has
     /// acknowledged a message sent at that time or later.
     pub(super) reads: Vec<(RequestId, Instant)>,
--- a/crates/currantgate-control/src/voter_planner.rs
+++ b/crates/currantgate-control/src/voter_planner.rs
@@ -15,40 +15,71 @@
 /// Settings of a [`VoterPlanner`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VoterPlannerSettings {
-    /// The number of voters that the site should have: 2f + 1 to tolerate the
+    /// The fewest voters that the site should have: 2f + 1 to tolerate the
     /// simultaneous loss of f VMs.
-    pub target: usize,
+    pub min_voters: usize,
+    /// The most voters. While more control VMs than `min_voters` are alive, more of them
+    /// vote, so that a majority of the control VMs is always one of the voters too, and
+    /// several VMs that have successors can be removed at once.
+    pub max_voters: usize,
     /// The time without contact after which a voter is replaced. It must exceed
     /// two heartbeat intervals plus a reconnect, and stay below the time within
     /// which the successor of a replaced VM must count as recovered.
     pub lost_after: Duration,
+    /// The time of contact after which a VM becomes a voter in excess of `min_voters`, so
+    /// that one that starts again and again does not change the voters each time.
+    pub settled_after: Duration,
+    /// The time after a change of the voters from which an even number of them is reduced
+    /// by one, which costs no tolerance.
+    pub even_until: Duration,
+    /// The time for which a standby that did not catch up is avoided.
+    pub avoided_for: Duration,
 }
 
 impl Default for VoterPlannerSettings {
     fn default() -> Self {
         Self {
-            target: 3,
+            min_voters: 3,
+            max_voters: 9,
             lost_after: Duration::from_millis(2_500),
+            settled_after: Duration::from_millis(1_000),
+            even_until: Duration::from_secs(10),
+            avoided_for: Duration::from_secs(10),
         }
     }
 }
 
-/// The last contact with one control VM.
+/// The time for which a leader has the lease before it considers a voter as lost: two
+/// intervals of reports of other control VMs, in case that it was cut off before.
+const CONTACT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The contacts with one control VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Peer {
     /// The address at which it listens for other control VMs.
     address: SocketAddr,
     /// Its failure domain.
     domain: Box<str>,
+    /// The first contact of an uninterrupted series.
+    first_contact: Instant,
     last_contact: Instant,
+    /// Whether its last connection has ended since.
+    is_disconnected: bool,
+    /// The instant until which other standbys are preferred.
+    avoided_until: Instant,
 }
 
 /// Determines the next change of the voters from the contacts with control VMs.
 #[derive(Debug)]
 pub struct VoterPlanner {
     settings: VoterPlannerSettings,
-    started: Instant,
+    /// The start of the leader's lease, or a later instant.
+    leads_since: Instant,
     peers: IndexMap<VoterId, Peer>,
+    /// The last voter messages of the consensus, which arrive also while a feed reconnects.
+    messages: IndexMap<VoterId, Instant>,
+    /// The voters at the last call, and the instant of their last change.
+    voters: (Members, Instant),
 }
 
 impl VoterPlanner {
@@ -56,49 +87,125 @@
     /// lost before `lost_after` has passed from `now`.
     pub fn new(settings: VoterPlannerSettings, now: Instant) -> Self {
         Self {
+            leads_since: now + settings.lost_after.saturating_sub(CONTACT_WAIT),
             settings,
-            started: now,
             peers: IndexMap::new(),
+            messages: IndexMap::new(),
+            voters: (Members::default(), now),
         }
     }
 
     /// Records contact with a control VM.
     pub fn record_contact(&mut self, now: Instant, id: VoterId, address: SocketAddr, domain: &str) {
+        let known = self.peers.get(&id);
+        let continued = known.filter(|peer| now < peer.last_contact + self.settings.lost_after);
         let peer = Peer {
             address,
             domain: domain.into(),
+            first_contact: continued.map_or(now, |peer| peer.first_contact),
             last_contact: now,
+            is_disconnected: false,
+            avoided_until: known.map_or(now, |peer| peer.avoided_until),
         };
         self.peers.insert(id, peer);
     }
 
-    /// Restarts the timeouts of all voters: a VM that was not the leader, or was
-    /// suspended, received no messages from them.
+    /// Records a message of the consensus.
+    pub fn record_message(&mut self, now: Instant, from: VoterId) {
+        self.messages.insert(from, now);
+    }
+
+    /// Records that the connection of a control VM has ended, as at its stop.
+    pub fn record_disconnect(&mut self, id: VoterId) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.is_disconnected = true;
+        }
+    }
+
+    /// Records that a standby did not catch up in time, so that others are preferred.
+    pub fn avoid(&mut self, now: Instant, id: VoterId) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.avoided_until = now + self.settings.avoided_for;
+        }
+    }
+
+    /// Records that this VM does not have the lease: a VM that was not the leader, or was
+    /// suspended, may not have received all messages of the voters.
     pub fn restart_timeouts(&mut self, now: Instant) {
-        self.started = now;
+        self.leads_since = self.leads_since.max(now);
     }
 
-    /// Returns the next change that the voters need, or `None`. Called on the
-    /// leader, whose id is `own`.
+    /// Returns the next change that the voters need, or `None`. Called on the leader, whose id
+    /// is `own`; `is_departing` returns whether a VM has announced that it stops.
     pub fn next_change(
-        &self,
+        &mut self,
         now: Instant,
         own: VoterId,
         members: &Members,
+        is_departing: impl Fn(VoterId) -> bool,
     ) -> Option<VoterChange> {
-        let lost = members
-            .ids()
-            .find(|id| *id != own && self.is_lost(now, *id, own, members));
-        if let Some(lost) = lost
-            && members.ids().count() > self.settings.target
-        {
-            return self.removal(now, lost, own, members);
+        if self.voters.0 != *members {
+            self.voters = (members.clone(), now);
+        }
+        let count = members.ids().count();
+        let others = || members.ids().filter(|id| *id != own);
+        let leaving = others()
+            .find(|id| is_departing(*id))
+            .or_else(|| others().find(|id| self.is_lost(now, *id, own, members)));
+        if let Some(leaving) = leaving {
+            if count > self.settings.min_voters {
+                return self.removal(now, leaving, own, members);
+            }
+            return self.addition(now, members, Some(leaving), &is_departing);
+        }
+        if count < self.settings.min_voters {
+            return self.addition(now, members, None, &is_departing);
+        }
+        let settled = |id: VoterId| !is_departing(id) && self.is_settled(now, id);
+        let live_standbys = self.standbys(now, members).filter(|id| settled(*id));
+        let wanted = self.voters_for(count + live_standbys.count());
+        if count < wanted {
+            return self.addition(now, members, None, |id| !settled(id));
         }
-        let fresh = self.best_standby(now, members, lost)?;
-        let missing = members.ids().count() < self.settings.target;
-        if lost.is_none() && !missing {
-            return None;
+        let is_due = now >= self.voters.1 + self.settings.even_until;
+        if count > wanted && count.is_multiple_of(2) && is_due {
+            let surplus = self.surplus_voter(own, members)?;
+            return self.removal(now, surplus, own, members);
         }
+        None
+    }
+
+    /// Returns whether the vote of this VM, `own`, can be handed over when it stops.
+    pub fn can_replace(&self, now: Instant, own: VoterId, members: &Members) -> bool {
+        let has_spare = members.ids().count() > self.settings.min_voters;
+        has_spare
+            || self
+                .best_standby(now, members, Some(own), |_| false)
+                .is_some()
+    }
+
+    /// Returns whether another standby than `joining` could become a voter instead.
+    pub fn has_alternative(&self, now: Instant, joining: VoterId, members: &Members) -> bool {
+        let is_excluded = |id: VoterId| id == joining || self.is_avoided(now, id);
+        self.best_standby(now, members, None, is_excluded).is_some()
+    }
+
+    /// Returns the number of voters for a number of control VMs: an odd one, as one more
+    /// would add to the quorum and tolerate no further loss.
+    fn voters_for(&self, vms: usize) -> usize {
+        let odd = vms - usize::from(vms.is_multiple_of(2));
+        let most = self.settings.max_voters.max(self.settings.min_voters);
+        odd.clamp(self.settings.min_voters, most)
+    }
+
+    fn addition(
+        &self,
+        now: Instant,
+        members: &Members,
+        lost: Option<VoterId>,
+        is_excluded: impl Fn(VoterId) -> bool,
+    ) -> Option<VoterChange> {
+        let fresh = self.best_standby(now, members, lost, is_excluded)?;
         let address = self.peers[&fresh].address;
         Some(VoterChange {
             lost,
@@ -107,9 +214,16 @@
         })
     }
 
-    /// Returns the change that removes a lost voter whose successor is a voter already: the
-    /// leader that added it has not completed the change. Until then the quorum is larger
-    /// than that of the target.
+    /// Returns a voter other than the leader, of the failure domain with the most voters.
+    fn surplus_voter(&self, own: VoterId, members: &Members) -> Option<VoterId> {
+        let domain = |id: VoterId| self.peers.get(&id).map(|peer| &*peer.domain);
+        let in_domain_of = |id| members.ids().filter(|i| domain(*i) == domain(id)).count();
+        let others = members.ids().filter(|id| *id != own);
+        others.max_by_key(|id| (in_domain_of(*id), *id))
+    }
+
+    /// Returns the change that only removes a voter. Its successor, if there is one, is a voter
+    /// already: the leader that added it has not completed the change.
     fn removal(
         &self,
         now: Instant,
@@ -118,9 +232,10 @@
         members: &Members,
     ) -> Option<VoterChange> {
         let lost_address = members.address(lost);
+        let is_candidate = |id: &VoterId| *id != own && *id != lost && self.is_alive(now, *id);
         let present = members
             .ids()
-            .filter(|id| *id != own && self.is_alive(now, *id))
+            .filter(is_candidate)
             .min_by_key(|id| (members.address(*id) != lost_address, *id))?;
         Some(VoterChange {
             lost: Some(lost),
@@ -131,10 +246,22 @@
 
     /// Returns whether there was contact with a control VM within `lost_after`.
     pub fn is_alive(&self, now: Instant, id: VoterId) -> bool {
-        let last_contact = self.peers.get(&id).map(|peer| peer.last_contact);
+        let contact = self.peers.get(&id).map(|peer| peer.last_contact);
+        let message = self.messages.get(&id).copied();
+        let last_contact = contact.max(message);
         last_contact.is_some_and(|contact| now < contact + self.settings.lost_after)
     }
 
+    fn is_settled(&self, now: Instant, id: VoterId) -> bool {
+        let first_contact = self.peers.get(&id).map(|peer| peer.first_contact);
+        first_contact.is_some_and(|contact| now >= contact + self.settings.settled_after)
+    }
+
+    fn is_avoided(&self, now: Instant, id: VoterId) -> bool {
+        let peer = self.peers.get(&id);
+        peer.is_some_and(|peer| peer.is_disconnected || now < peer.avoided_until)
+    }
+
     fn is_lost(&self, now: Instant, id: VoterId, own: VoterId, members: &Members) -> bool {
         if self.is_alive(now, id) {
             return false;
@@ -146,18 +273,25 @@
             *other != id && self.is_alive(now, *other) && Some(peer.address) == address
         };
         let is_succeeded_by_own = members.address(own) == address;
-        let timed_out = now >= self.started + self.settings.lost_after;
+        let timed_out = now >= self.leads_since + CONTACT_WAIT;
         timed_out || is_succeeded_by_own || self.peers.iter().any(is_successor)
     }
 
-    /// Returns the live non-voter whose failure domain has the fewest voters
-    /// other than `lost`. Among equals, it prefers the address of `lost`, then
-    /// the lowest id.
+    /// Returns the live control VMs that are no voters.
+    fn standbys(&self, now: Instant, members: &Members) -> impl Iterator<Item = VoterId> {
+        let ids = self.peers.keys().copied();
+        ids.filter(move |id| !members.contains(*id) && self.is_alive(now, *id))
+    }
+
+    /// Returns the live standby whose failure domain has the fewest voters other than `lost`,
+    /// and one that is avoided only if there is no other. Among equals, it prefers the address
+    /// of `lost`, then the lowest id.
     fn best_standby(
         &self,
         now: Instant,
         members: &Members,
         lost: Option<VoterId>,
+        is_excluded: impl Fn(VoterId) -> bool,
     ) -> Option<VoterId> {
         let lost_address = lost.and_then(|id| members.address(id));
         let remaining = || members.ids().filter(|id| Some(*id) != lost);
@@ -167,17 +301,18 @@
                 .count()
         };
         let taken: Vec<SocketAddr> = remaining().filter_map(|id| members.address(id)).collect();
-        self.peers
-            .iter()
-            .filter(|(id, _)| !members.contains(**id) && self.is_alive(now, **id))
+        self.standbys(now, members)
+            .filter(|id| !is_excluded(*id))
+            .map(|id| (id, &self.peers[&id]))
             .filter(|(_, peer)| !taken.contains(&peer.address))
             .min_by_key(|(id, peer)| {
                 (
+                    self.is_avoided(now, *id),
                     voters_in_domain(peer),
                     Some(peer.address) != lost_address,
-                    **id,
+                    *id,
                 )
             })
-            .map(|(id, _)| *id)
+            .map(|(id, _)| id)
     }
 }
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -328,6 +328,24 @@
         self.with_replica(id, |replica, now, _| replica.step_down(now));
     }
 
+    /// Makes a leader pass its lead on, as before a planned stop, and returns whether it has.
+    pub fn transfer_lead(&mut self, id: VoterId) -> bool {
+        let mut is_done = false;
+        self.with_replica(id, |replica, now, _| is_done = replica.transfer_lead(now));
+        is_done
+    }
+
+    /// Makes a replica announce that it stops.
+    pub fn announce_departure(&mut self, id: VoterId) {
+        self.with_replica(id, |replica, _, _| replica.announce_departure());
+    }
+
+    /// Returns whether a replica considers another one as about to stop.
+    pub fn is_departing(&self, at: VoterId, id: VoterId) -> bool {
+        let now = self.local_time(at);
+        self.replica(at).is_some_and(|r| r.is_departing(now, id))
+    }
+
     /// Cancels a change of the voters whose new voter has not caught up, and
     /// returns whether it was cancelled.
     pub fn abandon_catch_up(&mut self, at: VoterId) -> bool {
--- /dev/null
+++ b/crates/currantgate-control/tests/planned_stop.rs
@@ -0,0 +1,119 @@
+//! Planned stops: the lead and the vote are passed on while the VM still runs.
+
+mod common;
+
+use std::time::Duration;
+
+use common::net::{Net, address};
+use currantgate_control::{ApplyAnswer, Message, ReplaceAnswer, RevisionId, VoterChange};
+use rstest::rstest;
+
+/// A round trip and a few steps; the shortest election timeout is ten times as long.
+const TRANSFER_TIME: Duration = Duration::from_millis(100);
+
+/// Returns a site with a leader that has the lease.
+fn net_with_leader(voters: u64, seed: u64) -> (Net, u64) {
+    let mut net = Net::new(voters, seed);
+    net.run_until("a leader", |net| net.leader().is_some());
+    let leader = net.leader().unwrap();
+    net.run(Duration::from_millis(500));
+    (net, leader)
+}
+
+/// Guards against a second without a leader at each planned restart.
+#[rstest]
+#[case::three_voters(3)]
+#[case::five_voters(5)]
+fn a_stopping_leader_is_succeeded_within_a_round_trip(#[case] voters: u64) {
+    for seed in 0..50 {
+        let (mut net, leader) = net_with_leader(voters, seed);
+        assert!(net.transfer_lead(leader));
+        net.announce_departure(leader);
+        net.run(TRANSFER_TIME);
+        let successor = net.leader();
+        assert!(
+            successor.is_some_and(|id| id != leader),
+            "seed {seed}: {successor:?} leads after {leader}"
+        );
+    }
+}
+
+/// Guards against an acknowledged change that is lost, and against one whose sender waits in
+/// vain, when the leader stops meanwhile.
+#[test]
+fn a_change_in_progress_is_answered_before_the_lead_is_passed_on() {
+    let (mut net, leader) = net_with_leader(3, 4);
+    let change = net.apply(leader, RevisionId::empty(), "a");
+    assert!(!net.transfer_lead(leader), "the change is not complete");
+    let refused = net.apply(leader, RevisionId::empty(), "b");
+    assert!(matches!(net.answers[&refused], ApplyAnswer::Refused(_)));
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.answers[&change], ApplyAnswer::Accepted(1));
+    assert!(net.transfer_lead(leader));
+    net.run(TRANSFER_TIME);
+    let successor = net.leader().unwrap();
+    assert_eq!(net.accepted(successor).unwrap().revision, 1);
+}
+
+/// Guards against a lead that is passed on to a voter which stops too.
+#[test]
+fn the_lead_is_not_passed_on_to_a_voter_that_stops() {
+    let (mut net, leader) = net_with_leader(3, 7);
+    let stopping = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    net.announce_departure(stopping);
+    net.run(Duration::from_millis(50));
+    assert!(net.is_departing(leader, stopping));
+    assert!(net.transfer_lead(leader));
+    net.announce_departure(leader);
+    net.run(TRANSFER_TIME);
+    let successor = net.leader().unwrap();
+    assert!(successor != leader && successor != stopping);
+}
+
+/// Guards against two leaders with a lease: a request to start an election counts only in the
+/// term of the leader that resigned.
+#[test]
+fn a_late_request_to_start_an_election_is_ignored() {
+    let (mut net, leader) = net_with_leader(3, 9);
+    let other = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    let term = net
+        .replica(other)
+        .unwrap()
+        .status(std::time::Instant::now())
+        .term;
+    net.votes = 0;
+    net.inject(leader, other, Message::StartElection { term: term - 1 });
+    let third = net
+        .ids()
+        .into_iter()
+        .find(|id| *id != leader && *id != other);
+    net.inject(third.unwrap(), other, Message::StartElection { term });
+    net.run(TRANSFER_TIME);
+    assert_eq!((net.votes, net.leader()), (0, Some(leader)));
+}
+
+/// Guards against a VM that stops before its removal from the voters is committed.
+#[test]
+fn a_voter_is_released_only_after_its_removal_is_committed() {
+    let (mut net, leader) = net_with_leader(3, 2);
+    let stopping = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    net.join(4);
+    net.announce_departure(stopping);
+    net.run(TRANSFER_TIME);
+    assert!(!net.replica(stopping).unwrap().is_released());
+    let change = VoterChange {
+        lost: Some(stopping),
+        fresh: 4,
+        address: address(4),
+    };
+    let id = net.change_voters(leader, change);
+    while net.replaced.get(&id) != Some(&ReplaceAnswer::Done) {
+        net.announce_departure(stopping);
+        net.step();
+        let is_released = net.replica(stopping).unwrap().is_released();
+        assert!(!is_released || net.replaced.contains_key(&id));
+    }
+    net.announce_departure(stopping);
+    net.run(TRANSFER_TIME);
+    assert!(net.replica(stopping).unwrap().is_released());
+}
--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -29,6 +29,10 @@
     Heal,
     Crash(usize),
     CrashLeader,
+    /// The leader passes its lead on if it can, and resigns otherwise.
+    TransferLead,
+    /// The leader passes its lead on if it can, and stops.
+    StopLeader,
     CrashAtOperation {
         vm: usize,
         after: usize,
@@ -59,6 +63,8 @@
         6 => Just(Action::Heal),
         1 => vm.clone().prop_map(Action::Crash),
         2 => Just(Action::CrashLeader),
+        2 => Just(Action::TransferLead),
+        2 => Just(Action::StopLeader),
         2 => (vm.clone(), 0..6_usize).prop_map(|(vm, after)| Action::CrashAtOperation { vm, after }),
         5 => Just(Action::RestartAll),
         4 => vm.clone().prop_map(|down| Action::PowerLoss { down }),
@@ -128,6 +134,21 @@
                     self.net.crash(leader);
                 }
             }
+            Action::TransferLead => {
+                if let Some(leader) = self.net.leader()
+                    && !self.net.transfer_lead(leader)
+                {
+                    self.net.step_down(leader);
+                }
+            }
+            Action::StopLeader => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.transfer_lead(leader);
+                    self.net.announce_departure(leader);
+                    self.net.step();
+                    self.net.crash(leader);
+                }
+            }
             Action::CrashAtOperation { vm, after } => {
                 let disk = self.net.disk(self.vm(vm));
                 disk.crash_at(disk.operations() + after);
--- a/crates/currantgate-control/tests/voter_plan.rs
+++ b/crates/currantgate-control/tests/voter_plan.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use currantgate_control::{Members, VoterChange, VoterId, VoterPlanner, VoterPlannerSettings};
+use proptest::prelude::*;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -23,7 +24,7 @@
     fn new(target: usize) -> Self {
         let now = Instant::now();
         let settings = VoterPlannerSettings {
-            target,
+            min_voters: target,
             ..VoterPlannerSettings::default()
         };
         Self {
@@ -50,8 +51,14 @@
         }
     }
 
-    fn next_change(&self) -> Option<VoterChange> {
-        self.planner.next_change(self.now, 1, &self.members)
+    fn next_change(&mut self) -> Option<VoterChange> {
+        self.next_change_with(&[])
+    }
+
+    fn next_change_with(&mut self, departing: &[VoterId]) -> Option<VoterChange> {
+        let is_departing = |id| departing.contains(&id);
+        self.planner
+            .next_change(self.now, 1, &self.members, is_departing)
     }
 }
 
@@ -112,7 +119,9 @@
             site.record_contact(id, host, domain);
         }
     }
-    let change = site.planner.next_change(site.now, leader, &site.members);
+    let change = site
+        .planner
+        .next_change(site.now, leader, &site.members, |_| false);
     let expected = VoterChange {
         lost: Some(3),
         fresh: expected,
@@ -169,3 +178,141 @@
     // There still is contact with voter 2, so 77 is another process at its address.
     assert_eq!(site.next_change(), None);
 }
+
+/// Guards against a vote that a removed VM takes along: a voter that stops is replaced while
+/// it still answers.
+#[test]
+fn a_voter_that_stops_is_replaced_at_once() {
+    let mut site = Site::new(3);
+    site.advance(SECOND, &[2, 3]);
+    site.record_contact(77, 4, "d");
+    let expected = VoterChange {
+        lost: Some(2),
+        fresh: 77,
+        address: address(4),
+    };
+    assert_eq!(site.next_change_with(&[2]), Some(expected));
+}
+
+#[test]
+fn a_standby_that_stops_is_not_chosen() {
+    let mut site = Site::new(3);
+    site.advance(SECOND, &[2, 3]);
+    site.record_contact(77, 4, "d");
+    assert_eq!(site.next_change_with(&[2, 77]), None);
+}
+
+/// Guards against a replacement that waits for a standby without a working disk, or for one
+/// whose process has ended, while another one could vote.
+#[rstest]
+#[case::it_did_not_catch_up(|site: &mut Site| site.planner.avoid(site.now, 71))]
+#[case::its_connection_has_ended(|site: &mut Site| site.planner.record_disconnect(71))]
+fn a_doubtful_standby_is_avoided(#[case] doubt: fn(&mut Site)) {
+    let mut site = Site::new(3);
+    site.advance(5 * SECOND, &[2]);
+    site.record_contact(71, 4, "c");
+    doubt(&mut site);
+    assert_eq!(site.next_change().unwrap().fresh, 71, "there is no other");
+    site.record_contact(72, 5, "b");
+    assert!(site.planner.has_alternative(site.now, 71, &site.members));
+    assert_eq!(site.next_change().unwrap().fresh, 72);
+}
+
+/// A site of live VMs whose planned changes are made at once.
+struct Fleet {
+    site: Site,
+    live: Vec<VoterId>,
+    changes: usize,
+}
+
+impl Fleet {
+    fn new(vms: usize) -> Self {
+        let mut fleet = Self {
+            site: Site::new(3),
+            live: (1..=vms as VoterId).collect(),
+            changes: 0,
+        };
+        fleet.run(5 * SECOND);
+        fleet
+    }
+
+    /// Runs with contact with all live VMs; the leader is the first live voter.
+    fn run(&mut self, time: Duration) {
+        let end = self.site.now + time;
+        while self.site.now < end {
+            self.site.now += SECOND / 5;
+            for id in &self.live {
+                let domain = ["a", "b", "c", "d"][*id as usize % 4];
+                self.site.record_contact(*id, *id as u8, domain);
+            }
+            let leader = self.voters().find(|id| self.live.contains(id)).unwrap();
+            let (now, members) = (self.site.now, self.site.members.clone());
+            let change = self
+                .site
+                .planner
+                .next_change(now, leader, &members, |_| false);
+            if let Some(change) = change {
+                self.changes += 1;
+                let added = members.with_voter(change.fresh, change.address);
+                self.site.members = match change.lost {
+                    Some(lost) => added.without_voter(lost),
+                    None => added,
+                };
+            }
+        }
+    }
+
+    fn voters(&self) -> impl Iterator<Item = VoterId> + '_ {
+        self.site.members.ids()
+    }
+
+    /// Removes the VMs without notice.
+    fn remove(&mut self, ids: &[VoterId]) {
+        self.live.retain(|id| !ids.contains(id));
+    }
+}
+
+proptest! {
+    /// Guards against removed VMs that leave no quorum: all that a minority of the control
+    /// VMs may be are removed at once, again and again, while new ones take their place.
+    #[test]
+    fn voters_follow_the_live_vms(vms in 3..10_usize, rounds in prop::collection::vec(any::<u64>(), 1..6)) {
+        let mut fleet = Fleet::new(vms);
+        let mut next = 50;
+        for round in rounds {
+            let voters: Vec<_> = fleet.voters().collect();
+            let odd = vms - usize::from(vms % 2 == 0);
+            prop_assert_eq!(voters.len(), odd);
+            let count = (vms - 1) / 2;
+            let removed: Vec<_> = (0..count)
+                .map(|n| fleet.live[(round as usize + n) % fleet.live.len()])
+                .collect();
+            fleet.remove(&removed);
+            let left = fleet.voters().filter(|id| fleet.live.contains(id)).count();
+            prop_assert!(left >= fleet.site.members.quorum(), "{} of {} voters are left", left, odd);
+            fleet.run(6 * SECOND);
+            prop_assert!(fleet.voters().all(|id| fleet.live.contains(&id)));
+            for _ in 0..count {
+                fleet.live.push(next);
+                next += 1;
+            }
+            let before = fleet.changes;
+            fleet.run(15 * SECOND);
+            prop_assert!(fleet.changes - before <= 2 * count + 1, "the voters keep changing");
+        }
+    }
+}
+
+/// Guards against votes that move each time a VM starts and ends.
+#[test]
+fn a_vm_that_flaps_adds_no_voter() {
+    let mut fleet = Fleet::new(4);
+    fleet.changes = 0;
+    for _ in 0..20 {
+        fleet.live.push(9);
+        fleet.run(SECOND * 4 / 5);
+        fleet.remove(&[9]);
+        fleet.run(3 * SECOND);
+    }
+    assert_eq!(fleet.changes, 0);
+}
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -4,13 +4,13 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Change, EvacuationAnswer, EvacuationOrder, Output, ReplaceRequest,
-    Replica, RequestId, Revision, Secret, StorageError, Term, VersionedRequest, VoterId,
-    VoterPlanner,
+    ApplyAnswer, ApplyRequest, Change, EvacuationAnswer, EvacuationOrder, Message, Output,
+    ReplaceRequest, Replica, RequestId, Revision, Secret, StorageError, Term, VersionedRequest,
+    VoterId, VoterPlanner,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -29,6 +29,23 @@
 /// Validates a site file; the error describes the problem.
 pub type FileCheck = Rc<dyn Fn(&str) -> Result<(), Box<str>>>;
 
+/// The time within which a standby must have the log before it becomes a voter: several
+/// round trips and syncs of a slow disk, and a part of the time that a stop may take.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How far a VM that stops has passed on its lead and its vote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HandOver {
+    /// It still leads.
+    Lead,
+    /// It is still a voter.
+    Vote,
+    /// It is still a voter, and no other VM can replace it.
+    NoStandby,
+    /// It is no voter.
+    Released,
+}
+
 /// One replica with its journal, its connections to peers and pending requests.
 pub(super) struct Core {
     replica: Replica,
@@ -46,6 +63,8 @@
     check: FileCheck,
     /// Plans the replacement of lost voters, where that is automatic.
     planner: Option<VoterPlanner>,
+    /// The instant from which a joining voter is given up for another standby.
+    catch_up_deadline: Instant,
     committed: watch::Sender<Option<Arc<Change>>>,
     fleet: Option<FleetStatusSource>,
     domains: Option<Vec<Box<str>>>,
@@ -84,6 +103,7 @@
             metrics,
             check: Rc::clone(&extension.check),
             planner: None,
+            catch_up_deadline: now,
             committed,
             fleet: extension.fleet.clone(),
             domains: extension.domains.clone(),
@@ -120,7 +140,14 @@
         self.reply_addresses
             .insert(envelope.from, envelope.reply_to);
         let now = Instant::now();
+        if let Some(planner) = &mut self.planner {
+            planner.record_message(now, envelope.from);
+        }
+        let is_departure = matches!(envelope.message, Message::Departure { .. });
         self.replica.receive(now, envelope.from, envelope.message);
+        if is_departure {
+            self.advance_voter_change(now);
+        }
         self.flush(now);
     }
 
@@ -236,6 +263,13 @@
         self.replica.cancel_order(id)
     }
 
+    /// Records that a connection of another control VM has ended.
+    pub(super) fn record_disconnect(&mut self, id: VoterId) {
+        if let Some(planner) = &mut self.planner {
+            planner.record_disconnect(id);
+        }
+    }
+
     /// Gives up leadership, so that another voter is elected soon.
     pub(super) fn step_down(&mut self) {
         let now = Instant::now();
@@ -243,8 +277,34 @@
         self.flush(now);
     }
 
-    /// Starts the next planned change of the voters, or abandons one whose joining voter
-    /// is no longer alive.
+    /// Passes the lead and the vote of this VM on before its stop, and returns how far that
+    /// is. To be repeated until it is complete.
+    pub(super) fn hand_over(&mut self) -> HandOver {
+        let now = Instant::now();
+        let mut hand_over = HandOver::Lead;
+        if self.replica.transfer_lead(now) {
+            hand_over = self.hand_over_vote(now);
+        }
+        self.flush(now);
+        hand_over
+    }
+
+    fn hand_over_vote(&mut self, now: Instant) -> HandOver {
+        let members = self.replica.status(now).members;
+        let own = self.replica.id();
+        let can_replace = |planner: &VoterPlanner| planner.can_replace(now, own, &members);
+        self.replica.announce_departure();
+        if self.replica.is_released() || !members.contains(own) {
+            HandOver::Released
+        } else if self.planner.as_ref().is_some_and(can_replace) {
+            HandOver::Vote
+        } else {
+            HandOver::NoStandby
+        }
+    }
+
+    /// Starts the next planned change of the voters, or abandons one whose joining voter does
+    /// not catch up while another one could.
     fn advance_voter_change(&mut self, now: Instant) {
         let Some(planner) = &mut self.planner else {
             return;
@@ -254,22 +314,37 @@
             return;
         }
         let status = self.replica.status(now);
-        let is_alive = |id| planner.is_alive(now, id);
+        let members = &status.members;
         if let Some(joining) = self.replica.joining_voter() {
-            if !is_alive(joining) && self.replica.abandon_catch_up() {
-                log::warn!(event = "voters", voter = joining; "voter stopped responding before it could vote");
+            let is_alive = planner.is_alive(now, joining);
+            let is_late =
+                now >= self.catch_up_deadline && planner.has_alternative(now, joining, members);
+            if (!is_alive || is_late) && self.replica.abandon_catch_up() {
+                planner.avoid(now, joining);
+                self.metrics.count_voter_change("abandoned");
+                log::warn!(
+                    event = "voters",
+                    voter = joining,
+                    is_alive = is_alive;
+                    "a standby did not catch up in time to become a voter"
+                );
             }
             return;
         }
-        let Some(change) = planner.next_change(now, status.id, &status.members) else {
+        let is_departing = |id| self.replica.is_departing(now, id);
+        let Some(change) = planner.next_change(now, status.id, members, is_departing) else {
             return;
         };
         log::info!(
             event = "voters",
             change:? = change,
+            is_departing = change.lost.is_some_and(is_departing),
+            voters = members.ids().count(),
             term = status.term;
             "changing the voters"
         );
+        self.metrics.count_voter_change("started");
+        self.catch_up_deadline = now + CATCH_UP_TIMEOUT;
         let (id, _) = self.register();
         self.replica.change_voters(now, id, change);
         self.flush(now);
@@ -425,7 +500,7 @@
     }
 
     /// Sends a message to another control VM, over a new connection if its address changed.
-    fn send(&mut self, to: VoterId, message: currantgate_control::Message) {
+    fn send(&mut self, to: VoterId, message: Message) {
         let reply_address = self.reply_addresses.get(&to).copied();
         let Some(address) = self.replica.peer_address(to).or(reply_address) else {
             return;
--- a/crates/currantgate/src/control/handle.rs
+++ b/crates/currantgate/src/control/handle.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use super::call::Reply;
-use super::core::Core;
+use super::core::{Core, HandOver};
 use super::evacuation::{EvacuationReply, LocalEvacuations, execute_order};
 
 /// The answer to a file that carries its own version.
@@ -99,6 +99,17 @@
         self.core.borrow_mut().record_contact(id, address, domain);
     }
 
+    /// Records that a connection of another control VM has ended.
+    pub(crate) fn record_disconnect(&self, id: VoterId) {
+        self.core.borrow_mut().record_disconnect(id);
+    }
+
+    /// Passes the lead and the vote of this VM on before a planned stop; to be repeated until
+    /// it is complete.
+    pub(crate) fn hand_over(&self) -> HandOver {
+        self.core.borrow_mut().hand_over()
+    }
+
     /// Gives up leadership, before a planned stop.
     pub fn step_down(&self) {
         self.core.borrow_mut().step_down();
--- a/crates/currantgate/src/control/metrics.rs
+++ b/crates/currantgate/src/control/metrics.rs
@@ -23,7 +23,9 @@
     uncommitted: Gauge,
     nodes: Gauge,
     lowest: Gauge,
+    voters: Gauge,
     changes: Family<Outcome, Counter>,
+    voter_changes: Family<Outcome, Counter>,
 }
 
 impl ControlMetrics {
@@ -40,6 +42,7 @@
                 "Entries of the log that are not known as committed",
                 &self.uncommitted,
             ),
+            ("voters", "Voters of the site as known here", &self.voters),
             (
                 "served_nodes",
                 "VMs that take revisions from here, also through fan-out VMs",
@@ -59,6 +62,11 @@
             "Changes that operators asked for",
             self.changes.clone(),
         );
+        registry.register(
+            "voter_changes",
+            "Changes of the voters that this VM has started or abandoned as the leader",
+            self.voter_changes.clone(),
+        );
     }
 
     /// Sets the gauges from the state of the consensus and of the rollout.
@@ -71,6 +79,7 @@
         self.has_lease.set(i64::from(has_lease));
         self.uncommitted
             .set(number(status.last_index.saturating_sub(status.commit)));
+        self.voters.set(number(status.members.ids().count() as u64));
         self.nodes.set(i64::from(rollout.nodes));
         self.lowest.set(number(rollout.lowest));
     }
@@ -79,4 +88,9 @@
     pub(super) fn count_change(&self, outcome: &'static str) {
         self.changes.get_or_create(&Outcome { outcome }).inc();
     }
+
+    /// Counts a change of the voters by its outcome.
+    pub(super) fn count_voter_change(&self, outcome: &'static str) {
+        self.voter_changes.get_or_create(&Outcome { outcome }).inc();
+    }
 }
--- a/crates/currantgate/src/control/mod.rs
+++ b/crates/currantgate/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub use call::NodeStatus;
 pub use client::{ApplyOutcome, ControlClient, ServerRead};
 pub use core::FileCheck;
+pub(crate) use core::HandOver;
 pub use daemon::{Control, ControlStart};
 pub(crate) use daemon::{Extension, to_async_listener};
 pub use error::{ClientError, ControlError};
--- a/crates/currantgate/src/feed/server.rs
+++ b/crates/currantgate/src/feed/server.rs
@@ -60,6 +60,7 @@
                     "feed has closed: {e}"
                 );
             }
+            feed.source.record_disconnect(&feed.hello);
         }
         Err(e) => log::warn!("opening a feed for {from} failed: {e}"),
     }
--- a/crates/currantgate/src/feed/source.rs
+++ b/crates/currantgate/src/feed/source.rs
@@ -284,4 +284,11 @@
             handle.record_contact(id, address, &hello.domain);
         }
     }
+
+    /// Records that the feed of a listener has ended, if it is a control VM.
+    pub(super) fn record_disconnect(&self, hello: &FeedHello) {
+        if let (Some((id, _)), Some(handle)) = (hello.control, &*self.handle.borrow()) {
+            handle.record_disconnect(id);
+        }
+    }
 }
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -25,7 +25,7 @@
 use super::peer_feeds::{ADOPTED_FILE, LeaderHint, PeerFeeds};
 use super::{NodeError, NodeSettings, identity, persistence};
 use crate::control::{
-    Control, ControlHandle, EvacuationReply, Extension, FileCheck, VersionedAnswer,
+    Control, ControlHandle, EvacuationReply, Extension, FileCheck, HandOver, VersionedAnswer,
     to_async_listener,
 };
 use crate::feed::{
@@ -41,10 +41,22 @@
 /// again that are being replaced, within the file descriptors of a small VM.
 const MAX_CONNECTIONS: u32 = 2_048;
 
-/// Time for which a node keeps running after it has resigned as leader: one round
-/// of messages, so that its callers are redirected to the new leader.
+/// Time for which a node keeps running after it has handed over: one round of messages, so
+/// that its callers are redirected to the new leader.
 const RESIGN_WAIT: Duration = Duration::from_millis(200);
 
+/// Time within which a stopping leader passes its lead on to a voter with all entries; after
+/// it, the node only resigns, and the others hold an election.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time that a stop may take until the node's vote is handed over: an election, and the
+/// catch-up of two standbys one after the other. It must stay below the time after which
+/// processes that don't stop are killed.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(4_000);
+
+/// Interval at which a stopping node asks the leader to replace it.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which the leader that another VM reports is used: two of that VM's
 /// messages.
 const LEADER_HINT_LIFETIME: Duration = Duration::from_millis(1_200);
@@ -88,7 +100,7 @@
         let local = handle.evacuations().borrow().clone();
         evacuations::restore(&source, &mut files.evacuations, &local);
         let planner = VoterPlannerSettings {
-            target: settings.voters(),
+            min_voters: settings.min_voters(),
             ..VoterPlannerSettings::default()
         };
         handle.set_planner(VoterPlanner::new(planner, Instant::now()));
@@ -197,9 +209,23 @@
         self.seeds_tx.send_replace(seeds);
     }
 
-    /// Resigns as leader before a planned stop, and waits until the other nodes
-    /// have been informed.
+    /// Passes on the lead and the vote before a planned stop, and waits until the other nodes
+    /// have been informed. A node that is removed for good would otherwise keep a vote that
+    /// the site needs once another one is removed. See `docs/design/control.md`.
     pub async fn prepare_stop(&self) {
+        let started = Instant::now();
+        let mut hand_over = self.handle.hand_over();
+        while matches!(hand_over, HandOver::Lead | HandOver::Vote)
+            && started.elapsed() < HAND_OVER_TIMEOUT
+        {
+            actix_rt::time::sleep(HAND_OVER_INTERVAL).await;
+            if hand_over == HandOver::Lead && started.elapsed() >= TRANSFER_TIMEOUT {
+                self.handle.step_down();
+            }
+            hand_over = self.handle.hand_over();
+        }
+        let ms = started.elapsed().as_millis();
+        log::info!(event = "stop", result:? = hand_over, ms:% = ms; "vote is handed over before the stop");
         self.handle.step_down();
         actix_rt::time::sleep(RESIGN_WAIT).await;
     }
--- a/crates/currantgate/src/node/settings.rs
+++ b/crates/currantgate/src/node/settings.rs
@@ -35,9 +35,9 @@
 }
 
 impl NodeSettings {
-    /// Returns the number of voters of which a majority outlasts the tolerated
+    /// Returns the least number of voters of which a majority outlasts the tolerated
     /// failures.
-    pub(crate) fn voters(&self) -> usize {
+    pub(crate) fn min_voters(&self) -> usize {
         2 * self.tolerated_failures + 1
     }
 
