--- a/crates/currantgate-control/src/voter_planner.rs
+++ b/crates/currantgate-control/src/voter_planner.rs
@@ -161,7 +161,7 @@
         if count < self.settings.min_voters {
             return self.addition(now, members, None, &is_departing);
         }
-        let settled = |id: VoterId| !is_departing(id) && self.is_settled(now, id);
+        let settled = |id: VoterId| !is_departing(id) && self.is_settled(id);
         let live_standbys = self.standbys(now, members).filter(|id| settled(*id));
         let wanted = self.voters_for(count + live_standbys.count());
         if count < wanted {
@@ -252,9 +252,10 @@
         last_contact.is_some_and(|contact| now < contact + self.settings.lost_after)
     }
 
-    fn is_settled(&self, now: Instant, id: VoterId) -> bool {
-        let first_contact = self.peers.get(&id).map(|peer| peer.first_contact);
-        first_contact.is_some_and(|contact| now >= contact + self.settings.settled_after)
+    fn is_settled(&self, id: VoterId) -> bool {
+        let settled_after = self.settings.settled_after;
+        let peer = self.peers.get(&id);
+        peer.is_some_and(|peer| peer.last_contact >= peer.first_contact + settled_after)
     }
 
     fn is_avoided(&self, now: Instant, id: VoterId) -> bool {
