Warm-ups of records are limited where they are read

Another operator reported that one odd entry among the upstreams ended the machines that read the list, or stopped their following it. Here, callers would have seen entries that keep the upstreams they know, and a control VM that does not start again.

Cause: `now + warmup_remaining` overflows the clock's type. A heartbeat can't bring it about, as it counts in milliseconds; a record in the file of upstreams or on a feed can, written by another build.

--- a/crates/currantgate-registry/src/registry.rs
+++ b/crates/currantgate-registry/src/registry.rs
@@ -51,7 +51,8 @@
     ///
     /// Older reports are ignored: a report can arrive after later ones or after the
     /// upstream's departure.
-    pub fn apply_report(&mut self, now: Instant, report: Report) -> bool {
+    pub fn apply_report(&mut self, now: Instant, mut report: Report) -> bool {
+        report.limit_warmup();
         let is_full = self.upstreams.len() >= self.settings.max_upstreams;
         let Some(upstream) = self.upstreams.get_mut(&report.id) else {
             if is_full {
@@ -126,7 +127,8 @@
     /// Restores records from before a restart. Upstreams that still report are in use at
     /// once; the others become silent when their reports are overdue.
     pub fn restore(&mut self, now: Instant, records: Vec<Record>) {
-        for record in records {
+        for mut record in records {
+            record.report.limit_warmup();
             let id = record.report.id.clone();
             if self.upstreams.contains_key(&id) {
                 continue;
--- a/crates/currantgate-registry/src/report.rs
+++ b/crates/currantgate-registry/src/report.rs
@@ -5,6 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest warm-up of an upstream; a longer one is taken for a mistake.
+const MAX_WARMUP: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Id of an upstream, which may stay the same over a restart.
 pub type UpstreamId = Box<str>;
 
@@ -48,6 +51,12 @@
         }
     }
 
+    /// Limits the warm-up to a length from which instants can be computed. Records from disk and
+    /// from other VMs may hold any value.
+    pub(crate) fn limit_warmup(&mut self) {
+        self.warmup_remaining = self.warmup_remaining.min(MAX_WARMUP);
+    }
+
     /// Tells whether this is only a departure, without the other fields.
     pub fn is_departure(&self) -> bool {
         self.service.is_empty()
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -137,7 +137,11 @@
         source: SocketAddr,
         record: Record,
     ) -> Option<(UpstreamId, Instant)> {
-        let Record { report, is_silent } = record;
+        let Record {
+            mut report,
+            is_silent,
+        } = record;
+        report.limit_warmup();
         if report.is_departure() {
             self.apply_departure(&report);
             return None;
