The newest adopted configuration is written after a hung write

Callers would have seen an older configuration in force after a restart of all VMs, from a control VM without a vote, until a leader is elected.

Cause: while one change was being written and another waited for the thread, each further one was dropped, and nothing sent it again until the next change.

Evidence: the_newest_configuration_is_written_after_the_disk_has_hung failed before: revision 9 on disk 4 s after the disk works again, 18 is in force.

Fix: the newest value is kept until the thread takes it, tried with each heartbeat of another control VM. The evacuations had this already; both use one type now.

--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -23,6 +23,7 @@
 };
 use super::metrics::NodeMetrics;
 use super::peer_feeds::{ADOPTED_FILE, LeaderHint, PeerFeeds};
+use super::persistence::LatestWriter;
 use super::{NodeError, NodeSettings, identity, persistence};
 use crate::control::{
     Control, ControlHandle, EvacuationReply, Extension, FileCheck, HandOver, VersionedAnswer,
@@ -113,7 +114,7 @@
             source: Rc::clone(&source),
             handle: handle.clone(),
             revisions: RevisionTracker::default(),
-            adopted: persistence::spawn_writer(files.adopted, ADOPTED_FILE),
+            adopted: LatestWriter::spawn(files.adopted, ADOPTED_FILE),
             evacuations: AdoptedEvacuations::new(files.evacuations),
             leader_hint: Rc::clone(&leader_hint),
         };
--- a/crates/currantgate/src/node/evacuations.rs
+++ b/crates/currantgate/src/node/evacuations.rs
@@ -2,12 +2,11 @@
 //! feeds and its disk.
 
 use std::rc::Rc;
-use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
 use currantgate_control::{DataDirectory, ValueFile};
 
-use super::persistence;
+use super::persistence::{self, LatestWriter};
 use crate::control::{ControlHandle, LocalEvacuations};
 use crate::feed::{EvacuationState, FeedSource, evacuations};
 
@@ -63,16 +62,13 @@
 
 /// The evacuations that are adopted from other control VMs.
 pub(super) struct AdoptedEvacuations {
-    writer: SyncSender<EvacuationState>,
-    /// A state that could not be written yet because the disk was busy.
-    unsaved: Option<EvacuationState>,
+    writer: LatestWriter<EvacuationState>,
 }
 
 impl AdoptedEvacuations {
     pub(super) fn new(file: AdoptedEvacuationsFile) -> Self {
         Self {
-            writer: persistence::spawn_writer(file, ADOPTED_EVACUATIONS_FILE),
-            unsaved: None,
+            writer: LatestWriter::spawn(file, ADOPTED_EVACUATIONS_FILE),
         }
     }
 
@@ -96,20 +92,16 @@
                 domains:? = state.evacuated;
                 "evacuations are adopted"
             );
-            self.unsaved = Some(EvacuationState {
+            self.writer.save(EvacuationState {
                 returned: Vec::new(),
                 ..state
             });
         }
-        self.save();
+        self.retry_write();
     }
 
-    /// Writes the newest state unless it is written already or the disk is busy.
-    pub(super) fn save(&mut self) {
-        if let Some(state) = self.unsaved.take()
-            && self.writer.try_send(state.clone()).is_err()
-        {
-            self.unsaved = Some(state);
-        }
+    /// Has the newest state written if the disk was busy before.
+    pub(super) fn retry_write(&mut self) {
+        self.writer.retry();
     }
 }
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -4,13 +4,13 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
 use currantgate_control::Change;
 use tokio::sync::{mpsc, watch};
 
 use super::evacuations::AdoptedEvacuations;
+use super::persistence::LatestWriter;
 use crate::control::ControlHandle;
 use crate::feed::{FeedEvent, FeedLinks, FeedMessage, FeedSource, Heartbeat, RevisionTracker};
 
@@ -27,7 +27,7 @@
     pub(super) source: Rc<FeedSource>,
     pub(super) handle: ControlHandle,
     pub(super) revisions: RevisionTracker,
-    pub(super) adopted: SyncSender<Change>,
+    pub(super) adopted: LatestWriter<Change>,
     pub(super) evacuations: AdoptedEvacuations,
     pub(super) leader_hint: LeaderHint,
 }
@@ -75,7 +75,8 @@
 
     fn handle_heartbeat(&mut self, from: SocketAddr, heartbeat: &Heartbeat) {
         self.source.record_control(from);
-        self.evacuations.save();
+        self.evacuations.retry_write();
+        self.adopted.retry();
         if !heartbeat.is_in_quorum {
             return;
         }
@@ -116,12 +117,7 @@
             from:% = from;
             "revision is adopted"
         );
-        if self.adopted.try_send(Change::clone(&change)).is_err() {
-            log::debug!(
-                "revision {} is not saved: the disk is busy",
-                change.revision
-            );
-        }
+        self.adopted.save(Change::clone(&change));
         self.source.publish(change);
     }
 }
--- a/crates/currantgate/src/node/persistence.rs
+++ b/crates/currantgate/src/node/persistence.rs
@@ -2,7 +2,7 @@
 //! upstreams and recent routes even after a restart of all control VMs.
 
 use std::rc::Rc;
-use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::thread;
 use std::time::Duration;
 
@@ -50,6 +50,40 @@
     tx
 }
 
+/// Writes the newest of the values that it is given, on a thread of its own.
+pub(super) struct LatestWriter<T> {
+    tx: SyncSender<T>,
+    /// The newest value, if the thread was busy when it came.
+    unsent: Option<T>,
+}
+
+impl<T> LatestWriter<T>
+where
+    T: Serialize + DeserializeOwned + Send + 'static,
+{
+    pub(super) fn spawn(file: ValueFile<DataDirectory, T>, name: &'static str) -> Self {
+        Self {
+            tx: spawn_writer(file, name),
+            unsent: None,
+        }
+    }
+
+    /// Has a value written, in place of earlier ones.
+    pub(super) fn save(&mut self, value: T) {
+        self.unsent = Some(value);
+        self.retry();
+    }
+
+    /// Has the newest value written if the disk was busy before. To be called regularly.
+    pub(super) fn retry(&mut self) {
+        if let Some(value) = self.unsent.take()
+            && let Err(TrySendError::Full(value)) = self.tx.try_send(value)
+        {
+            self.unsent = Some(value);
+        }
+    }
+}
+
 /// Writes each received value, and logs a warning for the first failure in a row. A value
 /// whose write fails, as on a full disk, is written again until that succeeds or a newer
 /// one arrives.
