--- a/crates/currantgate-control/src/voter_planner.rs
+++ b/crates/currantgate-control/src/voter_planner.rs
@@ -76,7 +76,7 @@
     /// The start of the leader's lease, or a later instant.
     leads_since: Instant,
     peers: IndexMap<VoterId, Peer>,
-    /// The last voter messages of the consensus, which arrive also while a feed reconnects.
+    /// The last messages of the consensus, which arrive also while a feed reconnects.
     messages: IndexMap<VoterId, Instant>,
     /// The voters at the last call, and the instant of their last change.
     voters: (Members, Instant),
@@ -147,6 +147,7 @@
         if self.voters.0 != *members {
             self.voters = (members.clone(), now);
         }
+        self.messages.retain(|id, _| members.contains(*id));
         let count = members.ids().count();
         let others = || members.ids().filter(|id| *id != own);
         let leaving = others()
