--- a/crates/currantgate-control/src/replica/departure.rs
+++ b/crates/currantgate-control/src/replica/departure.rs
@@ -7,7 +7,7 @@
 
 use super::Replica;
 use super::role::Role;
-use crate::{Message, VoterId};
+use crate::{Message, Term, VoterId};
 
 /// The time for which an announcement counts: several of the intervals at which a VM that
 /// stops repeats it, and less than a restart of its process takes.
@@ -76,7 +76,7 @@
         }
     }
 
-    pub(super) fn receive_release(&mut self, term: crate::Term) {
+    pub(super) fn receive_release(&mut self, term: Term) {
         // A reply of an earlier term is late, and may be to an earlier stop of this VM.
         if self.departures.is_own() && term >= self.hard_state.term {
             self.departures.own = OwnStop::Released;
--- a/crates/currantgate-control/src/voter_planner.rs
+++ b/crates/currantgate-control/src/voter_planner.rs
@@ -29,9 +29,9 @@
     /// The time of contact after which a VM becomes a voter in excess of `min_voters`, so
     /// that one that starts again and again does not change the voters each time.
     pub settled_after: Duration,
-    /// The time after a change of the voters from which an even number of them is reduced
-    /// by one, which costs no tolerance.
-    pub even_until: Duration,
+    /// The time after a change of the voters for which an even number of them is kept. It is
+    /// then reduced by one, which costs no tolerance.
+    pub even_kept_for: Duration,
     /// The time for which a standby that did not catch up is avoided.
     pub avoided_for: Duration,
 }
@@ -43,14 +43,14 @@
             max_voters: 9,
             lost_after: Duration::from_millis(2_500),
             settled_after: Duration::from_millis(1_000),
-            even_until: Duration::from_secs(10),
+            even_kept_for: Duration::from_secs(10),
             avoided_for: Duration::from_secs(10),
         }
     }
 }
 
 /// The time for which a leader has the lease before it considers a voter as lost: two
-/// intervals of reports of other control VMs, in case that it was cut off before.
+/// intervals of reports of other control VMs, in case it was cut off before.
 const CONTACT_WAIT: Duration = Duration::from_millis(1_000);
 
 /// The contacts with one control VM.
@@ -168,7 +168,7 @@
         if count < wanted {
             return self.addition(now, members, None, |id| !settled(id));
         }
-        let is_due = now >= self.voters.1 + self.settings.even_until;
+        let is_due = now >= self.voters.1 + self.settings.even_kept_for;
         if count > wanted && count.is_multiple_of(2) && is_due {
             let surplus = self.surplus_voter(own, members)?;
             return self.removal(now, surplus, own, members);
