--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -339,7 +339,7 @@
             event = "voters",
             change:? = change,
             is_departing = change.lost.is_some_and(is_departing),
-            voters = members.ids().count(),
+            voter_count = members.ids().count(),
             term = status.term;
             "changing the voters"
         );
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -226,7 +226,7 @@
             hand_over = self.handle.hand_over();
         }
         let ms = started.elapsed().as_millis();
-        log::info!(event = "stop", result:? = hand_over, ms:% = ms; "the stop goes on after the lead and the vote were to be handed over");
+        log::info!(event = "hand_over", result:? = hand_over, ms:% = ms; "the stop goes on after the lead and the vote were to be handed over");
         self.handle.step_down();
         actix_rt::time::sleep(RESIGN_WAIT).await;
     }
