A standby that does not catch up holds up no removal of a vote

Callers would have seen no more changes and reads, for good: a site of three control VMs with two successors, one of which can't write to its disk, is about to have one more voter, and two voters stop at the same time. The leader waited for the standby, and both ended after 4 s with their votes.

Cause: a joining voter that answers was given up only for another standby. Where more voters than needed exist, a vote can be removed without one.

Evidence: a_standby_with_a_full_disk_holds_up_no_hand_over failed before (no change is acknowledged in 12 s) and passes now, with the 12 other cases.

Fix: after a second, the joining voter is given up for a pending removal, too.

--- a/crates/currantgate-control/src/voter_planner.rs
+++ b/crates/currantgate-control/src/voter_planner.rs
@@ -149,10 +149,7 @@
         }
         self.messages.retain(|id, _| members.contains(*id));
         let count = members.ids().count();
-        let others = || members.ids().filter(|id| *id != own);
-        let leaving = others()
-            .find(|id| is_departing(*id))
-            .or_else(|| others().find(|id| self.is_lost(now, *id, own, members)));
+        let leaving = self.leaving_voter(now, own, members, &is_departing);
         if let Some(leaving) = leaving {
             if count > self.settings.min_voters {
                 return self.removal(now, leaving, own, members);
@@ -176,6 +173,32 @@
         None
     }
 
+    /// Returns a voter that stops or is lost.
+    fn leaving_voter(
+        &self,
+        now: Instant,
+        own: VoterId,
+        members: &Members,
+        is_departing: impl Fn(VoterId) -> bool,
+    ) -> Option<VoterId> {
+        let others = || members.ids().filter(|id| *id != own);
+        let departing = others().find(|id| is_departing(*id));
+        departing.or_else(|| others().find(|id| self.is_lost(now, *id, own, members)))
+    }
+
+    /// Returns whether the vote of a voter that stops or is lost can be removed without a
+    /// standby, so that it need not wait until a joining voter has caught up.
+    pub fn has_pending_removal(
+        &self,
+        now: Instant,
+        own: VoterId,
+        members: &Members,
+        is_departing: impl Fn(VoterId) -> bool,
+    ) -> bool {
+        let leaving = self.leaving_voter(now, own, members, is_departing);
+        leaving.is_some() && members.ids().count() > self.settings.min_voters
+    }
+
     /// Returns whether the vote of this VM, `own`, can be handed over when it stops.
     pub fn can_replace(&self, now: Instant, own: VoterId, members: &Members) -> bool {
         let has_spare = members.ids().count() > self.settings.min_voters;
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -303,8 +303,8 @@
         }
     }
 
-    /// Starts the next planned change of the voters, or abandons one whose joining voter does
-    /// not catch up while another one could.
+    /// Starts the next planned change of the voters. Abandons one whose joining voter does not
+    /// catch up while another one could, or while a vote waits to be removed.
     fn advance_voter_change(&mut self, now: Instant) {
         let Some(planner) = &mut self.planner else {
             return;
@@ -315,10 +315,12 @@
         }
         let status = self.replica.status(now);
         let members = &status.members;
+        let is_departing = |id| self.replica.is_departing(now, id);
         if let Some(joining) = self.replica.joining_voter() {
             let is_alive = planner.is_alive(now, joining);
-            let is_late =
-                now >= self.catch_up_deadline && planner.has_alternative(now, joining, members);
+            let is_late = now >= self.catch_up_deadline
+                && (planner.has_alternative(now, joining, members)
+                    || planner.has_pending_removal(now, status.id, members, is_departing));
             if (!is_alive || is_late) && self.replica.abandon_catch_up() {
                 planner.avoid(now, joining);
                 self.metrics.count_voter_change("abandoned");
@@ -331,7 +333,6 @@
             }
             return;
         }
-        let is_departing = |id| self.replica.is_departing(now, id);
         let Some(change) = planner.next_change(now, status.id, members, is_departing) else {
             return;
         };
