Voters are spread over failure domains again after a loss

Callers saw: of control VMs in domains a, b, b and c, three vote. After a was lost for 5 s and back, the loss of b left no quorum: reads and changes got 503 as long as it lasted, with a and c alive and in contact.

Cause: the planner knew domains only for the choice among standbys, did not count the leader's own one, and did nothing while no voter was lost or missing. A vote that had left a domain never returned.

Change: the leader takes the largest odd number of voters that the live VMs allow with a quorum that outlasts the tolerated loss of domains, and moves single votes from the most crowded domain until that holds. They are logged with reason and voters by domain, and counted. Sites where no spread is possible say so in log, metric and `currantgate status`.

--- a/crates/currantgate-cli/src/cmd/status.rs
+++ b/crates/currantgate-cli/src/cmd/status.rs
@@ -4,7 +4,7 @@
 
 use clap::{ArgMatches, Command};
 use currantgate::{ClientError, EvacuationStatus, FleetStatus, NodeStatus};
-use currantgate_control::{Freshness, RolloutStatus};
+use currantgate_control::{Freshness, RolloutStatus, VoterSpread};
 use serde_json::{Value, json};
 
 use super::{open_flows, operator};
@@ -23,11 +23,12 @@
 /// Runs the `status` subcommand.
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), CommandError> {
     let client = operator::client(matches)?;
-    let (statuses, evacuations, flows) = operator::run(async {
+    let (statuses, evacuations, flows, spreads) = operator::run(async {
         tokio::join!(
             client.status(),
             client.evacuations(),
-            client.evacuated_flows()
+            client.evacuated_flows(),
+            client.voter_spread()
         )
     });
     let open_flows = open_flows::sum(&evacuations, &flows);
@@ -41,9 +42,13 @@
             let error = flows.as_ref().err().map(ClientError::to_string);
             answer["open_flows_error"] = json!(error);
         }
+        for (answer, (_, spread)) in answers.iter_mut().zip(&spreads) {
+            answer["voter_spread"] = json!(spread.as_ref().ok());
+        }
         println!("{}", Value::from(answers));
     } else {
         print_table(&statuses);
+        print_voter_spread(&spreads);
         print_evacuations(&evacuations);
         open_flows::print(&open_flows, &flows);
     }
@@ -141,6 +146,17 @@
     }
 }
 
+/// Prints whether the voters outlast a tolerated loss, as the leader reports it. Control VMs
+/// of earlier builds don't know the call, and their table has been printed.
+fn print_voter_spread(spreads: &[(SocketAddr, Result<Option<VoterSpread>, ClientError>)]) {
+    for (server, spread) in spreads {
+        if let Ok(Some(spread)) = spread {
+            println!();
+            println!("voters, by {server}: {spread}");
+        }
+    }
+}
+
 /// Prints the evacuations on each control VM, unless there never were any, and whose are
 /// unknown.
 fn print_evacuations(evacuations: &[(SocketAddr, Result<EvacuationStatus, ClientError>)]) {
--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -12,6 +12,7 @@
 mod codec;
 mod digest;
 mod distribution;
+mod domain_spread;
 mod entry;
 mod evacuation;
 mod id;
@@ -32,6 +33,7 @@
 mod transport;
 mod voter_change;
 mod voter_planner;
+mod voter_spread;
 
 pub use apply_request::{ApplyAnswer, ApplyRequest, RefuseReason, VersionedRequest};
 pub use batch::{Batch, HardState, RecoveredState};
@@ -68,3 +70,4 @@
 };
 pub use voter_change::{ReplaceAnswer, ReplaceRequest, VoterChange};
 pub use voter_planner::{VoterPlanner, VoterPlannerSettings};
+pub use voter_spread::VoterSpread;
--- a/crates/currantgate-control/src/replica/operator.rs
+++ b/crates/currantgate-control/src/replica/operator.rs
@@ -285,12 +285,12 @@
         }
     }
 
-    /// Returns the control VM that is being added as a voter.
-    pub fn joining_voter(&self) -> Option<VoterId> {
+    /// Returns the change of the voters that is in progress.
+    pub fn voter_change(&self) -> Option<VoterChange> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
-        leader.replacement.as_ref().map(|r| r.request.fresh)
+        leader.replacement.as_ref().map(|r| r.request)
     }
 
     /// Steps down as leader, for a planned stop.
@@ -303,11 +303,10 @@
     /// Returns the address of a voter, or of the control VM that is being added
     /// as one.
     pub fn peer_address(&self, id: VoterId) -> Option<std::net::SocketAddr> {
-        let fresh = match &self.role {
-            Role::Leader(leader) => leader.replacement.as_ref().map(|r| r.request),
-            _ => None,
-        };
-        let fresh = fresh.filter(|r| r.fresh == id).map(|r| r.address);
+        let fresh = self
+            .voter_change()
+            .filter(|r| r.fresh == id)
+            .map(|r| r.address);
         self.log.members().1.address(id).or(fresh)
     }
 
--- a/crates/currantgate-control/tests/versions.rs
+++ b/crates/currantgate-control/tests/versions.rs
@@ -177,7 +177,8 @@
     };
     net.change_voters(leader, change(5));
     net.run(Duration::from_secs(2));
-    assert_eq!(net.replica(leader).unwrap().joining_voter(), Some(5));
+    let pending = net.replica(leader).unwrap().voter_change();
+    assert_eq!(pending.map(|change| change.fresh), Some(5));
     assert!(net.abandon_catch_up(leader));
     net.join(4);
     let id = net.change_voters(leader, change(4));
--- a/crates/currantgate/src/control/call.rs
+++ b/crates/currantgate/src/control/call.rs
@@ -5,7 +5,7 @@
 
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, EvacuationOrder, LocalRead, Message, ReadAnswer, ReplaceAnswer,
-    ReplaceRequest, Revision, RevisionId, RolloutStatus, Status, VoterId,
+    ReplaceRequest, Revision, RevisionId, RolloutStatus, Status, VoterId, VoterSpread,
 };
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +48,8 @@
     /// Returns the open flows of entries in evacuated domains. A call of its own, so that the
     /// answer to [`Call::Evacuations`] stays as commands of earlier builds expect it.
     EvacuatedFlows,
+    /// Returns whether the voters outlast the loss that the site tolerates.
+    VoterSpread,
 }
 
 /// The answer to a [`Call`].
@@ -68,6 +70,8 @@
     Evacuation(EvacuationReply),
     Evacuations(EvacuationStatus),
     EvacuatedFlows(Vec<EntryFlows>),
+    /// `None` from a VM that does not lead, or does not choose the voters.
+    VoterSpread(Option<VoterSpread>),
 }
 
 /// The status of one control or fan-out VM.
--- a/crates/currantgate/src/control/client.rs
+++ b/crates/currantgate/src/control/client.rs
@@ -8,7 +8,7 @@
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, Client, EvacuationAnswer, EvacuationOrder, FrameReader, FrameWriter,
     Freshness, LocalRead, RefuseReason, ReplaceAnswer, ReplaceRequest, Revision, RevisionId,
-    Secret, TransportError,
+    Secret, TransportError, VoterSpread,
 };
 
 use super::ClientError;
@@ -138,6 +138,18 @@
         .await
     }
 
+    /// Returns whether the voters outlast the loss that the site tolerates, from each control
+    /// VM that leads, or why it was not received.
+    pub async fn voter_spread(
+        &self,
+    ) -> Vec<(SocketAddr, Result<Option<VoterSpread>, ClientError>)> {
+        self.request_all(&Call::VoterSpread, |reply| match reply {
+            Reply::VoterSpread(spread) => Some(spread),
+            _ => None,
+        })
+        .await
+    }
+
     /// Sends a change to one control VM after the other until one decides or `deadline`
     /// passes.
     async fn change(&self, call: &Call, deadline: Instant) -> Result<ApplyOutcome, ClientError> {
@@ -358,9 +370,8 @@
         | Reply::FoundRevision(_)
         | Reply::Status(_)
         | Reply::Evacuations(_)
-        | Reply::EvacuatedFlows(_) => {
-            Attempt::Failed("its reply does not match the request".into())
-        }
+        | Reply::EvacuatedFlows(_)
+        | Reply::VoterSpread(_) => Attempt::Failed("its reply does not match the request".into()),
     }
 }
 
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -1,6 +1,7 @@
 //! One replica with its journal, its connections to peers and pending requests.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,9 +9,9 @@
 
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
-    ApplyAnswer, ApplyRequest, Change, EvacuationAnswer, EvacuationOrder, Message, Output,
-    ReplaceRequest, Replica, RequestId, Revision, Secret, StorageError, Term, VersionedRequest,
-    VoterId, VoterPlanner,
+    ApplyAnswer, ApplyRequest, BatchId, Change, EvacuationAnswer, EvacuationOrder,
+    HEARTBEAT_INTERVAL, Message, Output, ReplaceRequest, Replica, RequestId, Revision, Secret,
+    StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -23,6 +24,7 @@
 use super::metrics::ControlMetrics;
 use super::peer::Peer;
 use super::publishing::Publishing;
+use super::spread_log::SpreadLog;
 use super::writer::Writes;
 use crate::TRACE_TARGET;
 
@@ -33,6 +35,10 @@
 /// round trips and syncs of a slow disk, and a part of the time that a stop may take.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The time from which a write to the own disk counts as slow: the interval of heartbeats,
+/// many times what a sync of a sound disk takes.
+const SLOW_WRITE_TIME: Duration = HEARTBEAT_INTERVAL;
+
 /// How far a VM that stops has passed on its lead and its vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HandOver {
@@ -50,6 +56,8 @@
 pub(super) struct Core {
     replica: Replica,
     writes: Writes,
+    /// The writes that are not confirmed yet, each with the instant of its start.
+    unconfirmed: VecDeque<(BatchId, Instant)>,
     publishing: Rc<RefCell<Publishing>>,
     listen: SocketAddr,
     secret: Secret,
@@ -72,6 +80,7 @@
     evacuated_flows: Option<EvacuatedFlowsSource>,
     evacuations: watch::Sender<LocalEvacuations>,
     leader_log: LeaderLog,
+    spread_log: SpreadLog,
     next_request: RequestId,
     /// Notified when the next deadline may have changed.
     pub(super) wake: Rc<Notify>,
@@ -93,6 +102,7 @@
         Self {
             replica,
             writes,
+            unconfirmed: VecDeque::new(),
             publishing,
             listen,
             secret: *settings.key.bytes(),
@@ -111,6 +121,7 @@
             evacuated_flows: extension.evacuated_flows.clone(),
             evacuations,
             leader_log: LeaderLog::default(),
+            spread_log: SpreadLog::default(),
             next_request: 0,
             wake: Rc::new(Notify::new()),
         }
@@ -311,16 +322,28 @@
         };
         if !self.replica.has_lease(now) {
             planner.restart_timeouts(now);
+            self.metrics.set_voter_spread(None);
             return;
         }
+        let oldest_write = self.unconfirmed.front();
+        if oldest_write.is_some_and(|(_, start)| now >= *start + SLOW_WRITE_TIME) {
+            planner.record_slow_write(now);
+        }
         let status = self.replica.status(now);
         let members = &status.members;
         let is_departing = |id| self.replica.is_departing(now, id);
-        if let Some(joining) = self.replica.joining_voter() {
+        if let Some(current) = self.replica.voter_change() {
+            let joining = current.fresh;
             let is_alive = planner.is_alive(now, joining);
             let is_late = now >= self.catch_up_deadline
                 && (planner.has_alternative(now, joining, members)
-                    || planner.has_pending_removal(now, status.id, members, is_departing));
+                    || planner.has_pending_removal(
+                        now,
+                        status.id,
+                        members,
+                        &current,
+                        is_departing,
+                    ));
             if (!is_alive || is_late) && self.replica.abandon_catch_up() {
                 planner.avoid(now, joining);
                 self.metrics.count_voter_change("abandoned");
@@ -333,24 +356,42 @@
             }
             return;
         }
+        let spread = planner.spread(now, members, is_departing);
+        self.metrics.set_voter_spread(Some(spread));
+        self.spread_log
+            .record(now, spread, &planner.voters_by_domain(members));
         let Some(change) = planner.next_change(now, status.id, members, is_departing) else {
             return;
         };
+        let reason = planner.reason(now, &change, members, is_departing);
         log::info!(
             event = "voters",
             change:? = change,
-            is_departing = change.lost.is_some_and(is_departing),
+            reason = reason,
+            spread:% = spread,
+            voters_by_domain:? = planner.voters_by_domain(members),
             voter_count = members.ids().count(),
             term = status.term;
             "changing the voters"
         );
         self.metrics.count_voter_change("started");
+        self.metrics.count_voter_change_reason(reason);
         self.catch_up_deadline = now + CATCH_UP_TIMEOUT;
         let (id, _) = self.register();
         self.replica.change_voters(now, id, change);
         self.flush(now);
     }
 
+    /// Returns whether the voters outlast what the site tolerates; `None` unless this VM holds
+    /// the lease and chooses the voters.
+    pub(super) fn voter_spread(&self) -> Option<VoterSpread> {
+        let now = Instant::now();
+        let planner = self.planner.as_ref()?;
+        let members = self.replica.status(now).members;
+        let spread = planner.spread(now, &members, |id| self.replica.is_departing(now, id));
+        self.replica.has_lease(now).then_some(spread)
+    }
+
     /// Closes connections to control VMs that are no longer voters.
     fn drop_former_peers(&mut self) {
         let replica = &self.replica;
@@ -416,7 +457,15 @@
         written: Result<u64, StorageError>,
     ) -> Result<(), StorageError> {
         let now = Instant::now();
-        self.replica.persisted(now, written?);
+        let id = written?;
+        while let Some((_, start)) = self.unconfirmed.pop_front_if(|(batch, _)| *batch <= id) {
+            if now >= start + SLOW_WRITE_TIME
+                && let Some(planner) = &mut self.planner
+            {
+                planner.record_slow_write(now);
+            }
+        }
+        self.replica.persisted(now, id);
         self.flush(now);
         Ok(())
     }
@@ -440,6 +489,7 @@
         while let Some(output) = self.replica.poll_output() {
             match output {
                 Output::Persist { id, batch } => {
+                    self.unconfirmed.push_back((id, now));
                     // Fails only after a write error, which stops the daemon.
                     let _ = self.writes.send((id, batch));
                 }
@@ -500,19 +550,21 @@
         }
     }
 
+    /// Opens a connection to a control VM, unless there is one to its address.
+    fn connect(&mut self, to: VoterId, address: SocketAddr) {
+        let known = self.peers.get(&to);
+        if known.is_none_or(|peer| peer.address != address) {
+            self.peers.insert(to, Peer::start(address, self.secret));
+        }
+    }
+
     /// Sends a message to another control VM, over a new connection if its address changed.
     fn send(&mut self, to: VoterId, message: Message) {
         let reply_address = self.reply_addresses.get(&to).copied();
         let Some(address) = self.replica.peer_address(to).or(reply_address) else {
             return;
         };
-        if self
-            .peers
-            .get(&to)
-            .is_none_or(|peer| peer.address != address)
-        {
-            self.peers.insert(to, Peer::start(address, self.secret));
-        }
+        self.connect(to, address);
         let envelope = Envelope {
             from: self.replica.id(),
             to,
--- a/crates/currantgate/src/control/fan_out.rs
+++ b/crates/currantgate/src/control/fan_out.rs
@@ -134,7 +134,8 @@
             | Call::Replace(_)
             | Call::Evacuate(_)
             | Call::Evacuations
-            | Call::EvacuatedFlows => Reply::NotAVoter,
+            | Call::EvacuatedFlows
+            | Call::VoterSpread => Reply::NotAVoter,
         }
     }
 }
--- a/crates/currantgate/src/control/incoming_streams.rs
+++ b/crates/currantgate/src/control/incoming_streams.rs
@@ -62,6 +62,7 @@
         Call::Status => return Some(core.borrow().status()),
         Call::Evacuations => return Some(core.borrow().evacuation_status()),
         Call::EvacuatedFlows => return Some(core.borrow().evacuated_flows()),
+        Call::VoterSpread => return Some(Reply::VoterSpread(core.borrow().voter_spread())),
         Call::Evacuate(order) => {
             return Some(Reply::Evacuation(execute_order(core, order).await));
         }
--- a/crates/currantgate/src/control/metrics.rs
+++ b/crates/currantgate/src/control/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a control VM.
 
-use currantgate_control::{Freshness, RoleName, RolloutStatus, Status};
+use currantgate_control::{Freshness, RoleName, RolloutStatus, Status, VoterSpread};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,6 +13,12 @@
     pub(super) outcome: &'static str,
 }
 
+/// Label for the reason of a change of the voters.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Reason {
+    reason: &'static str,
+}
+
 /// Metrics of a control VM.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ControlMetrics {
@@ -26,6 +32,8 @@
     voters: Gauge,
     changes: Family<Outcome, Counter>,
     voter_changes: Family<Outcome, Counter>,
+    voter_change_reasons: Family<Reason, Counter>,
+    voters_spread: Gauge,
 }
 
 impl ControlMetrics {
@@ -44,14 +52,9 @@
             ),
             ("voters", "Voters of the site as known here", &self.voters),
             (
-                "served_nodes",
-                "VMs that take revisions from here, also through fan-out VMs",
-                &self.nodes,
-            ),
-            (
-                "served_lowest_revision",
-                "Oldest revision in force on any of them",
-                &self.lowest,
+                "voters_spread",
+                "1 on the leader while a loss that the site tolerates leaves a quorum",
+                &self.voters_spread,
             ),
         ];
         for (name, help, gauge) in gauges {
@@ -67,6 +70,11 @@
             "Changes of the voters that this VM has started or abandoned as the leader",
             self.voter_changes.clone(),
         );
+        registry.register(
+            "voter_change_reasons",
+            "Changes of the voters that this VM has started as the leader, by reason",
+            self.voter_change_reasons.clone(),
+        );
     }
 
     /// Sets the gauges from the state of the consensus and of the rollout.
@@ -93,4 +101,16 @@
     pub(super) fn count_voter_change(&self, outcome: &'static str) {
         self.voter_changes.get_or_create(&Outcome { outcome }).inc();
     }
+
+    /// Counts a change of the voters that is started.
+    pub(super) fn count_voter_change_reason(&self, reason: &'static str) {
+        let label = Reason { reason };
+        self.voter_change_reasons.get_or_create(&label).inc();
+    }
+
+    /// Sets whether the voters outlast the loss that the site tolerates, as known by the leader.
+    pub(super) fn set_voter_spread(&self, spread: Option<VoterSpread>) {
+        let is_spread = spread == Some(VoterSpread::Spread);
+        self.voters_spread.set(i64::from(is_spread));
+    }
 }
--- a/crates/currantgate/src/control/mod.rs
+++ b/crates/currantgate/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peer;
 mod publishing;
+mod spread_log;
 mod subscription;
 mod writer;
 
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -102,9 +102,12 @@
         evacuations::restore(&source, &mut files.evacuations, &local);
         let planner = VoterPlannerSettings {
             min_voters: settings.min_voters(),
+            tolerated_domains: settings.tolerated_domains,
             ..VoterPlannerSettings::default()
         };
         handle.set_planner(VoterPlanner::new(planner, Instant::now()));
+        // The planner needs the domain of this VM as well.
+        handle.record_contact(id, own, &settings.domain);
         source.set_control(own, handle.clone());
         let leader_hint = LeaderHint::default();
         let (seeds_tx, seeds) = watch::channel(settings.seeds.clone());
--- a/crates/currantgate/src/node/settings.rs
+++ b/crates/currantgate/src/node/settings.rs
@@ -25,6 +25,8 @@
     pub data: PathBuf,
     /// Number of control VMs that may fail at the same time.
     pub tolerated_failures: usize,
+    /// Number of failure domains that may be lost at the same time.
+    pub tolerated_domains: usize,
     /// Interval at which upstreams report.
     pub report_interval: Duration,
     /// Failure domains of the site, of which operators may evacuate any. When empty,
