Crossing pre-votes split no votes, and voters stay connected

Cause: followers opened connections to each other at the first message of an election, so that replies came 45 to 68 ms later. Two pre-votes 24 ms apart crossed, each was granted by the other pre-candidate, and both became candidates of one term, each with its own vote.

Change: a pre-candidate gives its own pre-vote up for a crossing one with a longer log or, with the same log, a higher id. Voters keep connections to each other open, probe them each second and count them in a metric; a peer that is down is contacted once a second without messages.

--- a/crates/currantgate-control/src/replica/election.rs
+++ b/crates/currantgate-control/src/replica/election.rs
@@ -106,10 +106,24 @@
             && !self.is_leader()
             && term > self.hard_state.term
             && last >= self.last_entry();
+        if granted && self.yields_to(from, term, last) {
+            self.become_follower(now, None);
+            self.reset_election_deadline(now);
+        }
         let term = if granted { term } else { self.hard_state.term };
         self.send_after_sync(from, Message::PreVoteReply { term, granted });
     }
 
+    /// Returns whether this replica gives up its own pre-vote for that of `from`. Two replicas
+    /// whose pre-votes cross, each granted by the other, would both become candidates and
+    /// split the votes, so that the one with the shorter log or the lower id gives up.
+    fn yields_to(&self, from: VoterId, term: Term, last: LastEntry) -> bool {
+        let is_crossing = matches!(self.role, Role::PreCandidate { .. });
+        is_crossing
+            && term == self.hard_state.term + 1
+            && (last, from) > (self.last_entry(), self.id())
+    }
+
     pub(super) fn receive_pre_vote_reply(
         &mut self,
         now: Instant,
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -72,6 +72,13 @@
     pub step: Duration,
     /// The upper limit of the delay of a message in milliseconds.
     pub delay_ms: u64,
+    /// The time that the first message from one VM to another waits until the connection is
+    /// established. Messages of a connection arrive in order; without such a time, in any.
+    pub connect_time: Option<Duration>,
+    /// The connections, as sender and receiver, each with the arrival of its last message.
+    connections: HashMap<(VoterId, VoterId), Duration>,
+    /// The VMs whose processes are suspended.
+    suspended: HashSet<VoterId>,
     requests: HashMap<RequestId, ApplyRequest>,
     pub answers: HashMap<RequestId, ApplyAnswer>,
     orders: HashMap<RequestId, EvacuationOrder>,
@@ -99,6 +106,9 @@
             slow_writes: 0,
             step: Duration::from_millis(10),
             delay_ms: 10,
+            connect_time: None,
+            connections: HashMap::new(),
+            suspended: HashSet::new(),
             requests: HashMap::new(),
             answers: HashMap::new(),
             orders: HashMap::new(),
@@ -192,6 +202,35 @@
         });
     }
 
+    /// Suspends the process of a VM, so that its timers do not expire.
+    pub fn suspend(&mut self, id: VoterId) {
+        self.suspended.insert(id);
+    }
+
+    pub fn resume(&mut self, id: VoterId) {
+        self.suspended.remove(&id);
+    }
+
+    /// Returns the time until the next timeout of a replica.
+    pub fn time_to_deadline(&self, id: VoterId) -> Duration {
+        let deadline = self.replica(id).unwrap().next_deadline();
+        deadline.saturating_duration_since(self.local_time(id))
+    }
+
+    /// Opens connections between all VMs.
+    pub fn connect_all(&mut self) {
+        for from in self.ids() {
+            for to in self.ids() {
+                self.connections.entry((from, to)).or_insert(self.now);
+            }
+        }
+    }
+
+    /// Closes the connections of all VMs.
+    pub fn disconnect_all(&mut self) {
+        self.connections.clear();
+    }
+
     /// Drops all further messages from one VM to another.
     pub fn cut(&mut self, from: VoterId, to: VoterId) {
         self.cut_links.insert((from, to));
@@ -412,6 +451,7 @@
             let now = self.local_time(id);
             if let Some(running) = &mut self.nodes.get_mut(&id).unwrap().running
                 && now >= running.replica.next_deadline()
+                && !self.suspended.contains(&id)
             {
                 running.replica.tick(now);
             }
@@ -528,7 +568,13 @@
             let delay = self
                 .rng
                 .random_range(1..if late { 3_000 } else { self.delay_ms });
-            let due = self.now + Duration::from_millis(delay);
+            let mut due = self.now + Duration::from_millis(delay);
+            if let Some(connect_time) = self.connect_time {
+                let last = self.connections.entry((from, to));
+                let last = last.or_insert(self.now + connect_time);
+                due = due.max(*last + Duration::from_millis(1));
+                *last = due;
+            }
             self.in_flight.push(MessageInFlight {
                 due,
                 from,
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -10,8 +10,8 @@
 use currantgate_config::{ControlSettings, Prefix};
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, BatchId, Change, EvacuationAnswer, EvacuationOrder,
-    HEARTBEAT_INTERVAL, Message, Output, ReplaceRequest, Replica, RequestId, Revision, Secret,
-    StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
+    HEARTBEAT_INTERVAL, Members, Message, Output, ReplaceRequest, Replica, RequestId, Revision,
+    Secret, StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -399,6 +399,19 @@
             .retain(|id, _| replica.peer_address(*id).is_some());
     }
 
+    /// Keeps connections to all other voters open, so that an election need not wait until they
+    /// are established: two candidates would split the votes meanwhile.
+    fn connect_to_voters(&mut self, members: &Members) {
+        let own = self.replica.id();
+        if members.contains(own) {
+            for (id, address) in members.iter().filter(|(id, _)| *id != own) {
+                self.connect(id, address);
+            }
+        }
+        let open = self.peers.values().filter(|peer| peer.is_open()).count();
+        self.metrics.set_open_peers(open);
+    }
+
     /// Proposes the replacement of a lost voter.
     pub(super) fn replace(&mut self, request: ReplaceRequest) -> oneshot::Receiver<Reply> {
         self.submit(|replica, now, id| replica.replace(now, id, request))
@@ -534,6 +547,7 @@
         let status = self.replica.status(now);
         self.metrics.update(&status, &rollout);
         self.leader_log.log_changes(&status);
+        self.connect_to_voters(&status.members);
         let evacuations = LocalEvacuations::of(&self.replica, now);
         self.evacuations.send_if_modified(|held| {
             let is_changed = *held != evacuations;
--- a/crates/currantgate/src/control/metrics.rs
+++ b/crates/currantgate/src/control/metrics.rs
@@ -34,6 +34,7 @@
     voter_changes: Family<Outcome, Counter>,
     voter_change_reasons: Family<Reason, Counter>,
     voters_spread: Gauge,
+    open_peers: Gauge,
 }
 
 impl ControlMetrics {
@@ -56,6 +57,21 @@
                 "1 on the leader while a loss that the site tolerates leaves a quorum",
                 &self.voters_spread,
             ),
+            (
+                "peer_streams",
+                "Open streams to other voters, one for each in calm time",
+                &self.open_peers,
+            ),
+            (
+                "served_nodes",
+                "VMs that take revisions from here, also through fan-out VMs",
+                &self.nodes,
+            ),
+            (
+                "served_lowest_revision",
+                "Oldest revision in force on any of them",
+                &self.lowest,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -113,4 +129,10 @@
         let is_spread = spread == Some(VoterSpread::Spread);
         self.voters_spread.set(i64::from(is_spread));
     }
+
+    /// Sets the number of open streams to other control VMs.
+    pub(super) fn set_open_peers(&self, count: usize) {
+        self.open_peers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
 }
--- a/crates/currantgate/src/control/peer.rs
+++ b/crates/currantgate/src/control/peer.rs
@@ -1,6 +1,8 @@
 //! Streams to other control VMs.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use currantgate_control::{Client, IncomingStream, Secret, TransportError};
@@ -19,10 +21,17 @@
 /// Delay before reconnecting.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
+/// Number of failures in a row after which a peer counts as down.
+const DOWN_AFTER_FAILURES: u32 = 5;
+
+/// Delay before reconnecting to a peer that is down, while there is nothing to send to it.
+const DOWN_RECONNECT_DELAY: Duration = Duration::from_millis(1_000);
+
 /// A stream to another control VM, reconnected whenever it fails or an acknowledgement
 /// times out.
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
+    is_open: Rc<Cell<bool>>,
     tx: mpsc::Sender<Envelope>,
     task: actix_rt::task::JoinHandle<()>,
 }
@@ -31,8 +40,24 @@
     /// Spawns the task that connects to the peer.
     pub(super) fn start(address: SocketAddr, secret: Secret) -> Self {
         let (tx, rx) = mpsc::channel(PEER_QUEUE_LEN);
-        let task = actix_rt::spawn(keep_connected(address, secret, rx));
-        Self { address, tx, task }
+        let is_open = Rc::new(Cell::new(false));
+        let reach = Reach {
+            is_open: Rc::clone(&is_open),
+            was_up: true,
+            failures: 0,
+        };
+        let task = actix_rt::spawn(keep_connected(address, secret, rx, reach));
+        Self {
+            address,
+            is_open,
+            tx,
+            task,
+        }
+    }
+
+    /// Returns whether the stream is open.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open.get()
     }
 
     /// Queues a message, or drops it if the queue is full.
@@ -49,39 +74,66 @@
     }
 }
 
+/// What is known of a peer from the last attempts to reach it.
+struct Reach {
+    /// Whether the stream is open.
+    is_open: Rc<Cell<bool>>,
+    /// Whether it has acknowledged a message on the last stream.
+    was_up: bool,
+    /// The number of attempts since a stream was opened.
+    failures: u32,
+}
+
 /// Reconnects to the peer until the queue is closed.
-async fn keep_connected(address: SocketAddr, secret: Secret, mut rx: mpsc::Receiver<Envelope>) {
-    let mut was_up = true;
+async fn keep_connected(
+    address: SocketAddr,
+    secret: Secret,
+    mut rx: mpsc::Receiver<Envelope>,
+    mut reach: Reach,
+) {
+    let mut first = None;
     loop {
-        let ended = run_stream(address, secret, &mut rx, &mut was_up).await;
+        let ended = run_stream(address, secret, &mut rx, first.take(), &mut reach).await;
         match ended {
             Ok(()) => return,
-            Err(e) if was_up => log::warn!("control VM at {address} is unreachable: {e}"),
+            Err(e) if reach.was_up => log::warn!("control VM at {address} is unreachable: {e}"),
             Err(e) => log::debug!("control VM at {address} is unreachable: {e}"),
         }
-        was_up = false;
+        reach.is_open.set(false);
+        reach.was_up = false;
+        reach.failures += 1;
         sleep(RECONNECT_DELAY).await;
         // Messages queued meanwhile are outdated.
         while rx.try_recv().is_ok() {}
+        if reach.failures >= DOWN_AFTER_FAILURES {
+            match timeout(DOWN_RECONNECT_DELAY, rx.recv()).await {
+                Ok(None) => return,
+                Ok(Some(envelope)) => first = Some(envelope),
+                Err(_) => {}
+            }
+        }
     }
 }
 
-/// Carries messages until the stream fails, or the queue is closed.
+/// Carries messages, beginning with `first`, until the stream fails or the queue is closed.
 async fn run_stream(
     address: SocketAddr,
     secret: Secret,
     rx: &mut mpsc::Receiver<Envelope>,
-    is_up: &mut bool,
+    mut first: Option<Envelope>,
+    reach: &mut Reach,
 ) -> Result<(), TransportError> {
-    let client = Client::connect(address, secret).await?;
+    let client = Client::connect_probed(address, secret).await?;
     let opened = timeout(ACK_TIMEOUT, client.open(PEER_PATH)).await;
     let (mut writer, mut reader) = opened.map_err(|_| TransportError::Timeout)??;
+    reach.is_open.set(true);
+    reach.failures = 0;
     let mut sent = 0_u64;
     let mut ack_deadline: Option<Instant> = None;
     loop {
         let ack_timeout = sleep_until(ack_deadline.unwrap_or_else(Instant::now));
         tokio::select! {
-            envelope = rx.recv() => {
+            envelope = next_envelope(&mut first, rx) => {
                 let Some(envelope) = envelope else { return Ok(()) };
                 let written = timeout(ACK_TIMEOUT, writer.send(&envelope)).await;
                 written.map_err(|_| TransportError::Timeout)??;
@@ -90,7 +142,7 @@
             }
             acked = reader.next::<u64>() => {
                 let acked = acked?.ok_or(TransportError::Truncated)?;
-                *is_up = true;
+                reach.was_up = true;
                 ack_deadline = (acked < sent).then(|| Instant::now() + ACK_TIMEOUT);
             }
             () = ack_timeout, if ack_deadline.is_some() => return Err(TransportError::Timeout),
@@ -98,6 +150,17 @@
     }
 }
 
+/// Returns `first` if it is left, and then the messages of the queue.
+async fn next_envelope(
+    first: &mut Option<Envelope>,
+    rx: &mut mpsc::Receiver<Envelope>,
+) -> Option<Envelope> {
+    match first.take() {
+        Some(envelope) => Some(envelope),
+        None => rx.recv().await,
+    }
+}
+
 /// Passes the messages of a stream to `handle`, and acknowledges each with the number
 /// received so far.
 pub(super) async fn serve_peer(mut incoming: IncomingStream, handle: impl Fn(Envelope)) {
