--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -1,5 +1,6 @@
 //! A running control node.
 
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
     Change, DataDirectory, EvacuationOrder, IncomingStream, Journal, Members, RecoveredState,
     ValueFile, VersionedRequest, VoterId, VoterPlanner, VoterPlannerSettings,
 };
+use currantgate_log::{RateLimit, RateLimiter};
 use currantgate_registry::{
     ChangeNumber, Record, RegistrySettings, Report, UpstreamRegistry as Upstreams,
 };
@@ -58,6 +60,15 @@
 /// Interval at which a stopping node asks the leader to replace it.
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Rate of log lines about refused reports: another writer may send any number of them.
+const REFUSED_REPORT_LIMIT: RateLimit = RateLimit {
+    lines: 5,
+    interval: Duration::from_secs(10),
+};
+
+/// Length to which the id of an upstream is cut in these lines, in bytes.
+const MAX_LOGGED_ID_BYTES: usize = 64;
+
 /// Time for which the leader that another VM reports is used: two of that VM's
 /// messages.
 const LEADER_HINT_LIFETIME: Duration = Duration::from_millis(1_200);
@@ -70,6 +81,7 @@
     leader_hint: LeaderHint,
     seeds_tx: watch::Sender<Vec<SocketAddr>>,
     metrics: NodeMetrics,
+    refused_reports: RefCell<RateLimiter>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -147,6 +159,7 @@
             leader_hint,
             seeds_tx,
             metrics,
+            refused_reports: RefCell::new(RateLimiter::new(REFUSED_REPORT_LIMIT, Instant::now())),
             tasks,
         })
     }
@@ -163,6 +176,22 @@
         is_newest
     }
 
+    /// Counts a report or departure of an upstream that can't be used, and logs why.
+    pub fn refuse_report(&self, id: &str, reason: &'static str, problem: &str) {
+        self.metrics.count_refused_report(reason);
+        let mut limiter = self.refused_reports.borrow_mut();
+        if let Some(left_out) = limiter.try_acquire(Instant::now()) {
+            log::warn!(
+                event = "refused_report",
+                upstream = &id[..id.floor_char_boundary(MAX_LOGGED_ID_BYTES)],
+                reason = reason,
+                problem = problem,
+                left_out = left_out;
+                "a report of an upstream is refused"
+            );
+        }
+    }
+
     /// Records that an upstream has left and sends the change to entries.
     /// Without `born_ms` the incarnation in the registry is meant.
     pub fn deregister(&self, id: &str, born_ms: Option<u64>) {
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -16,6 +16,12 @@
     outcome: &'static str,
 }
 
+/// Label for the reason for which a report is refused.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Reason {
+    reason: &'static str,
+}
+
 /// Label for the state of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct State {
@@ -32,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct NodeMetrics {
     reports: Family<Outcome, Counter>,
+    refused_reports: Family<Reason, Counter>,
     upstreams: Family<State, Gauge>,
     slow_upstreams: Gauge,
     demand_entries: Family<Domain, Gauge>,
@@ -47,6 +54,7 @@
     fn default() -> Self {
         Self {
             reports: Family::default(),
+            refused_reports: Family::default(),
             upstreams: Family::default(),
             slow_upstreams: Gauge::default(),
             demand_entries: Family::default(),
@@ -66,6 +74,11 @@
     pub(super) fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("currantgate_node");
         registry.register("reports", "Reports of upstreams", self.reports.clone());
+        registry.register(
+            "refused_reports",
+            "Reports and departures of upstreams that are refused, by reason",
+            self.refused_reports.clone(),
+        );
         registry.register(
             "upstreams",
             "Upstreams that report here, by state",
@@ -114,6 +127,10 @@
         self.reports.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(super) fn count_refused_report(&self, reason: &'static str) {
+        self.refused_reports.get_or_create(&Reason { reason }).inc();
+    }
+
     pub(super) fn observe_commit(&self, seconds: f64) {
         self.commit_seconds.observe(seconds);
     }
