Refused reports are counted by field

The counter said whether a field or the whole body was at fault, and only the answer and the log named the field.

--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -176,15 +176,23 @@
         is_newest
     }
 
-    /// Counts a report or departure of an upstream that can't be used, and logs why.
-    pub fn refuse_report(&self, id: &str, reason: &'static str, problem: &str) {
-        self.metrics.count_refused_report(reason);
+    /// Counts a report or departure of an upstream that can't be used, and logs why. `field` is
+    /// the one at fault, or empty.
+    pub fn refuse_report(
+        &self,
+        id: &str,
+        reason: &'static str,
+        field: &'static str,
+        problem: &str,
+    ) {
+        self.metrics.count_refused_report(reason, field);
         let mut limiter = self.refused_reports.borrow_mut();
         if let Some(left_out) = limiter.try_acquire(Instant::now()) {
             log::warn!(
                 event = "refused_report",
                 upstream = &id[..id.floor_char_boundary(MAX_LOGGED_ID_BYTES)],
                 reason = reason,
+                field = field,
                 problem = problem,
                 left_out = left_out;
                 "a report of an upstream is refused"
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -16,10 +16,11 @@
     outcome: &'static str,
 }
 
-/// Label for the reason for which a report is refused.
+/// Labels for the reason for which a report is refused, and the field at fault.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Reason {
     reason: &'static str,
+    field: &'static str,
 }
 
 /// Label for the state of an upstream.
@@ -76,7 +77,7 @@
         registry.register("reports", "Reports of upstreams", self.reports.clone());
         registry.register(
             "refused_reports",
-            "Reports and departures of upstreams that are refused, by reason",
+            "Reports and departures of upstreams that are refused, by reason and field",
             self.refused_reports.clone(),
         );
         registry.register(
@@ -127,8 +128,9 @@
         self.reports.get_or_create(&Outcome { outcome }).inc();
     }
 
-    pub(super) fn count_refused_report(&self, reason: &'static str) {
-        self.refused_reports.get_or_create(&Reason { reason }).inc();
+    pub(super) fn count_refused_report(&self, reason: &'static str, field: &'static str) {
+        let label = Reason { reason, field };
+        self.refused_reports.get_or_create(&label).inc();
     }
 
     pub(super) fn observe_commit(&self, seconds: f64) {
