--- a/crates/currantgate-control/tests/elections.rs
+++ b/crates/currantgate-control/tests/elections.rs
@@ -30,7 +30,7 @@
 fn election_time(voters: VoterId, seed: u64, connections: Connections) -> Duration {
     let mut net = Net::new(voters, seed);
     net.delay_ms = 3;
-    // Follower ids get other random timeouts with each seed.
+    // The number of restarts seeds the timeouts of a replica.
     for id in net.ids() {
         for _ in 0..seed % 7 {
             net.crash(id);
