--- a/review/standin-2/case7.rs
+++ b/review/standin-2/case7.rs
@@ -14,17 +14,18 @@
 const REQUESTS: usize = 80;
 
 fn main() -> ExitCode {
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    // 0: none; 1: the addresses of the endpoints; 2: the numbers in their ids, other addresses.
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let record = Record::create();
     let net = Net::choose(&record);
     let folder = Folder::create();
-    let is_broken = run(&record, net, &folder, has_trouble);
+    let is_broken = run(&record, net, &folder, &trouble);
     record.line(if is_broken { "Fault: no request is served" } else { "the rule held" });
     println!("{}", if is_broken { "Fault: no request is served" } else { "the rule held" });
     ExitCode::from(u8::from(is_broken))
 }
 
-fn run(record: &Record, net: Net, folder: &Folder, has_trouble: bool) -> bool {
+fn run(record: &Record, net: Net, folder: &Folder, trouble: &str) -> bool {
     let zones = ["a", "b", "c"];
     let seeds: Vec<SocketAddr> = (1..=3).map(|n| net.control_address(n)).collect();
     let mut core: Vec<Machine> = (1..=3)
@@ -52,17 +53,25 @@
 
     // Another writer reports, once, an instance of a service that is not in the configuration
     // for each address at which an endpoint of `booking` is.
-    if has_trouble {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    if trouble != "0" {
+        let is_same_address = trouble == "1";
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        // An agent that shares the number of its instance was started an hour before it.
+        let born = if is_same_address { now } else { now - 3_600_000 };
         for n in 1..=3_u8 {
             let body = format!(
                 "{{\"service\":\"inventory-agent\",\"address\":\"{}:{}\",\"zone\":\"a\",\
                  \"version\":\"v9\",\"slots\":1,\"state\":\"ready\",\"cold-remaining-ms\":0,\
                  \"sequence\":1,\"born\":{born}}}",
-                net.ip(3, n),
+                net.ip(3, if is_same_address { n } else { n + 100 }),
                 net.upstream,
             );
-            let path = format!("/-/Instances.Heartbeat/x-00c0ffe{n}");
+            let id = if is_same_address {
+                format!("x-00c0ffe{n}")
+            } else {
+                endpoints[usize::from(n) - 1].id.replace("i-", "agent-")
+            };
+            let path = format!("/-/Instances.Heartbeat/{id}");
             let answer = http(seeds[0], "POST", &path, &body, millis(1_000));
             let status = answer.map_or(0, |answer| answer.status);
             record.line(&format!("another writer: POST {path} {body}: {status}"));
