--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -25,6 +26,21 @@
 const FIN: u8 = 16;
 const RST: u8 = 1;
 
+unsafe extern "C" {
+    /// Of the system's C library, which the standard library links.
+    fn prctl(option: i32, signal: usize, ...) -> i32;
+}
+
+/// Has the process killed when this one ends, however it ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 pub fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -40,7 +56,10 @@
     pub fn create() -> Self {
         let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
         let file = fs::File::create(path).expect("the record can be written");
-        Self { file: Arc::new(Mutex::new(file)), started: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            started: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -53,7 +72,11 @@
 pub fn cannot_run(record: &Record, why: &str) -> ! {
     record.line(&format!("the case could not run: {why}"));
     eprintln!("the case could not run: {why}");
-    CHILDREN.lock().unwrap().drain(..).for_each(|pid| signal(pid, "KILL"));
+    CHILDREN
+        .lock()
+        .unwrap()
+        .drain(..)
+        .for_each(|pid| signal(pid, "KILL"));
     std::process::exit(2);
 }
 
@@ -61,7 +84,10 @@
 
 pub fn signal(pid: u32, name: &str) {
     let command = format!("kill -{name} {pid}");
-    let _ = Command::new("sh").args(["-c", &command]).stderr(Stdio::null()).status();
+    let _ = Command::new("sh")
+        .args(["-c", &command])
+        .stderr(Stdio::null())
+        .status();
 }
 
 /// Ports and addresses of a deployment in 127.`net`.0.0/16.
@@ -129,11 +155,27 @@
 
 impl Machine {
     pub fn control(net: Net, n: u8, zone: &'static str, folder: &PathBuf, record: &Record) -> Self {
-        Self::new(net, "control", net.ip(1, n), format!("core-{zone}-{n}"), zone, folder, record)
+        Self::new(
+            net,
+            "control",
+            net.ip(1, n),
+            format!("core-{zone}-{n}"),
+            zone,
+            folder,
+            record,
+        )
     }
 
     pub fn entry(net: Net, n: u8, zone: &'static str, folder: &PathBuf, record: &Record) -> Self {
-        Self::new(net, "entry", net.ip(2, n), format!("frontend-{zone}-{n}"), zone, folder, record)
+        Self::new(
+            net,
+            "entry",
+            net.ip(2, n),
+            format!("frontend-{zone}-{n}"),
+            zone,
+            folder,
+            record,
+        )
     }
 
     fn new(
@@ -148,7 +190,17 @@
         let folder = folder.join(&name);
         fs::create_dir_all(&folder).expect("the folder can be created");
         let record = record.clone();
-        Self { role, name, net, ip, zone, folder, child: None, starts: 0, record }
+        Self {
+            role,
+            name,
+            net,
+            ip,
+            zone,
+            folder,
+            child: None,
+            starts: 0,
+            record,
+        }
     }
 
     pub fn packet_address(&self) -> SocketAddr {
@@ -157,15 +209,28 @@
 
     /// Writes the settings file, as the platform does at every start.
     pub fn write_settings(&self, seeds: &[SocketAddr], bootstrap: bool) {
-        let Net { internal, control, ready, packets, .. } = self.net;
+        let Net {
+            internal,
+            control,
+            ready,
+            packets,
+            ..
+        } = self.net;
         let ip = self.ip;
         let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let (class, serves, listen, data) = if self.role == "control" {
-            let data = format!("data-directory = \"{}\"\n", self.folder.join("data").display());
-            ("core", "control", format!("control = \"{ip}:{control}\""), data)
+            let data = format!(
+                "data-directory = \"{}\"\n",
+                self.folder.join("data").display()
+            );
+            (
+                "core",
+                "control",
+                format!("control = \"{ip}:{control}\""),
+                data,
+            )
         } else {
-            let listen =
-                format!("datagram-address = \"{ip}:{packets}\"\nready = \"{ip}:{ready}\"");
+            let listen = format!("datagram-address = \"{ip}:{packets}\"\nready = \"{ip}:{ready}\"");
             ("frontend", "frontend", listen, String::new())
         };
         let text = format!(
@@ -201,7 +266,9 @@
         self.starts += 1;
         let log = fs::File::create(self.folder.join(format!("{}.log", self.starts))).unwrap();
         let errors = log.try_clone().unwrap();
-        let child = Command::new("target/release/currantgate-platform")
+        let mut command = Command::new("target/release/currantgate-platform");
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .arg(self.role)
             .env("CURRANTGATE_SETTINGS", self.folder.join("settings.toml"))
             .stdin(Stdio::null())
@@ -210,7 +277,8 @@
             .spawn();
         match child {
             Ok(child) => {
-                self.record.line(&format!("{} is started, process {}", self.name, child.id()));
+                self.record
+                    .line(&format!("{} is started, process {}", self.name, child.id()));
                 CHILDREN.lock().unwrap().push(child.id());
                 self.child = Some(child);
             }
@@ -249,6 +317,15 @@
         }
     }
 
+    /// Deletes the data directory of the process, which must not be running.
+    pub fn delete_data(&self) {
+        let data = self.folder.join("data");
+        if fs::remove_dir_all(&data).is_ok() {
+            self.record
+                .line(&format!("{} has an empty disk", self.name));
+        }
+    }
+
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
         child.is_some_and(|child| child.try_wait().ok().flatten().is_none())
@@ -275,7 +352,13 @@
 }
 
 /// Sends one HTTP request; nothing without a whole response in time.
-pub fn http(to: SocketAddr, method: &str, path: &str, body: &str, limit: Duration) -> Option<Answer> {
+pub fn http(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<Answer> {
     let deadline = Instant::now() + limit;
     let mut stream = TcpStream::connect_timeout(&to, limit).ok()?;
     stream.set_read_timeout(Some(millis(50))).ok()?;
@@ -291,7 +374,11 @@
         match stream.read(&mut buf) {
             Ok(0) => break,
             Ok(len) => bytes.extend_from_slice(&buf[..len]),
-            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) => {}
             Err(_) => return None,
         }
     }
@@ -302,11 +389,16 @@
         let mut lines = head.lines();
         lines.find_map(|line| {
             let (key, value) = line.split_once(':')?;
-            key.eq_ignore_ascii_case(name).then(|| value.trim().to_string())
+            key.eq_ignore_ascii_case(name)
+                .then(|| value.trim().to_string())
         })
     };
     let len: usize = field("content-length")?.parse().ok()?;
-    (body.len() == len).then(|| Answer { status, location: field("location"), body: body.into() })
+    (body.len() == len).then(|| Answer {
+        status,
+        location: field("location"),
+        body: body.into(),
+    })
 }
 
 /// Sends a call to the control machines in turn, following a 307 twice, until one answers it
@@ -339,7 +431,9 @@
                             Err(_) => break,
                         }
                     }
-                    Some(a) if a.status < 500 && a.status != 408 && a.status != 429 => return Some(a),
+                    Some(a) if a.status < 500 && a.status != 408 && a.status != 429 => {
+                        return Some(a);
+                    }
                     _ => break,
                 }
             }
@@ -351,7 +445,12 @@
 }
 
 /// A route of a configuration: port and service.
-pub fn configuration(version: u64, host: Ipv4Addr, routes: &[(u16, &str)], services: &[&str]) -> String {
+pub fn configuration(
+    version: u64,
+    host: Ipv4Addr,
+    routes: &[(u16, &str)],
+    services: &[&str],
+) -> String {
     let routes: Vec<_> = routes
         .iter()
         .map(|(port, service)| {
@@ -398,9 +497,20 @@
     /// The keyed sum over all fields but echo and pad.
     fn sum(&self) -> u32 {
         let mut hash: u32 = 0x51ed_270b;
-        let numbers = [self.seq, self.ack, self.src, self.dst, self.flags.into(),
-            self.sport.into(), self.dport.into(), self.data.len() as u32];
-        let bytes = numbers.iter().flat_map(|n| n.to_be_bytes()).chain(self.data.iter().copied());
+        let numbers = [
+            self.seq,
+            self.ack,
+            self.src,
+            self.dst,
+            self.flags.into(),
+            self.sport.into(),
+            self.dport.into(),
+            self.data.len() as u32,
+        ];
+        let bytes = numbers
+            .iter()
+            .flat_map(|n| n.to_be_bytes())
+            .chain(self.data.iter().copied());
         for byte in bytes {
             hash = (hash ^ u32::from(byte)).wrapping_mul(16_777_619);
         }
@@ -500,13 +610,27 @@
             acknowledged: Arc::default(),
             is_down: Arc::default(),
         };
-        let (record2, service2, runs) = (record.clone(), endpoint.service.clone(), Arc::clone(&endpoint.runs));
+        let (record2, service2, runs) = (
+            record.clone(),
+            endpoint.service.clone(),
+            Arc::clone(&endpoint.runs),
+        );
         let (id2, is_down) = (id.clone(), Arc::clone(&endpoint.is_down));
-        thread::spawn(move || serve(&record2, net, &socket, number, &id2, &service2, &runs, &is_down));
+        thread::spawn(move || {
+            serve(
+                &record2, net, &socket, number, &id2, &service2, &runs, &is_down,
+            )
+        });
         let (controls, state) = (Arc::clone(&endpoint.controls), Arc::clone(&endpoint.state));
-        let (acked, is_down) = (Arc::clone(&endpoint.acknowledged), Arc::clone(&endpoint.is_down));
+        let (acked, is_down) = (
+            Arc::clone(&endpoint.acknowledged),
+            Arc::clone(&endpoint.is_down),
+        );
         let (record, service) = (record.clone(), endpoint.service.clone());
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         thread::spawn(move || {
             let mut sequence = 0;
             let mut last = None;
@@ -524,7 +648,9 @@
                     let answer = http(to, "POST", &path, &body, millis(1_000));
                     if answer.is_some_and(|a| a.status / 100 == 2) {
                         if last != Some((current, to)) {
-                            record.line(&format!("endpoint {id}: `{current}` is acknowledged by {to}"));
+                            record.line(&format!(
+                                "endpoint {id}: `{current}` is acknowledged by {to}"
+                            ));
                             last = Some((current, to));
                         }
                         *acked.lock().unwrap() = Some((Instant::now(), current, to));
@@ -560,7 +686,10 @@
             }
             thread::sleep(millis(5));
         }
-        cannot_run(record, &format!("`{wanted}` of {} is not acknowledged", self.id))
+        cannot_run(
+            record,
+            &format!("`{wanted}` of {} is not acknowledged", self.id),
+        )
     }
 
     /// Crashes: it neither serves nor reports any more.
@@ -616,10 +745,17 @@
         let key = (packet.src, packet.sport, packet.dst, packet.dport);
         if packet.flags == SYN {
             let (seq, _) = *flows.entry(key).or_insert_with(|| {
-                next_seq = next_seq.wrapping_add(0x1_0000);
-                (next_seq, None)
-            }.clone());
-            let reply = Packet { seq, ack: packet.seq.wrapping_add(1), ..packet.reply(SYN | ACK) };
+                {
+                    next_seq = next_seq.wrapping_add(0x1_0000);
+                    (next_seq, None)
+                }
+                .clone()
+            });
+            let reply = Packet {
+                seq,
+                ack: packet.seq.wrapping_add(1),
+                ..packet.reply(SYN | ACK)
+            };
             send(&reply);
             continue;
         }
@@ -636,7 +772,9 @@
         }
         if answered.is_none() && packet.ack == seq.wrapping_add(1) {
             let text = String::from_utf8_lossy(&packet.data).to_string();
-            let attempt = text.lines().find_map(|l| l.strip_prefix("X-Request-Attempt-Id: "));
+            let attempt = text
+                .lines()
+                .find_map(|l| l.strip_prefix("X-Request-Attempt-Id: "));
             let attempt = attempt.unwrap_or("none").to_string();
             record.line(&format!("endpoint {id} of {service} runs {attempt}"));
             runs.lock().unwrap().push(attempt.clone());
@@ -683,11 +821,22 @@
             cannot_run(record, "the address of the clients is in use");
         };
         socket.set_read_timeout(Some(millis(20))).unwrap();
-        Self { socket, ip, next_port: AtomicU32::new(40_000), record: record.clone() }
+        Self {
+            socket,
+            ip,
+            next_port: AtomicU32::new(40_000),
+            record: record.clone(),
+        }
     }
 
     /// Sends one request through an entry; one at a time.
-    pub fn request(&self, entry: SocketAddr, to: SocketAddrV4, attempt: &str, deadline: Duration) -> Outcome {
+    pub fn request(
+        &self,
+        entry: SocketAddr,
+        to: SocketAddrV4,
+        attempt: &str,
+        deadline: Duration,
+    ) -> Outcome {
         let sport = self.next_port.fetch_add(1, Ordering::Relaxed) as u16;
         let started = Instant::now();
         let seq = 0x1122_0000_u32.wrapping_add(u32::from(sport));
@@ -727,7 +876,12 @@
                     pause = (pause * 2).min(millis(1_600));
                 }
             } else if copies < 3 && age >= [millis(0), millis(200), millis(600)][copies] {
-                let packet = Packet { flags: SYN, seq, ack: copies as u32, ..base.clone() };
+                let packet = Packet {
+                    flags: SYN,
+                    seq,
+                    ack: copies as u32,
+                    ..base.clone()
+                };
                 let _ = self.socket.send_to(&packet.encode(), entry);
                 copies += 1;
             }
@@ -744,7 +898,8 @@
                 break Outcome::Reset;
             }
             if !is_right {
-                self.record.line(&format!("client: {attempt}: a packet with a wrong sum"));
+                self.record
+                    .line(&format!("client: {attempt}: a packet with a wrong sum"));
                 continue;
             }
             if packet.flags == SYN | ACK && open.is_none() {
@@ -762,11 +917,15 @@
                 };
                 let _ = self.socket.send_to(&last.encode(), entry);
                 let text = String::from_utf8_lossy(&packet.data).to_string();
-                let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_string());
+                let body = text
+                    .split_once("\r\n\r\n")
+                    .map(|(_, body)| body.to_string());
                 break Outcome::Answered(body.unwrap_or_default());
             }
         };
-        self.record.line(&format!("client: {attempt} through {entry} to {to}: {outcome:?}"));
+        self.record.line(&format!(
+            "client: {attempt} through {entry} to {to}: {outcome:?}"
+        ));
         outcome
     }
 }
