Review: case 7, a removal and a lost disk take the quorum for good

A control machine whose successor has run for 11 s is removed without notice, and 1 s later another one loses its disk.

--- a/review/standin-2/case7.rs
+++ b/review/standin-2/case7.rs
@@ -1,100 +1,137 @@
-//! Case 7: a heartbeat of another writer, with a service that no configuration names, takes the
-//! endpoint at the same address out of use.
+//! Case 7: a control machine whose successor runs is removed without notice; a second later
+//! another one loses its disk. The quorum is gone for good.
 
 mod harness;
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::thread;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use harness::*;
 
-/// Requests, one each half a second.
-const REQUESTS: usize = 80;
+/// Time for which the configuration is read and a change is tried after the last disruption.
+const WATCHED_MS: u64 = 60_000;
 
 fn main() -> ExitCode {
-    // 0: none; 1: the addresses of the endpoints; 2: the numbers in their ids, other addresses.
-    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    let gap = std::env::var("GAP_MS").map_or(1_000, |ms| ms.parse().expect("a number"));
     let record = Record::create();
     let net = Net::choose(&record);
     let folder = Folder::create();
-    let is_broken = run(&record, net, &folder, &trouble);
-    record.line(if is_broken { "Fault: no request is served" } else { "the rule held" });
-    println!("{}", if is_broken { "Fault: no request is served" } else { "the rule held" });
+    let is_broken = run(&record, net, &folder, has_trouble, gap);
+    record.line(if is_broken {
+        "CONFIG is broken"
+    } else {
+        "the rule held"
+    });
+    println!(
+        "{}",
+        if is_broken {
+            "CONFIG is broken"
+        } else {
+            "the rule held"
+        }
+    );
     ExitCode::from(u8::from(is_broken))
 }
 
-fn run(record: &Record, net: Net, folder: &Folder, trouble: &str) -> bool {
-    let zones = ["a", "b", "c"];
+fn run(record: &Record, net: Net, folder: &Folder, has_trouble: bool, gap: u64) -> bool {
+    let zones = ["a", "b", "c", "a"];
     let seeds: Vec<SocketAddr> = (1..=3).map(|n| net.control_address(n)).collect();
-    let mut core: Vec<Machine> = (1..=3)
+    let mut core: Vec<Machine> = (1..=4)
         .map(|n| Machine::control(net, n, zones[usize::from(n) - 1], &folder.0, record))
         .collect();
     let mut entry = Machine::entry(net, 1, "a", &folder.0, record);
-    for machine in core.iter_mut().chain([&mut entry]) {
+    for machine in core[..3].iter_mut().chain([&mut entry]) {
         machine.write_settings(&seeds, true);
         machine.start();
     }
-    let endpoints: Vec<Endpoint> =
-        (1..=3).map(|n| Endpoint::start(record, net, n, "booking", "a", seeds.clone())).collect();
-    let client = Client::new(record, net, 1);
     let host = net.ip(8, 1);
-    let address = SocketAddrV4::new(host, 8_080);
-    let text = configuration(3, host, &[(8_080, "booking")], &["booking"]);
-    let deadline = Instant::now() + millis(12_000);
-    let answer =
-        operator_call(record, &seeds, "POST", "/-/Configuration.Replace", &text, deadline);
-    if answer.is_none_or(|answer| answer.status != 200) {
-        cannot_run(record, "the configuration is not acknowledged");
+    let text = |version| configuration(version, host, &[(8_080, "booking")], &["booking"]);
+    change(record, &seeds, &text(3));
+
+    // The successor of the first machine starts, and runs for longer than `catch-up-s`.
+    core[3].write_settings(&seeds, false);
+    core[3].start();
+    thread::sleep(CATCH_UP + millis(6_000));
+    let all: Vec<SocketAddr> = (1..=4).map(|n| net.control_address(n)).collect();
+    change(record, &all, &text(7));
+    thread::sleep(millis(1_000));
+    if !is_read(record, &all, &text(7), 2_000) {
+        cannot_run(
+            record,
+            "the configuration is not read back before the disruption",
+        );
     }
-    wait_until(record, "the entry is not ready", millis(10_000), || entry.is_ready());
-    thread::sleep(millis(4_000));
 
-    // Another writer reports, once, an instance of a service that is not in the configuration
-    // for each address at which an endpoint of `booking` is.
-    if trouble != "0" {
-        let is_same_address = trouble == "1";
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        // An agent that shares the number of its instance was started an hour before it.
-        let born = if is_same_address { now } else { now - 3_600_000 };
-        for n in 1..=3_u8 {
-            let body = format!(
-                "{{\"service\":\"inventory-agent\",\"address\":\"{}:{}\",\"zone\":\"a\",\
-                 \"version\":\"v9\",\"slots\":1,\"state\":\"ready\",\"cold-remaining-ms\":0,\
-                 \"sequence\":1,\"born\":{born}}}",
-                net.ip(3, if is_same_address { n } else { n + 100 }),
-                net.upstream,
-            );
-            let id = if is_same_address {
-                format!("x-00c0ffe{n}")
-            } else {
-                endpoints[usize::from(n) - 1].id.replace("i-", "agent-")
-            };
-            let path = format!("/-/Instances.Heartbeat/{id}");
-            let answer = http(seeds[0], "POST", &path, &body, millis(1_000));
-            let status = answer.map_or(0, |answer| answer.status);
-            record.line(&format!("another writer: POST {path} {body}: {status}"));
-        }
+    let left = &all[1..];
+    if has_trouble {
+        record.line("core-a-1 is removed for good");
+        core[0].kill();
+        thread::sleep(millis(gap));
+        record.line("core-b-2 loses its disk");
+        core[1].kill();
+        core[1].delete_data();
+        thread::sleep(millis(300));
+        core[1].write_settings(left, false);
+        core[1].start();
     }
-    thread::sleep(millis(1_000));
-    let mut served = 0;
-    for n in 0..REQUESTS {
-        let outcome = client.request(entry.packet_address(), address, &format!("r-{n}"), millis(1_500));
-        served += usize::from(matches!(outcome, Outcome::Answered(_)));
-        thread::sleep(millis(500));
+    let started = Instant::now();
+    let mut is_back = false;
+    while started.elapsed() < millis(WATCHED_MS) && !is_back {
+        is_back = is_read(record, left, &text(7), 4_000);
     }
-    let runs: usize = endpoints.iter().map(|e| e.runs.lock().unwrap().len()).sum();
-    for endpoint in &endpoints {
-        let acknowledged = *endpoint.acknowledged.lock().unwrap();
-        if let Some((at, state, by)) = acknowledged {
-            record.line(&format!(
-                "endpoint {}: the last `{state}` was acknowledged by {by} {:.1} s ago",
-                endpoint.id,
-                at.elapsed().as_secs_f64()
-            ));
-        }
+    for machine in &mut core[1..] {
+        let is_running = machine.is_running();
+        record.line(&format!("{} runs: {is_running}", machine.name));
     }
-    record.line(&format!("of {REQUESTS} requests, {served} are served and {runs} have run"));
-    served == 0
+    let seconds = started.elapsed().as_secs_f64();
+    record.line(&format!(
+        "the configuration is read back: {is_back}, after {seconds:.1} s"
+    ));
+    let deadline = Instant::now() + millis(6_000);
+    let answer = operator_call(
+        record,
+        left,
+        "POST",
+        "/-/Configuration.Replace",
+        &text(9),
+        deadline,
+    );
+    let status = answer.map_or(0, |answer| answer.status);
+    record.line(&format!(
+        "a change is answered with {status} (0 for no clear answer)"
+    ));
+    !is_back
+}
+
+/// Sends a configuration until it is acknowledged.
+fn change(record: &Record, controls: &[SocketAddr], text: &str) {
+    let deadline = Instant::now() + millis(12_000);
+    let answer = operator_call(
+        record,
+        controls,
+        "POST",
+        "/-/Configuration.Replace",
+        text,
+        deadline,
+    );
+    if answer.is_none_or(|answer| answer.status != 200) {
+        cannot_run(record, "a configuration is not acknowledged");
+    }
+}
+
+/// Tells whether a read is answered with `text` within `limit` ms.
+fn is_read(record: &Record, controls: &[SocketAddr], text: &str, limit: u64) -> bool {
+    let deadline = Instant::now() + millis(limit);
+    let read = operator_call(
+        record,
+        controls,
+        "GET",
+        "/-/Configuration.Read",
+        "",
+        deadline,
+    );
+    read.is_some_and(|read| read.status == 200 && read.body == text)
 }
