--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Runs case 8: exits with 1 if the rule is broken, 0 if it holds, 2 if the case can't run.
-# TROUBLE=0 leaves out the disruptions, 2 the outage alone, 3 the replacements alone.
+# TROUBLE=0 leaves out the disruptions; GAP_MS is the time between two, 1500 if not given.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/currantgate-platform target/review-2/case8; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
