Reports of a service that no configuration names displace no upstream

Cause: control VMs and entries settled ids, addresses and tokens among the records of all services before they looked at the services of a route.

Change: control VMs ignore such reports, except those of an upstream that they know with this service, and let a report of a named service replace any other. Entries keep one record for each service of an id and use the newest of a named one; others own an address or a token only if no named one does, and get no new flows. A later end of a warm-up is applied by the whole id. Reports that are ignored are counted as unnamed_service and logged.

--- a/crates/currantgate-registry/src/lib.rs
+++ b/crates/currantgate-registry/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`EvacuationView`] keeps which failure domains are evacuated.
 
 mod evacuations;
+mod named_services;
 mod record;
 mod registry;
 mod report;
@@ -16,6 +17,7 @@
 mod view_refresh;
 
 pub use evacuations::{EvacuationChange, EvacuationUpdate, EvacuationView};
+pub use named_services::NamedServices;
 pub use record::Record;
 pub use registry::{ChangeNumber, UpstreamRegistry};
 pub use report::{Report, ReportVersion, UpstreamId, UpstreamState};
--- a/crates/currantgate-registry/src/registry.rs
+++ b/crates/currantgate-registry/src/registry.rs
@@ -5,7 +5,9 @@
 
 use indexmap::IndexMap;
 
-use crate::{Record, RegistrySettings, Report, ReportVersion, UpstreamId, UpstreamState};
+use crate::{
+    NamedServices, Record, RegistrySettings, Report, ReportVersion, UpstreamId, UpstreamState,
+};
 
 /// Number of a change, by which each listener gets the changes that it lacks.
 pub type ChangeNumber = u64;
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 pub struct UpstreamRegistry {
     settings: RegistrySettings,
+    services: NamedServices,
     upstreams: IndexMap<UpstreamId, RegisteredUpstream>,
     /// Upstreams by the number of their last change, oldest first.
     changes: BTreeMap<ChangeNumber, UpstreamId>,
@@ -41,21 +44,36 @@
     pub fn new(settings: RegistrySettings) -> Self {
         Self {
             settings,
+            services: NamedServices::default(),
             upstreams: IndexMap::new(),
             changes: BTreeMap::new(),
             last_change: 0,
         }
     }
 
+    /// Sets the services that the configuration in force names.
+    pub fn set_services(&mut self, services: NamedServices) {
+        self.services = services;
+    }
+
+    /// Returns whether the configuration in force names a service.
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.contains(service)
+    }
+
     /// Applies a report; returns whether it is the newest one of its upstream.
     ///
     /// Older reports are ignored: a report can arrive after later ones or after the
-    /// upstream's departure.
+    /// upstream's departure. So are reports of services that the configuration in force
+    /// doesn't name, unless the upstream is known with that service: it may be named again.
     pub fn apply_report(&mut self, now: Instant, mut report: Report) -> bool {
         report.limit_warmup();
-        let is_full = self.upstreams.len() >= self.settings.max_upstreams;
+        let is_named = self.services.contains(&report.service);
         let Some(upstream) = self.upstreams.get_mut(&report.id) else {
-            if is_full {
+            if !is_named {
+                return false;
+            }
+            if !self.make_room() {
                 log::warn!("upstream {} is ignored: the registry is full", report.id);
                 return false;
             }
@@ -63,7 +81,12 @@
             return true;
         };
         let known = &upstream.record.report;
-        if report.version <= known.version {
+        let is_same = known.service == report.service;
+        if !is_same && !is_named {
+            return false;
+        }
+        let replaces_unnamed = !is_same && is_unnamed(&self.services, known);
+        if report.version <= known.version && !replaces_unnamed {
             return false;
         }
         upstream.received_at = now;
@@ -194,6 +217,23 @@
         self.upstreams.is_empty()
     }
 
+    /// Makes room for another upstream, in place of one whose service is not named if the
+    /// registry is full; returns whether there is room.
+    fn make_room(&mut self) -> bool {
+        if self.upstreams.len() < self.settings.max_upstreams {
+            return true;
+        }
+        let mut upstreams = self.upstreams.values();
+        let is_unnamed = |u: &RegisteredUpstream| is_unnamed(&self.services, &u.record.report);
+        let Some(index) = upstreams.position(is_unnamed) else {
+            return false;
+        };
+        if let Some((_, removed)) = self.upstreams.swap_remove_index(index) {
+            self.changes.remove(&removed.change);
+        }
+        true
+    }
+
     /// Adds an upstream that is not known yet.
     fn insert(&mut self, now: Instant, report: Report) {
         let id = report.id.clone();
@@ -223,6 +263,11 @@
     }
 }
 
+/// Tells whether a report is of a service that is not named. A departure is of any service.
+fn is_unnamed(services: &NamedServices, report: &Report) -> bool {
+    !report.is_departure() && !services.contains(&report.service)
+}
+
 /// Tells whether two reports are the same in all that affects routing at entries.
 fn is_equivalent(a: &Report, b: &Report) -> bool {
     a.version.started_ms == b.version.started_ms
--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -3,9 +3,12 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Instant;
 
+use indexmap::map::Entry;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{Record, Report, ReportVersion, UpstreamId, UpstreamState, ViewSettings};
+use crate::{
+    NamedServices, Record, Report, ReportVersion, UpstreamId, UpstreamState, ViewSettings,
+};
 
 /// Whether an upstream may get new flows, according to its reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +31,8 @@
     pub warm_at: Instant,
     /// Whether it may get new flows.
     pub availability: Availability,
+    /// Whether the configuration in force names its service.
+    pub is_named: bool,
 }
 
 /// State of an upstream at one control VM.
@@ -37,7 +42,7 @@
     is_silent: bool,
 }
 
-/// An upstream in the view, with its state at each control VM.
+/// An upstream of one service in the view, with its state at each control VM.
 #[derive(Debug)]
 struct KnownUpstream {
     report: Report,
@@ -55,7 +60,10 @@
 #[derive(Debug)]
 pub struct UpstreamView {
     settings: ViewSettings,
-    upstreams: IndexMap<UpstreamId, KnownUpstream>,
+    services: NamedServices,
+    /// Upstreams by id, one for each service that reports of the id name. Which one counts
+    /// depends on the configuration in force, which control VMs may have before this entry.
+    upstreams: IndexMap<UpstreamId, Vec<KnownUpstream>>,
     /// Control VMs that are connected.
     sources: IndexSet<SocketAddr>,
     /// Time since which at least one control VM has been connected without interruption.
@@ -69,6 +77,7 @@
     pub fn new(settings: ViewSettings) -> Self {
         Self {
             settings,
+            services: NamedServices::default(),
             upstreams: IndexMap::new(),
             sources: IndexSet::new(),
             connected_since: None,
@@ -76,6 +85,12 @@
         }
     }
 
+    /// Sets the services that the configuration in force names.
+    pub fn set_services(&mut self, services: NamedServices) {
+        self.generation += 1;
+        self.services = services;
+    }
+
     /// Records that a control VM is connected and about to send all its records. Its
     /// earlier state is discarded.
     pub fn source_connected(&mut self, now: Instant, source: SocketAddr) {
@@ -92,7 +107,7 @@
             self.connected_since = None;
         }
         let unconfirmed_until = now + self.settings.unconfirmed_timeout;
-        for known in self.upstreams.values_mut() {
+        for known in self.upstreams.values_mut().flatten() {
             let was_reporting = known.is_reported_silent() == Some(false);
             known.source_states.swap_remove(&source);
             if was_reporting {
@@ -149,19 +164,25 @@
         let version = report.version;
         let warm_at = now + report.warmup_remaining;
         let id = report.id.clone();
-        let known = self
-            .upstreams
-            .entry(id.clone())
-            .or_insert_with(|| KnownUpstream {
+        let is_named = self.services.contains(&report.service);
+        let same_id = self.upstreams.entry(id.clone()).or_default();
+        let position = same_id
+            .iter()
+            .position(|known| known.report.service == report.service);
+        let position = position.unwrap_or_else(|| {
+            same_id.push(KnownUpstream {
                 report: report.clone(),
                 warm_at,
                 source_states: IndexMap::new(),
                 unconfirmed_until: now,
                 idle_since: None,
             });
+            same_id.len() - 1
+        });
+        let known = &mut same_id[position];
         let mut is_extended = false;
         if version > known.report.version {
-            is_extended = warm_at > known.warm_at.max(now);
+            is_extended = is_named && warm_at > known.warm_at.max(now);
             known.report = report;
             known.warm_at = warm_at;
         }
@@ -174,13 +195,12 @@
     /// Applies a departure without a report: the upstream left by way of a control VM
     /// that had no record of it.
     fn apply_departure(&mut self, report: &Report) {
-        let Some(known) = self.upstreams.get_mut(&report.id) else {
-            return;
-        };
-        let version = known.report.version;
-        if report.version.started_ms == 0 || report.version.started_ms == version.started_ms {
-            known.report.state = UpstreamState::Gone;
-            known.report.version.sequence = u64::MAX;
+        let started_ms = report.version.started_ms;
+        for known in self.upstreams.get_mut(&report.id).into_iter().flatten() {
+            if started_ms == 0 || started_ms == known.report.version.started_ms {
+                known.report.state = UpstreamState::Gone;
+                known.report.version.sequence = u64::MAX;
+            }
         }
     }
 
@@ -194,42 +214,82 @@
     pub fn upstreams(&mut self, now: Instant) -> Vec<Upstream> {
         let owners = self.address_owners();
         let forget_after = self.settings.forget_after;
+        let services = &self.services;
         let mut upstreams = Vec::with_capacity(self.upstreams.len());
-        self.upstreams.retain(|id, known| {
-            let superseded = owners[&known.report.address].1 != *id;
-            let availability = known.availability(now, superseded);
-            if availability == Availability::Ready {
-                known.idle_since = None;
-            } else if now >= *known.idle_since.get_or_insert(now) + forget_after {
-                return false;
-            }
-            upstreams.push(Upstream {
-                report: known.report.clone(),
-                warm_at: known.warm_at,
-                availability,
+        self.upstreams.retain(|id, same_id| {
+            let used = used_position(services, same_id);
+            let mut positions = 0..;
+            same_id.retain_mut(|known| {
+                let is_used = used == positions.next();
+                let superseded = !is_used || owners[&known.report.address].id != *id;
+                let availability = known.availability(now, superseded);
+                if availability == Availability::Ready {
+                    known.idle_since = None;
+                } else if now >= *known.idle_since.get_or_insert(now) + forget_after {
+                    return false;
+                }
+                if is_used {
+                    upstreams.push(Upstream {
+                        report: known.report.clone(),
+                        warm_at: known.warm_at,
+                        availability,
+                        is_named: services.contains(&known.report.service),
+                    });
+                }
+                true
             });
-            true
+            !same_id.is_empty()
         });
         upstreams
     }
 
     /// Returns the upstream that was started last at each address. Addresses are reused,
-    /// and a late report may contain that of an earlier owner.
-    fn address_owners(&self) -> IndexMap<SocketAddrV4, (u64, UpstreamId)> {
-        let mut owners: IndexMap<SocketAddrV4, (u64, UpstreamId)> = IndexMap::new();
-        for (id, known) in &self.upstreams {
-            let started_ms = known.report.version.started_ms;
-            let owner = owners
-                .entry(known.report.address)
-                .or_insert_with(|| (started_ms, id.clone()));
-            if (started_ms, id) > (owner.0, &owner.1) {
-                *owner = (started_ms, id.clone());
+    /// and a late report may contain that of an earlier owner. An upstream of a service that
+    /// is not named owns an address only if no other one reports it.
+    fn address_owners(&self) -> IndexMap<SocketAddrV4, AddressOwner> {
+        let mut owners: IndexMap<SocketAddrV4, AddressOwner> =
+            IndexMap::with_capacity(self.upstreams.len());
+        for (id, same_id) in &self.upstreams {
+            let Some(position) = used_position(&self.services, same_id) else {
+                continue;
+            };
+            let report = &same_id[position].report;
+            let claim = AddressOwner {
+                is_named: self.services.contains(&report.service),
+                started_ms: report.version.started_ms,
+                id: id.clone(),
+            };
+            match owners.entry(report.address) {
+                Entry::Occupied(owner) if *owner.get() >= claim => {}
+                owner => {
+                    owner.insert_entry(claim);
+                }
             }
         }
         owners
     }
 }
 
+/// An upstream that reports an address. Of several ones, the greatest owns the address.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AddressOwner {
+    is_named: bool,
+    started_ms: u64,
+    id: UpstreamId,
+}
+
+/// Returns the position of the upstream that is used among those with one id: that with the
+/// newest report, and one of a service that is not named only if there is no other.
+fn used_position(services: &NamedServices, same_id: &[KnownUpstream]) -> Option<usize> {
+    let rank = |known: &KnownUpstream| {
+        let report = &known.report;
+        (services.contains(&report.service), report.version)
+    };
+    let ranked = same_id.iter().enumerate();
+    let used = ranked.max_by_key(|(_, known)| rank(known));
+    used.map(|(position, _)| position)
+}
+
 impl KnownUpstream {
     /// Tells whether the upstream is silent according to the connected control VM that
     /// has its newest report; nothing when none has it. Other control VMs do not count, as
--- a/crates/currantgate-token/benches/packets.rs
+++ b/crates/currantgate-token/benches/packets.rs
@@ -84,6 +84,7 @@
             started_ms: n.into(),
             address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0000 + n), 80),
             identity: n.into(),
+            is_named: true,
         };
         let target = Target {
             key: 0,
--- a/crates/currantgate-token/src/route.rs
+++ b/crates/currantgate-token/src/route.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use currantgate_placement::Priority;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::ServiceWarmup;
 
@@ -27,18 +27,30 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     routes: IndexMap<SocketAddrV4, Route>,
+    /// The services of the revision, also those without a route.
+    services: IndexSet<Box<str>>,
     warmups: IndexMap<Box<str>, ServiceWarmup>,
 }
 
 impl RouteTable {
-    /// Returns a table of the given routes.
+    /// Returns a table of the given routes, with the services that they name.
     pub fn new(routes: impl IntoIterator<Item = (SocketAddrV4, Route)>) -> Self {
+        let routes: IndexMap<_, Route> = routes.into_iter().collect();
+        let services = routes.values().flat_map(|route| &route.services);
+        let services = services.map(|(service, _)| service.clone()).collect();
         Self {
-            routes: routes.into_iter().collect(),
+            routes,
+            services,
             warmups: IndexMap::new(),
         }
     }
 
+    /// Adds services that may have no route.
+    pub fn with_services(mut self, services: impl IntoIterator<Item = Box<str>>) -> Self {
+        self.services.extend(services);
+        self
+    }
+
     /// Sets the warm-up of services whose upstreams get few new flows while they are cold.
     pub fn with_warmups(
         mut self,
@@ -53,6 +65,11 @@
         self.warmups.get(service)
     }
 
+    /// Returns the services of the revision.
+    pub fn services(&self) -> impl Iterator<Item = &Box<str>> {
+        self.services.iter()
+    }
+
     /// Returns the route of an address and port.
     pub fn get(&self, address: &SocketAddrV4) -> Option<&Route> {
         self.routes.get(address)
--- a/crates/currantgate-token/src/router.rs
+++ b/crates/currantgate-token/src/router.rs
@@ -169,8 +169,8 @@
 
     /// Applies a later end of a warm-up that was reported just now, without waiting for the
     /// next [`Self::set_upstreams`], if new flows of the upstream are limited while it is cold.
-    pub fn extend_warmup(&mut self, now: Instant, identity: u64, ends_at: Instant) {
-        let Some(key) = self.tokens.token(identity) else {
+    pub fn extend_warmup(&mut self, now: Instant, id: &str, identity: u64, ends_at: Instant) {
+        let Some(key) = self.tokens.token(id, identity) else {
             return;
         };
         let service = self.placement.service_of(key);
--- a/crates/currantgate-token/src/upstreams.rs
+++ b/crates/currantgate-token/src/upstreams.rs
@@ -4,6 +4,7 @@
 
 use foldhash::fast::RandomState;
 use indexmap::IndexMap;
+use log::Level;
 
 use crate::{NextHop, Token};
 
@@ -18,6 +19,8 @@
     pub address: SocketAddrV4,
     /// Identity within packets, from which its token is derived.
     pub identity: u64,
+    /// Whether the configuration in force names its service.
+    pub is_named: bool,
 }
 
 /// Upstreams by token.
@@ -32,19 +35,29 @@
     /// Replaces the upstreams, and returns the token of each by id.
     ///
     /// When tokens collide, the upstream that was started first keeps the token, and
-    /// the other one gets no token and no flows. All entries decide this alike.
+    /// the other one gets no token and no flows. One of a service that is not named has a
+    /// token, for the flows that are open from before, only if no other one needs it. All
+    /// entries decide this alike.
     pub(crate) fn replace(
         &mut self,
         mut upstreams: Vec<TokenUpstream>,
     ) -> IndexMap<Box<str>, Token> {
-        upstreams.sort_by(|a, b| (a.started_ms, &a.id).cmp(&(b.started_ms, &b.id)));
+        let rank = |u: &TokenUpstream| (!u.is_named, u.started_ms);
+        upstreams.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.id.cmp(&b.id)));
         self.hops.clear();
         self.ids.clear();
         let mut tokens = IndexMap::with_capacity(upstreams.len());
         for upstream in upstreams {
             let token = token_of(upstream.identity);
             if let Some(holder) = self.ids.get(&token) {
-                log::error!(
+                // Any number of upstreams of other services may have it.
+                let level = if upstream.is_named {
+                    Level::Error
+                } else {
+                    Level::Debug
+                };
+                log::log!(
+                    level,
                     "upstream {} gets no flows: its token collides with that of {holder}",
                     upstream.id
                 );
@@ -67,10 +80,11 @@
         self.ids.get(&token).map(|id| &**id)
     }
 
-    /// Returns the token of the upstream with the given identity.
-    pub(crate) fn token(&self, identity: u64) -> Option<Token> {
-        let hop = self.hops.get(&token_of(identity))?;
-        (hop.identity == identity).then_some(hop.token)
+    /// Returns the token of the upstream with the given id and identity. Others may have the
+    /// same identity.
+    pub(crate) fn token(&self, id: &str, identity: u64) -> Option<Token> {
+        let token = token_of(identity);
+        (self.id(token)? == id).then_some(token)
     }
 
     /// Returns the next hop for the given token.
--- a/crates/currantgate-token/tests/router.rs
+++ b/crates/currantgate-token/tests/router.rs
@@ -862,13 +862,44 @@
 fn a_later_end_of_a_warm_up_takes_effect_at_once() {
     let mut entry = entry_with_cold(&[]);
     let end = entry.now + Duration::from_secs(30);
-    entry.router.extend_warmup(entry.now, 2, end);
-    entry.router.extend_warmup(entry.now, 2, entry.now);
+    entry.router.extend_warmup(entry.now, "i-00000002", 2, end);
+    entry
+        .router
+        .extend_warmup(entry.now, "i-00000002", 2, entry.now);
     for n in 0..20 {
         assert_eq!(entry.open_flow(n).address.ip().octets()[3], 1);
     }
 }
 
+/// Guards against an upstream of a service that no configuration names, whose id has the number
+/// of another one: it would take the token, and end the warm-up of the other one later.
+#[rstest]
+#[case::started_before(0)]
+#[case::started_after(9)]
+fn an_unnamed_service_takes_no_token(#[case] started_ms: u64) {
+    let mut entry = entry_with_cold(&[]);
+    entry.router.set_upstreams(vec![upstream(1, entry.now)]);
+    let opened = entry.open_flow(0);
+    let agent = TokenUpstream {
+        id: "agent-00000001".into(),
+        started_ms,
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 101), 80),
+        identity: 1,
+        is_named: false,
+    };
+    for is_first in [false, true] {
+        let mut listed = vec![upstream(1, entry.now)];
+        let position = if is_first { 0 } else { listed.len() };
+        listed.insert(position, (agent.clone(), None));
+        entry.router.set_upstreams(listed);
+        let end = entry.now + Duration::from_secs(30);
+        entry.router.extend_warmup(entry.now, &agent.id, 1, end);
+        assert_eq!(entry.open_flow(1 + u16::from(is_first)), opened);
+        let kept = hop(entry.send_later(0, opened.token, false));
+        assert_eq!(kept.address, opened.address);
+    }
+}
+
 /// Guards against flows that wait for a timeout when only cold upstreams are left, and
 /// against the reset of one that an upstream has answered by way of another entry.
 #[test]
--- a/crates/currantgate-token/tests/support/mod.rs
+++ b/crates/currantgate-token/tests/support/mod.rs
@@ -13,6 +13,7 @@
         started_ms: n.into(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 80),
         identity: n.into(),
+        is_named: true,
     };
     let target = Target {
         key: 0,
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -13,6 +13,7 @@
     HEARTBEAT_INTERVAL, Members, Message, Output, ReplaceRequest, Replica, RequestId, Revision,
     Secret, StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
 };
+use currantgate_registry::NamedServices;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::debug_span;
@@ -28,8 +29,9 @@
 use super::writer::Writes;
 use crate::TRACE_TARGET;
 
-/// Validates a site file; the error describes the problem.
-pub type FileCheck = Rc<dyn Fn(&str) -> Result<(), Box<str>>>;
+/// Validates a site file and returns the services that it names; the error describes the
+/// problem.
+pub type FileCheck = Rc<dyn Fn(&str) -> Result<NamedServices, Box<str>>>;
 
 /// The time within which a standby must have the log before it becomes a voter: several
 /// round trips and syncs of a slow disk, and a part of the time that a stop may take.
--- a/crates/currantgate/src/control/daemon.rs
+++ b/crates/currantgate/src/control/daemon.rs
@@ -13,6 +13,7 @@
     DataDirectory, IncomingStream, Journal, Members, RecoveredState, Replica, ReplicaSettings,
     Server, ServerSettings, StorageError,
 };
+use currantgate_registry::NamedServices;
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
@@ -71,9 +72,10 @@
 }
 
 /// Validates a site file in the format of this crate.
-fn check_site(text: &str) -> Result<(), Box<str>> {
-    let site = Site::parse(text, "the applied file");
-    site.map(|_| ()).map_err(|e| e.to_string().into())
+fn check_site(text: &str) -> Result<NamedServices, Box<str>> {
+    let site = Site::parse(text, "the applied file").map_err(|e| e.to_string())?;
+    let services = site.services.into_iter().map(|service| service.name);
+    Ok(NamedServices::new(services))
 }
 
 /// A running control VM, which stops when dropped.
--- a/crates/currantgate/src/feed/source.rs
+++ b/crates/currantgate/src/feed/source.rs
@@ -23,7 +23,7 @@
 use super::permits::{LeaderPermits, PermitCounts};
 use super::published_demand::PublishedDemand;
 use super::status::{EvacuationStatus, FleetStatus};
-use crate::control::ControlHandle;
+use crate::control::{ControlHandle, FileCheck};
 
 /// Time for which a control VM is listed in heartbeats after its last message.
 const CONTROL_LISTING_TIME: Duration = Duration::from_secs(10);
@@ -36,6 +36,8 @@
 /// The state that a control VM sends on all its feeds.
 pub(crate) struct FeedSource {
     pub(crate) registry: RefCell<UpstreamRegistry>,
+    /// Returns the services that a file names.
+    check: FileCheck,
     pub(super) changes: RefCell<RecentChanges>,
     /// Encoded updates to the newest change, by their base.
     packed: RefCell<IndexMap<RevisionId, Arc<[u8]>>>,
@@ -61,9 +63,10 @@
 }
 
 impl FeedSource {
-    pub(crate) fn new(registry: UpstreamRegistry) -> Self {
+    pub(crate) fn new(registry: UpstreamRegistry, check: FileCheck) -> Self {
         Self {
             registry: RefCell::new(registry),
+            check,
             changes: RefCell::default(),
             packed: RefCell::default(),
             handle: RefCell::new(None),
@@ -251,11 +254,27 @@
     /// Publishes a change that is in force. One that is not newer is ignored.
     pub(crate) fn publish(&self, change: Arc<Change>) {
         if self.changes.borrow_mut().publish(change) {
+            self.update_services();
             self.packed.borrow_mut().clear();
             self.notify();
         }
     }
 
+    /// Has the registry take reports of the services that the newest change names.
+    fn update_services(&self) {
+        let Some(newest) = self.newest_change() else {
+            return;
+        };
+        match (self.check)(&newest.text) {
+            Ok(services) => self.registry.borrow_mut().set_services(services),
+            // A VM of another release has accepted it.
+            Err(e) => log::error!(
+                "the services of revision {} are unknown: {e}",
+                newest.revision
+            ),
+        }
+    }
+
     /// Returns the newest change.
     pub(crate) fn newest_change(&self) -> Option<Arc<Change>> {
         self.changes.borrow().newest_change().cloned()
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -102,7 +102,7 @@
         let (id, opened) = open_state(settings, &mut directory)?;
         let (_, listener) = to_async_listener(settings.listen, listener)?;
         let own = settings.listen;
-        let source = restore_source(settings, &mut files);
+        let source = restore_source(settings, &check, &mut files);
         let control = Control::run(
             &control_settings(settings, id),
             opened,
@@ -164,16 +164,33 @@
         })
     }
 
-    /// Records an upstream's report and sends what has changed to entries;
-    /// returns whether the report is the newest of its upstream.
-    pub fn record_report(&self, report: Report) -> bool {
+    /// Records an upstream's report and sends what has changed to entries. The report is
+    /// ignored if it is late, or if no configuration in force names its service: the same
+    /// upstream may report again once one does.
+    pub fn record_report(&self, report: Report) {
+        let id = report.id.clone();
+        let service = report.service.clone();
+        let version = report.version;
         let before = self.source.registry.borrow().last_change();
         let mut registry = self.source.registry.borrow_mut();
         let is_newest = registry.apply_report(Instant::now(), report);
+        let is_named = registry.names_service(&service);
         drop(registry);
         publish_upstream_changes(&self.source, before);
-        self.metrics.count_report(is_newest);
-        is_newest
+        let outcome = match (is_newest, is_named) {
+            (true, _) => "taken",
+            (false, true) => "late",
+            (false, false) => "unnamed_service",
+        };
+        self.metrics.count_report(outcome);
+        match outcome {
+            "unnamed_service" => {
+                let problem = format!("the configuration doesn't name service {service}");
+                self.log_refused_report(&id, outcome, "service", &problem);
+            }
+            "late" => log::debug!("late report of {id}: {version:?}"),
+            _ => {}
+        }
     }
 
     /// Counts a report or departure of an upstream that can't be used, and logs why. `field` is
@@ -186,6 +203,10 @@
         problem: &str,
     ) {
         self.metrics.count_refused_report(reason, field);
+        self.log_refused_report(id, reason, field, problem);
+    }
+
+    fn log_refused_report(&self, id: &str, reason: &str, field: &str, problem: &str) {
         let mut limiter = self.refused_reports.borrow_mut();
         if let Some(left_out) = limiter.try_acquire(Instant::now()) {
             log::warn!(
@@ -311,12 +332,16 @@
 
 /// Creates the source of feeds from the upstreams and the change that the state
 /// files hold.
-fn restore_source(settings: &NodeSettings, files: &mut StateFiles) -> Rc<FeedSource> {
+fn restore_source(
+    settings: &NodeSettings,
+    check: &FileCheck,
+    files: &mut StateFiles,
+) -> Rc<FeedSource> {
     let registry = RegistrySettings::for_interval(settings.report_interval);
     let mut registry = Upstreams::new(registry);
     let records = persistence::load(&mut files.upstreams, persistence::UPSTREAMS_FILE);
     registry.restore(Instant::now(), records.unwrap_or_default());
-    let source = Rc::new(FeedSource::new(registry));
+    let source = Rc::new(FeedSource::new(registry, Rc::clone(check)));
     if let Some(change) = persistence::load(&mut files.adopted, ADOPTED_FILE) {
         source.publish(Arc::new(change));
     }
--- a/crates/currantgate/src/node/metrics.rs
+++ b/crates/currantgate/src/node/metrics.rs
@@ -123,8 +123,8 @@
         );
     }
 
-    pub(super) fn count_report(&self, is_newest: bool) {
-        let outcome = if is_newest { "taken" } else { "late" };
+    /// Counts a report by what became of it.
+    pub(super) fn count_report(&self, outcome: &'static str) {
         self.reports.get_or_create(&Outcome { outcome }).inc();
     }
 
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -12,7 +12,7 @@
 use currantgate_observation::{SlowUpstream, SlownessView, UpstreamKey};
 use currantgate_placement::Target;
 use currantgate_registry::{
-    Availability, EvacuationView, Upstream, UpstreamView, ViewRefreshTimer,
+    Availability, EvacuationView, NamedServices, Upstream, UpstreamView, ViewRefreshTimer,
 };
 use currantgate_token::{CapacityLimitSettings, TokenRouter, TokenUpstream};
 use currantgate_warmup::{ClockReading, SuspensionDetector};
@@ -211,7 +211,8 @@
     flow_reports: FlowReports,
     revisions: RevisionTracker,
     refresh_timer: ViewRefreshTimer,
-    /// Number of upstreams in the view that the router was last updated from.
+    /// Number of upstreams of named services in the view that the router was last updated
+    /// from.
     routed_upstreams: usize,
     links: FeedLinks,
     /// Control VM to which observations are reported.
@@ -352,7 +353,8 @@
                 self.routing.decisions.view_at = now;
                 for (id, ends_at) in self.view.apply(now, from, records) {
                     if let Some(identity) = self.packets.format().encode_upstream_id(&id) {
-                        self.routing.router.extend_warmup(now, identity, ends_at);
+                        let router = &mut self.routing.router;
+                        router.extend_warmup(now, &id, identity, ends_at);
                     }
                 }
             }
@@ -562,6 +564,8 @@
                     from:% = from;
                     "revision is applied"
                 );
+                let services = routes.services().cloned();
+                self.view.set_services(NamedServices::new(services));
                 self.routing.router.set_routes(routes);
                 self.routing.decisions.revision = change.revision;
                 // Services may limit their cold upstreams from now on.
@@ -621,7 +625,7 @@
             .set_upstreams_complete(self.view.is_complete(now));
         let count = upstreams.len();
         self.refresh_timer.record_refresh(now, count);
-        self.routed_upstreams = count;
+        self.routed_upstreams = upstreams.iter().filter(|u| u.is_named).count();
         self.routing.decisions.log_availability_changes(&upstreams);
         let domain = &self.domain;
         let format = self.packets.format();
@@ -710,6 +714,7 @@
         started_ms: report.version.started_ms,
         address: report.address,
         identity,
+        is_named: upstream.is_named,
     };
     let target = Target {
         key: 0,
@@ -720,6 +725,6 @@
         warm_at,
         is_reporting: upstream.availability == Availability::Ready,
     };
-    let takes_flows = upstream.availability != Availability::Closed;
+    let takes_flows = upstream.is_named && upstream.availability != Availability::Closed;
     Some((token_upstream, takes_flows.then_some(target)))
 }
