Votes move to control VMs whose predecessors still run

Cause: the planner did not know which VM is older and chose the number of voters by that of the VMs alone, so that old VMs kept their votes and the lead.

Change: the id that a VM chooses holds the time at which it joined. Votes move from older to younger VMs once these have had contact for a second, the number of voters is the one that misses the fewest votes after all removals of VMs with successors and a tolerated failure, and the leader passes its lead on to a younger voter. A VM that has lost its disk is as old as before. Entries are committed as before.

--- a/crates/currantgate-control/src/lib.rs
+++ b/crates/currantgate-control/src/lib.rs
@@ -16,6 +16,7 @@
 mod entry;
 mod evacuation;
 mod id;
+mod join_time;
 mod members;
 mod message;
 mod output;
@@ -50,6 +51,7 @@
     PublishedEvacuations,
 };
 pub use id::{BatchId, Index, RequestId, Revision, Term, VoterId};
+pub use join_time::{id_in_new_site, id_of_joining};
 pub use members::Members;
 pub use message::{AppendOutcome, Message};
 pub use output::Output;
--- a/crates/currantgate-control/src/replica/departure.rs
+++ b/crates/currantgate-control/src/replica/departure.rs
@@ -7,6 +7,7 @@
 
 use super::Replica;
 use super::role::Role;
+use crate::progress::Progress;
 use crate::{Message, Term, VoterId};
 
 /// The time for which an announcement counts: several of the intervals at which a VM that
@@ -87,31 +88,61 @@
     /// and returns whether this replica has stopped leading. Changes in progress are completed
     /// before; new ones are refused meanwhile, so that their senders try another VM.
     pub fn transfer_lead(&mut self, now: Instant) -> bool {
-        let last_index = self.log.last_index();
-        let lease_start = self.quorum_ack_send_time(now);
         let Role::Leader(leader) = &self.role else {
             return true;
         };
-        let members = self.log.members().1;
+        let mut others = leader.progress.keys().copied();
+        let is_successor =
+            |id: &VoterId| !self.is_departing(now, *id) && self.is_up_to_date(now, *id);
+        let successor = others.find(is_successor);
         let is_idle = leader.pending.is_none() && leader.replacement.is_none();
-        let successor = leader.progress.iter().find(|(id, progress)| {
-            members.contains(**id)
-                && !self.is_departing(now, **id)
-                && progress.matched == last_index
-                && progress.acked_sent >= lease_start
-        });
-        let successor = successor.map(|(id, _)| *id).filter(|_| is_idle);
-        let Role::Leader(leader) = &mut self.role else {
-            return true;
-        };
-        leader.is_resigning = true;
-        let Some(successor) = successor else {
+        if let Role::Leader(leader) = &mut self.role {
+            leader.is_resigning = true;
+        }
+        let Some(successor) = successor.filter(|_| is_idle) else {
             return false;
         };
         log::info!(event = "leader", successor = successor; "passing the lead on before a stop");
+        self.resign_to(now, successor);
+        true
+    }
+
+    /// Passes the lead on to a voter, and returns whether it did. It does so only while this
+    /// replica has nothing to answer and the log of the other one is complete, so that no
+    /// sender has to try again.
+    pub fn pass_lead(&mut self, now: Instant, successor: VoterId) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let is_idle = leader.pending.is_none()
+            && leader.queued.is_empty()
+            && leader.reads.is_empty()
+            && leader.replacement.is_none()
+            && self.commit == self.log.last_index();
+        if !is_idle || !self.has_lease(now) || !self.is_up_to_date(now, successor) {
+            return false;
+        }
+        self.resign_to(now, successor);
+        true
+    }
+
+    /// Returns whether another voter has all entries of this leader, and has answered as
+    /// lately as a quorum.
+    fn is_up_to_date(&self, now: Instant, id: VoterId) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let lease_start = self.quorum_ack_send_time(now);
+        let is_matched = |progress: &Progress| {
+            progress.matched == self.log.last_index() && progress.acked_sent >= lease_start
+        };
+        self.log.members().1.contains(id) && leader.progress.get(&id).is_some_and(is_matched)
+    }
+
+    /// Stops leading, and has a voter start an election at once.
+    fn resign_to(&mut self, now: Instant, successor: VoterId) {
         let term = self.hard_state.term;
         self.become_follower(now, None);
         self.send_after_hard_state(successor, Message::StartElection { term });
-        true
     }
 }
--- a/crates/currantgate-control/src/voter_planner/mod.rs
+++ b/crates/currantgate-control/src/voter_planner/mod.rs
@@ -8,12 +8,14 @@
 mod optional;
 mod settings;
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
+use crate::join_time::{JoinTime, join_time};
 use crate::{Members, VoterChange, VoterId};
 
 pub use settings::VoterPlannerSettings;
@@ -29,6 +31,9 @@
     address: SocketAddr,
     /// Its failure domain.
     domain: Box<str>,
+    /// When the VM at its address joined, which may have had another id before it lost its
+    /// disk.
+    joined: JoinTime,
     /// The first contact of an uninterrupted series.
     first_contact: Instant,
     last_contact: Instant,
@@ -76,11 +81,14 @@
     /// Records contact with a control VM.
     pub fn record_contact(&mut self, now: Instant, id: VoterId, address: SocketAddr, domain: &str) {
         self.refused.swap_remove(&id);
+        let at_address = self.peers.values().filter(|peer| peer.address == address);
+        let joined = at_address.map(|peer| peer.joined).min();
         let known = self.peers.get(&id);
         let continued = known.filter(|peer| now < peer.last_contact + self.settings.lost_after);
         let peer = Peer {
             address,
             domain: domain.into(),
+            joined: joined.map_or(join_time(id), |joined| joined.min(join_time(id))),
             first_contact: continued.map_or(now, |peer| peer.first_contact),
             last_contact: now,
             is_disconnected: false,
@@ -169,6 +177,7 @@
             Some(lost) if is_departing(lost) => "departing",
             Some(lost) if !self.is_alive(now, lost) => "lost",
             Some(_) if members.contains(change.fresh) => "surplus",
+            Some(lost) if self.is_older(lost, change.fresh) && self.is_spread(members) => "renewal",
             Some(_) => "spread",
         }
     }
@@ -309,7 +318,7 @@
 
     /// Returns the live standby whose failure domain has the fewest voters other than `lost`,
     /// and one that is avoided only if there is no other. Among equals, it prefers the address
-    /// of `lost`, then the lowest id.
+    /// of `lost`, then the youngest VM, then the lowest id.
     fn best_standby(
         &self,
         now: Instant,
@@ -334,6 +343,7 @@
                     self.is_avoided(now, *id),
                     voters_in_domain(peer),
                     Some(peer.address) != lost_address,
+                    Reverse(peer.joined),
                     *id,
                 )
             })
--- a/crates/currantgate-control/src/voter_planner/optional.rs
+++ b/crates/currantgate-control/src/voter_planner/optional.rs
@@ -1,12 +1,16 @@
 //! Optional changes of the voters: no voter is lost or missing, but another number of them, or
 //! others, outlast more losses. See `docs/design/control.md`.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
 use super::VoterPlanner;
-use crate::domain_spread::{largest_spread, outlasts_loss};
+use crate::domain_spread::{
+    DomainVms, MissingVotes, Tolerated, best_spread, missing_votes, outlasts_loss,
+};
+use crate::join_time::{JoinTime, is_older, join_time};
 use crate::{Members, VoterChange, VoterId, VoterSpread};
 
 /// The time over which optional changes are counted.
@@ -16,9 +20,23 @@
 /// change starts: two intervals of reports.
 const DOUBTED_AFTER: Duration = Duration::from_millis(1_000);
 
+/// What the voters need while none is lost or missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Assessment {
+    /// More voters outlast more losses.
+    TooFew,
+    /// Fewer voters outlast as many losses or more.
+    TooMany,
+    /// A failure domain has too many of them.
+    Crowded,
+    /// They are enough, and may be renewed.
+    Enough,
+}
+
 impl VoterPlanner {
     /// Returns the next change of voters of which none is lost or missing: more or fewer of
-    /// them, or others, so that a quorum outlasts what the site tolerates.
+    /// them, or others, so that a quorum outlasts what the site tolerates and the removal of
+    /// VMs that have successors.
     pub(super) fn optional_change(
         &mut self,
         now: Instant,
@@ -31,27 +49,79 @@
         }
         let candidates = self.candidates(now, members, is_departing);
         let is_excluded = |id| !candidates.contains(&id);
+        let change = match self.assess(now, members, &candidates) {
+            Assessment::TooFew => self.addition(now, members, None, is_excluded),
+            Assessment::TooMany => {
+                let surplus = self.crowded_voter(own, members);
+                let surplus = surplus.filter(|id| *id != own);
+                surplus.and_then(|surplus| self.removal(now, surplus, own, members))
+            }
+            Assessment::Crowded => self.spreading_change(now, own, members, is_excluded),
+            Assessment::Enough => self.renewing_change(own, members, &candidates),
+        };
+        if change.is_some() {
+            self.count_optional_change(now);
+        }
+        change
+    }
+
+    fn assess(&self, now: Instant, members: &Members, candidates: &[VoterId]) -> Assessment {
         let count = members.ids().count();
-        let spread = self.largest_spread(members, &candidates);
+        let best = self.best_spread(members, candidates);
         // A spread over failure domains goes before a larger number of voters.
-        let wanted = spread.unwrap_or_else(|| self.voters_for(count + candidates.len()));
+        let wanted = best.map_or_else(
+            || self.voters_for(count + candidates.len()),
+            |(wanted, _)| wanted,
+        );
         let is_spread = self.is_spread(members);
-        let is_urgent = spread.is_some() && !is_spread;
+        let misses_votes =
+            best.is_some_and(|(_, least)| self.missing_votes(members, candidates) > least);
+        let is_urgent = best.is_some() && (!is_spread || misses_votes);
         let is_due = now >= self.voters.1 + self.settings.even_kept_for;
-        let change = if count < wanted {
-            self.addition(now, members, None, is_excluded)
+        if count < wanted {
+            Assessment::TooFew
         } else if count > wanted && (is_urgent || count.is_multiple_of(2) && is_due) {
-            let surplus = self.crowded_voter(own, members);
-            surplus.and_then(|surplus| self.removal(now, surplus, own, members))
+            Assessment::TooMany
         } else if !is_spread {
-            self.spreading_change(now, own, members, is_excluded)
+            Assessment::Crowded
         } else {
-            None
-        };
-        if change.is_some() {
-            self.optional_changes.push_back(now);
+            Assessment::Enough
         }
-        change
+    }
+
+    /// Returns the voter that should lead instead of this VM, `own`: its vote has to move to
+    /// another VM, or a younger VM votes, so that this one may be removed soon, which would cost
+    /// an election.
+    pub fn next_leader(
+        &mut self,
+        now: Instant,
+        own: VoterId,
+        members: &Members,
+        is_departing: impl Fn(VoterId) -> bool,
+    ) -> Option<VoterId> {
+        if !self.may_start_optional_change(now, own, members) {
+            return None;
+        }
+        let others = members.ids().filter(|id| *id != own && !is_departing(*id));
+        let youngest = others.max_by_key(|id| (self.joined(*id), Reverse(*id)))?;
+        let candidates = self.candidates(now, members, &is_departing);
+        let has_successor = candidates
+            .iter()
+            .any(|id| self.domain(*id) == self.domain(own) && self.is_older(own, *id));
+        let loses_vote = match self.assess(now, members, &candidates) {
+            Assessment::TooFew => false,
+            Assessment::TooMany | Assessment::Crowded => {
+                self.crowded_voter(own, members) == Some(own)
+            }
+            Assessment::Enough => has_successor,
+        };
+        let is_due = now >= self.leads_since + self.settings.lead_kept_for;
+        (loses_vote || is_due && self.is_older(own, youngest)).then_some(youngest)
+    }
+
+    /// Counts a change that [`Self::next_change`] did not return, such as one of the leader.
+    pub fn count_optional_change(&mut self, now: Instant) {
+        self.optional_changes.push_back(now);
     }
 
     /// Returns whether nothing stands against an optional change: the domain of each voter is
@@ -82,8 +152,8 @@
     /// Returns the number of VMs in each failure domain.
     fn count_by_domain(&self, ids: impl Iterator<Item = VoterId>) -> IndexMap<&str, usize> {
         let mut counts = IndexMap::new();
-        for peer in ids.filter_map(|id| self.peers.get(&id)) {
-            *counts.entry(&*peer.domain).or_default() += 1;
+        for domain in ids.filter_map(|id| self.domain(id)) {
+            *counts.entry(domain).or_default() += 1;
         }
         counts
     }
@@ -94,19 +164,56 @@
     }
 
     /// Returns whether a quorum of the voters outlasts the loss of the tolerated domains.
-    fn is_spread(&self, members: &Members) -> bool {
+    pub(super) fn is_spread(&self, members: &Members) -> bool {
         let voters: Vec<_> = self.voters_by_domain(members).into_values().collect();
         let tolerated = self.settings.tolerated_domains;
         tolerated == 0 || outlasts_loss(&voters, tolerated)
     }
 
-    /// Returns the largest number of voters that can be spread so that a quorum outlasts
-    /// the loss of the tolerated domains, or `None` if none can.
-    fn largest_spread(&self, members: &Members, candidates: &[VoterId]) -> Option<usize> {
+    /// Returns the failures that the site tolerates.
+    fn tolerated(&self) -> Tolerated {
+        Tolerated {
+            vms: self.settings.min_voters.saturating_sub(1) / 2,
+            domains: self.settings.tolerated_domains,
+        }
+    }
+
+    /// Returns the number of voters that outlasts the most losses, of those that can be spread so
+    /// that a quorum outlasts the loss of the tolerated domains, or `None` if none can.
+    fn best_spread(
+        &self,
+        members: &Members,
+        candidates: &[VoterId],
+    ) -> Option<(usize, MissingVotes)> {
         let ids = members.ids().chain(candidates.iter().copied());
-        let vms: Vec<_> = self.count_by_domain(ids).into_values().collect();
-        let range = self.settings.min_voters..=self.voters_for(vms.iter().sum());
-        largest_spread(&vms, self.settings.tolerated_domains, range)
+        let vms = self.join_times(ids).into_values().collect::<Vec<_>>();
+        let range = self.settings.min_voters..=self.voters_for(vms.iter().map(Vec::len).sum());
+        best_spread(&vms, self.tolerated(), range)
+    }
+
+    /// Returns how many votes the present voters miss after the losses that they should outlast.
+    fn missing_votes(&self, members: &Members, candidates: &[VoterId]) -> MissingVotes {
+        let mut voters = self.join_times(members.ids());
+        let mut standbys = self.join_times(candidates.iter().copied());
+        for domain in standbys.keys() {
+            voters.entry(domain).or_default();
+        }
+        let domains: Vec<_> = voters
+            .into_iter()
+            .map(|(domain, times)| {
+                DomainVms::new(times, standbys.swap_remove(domain).unwrap_or_default())
+            })
+            .collect();
+        missing_votes(&domains, self.tolerated())
+    }
+
+    /// Returns the join times of VMs by failure domain, as far as these are known.
+    fn join_times(&self, ids: impl Iterator<Item = VoterId>) -> IndexMap<&str, Vec<JoinTime>> {
+        let mut times: IndexMap<_, Vec<_>> = IndexMap::new();
+        for (id, domain) in ids.filter_map(|id| Some((id, self.domain(id)?))) {
+            times.entry(domain).or_default().push(self.joined(id));
+        }
+        times
     }
 
     /// Returns the change that moves a vote from the failure domain with the most voters to
@@ -118,14 +225,65 @@
         members: &Members,
         is_excluded: impl Fn(VoterId) -> bool,
     ) -> Option<VoterChange> {
-        let crowded = self.crowded_voter(own, members)?;
+        let crowded = self.crowded_voter(own, members).filter(|id| *id != own)?;
         let change = self.addition(now, members, Some(crowded), is_excluded)?;
         let voters = self.voters_by_domain(members);
-        let voters_near = |id| self.peers.get(&id).and_then(|p| voters.get(&*p.domain));
+        let voters_near = |id| self.domain(id).and_then(|domain| voters.get(domain));
         let after = voters_near(change.fresh).unwrap_or(&0) + 1;
         (after < *voters_near(crowded)?).then_some(change)
     }
 
+    /// Returns the change that moves a vote to a VM whose removal is less likely: so that fewer
+    /// votes are missed after removals, or to a younger VM, which may be the successor. That is
+    /// most likely in the same failure domain. Each such change lowers the missed votes or the
+    /// age of the voters, so that these end.
+    fn renewing_change(
+        &self,
+        own: VoterId,
+        members: &Members,
+        candidates: &[VoterId],
+    ) -> Option<VoterChange> {
+        let missing = self.missing_votes(members, candidates);
+        let least = self.best_spread(members, candidates);
+        let misses_votes = least.is_some_and(|(_, least)| missing > least);
+        let others = members.ids().filter(|id| *id != own);
+        let pairs = others.flat_map(|old| candidates.iter().map(move |fresh| (old, *fresh)));
+        let changes = pairs.filter_map(|(old, fresh)| {
+            if !misses_votes && !self.is_older(old, fresh) {
+                return None;
+            }
+            let address = self.peers.get(&fresh)?.address;
+            let left = members.without_voter(old);
+            let is_taken = left.iter().any(|(_, taken)| taken == address);
+            let after = left.with_voter(fresh, address);
+            let is_same_domain = self.domain(old) == self.domain(fresh);
+            let keeps_spread = is_same_domain || self.is_spread(&after);
+            let left_out = candidates.iter().copied().filter(|id| *id != fresh);
+            let standbys: Vec<_> = left_out.chain([old]).collect();
+            let missing_after = self.missing_votes(&after, &standbys);
+            let is_better =
+                missing_after < missing || missing_after == missing && self.is_older(old, fresh);
+            let change = VoterChange {
+                lost: Some(old),
+                fresh,
+                address,
+            };
+            (!is_taken && keeps_spread && is_better).then_some((
+                (
+                    missing_after,
+                    !is_same_domain,
+                    self.joined(old),
+                    Reverse(self.joined(fresh)),
+                    old,
+                    fresh,
+                ),
+                change,
+            ))
+        });
+        let best = changes.min_by_key(|(rank, _)| *rank);
+        best.map(|(_, change)| change)
+    }
+
     /// Returns whether the voters outlast what the site tolerates, or can be changed to.
     pub fn spread(
         &self,
@@ -137,7 +295,7 @@
         let has_enough = members.ids().count() >= self.settings.min_voters;
         if has_enough && self.is_spread(members) {
             VoterSpread::Spread
-        } else if self.largest_spread(members, &candidates).is_some() {
+        } else if self.best_spread(members, &candidates).is_some() {
             VoterSpread::Changing
         } else {
             VoterSpread::Unattainable
@@ -152,11 +310,30 @@
         odd.clamp(self.settings.min_voters, most)
     }
 
-    /// Returns a voter other than the leader, of the failure domain with the most voters.
+    /// Returns the oldest voter of the failure domain with the most voters. It is this VM,
+    /// `own`, only if the others there are younger: its vote can't be removed while it leads.
     fn crowded_voter(&self, own: VoterId, members: &Members) -> Option<VoterId> {
-        let domain = |id: VoterId| self.peers.get(&id).map(|peer| &*peer.domain);
-        let in_domain_of = |id| members.ids().filter(|i| domain(*i) == domain(id)).count();
-        let others = members.ids().filter(|id| *id != own);
-        others.max_by_key(|id| (in_domain_of(*id), *id))
+        let in_domain_of = |id| {
+            let near = members.ids().filter(|i| self.domain(*i) == self.domain(id));
+            near.count()
+        };
+        let age = |id| (Reverse(self.joined(id)), id != own, id);
+        members.ids().max_by_key(|id| (in_domain_of(*id), age(*id)))
+    }
+
+    /// Returns the failure domain of a VM, if it is known.
+    fn domain(&self, id: VoterId) -> Option<&str> {
+        self.peers.get(&id).map(|peer| &*peer.domain)
+    }
+
+    /// Returns when a VM joined the site.
+    pub(super) fn joined(&self, id: VoterId) -> JoinTime {
+        self.peers
+            .get(&id)
+            .map_or_else(|| join_time(id), |peer| peer.joined)
+    }
+
+    pub(super) fn is_older(&self, id: VoterId, other: VoterId) -> bool {
+        is_older(self.joined(id), self.joined(other))
     }
 }
--- a/crates/currantgate-control/src/voter_planner/settings.rs
+++ b/crates/currantgate-control/src/voter_planner/settings.rs
@@ -27,6 +27,9 @@
     pub even_kept_for: Duration,
     /// The time for which a standby that did not catch up is avoided.
     pub avoided_for: Duration,
+    /// The time for which a VM leads before it passes the lead on to a younger one, so that
+    /// the lead does not return at once to one that can't keep it.
+    pub lead_kept_for: Duration,
     /// The most optional changes within a minute. The loss and return of a failure domain of
     /// nine voters takes four, and they can follow each other every 15 s.
     pub max_optional_changes: usize,
@@ -45,6 +48,7 @@
             settled_after: Duration::from_millis(1_000),
             even_kept_for: Duration::from_secs(10),
             avoided_for: Duration::from_secs(10),
+            lead_kept_for: Duration::from_secs(2),
             max_optional_changes: 20,
             held_for: Duration::from_secs(2),
         }
--- a/crates/currantgate-control/tests/common/net.rs
+++ b/crates/currantgate-control/tests/common/net.rs
@@ -374,6 +374,16 @@
         is_done
     }
 
+    /// Makes a leader that goes on running pass its lead on to another replica, and returns
+    /// whether it did.
+    pub fn pass_lead(&mut self, id: VoterId, successor: VoterId) -> bool {
+        let mut is_done = false;
+        self.with_replica(id, |replica, now, _| {
+            is_done = replica.pass_lead(now, successor);
+        });
+        is_done
+    }
+
     /// Makes a replica announce that it stops.
     pub fn announce_departure(&mut self, id: VoterId) {
         self.with_replica(id, |replica, _, _| replica.announce_departure());
--- a/crates/currantgate-control/tests/planned_stop.rs
+++ b/crates/currantgate-control/tests/planned_stop.rs
@@ -55,6 +55,26 @@
     assert_eq!(net.accepted(successor).unwrap().revision, 1);
 }
 
+/// Guards against callers that have to try again when a leader that goes on running passes its
+/// lead on: it does so only while it has nothing to answer, and takes changes until then.
+#[test]
+fn a_lead_is_passed_on_only_while_nothing_is_in_progress() {
+    let (mut net, leader) = net_with_leader(3, 5);
+    let successor = net.ids().into_iter().find(|id| *id != leader).unwrap();
+    assert!(!net.pass_lead(leader, 9), "it is no voter");
+    let first = net.apply(leader, RevisionId::empty(), "a");
+    assert!(!net.pass_lead(leader, successor), "a change is in progress");
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.answers[&first], ApplyAnswer::Accepted(1));
+    let second = net.apply(leader, net.accepted(leader).unwrap(), "b");
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.answers[&second], ApplyAnswer::Accepted(2));
+    assert!(net.pass_lead(leader, successor));
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.leader(), Some(successor));
+    assert_eq!(net.accepted(successor).unwrap().revision, 2);
+}
+
 /// Guards against a lead that is passed on to a voter which stops too.
 #[test]
 fn the_lead_is_not_passed_on_to_a_voter_that_stops() {
--- a/crates/currantgate-control/tests/schedules.rs
+++ b/crates/currantgate-control/tests/schedules.rs
@@ -31,6 +31,8 @@
     CrashLeader,
     /// The leader passes its lead on if it can, and resigns otherwise.
     TransferLead,
+    /// A leader that goes on running passes its lead on to a VM.
+    PassLead(usize),
     /// The leader passes its lead on if it can, and stops.
     StopLeader,
     CrashAtOperation {
@@ -64,6 +66,7 @@
         1 => vm.clone().prop_map(Action::Crash),
         2 => Just(Action::CrashLeader),
         2 => Just(Action::TransferLead),
+        2 => vm.clone().prop_map(Action::PassLead),
         2 => Just(Action::StopLeader),
         2 => (vm.clone(), 0..6_usize).prop_map(|(vm, after)| Action::CrashAtOperation { vm, after }),
         5 => Just(Action::RestartAll),
@@ -141,6 +144,11 @@
                     self.net.step_down(leader);
                 }
             }
+            Action::PassLead(to) => {
+                if let Some(leader) = self.net.leader() {
+                    self.net.pass_lead(leader, self.vm(to));
+                }
+            }
             Action::StopLeader => {
                 if let Some(leader) = self.net.leader() {
                     self.net.transfer_lead(leader);
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -11,7 +11,7 @@
 use currantgate_control::{
     ApplyAnswer, ApplyRequest, BatchId, Change, EvacuationAnswer, EvacuationOrder,
     HEARTBEAT_INTERVAL, Members, Message, Output, ReplaceRequest, Replica, RequestId, Revision,
-    Secret, StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
+    Secret, Status, StorageError, Term, VersionedRequest, VoterId, VoterPlanner, VoterSpread,
 };
 use currantgate_registry::NamedServices;
 use indexmap::IndexMap;
@@ -369,6 +369,7 @@
         self.spread_log
             .record(now, spread, &planner.voters_by_domain(members));
         let Some(change) = planner.next_change(now, status.id, members, is_departing) else {
+            self.pass_lead_to_younger(now, &status);
             return;
         };
         let reason = planner.reason(now, &change, members, is_departing);
@@ -390,6 +391,28 @@
         self.flush(now);
     }
 
+    /// Passes the lead on to a younger voter if the planner finds one that should have it.
+    fn pass_lead_to_younger(&mut self, now: Instant, status: &Status) {
+        let Some(planner) = &mut self.planner else {
+            return;
+        };
+        let is_departing = |id| self.replica.is_departing(now, id);
+        let successor = planner.next_leader(now, status.id, &status.members, is_departing);
+        if let Some(successor) = successor
+            && self.replica.pass_lead(now, successor)
+        {
+            planner.count_optional_change(now);
+            self.metrics.count_voter_change_reason("lead");
+            log::info!(
+                event = "leader",
+                successor = successor,
+                term = status.term;
+                "passing the lead on to a younger control VM"
+            );
+            self.flush(now);
+        }
+    }
+
     /// Returns whether the voters outlast what the site tolerates; `None` unless this VM holds
     /// the lease and chooses the voters.
     pub(super) fn voter_spread(&self) -> Option<VoterSpread> {
--- a/crates/currantgate/src/node/daemon.rs
+++ b/crates/currantgate/src/node/daemon.rs
@@ -436,7 +436,7 @@
     let voters = identity::first_voters(&settings.seeds);
     let own = voters.iter().find(|(_, a)| *a == settings.listen);
     let first = own.filter(|_| settings.is_first_voter());
-    let id = first.map_or_else(identity::generate, |(id, _)| *id);
+    let id = first.map_or_else(|| identity::generate(settings.is_new_site), |(id, _)| *id);
     identity::save(directory, id).map_err(storage_error)?;
     let opened = if first.is_some() {
         log::info!("this VM is voter {id} of a new site with the first voters {voters:?}");
--- a/crates/currantgate/src/node/identity.rs
+++ b/crates/currantgate/src/node/identity.rs
@@ -2,16 +2,13 @@
 
 use std::hash::{BuildHasher as _, RandomState};
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-use currantgate_control::{Disk, StorageError, VoterId};
+use currantgate_control::{Disk, StorageError, VoterId, id_in_new_site, id_of_joining};
 
 /// The file that holds the id in decimal digits.
 const IDENTITY_FILE: &str = "identity";
 
-/// The lowest generated id. Lower ids are those of the first voters, by their
-/// position in the sorted list of seeds.
-const MIN_GENERATED_ID: VoterId = 1 << 32;
-
 /// Returns the id on disk, or `None` if there is no valid one.
 ///
 /// # Errors
@@ -46,12 +43,16 @@
     (1..).zip(seeds).collect()
 }
 
-/// Returns a random id, which no other VM has: a VM that has lost its disk must
-/// not vote again under its earlier id.
-pub(super) fn generate() -> VoterId {
-    RandomState::new()
-        .hash_one(IDENTITY_FILE)
-        .max(MIN_GENERATED_ID)
+/// Returns an id that no other VM has, from random bits and, for a VM that joins a running
+/// site, the time: a VM that has lost its disk must not vote again under its earlier id.
+pub(super) fn generate(is_new_site: bool) -> VoterId {
+    let random = RandomState::new().hash_one(IDENTITY_FILE);
+    if is_new_site {
+        return id_in_new_site(random);
+    }
+    // A clock before 1970 gives an id without a time.
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
+    id_of_joining(unix_time.unwrap_or_default(), random)
 }
 
 fn io_error(source: std::io::Error) -> StorageError {
