Control VMs that are no longer listed are tried again after an outage

Cause: a VM that was neither connected nor listed for 30 s was forgotten, also while the process had no feed that could list it. A cut in two of that length makes both parts forget each other in the same way.

Change: the last 16 unlisted VMs are kept. They are tried each 5 s, and as often as all others by a process without any feed.

--- a/crates/currantgate-control/src/transport/backoff.rs
+++ b/crates/currantgate-control/src/transport/backoff.rs
@@ -14,6 +14,10 @@
 /// serve before it reaches another.
 const URGENT_TIME: Duration = Duration::from_secs(5);
 
+/// Delay before another attempt to reach a VM that no other VM lists any more: it may have been
+/// removed, or be cut off together with those that would list it.
+const UNLISTED_DELAY: Duration = Duration::from_secs(5);
+
 /// Delay before a lost connection is opened again. It doubles with each failure,
 /// except while the process has lost all its connections a short time ago.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,4 +44,17 @@
         self.failures += 1;
         now + delay.min(MAX_DELAY)
     }
+
+    /// Returns the time at which to try again to reach a VM that is no longer listed. A process
+    /// without any connection can't tell that, and tries as often as for any VM.
+    pub fn next_attempt_to_unlisted(
+        &mut self,
+        now: Instant,
+        isolated_since: Option<Instant>,
+    ) -> Instant {
+        if isolated_since.is_some() {
+            return self.next_attempt(now, isolated_since);
+        }
+        now + UNLISTED_DELAY
+    }
 }
--- a/crates/currantgate-control/tests/attempts.rs
+++ b/crates/currantgate-control/tests/attempts.rs
@@ -86,3 +86,18 @@
     assert!(delays[..125].iter().all(|delay| *delay == 40), "{delays:?}");
     assert_eq!(delays[125..], [40, 80, 160, 320, 400]);
 }
+
+/// Guards against a removed VM that is tried as often as a live one, and against a process that
+/// has lost all VMs and tries them as if they were removed.
+#[test]
+fn an_unlisted_vm_is_tried_rarely_unless_the_process_has_no_connection() {
+    let now = std::time::Instant::now();
+    let mut backoff = ReconnectBackoff::default();
+    let next = backoff.next_attempt_to_unlisted(now, None);
+    assert_eq!(next - now, Duration::from_secs(5));
+    let isolated_since = Some(now - Duration::from_secs(60));
+    for _ in 0..10 {
+        let next = backoff.next_attempt_to_unlisted(now, isolated_since);
+        assert!(next - now <= Duration::from_millis(400));
+    }
+}
--- a/crates/currantgate/src/feed/client.rs
+++ b/crates/currantgate/src/feed/client.rs
@@ -68,6 +68,7 @@
 pub(super) async fn run_feed(
     address: SocketAddr,
     shared: Rc<FeedShared>,
+    is_unlisted: Rc<Cell<bool>>,
     mut requests: mpsc::Receiver<FeedRequest>,
     events: mpsc::UnboundedSender<FeedEvent>,
 ) {
@@ -90,7 +91,12 @@
             Err(e) => log::debug!("opening the feed from {address} failed: {e}"),
         }
         let now = Instant::now().into_std();
-        let retry_at = backoff.next_attempt(now, shared.isolated_since.get());
+        let isolated_since = shared.isolated_since.get();
+        let retry_at = if is_unlisted.get() {
+            backoff.next_attempt_to_unlisted(now, isolated_since)
+        } else {
+            backoff.next_attempt(now, isolated_since)
+        };
         sleep_until(retry_at.into()).await;
     }
 }
--- a/crates/currantgate/src/feed/links.rs
+++ b/crates/currantgate/src/feed/links.rs
@@ -22,9 +22,13 @@
 /// later.
 const MAX_QUEUED_REQUESTS: usize = 8;
 
-/// Time for which a control VM that is no longer listed is still connected to:
-/// longer than the longest outage after which it may return at the same address.
-const UNLISTED_RETENTION: Duration = Duration::from_secs(30);
+/// Time after which a control VM that is neither connected nor listed counts as unlisted, and is
+/// tried less often.
+const UNLISTED_AFTER: Duration = Duration::from_secs(30);
+
+/// Most unlisted control VMs that are tried. An outage or a cut can last for any time, so that
+/// the last ones are never forgotten; more than a site has of them were removed.
+const MAX_UNLISTED: usize = 16;
 
 /// An event of a feed, with the address of the control VM.
 #[derive(Debug)]
@@ -54,6 +58,7 @@
     task: JoinHandle<()>,
     last_listed: Instant,
     is_connected: bool,
+    is_unlisted: Rc<Cell<bool>>,
 }
 
 /// The feeds that a process receives, one from each known control VM.
@@ -118,12 +123,15 @@
         let now = Instant::now();
         if let Some(link) = self.links.get_mut(&address) {
             link.last_listed = now;
+            link.is_unlisted.set(false);
             return;
         }
         let (requests, rx) = mpsc::channel(MAX_QUEUED_REQUESTS);
+        let is_unlisted = Rc::new(Cell::new(false));
         let task = actix_rt::spawn(run_feed(
             address,
             Rc::clone(&self.shared),
+            Rc::clone(&is_unlisted),
             rx,
             self.events_tx.clone(),
         ));
@@ -133,6 +141,7 @@
             task,
             last_listed: now,
             is_connected: false,
+            is_unlisted,
         };
         self.links.insert(address, link);
     }
@@ -156,15 +165,26 @@
         since.set(is_isolated.then(|| since.get().unwrap_or_else(Instant::now)));
     }
 
-    /// Removes control VMs that are neither connected nor listed any more.
-    pub(crate) fn remove_unlisted(&mut self) {
+    /// Updates which control VMs are unlisted, and removes those beyond the limit that were
+    /// listed the longest time ago.
+    pub(crate) fn update_unlisted(&mut self) {
         let now = Instant::now();
-        let seeds = &self.seeds;
-        self.links.retain(|address, link| {
-            link.is_connected
-                || seeds.contains(address)
-                || now < link.last_listed + UNLISTED_RETENTION
-        });
+        let mut unlisted = Vec::new();
+        for (address, link) in &self.links {
+            let is_unlisted = !link.is_connected
+                && !self.seeds.contains(address)
+                && now >= link.last_listed + UNLISTED_AFTER;
+            link.is_unlisted.set(is_unlisted);
+            if is_unlisted {
+                unlisted.push((link.last_listed, *address));
+            }
+        }
+        unlisted.sort_unstable();
+        let excess = unlisted.len().saturating_sub(MAX_UNLISTED);
+        for (_, address) in &unlisted[..excess] {
+            log::info!("the control VM at {address} is forgotten: it is no longer listed");
+            self.links.shift_remove(address);
+        }
     }
 
     /// Returns the control VM that merges observations for this process, if a feed is
--- a/crates/currantgate/src/node/peer_feeds.rs
+++ b/crates/currantgate/src/node/peer_feeds.rs
@@ -47,7 +47,7 @@
                 }
                 else => return,
             }
-            self.links.remove_unlisted();
+            self.links.update_unlisted();
         }
     }
 
--- a/crates/currantgate/src/token_entry/daemon.rs
+++ b/crates/currantgate/src/token_entry/daemon.rs
@@ -304,7 +304,7 @@
                 }
                 _ = routes_interval.tick() => {
                     self.update_routes_state();
-                    self.links.remove_unlisted();
+                    self.links.update_unlisted();
                 }
                 Ok(()) = seeds.changed() => {
                     let seeds = seeds.borrow_and_update().clone();
