SIGHUP and changed settings during the start of a process are not lost

Change: the watch is created first, with the settings that the process has read, and reads the file at once when it runs. watch_settings is replaced by SettingsWatch; the checks of its test are the same.

Measured: a_change_during_the_start_is_applied passes; it needs the new type and was not run before.

--- a/crates/currantgate/src/lib.rs
+++ b/crates/currantgate/src/lib.rs
@@ -46,7 +46,7 @@
     SentDemand, ServiceLoad, ServiceStatus, UpstreamSlots,
 };
 pub use node::{ControlNode, NodeError, NodeSettings};
-pub use process::{wait_for_stop_signal, watch_settings};
+pub use process::{SettingsWatch, wait_for_stop_signal};
 pub use relay::{Relay, RelayError, RelaySockets};
 pub use token_entry::{
     DemandChange, DemandView, MalformedPacket, Packet, TokenEntry, TokenEntryError,
