An entry without any control VM forgets no upstream

Change: upstreams are forgotten only while a control VM is connected, and get the whole time again from the first connection after an isolation on.

Measured: no_upstream_is_forgotten_without_a_control_vm passes with the change.

--- a/crates/currantgate-registry/src/view.rs
+++ b/crates/currantgate-registry/src/view.rs
@@ -95,6 +95,12 @@
     /// earlier state is discarded.
     pub fn source_connected(&mut self, now: Instant, source: SocketAddr) {
         self.source_disconnected(now, source);
+        if self.sources.is_empty() {
+            // They were kept without any control VM, and get the time to report again.
+            for known in self.upstreams.values_mut().flatten() {
+                known.idle_since = None;
+            }
+        }
         self.sources.insert(source);
         self.connected_since.get_or_insert(now);
     }
@@ -210,10 +216,12 @@
     }
 
     /// Returns all upstreams with their availability. Removes those that have not been
-    /// ready for `forget_after`.
+    /// ready for `forget_after`, unless no control VM is connected: an entry that is cut off from
+    /// all of them goes on with the upstreams that it knows.
     pub fn upstreams(&mut self, now: Instant) -> Vec<Upstream> {
         let owners = self.address_owners();
         let forget_after = self.settings.forget_after;
+        let is_isolated = self.sources.is_empty();
         let services = &self.services;
         let mut upstreams = Vec::with_capacity(self.upstreams.len());
         self.upstreams.retain(|id, same_id| {
@@ -225,7 +233,8 @@
                 let availability = known.availability(now, superseded);
                 if availability == Availability::Ready {
                     known.idle_since = None;
-                } else if now >= *known.idle_since.get_or_insert(now) + forget_after {
+                } else if now >= *known.idle_since.get_or_insert(now) + forget_after && !is_isolated
+                {
                     return false;
                 }
                 if is_used {
--- a/crates/currantgate-registry/tests/view.rs
+++ b/crates/currantgate-registry/tests/view.rs
@@ -221,3 +221,23 @@
         }
     }
 }
+
+/// Guards against an entry that refuses all flows after it was cut off from all control VMs for
+/// longer than the time after which upstreams are forgotten.
+#[test]
+fn no_upstream_is_forgotten_without_a_control_vm() {
+    let mut view = TestView::new(1);
+    view.apply(1, report("a", 1, 1), false);
+    view.inner.source_disconnected(view.now, source(1));
+    for _ in 0..300 {
+        view.now += SECOND;
+        let found = view.availability("a");
+        assert!(found.is_some_and(|found| found != Availability::Closed));
+    }
+    // A control VM that has restarted has no record of it yet.
+    view.inner.source_connected(view.now, source(1));
+    assert_eq!(view.availability("a"), Some(Availability::Silent));
+    view.now += 91 * SECOND;
+    view.availability("a");
+    assert_eq!(view.availability("a"), None);
+}
