--- a/crates/currantgate-control/src/id.rs
+++ b/crates/currantgate-control/src/id.rs
@@ -1,7 +1,8 @@
 //! Ids and counters of the replicated log.
 
 /// The id of a control VM: a small number if an operator chose it, and one that holds the time
-/// at which the VM joined, with random bits, if the VM chose it. An id is not used again after its disk is lost.
+/// at which the VM joined, with random bits, if the VM chose it. An id is not used again after
+/// its disk is lost.
 pub type VoterId = u64;
 
 /// A counter of elections. Each term has at most one leader.
--- a/crates/currantgate-control/src/voter_planner/optional.rs
+++ b/crates/currantgate-control/src/voter_planner/optional.rs
@@ -248,42 +248,54 @@
         let misses_votes = least.is_some_and(|(_, least)| missing > least);
         let others = members.ids().filter(|id| *id != own);
         let pairs = others.flat_map(|old| candidates.iter().map(move |fresh| (old, *fresh)));
-        let changes = pairs.filter_map(|(old, fresh)| {
-            if !misses_votes && !self.is_older(old, fresh) {
+        let renewals = pairs.filter_map(|(old, fresh)| {
+            let is_younger = self.is_older(old, fresh);
+            if !misses_votes && !is_younger {
                 return None;
             }
-            let address = self.peers.get(&fresh)?.address;
-            let left = members.without_voter(old);
-            let is_taken = left.iter().any(|(_, taken)| taken == address);
-            let after = left.with_voter(fresh, address);
-            let is_same_domain = self.domain(old) == self.domain(fresh);
-            let keeps_spread = is_same_domain || self.is_spread(&after);
-            let left_out = candidates.iter().copied().filter(|id| *id != fresh);
-            let standbys: Vec<_> = left_out.chain([old]).collect();
-            let missing_after = self.missing_votes(&after, &standbys);
-            let is_better =
-                missing_after < missing || missing_after == missing && self.is_older(old, fresh);
-            let change = VoterChange {
-                lost: Some(old),
-                fresh,
-                address,
-            };
-            (!is_taken && keeps_spread && is_better).then_some((
-                (
-                    missing_after,
-                    !is_same_domain,
-                    self.joined(old),
-                    Reverse(self.joined(fresh)),
-                    old,
-                    fresh,
-                ),
-                change,
-            ))
+            let (change, missing_after) = self.replacement(members, candidates, old, fresh)?;
+            let is_better = missing_after < missing || missing_after == missing && is_younger;
+            let rank = (
+                missing_after,
+                self.domain(old) != self.domain(fresh),
+                self.joined(old),
+                Reverse(self.joined(fresh)),
+                (old, fresh),
+            );
+            is_better.then_some((rank, change))
         });
-        let best = changes.min_by_key(|(rank, _)| *rank);
+        let best = renewals.min_by_key(|(rank, _)| *rank);
         best.map(|(_, change)| change)
     }
 
+    /// Returns the change that replaces the voter `old` by the standby `fresh`, with the votes
+    /// that the voters then miss; nothing if the spread over domains would be lost.
+    fn replacement(
+        &self,
+        members: &Members,
+        candidates: &[VoterId],
+        old: VoterId,
+        fresh: VoterId,
+    ) -> Option<(VoterChange, MissingVotes)> {
+        let address = self.peers.get(&fresh)?.address;
+        let left = members.without_voter(old);
+        // Another process at the address of a live voter.
+        let is_taken = left.iter().any(|(_, taken)| taken == address);
+        let after = left.with_voter(fresh, address);
+        let keeps_spread = self.domain(old) == self.domain(fresh) || self.is_spread(&after);
+        if is_taken || !keeps_spread {
+            return None;
+        }
+        let left_out = candidates.iter().copied().filter(|id| *id != fresh);
+        let standbys: Vec<_> = left_out.chain([old]).collect();
+        let change = VoterChange {
+            lost: Some(old),
+            fresh,
+            address,
+        };
+        Some((change, self.missing_votes(&after, &standbys)))
+    }
+
     /// Returns whether the voters outlast what the site tolerates, or can be changed to.
     pub fn spread(
         &self,
