A leader may lead without a vote

And a lead that moves only to free a vote costs callers an election for nothing.

Change: the leader may give up its own vote and goes on to lead; entries are committed and leases held by a majority of the voters, among which it does not count. Of equals it gives up its vote first: it replaces lost votes of others at once, and its own removal costs no vote. A leader that still votes passes its lead on to a younger voter, as before.

--- a/crates/currantgate-control/src/replica/departure.rs
+++ b/crates/currantgate-control/src/replica/departure.rs
@@ -42,8 +42,8 @@
 }
 
 impl Replica {
-    /// Announces to the voters that this replica stops, so that the leader hands its vote
-    /// over. To be repeated until [`Replica::is_released`], as announcements expire. From now
+    /// Announces to the voters and the leader that this replica stops, so that the leader hands
+    /// its vote over. To be repeated until [`Replica::is_released`], as announcements expire. From now
     /// on, the replica starts no election.
     pub fn announce_departure(&mut self) {
         if self.departures.own == OwnStop::Running {
@@ -51,6 +51,13 @@
         }
         let term = self.hard_state.term;
         self.send_to_voters(&Message::Departure { term });
+        let is_voter = |id: &VoterId| self.log.members().1.contains(*id);
+        if let Some(leader) = self
+            .leader_id()
+            .filter(|id| *id != self.id() && !is_voter(id))
+        {
+            self.send_after_sync(leader, Message::Departure { term });
+        }
     }
 
     /// Returns whether the leader has confirmed that this replica, which stops, is no voter.
--- a/crates/currantgate-control/src/replica/operator.rs
+++ b/crates/currantgate-control/src/replica/operator.rs
@@ -152,6 +152,10 @@
     /// Requests the replacement of a lost voter. The answer is an
     /// [`Output::Replaced`].
     pub fn replace(&mut self, now: Instant, id: RequestId, request: ReplaceRequest) {
+        if request.lost == self.id() {
+            // Operators name a VM that is lost, so that this is a mistake.
+            return self.answer_replace(id, ReplaceAnswer::WrongMembers);
+        }
         self.change_voters(now, id, request.into());
     }
 
@@ -171,6 +175,9 @@
     }
 
     /// Requests a change of the voters. The answer is an [`Output::Replaced`].
+    ///
+    /// The leader itself may be removed or added. It goes on to lead without a vote: entries are
+    /// committed and leases held by a majority of the voters, among which it does not count.
     pub fn change_voters(&mut self, now: Instant, id: RequestId, request: VoterChange) {
         let leader = self.leader_id();
         let has_lease = self.has_lease(now);
@@ -191,8 +198,7 @@
         if done {
             return self.answer_replace(id, ReplaceAnswer::Done);
         }
-        let removable = |id| members.contains(id) && id != self.settings.id;
-        if request.lost.is_some_and(|lost| !removable(lost)) {
+        if request.lost.is_some_and(|lost| !members.contains(lost)) {
             return self.answer_replace(id, ReplaceAnswer::WrongMembers);
         }
         leader_state.replacement = Some(Replacement {
@@ -228,10 +234,9 @@
             fresh,
             address,
         } = replacement.request;
-        let caught_up = leader
-            .progress
-            .get(&fresh)
-            .is_some_and(|p| p.matched >= self.commit);
+        let progress = leader.progress.get(&fresh);
+        let caught_up = fresh == self.settings.id
+            || progress.is_some_and(|progress| progress.matched >= self.commit);
         let without_lost = |members: &Members| lost.map(|lost| members.without_voter(lost));
         let next = match replacement.stage {
             ReplaceStage::CatchUp if members.contains(fresh) => without_lost(members),
--- a/crates/currantgate-control/src/voter_planner/mod.rs
+++ b/crates/currantgate-control/src/voter_planner/mod.rs
@@ -135,7 +135,7 @@
     }
 
     /// Returns the next change that the voters need, or `None`. Called on the leader, whose id
-    /// is `own`; `is_departing` returns whether a VM has announced that it stops.
+    /// is `own` and which may be no voter; `is_departing` returns whether a VM has announced that it stops.
     pub fn next_change(
         &mut self,
         now: Instant,
@@ -146,6 +146,9 @@
         if self.voters.0 != *members {
             self.voters = (members.clone(), now);
         }
+        if let Some(own) = self.peers.get_mut(&own) {
+            own.last_contact = now;
+        }
         self.messages.retain(|id, _| members.contains(*id));
         let is_known = |id: &VoterId| members.contains(*id) || self.peers.contains_key(id);
         self.refused.retain(is_known);
--- a/crates/currantgate-control/src/voter_planner/optional.rs
+++ b/crates/currantgate-control/src/voter_planner/optional.rs
@@ -53,7 +53,6 @@
             Assessment::TooFew => self.addition(now, members, None, is_excluded),
             Assessment::TooMany => {
                 let surplus = self.crowded_voter(own, members);
-                let surplus = surplus.filter(|id| *id != own);
                 surplus.and_then(|surplus| self.removal(now, surplus, own, members))
             }
             Assessment::Crowded => self.spreading_change(now, own, members, is_excluded),
@@ -89,9 +88,9 @@
         }
     }
 
-    /// Returns the voter that should lead instead of this VM, `own`: its vote has to move to
-    /// another VM, or a younger VM votes, so that this one may be removed soon, which would cost
-    /// an election.
+    /// Returns the younger voter that should lead instead of this VM, `own`, which may be removed
+    /// before it: the election after its removal would delay the replacement of its vote. A
+    /// leader that has given up its vote keeps the lead.
     pub fn next_leader(
         &mut self,
         now: Instant,
@@ -99,24 +98,13 @@
         members: &Members,
         is_departing: impl Fn(VoterId) -> bool,
     ) -> Option<VoterId> {
-        if !self.may_start_optional_change(now, own, members) {
+        let is_due = now >= self.leads_since + self.settings.lead_kept_for;
+        if !is_due || !members.contains(own) || !self.may_start_optional_change(now, own, members) {
             return None;
         }
         let others = members.ids().filter(|id| *id != own && !is_departing(*id));
         let youngest = others.max_by_key(|id| (self.joined(*id), Reverse(*id)))?;
-        let candidates = self.candidates(now, members, &is_departing);
-        let has_successor = candidates
-            .iter()
-            .any(|id| self.domain(*id) == self.domain(own) && self.is_older(own, *id));
-        let loses_vote = match self.assess(now, members, &candidates) {
-            Assessment::TooFew => false,
-            Assessment::TooMany | Assessment::Crowded => {
-                self.crowded_voter(own, members) == Some(own)
-            }
-            Assessment::Enough => has_successor,
-        };
-        let is_due = now >= self.leads_since + self.settings.lead_kept_for;
-        (loses_vote || is_due && self.is_older(own, youngest)).then_some(youngest)
+        self.is_older(own, youngest).then_some(youngest)
     }
 
     /// Counts a change that [`Self::next_change`] did not return, such as one of the leader.
@@ -225,7 +213,7 @@
         members: &Members,
         is_excluded: impl Fn(VoterId) -> bool,
     ) -> Option<VoterChange> {
-        let crowded = self.crowded_voter(own, members).filter(|id| *id != own)?;
+        let crowded = self.crowded_voter(own, members)?;
         let change = self.addition(now, members, Some(crowded), is_excluded)?;
         let voters = self.voters_by_domain(members);
         let voters_near = |id| self.domain(id).and_then(|domain| voters.get(domain));
@@ -237,6 +225,9 @@
     /// votes are missed after removals, or to a younger VM, which may be the successor. That is
     /// most likely in the same failure domain. Each such change lowers the missed votes or the
     /// age of the voters, so that these end.
+    ///
+    /// Among equals the leader, `own`, gives up its vote: it replaces lost votes of others at
+    /// once, and its own removal costs the time of an election.
     fn renewing_change(
         &self,
         own: VoterId,
@@ -246,8 +237,9 @@
         let missing = self.missing_votes(members, candidates);
         let least = self.best_spread(members, candidates);
         let misses_votes = least.is_some_and(|(_, least)| missing > least);
-        let others = members.ids().filter(|id| *id != own);
-        let pairs = others.flat_map(|old| candidates.iter().map(move |fresh| (old, *fresh)));
+        let pairs = members
+            .ids()
+            .flat_map(|old| candidates.iter().map(move |fresh| (old, *fresh)));
         let renewals = pairs.filter_map(|(old, fresh)| {
             let is_younger = self.is_older(old, fresh);
             if !misses_votes && !is_younger {
@@ -259,6 +251,7 @@
                 missing_after,
                 self.domain(old) != self.domain(fresh),
                 self.joined(old),
+                old != own,
                 Reverse(self.joined(fresh)),
                 (old, fresh),
             );
@@ -322,8 +315,8 @@
         odd.clamp(self.settings.min_voters, most)
     }
 
-    /// Returns the oldest voter of the failure domain with the most voters. It is this VM,
-    /// `own`, only if the others there are younger: its vote can't be removed while it leads.
+    /// Returns the oldest voter of the failure domain with the most voters. It is the leader,
+    /// `own`, only if the others there are younger.
     fn crowded_voter(&self, own: VoterId, members: &Members) -> Option<VoterId> {
         let in_domain_of = |id| {
             let near = members.ids().filter(|i| self.domain(*i) == self.domain(id));
--- a/crates/currantgate-control/src/voter_planner/settings.rs
+++ b/crates/currantgate-control/src/voter_planner/settings.rs
@@ -27,7 +27,7 @@
     pub even_kept_for: Duration,
     /// The time for which a standby that did not catch up is avoided.
     pub avoided_for: Duration,
-    /// The time for which a VM leads before it passes the lead on to a younger one, so that
+    /// The time for which a VM leads before it passes the lead on to a younger voter, so that
     /// the lead does not return at once to one that can't keep it.
     pub lead_kept_for: Duration,
     /// The most optional changes within a minute. The loss and return of a failure domain of
--- a/crates/currantgate-control/tests/planned_stop.rs
+++ b/crates/currantgate-control/tests/planned_stop.rs
@@ -112,6 +112,41 @@
     assert_eq!((net.votes, net.leader()), (0, Some(leader)));
 }
 
+/// Guards against a leader without a vote that is not told of a stop, and against one that can't
+/// replace the vote by its own.
+#[test]
+fn a_leader_without_a_vote_takes_the_vote_of_a_voter_that_stops() {
+    let (mut net, leader) = net_with_leader(4, 6);
+    let others: Vec<_> = net.ids().into_iter().filter(|id| *id != leader).collect();
+    let drop_vote = VoterChange {
+        lost: Some(leader),
+        fresh: others[0],
+        address: address(others[0]),
+    };
+    let id = net.change_voters(leader, drop_vote);
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.replaced.get(&id), Some(&ReplaceAnswer::Done));
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.leader(), Some(leader), "it leads without a vote");
+    net.announce_departure(others[0]);
+    net.run(TRANSFER_TIME);
+    assert!(net.is_departing(leader, others[0]));
+    let take_vote = VoterChange {
+        lost: Some(others[0]),
+        fresh: leader,
+        address: address(leader),
+    };
+    let id = net.change_voters(leader, take_vote);
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.replaced.get(&id), Some(&ReplaceAnswer::Done));
+    net.announce_departure(others[0]);
+    net.run(TRANSFER_TIME);
+    assert!(net.replica(others[0]).unwrap().is_released());
+    let change = net.apply(leader, RevisionId::empty(), "a");
+    net.run(TRANSFER_TIME);
+    assert_eq!(net.answers[&change], ApplyAnswer::Accepted(1));
+}
+
 /// Guards against a VM that stops before its removal from the voters is committed.
 #[test]
 fn a_voter_is_released_only_after_its_removal_is_committed() {
--- a/crates/currantgate/src/control/core.rs
+++ b/crates/currantgate/src/control/core.rs
@@ -208,7 +208,17 @@
             return None;
         }
         let id = self.replica.leader_id()?;
-        Some((id, self.replica.peer_address(id)?))
+        Some((id, self.address_of(id)?))
+    }
+
+    /// Returns the address of this VM, of a voter, or of another control VM that has sent a
+    /// message.
+    fn address_of(&self, id: VoterId) -> Option<SocketAddr> {
+        if id == self.replica.id() {
+            return Some(self.listen);
+        }
+        let reply_address = self.reply_addresses.get(&id).copied();
+        self.replica.peer_address(id).or(reply_address)
     }
 
     /// Returns whether this VM is in contact with a quorum.
@@ -423,11 +433,12 @@
         self.replica.has_lease(now).then_some(spread)
     }
 
-    /// Closes connections to control VMs that are no longer voters.
+    /// Closes connections to control VMs that are no longer voters, and do not lead either.
     fn drop_former_peers(&mut self) {
         let replica = &self.replica;
+        let leader = replica.leader_id();
         self.peers
-            .retain(|id, _| replica.peer_address(*id).is_some());
+            .retain(|id, _| replica.peer_address(*id).is_some() || leader == Some(*id));
     }
 
     /// Keeps connections to all other voters open, so that an election need not wait until they
@@ -607,8 +618,7 @@
 
     /// Sends a message to another control VM, over a new connection if its address changed.
     fn send(&mut self, to: VoterId, message: Message) {
-        let reply_address = self.reply_addresses.get(&to).copied();
-        let Some(address) = self.replica.peer_address(to).or(reply_address) else {
+        let Some(address) = self.address_of(to) else {
             return;
         };
         self.connect(to, address);
