--- a/crates/currantgate-control/src/replica/departure.rs
+++ b/crates/currantgate-control/src/replica/departure.rs
@@ -43,8 +43,8 @@
 
 impl Replica {
     /// Announces to the voters and the leader that this replica stops, so that the leader hands
-    /// its vote over. To be repeated until [`Replica::is_released`], as announcements expire. From now
-    /// on, the replica starts no election.
+    /// its vote over. To be repeated until [`Replica::is_released`], as announcements expire.
+    /// From now on, the replica starts no election.
     pub fn announce_departure(&mut self) {
         if self.departures.own == OwnStop::Running {
             self.departures.own = OwnStop::Announced;
--- a/crates/currantgate-control/src/voter_planner/mod.rs
+++ b/crates/currantgate-control/src/voter_planner/mod.rs
@@ -135,7 +135,8 @@
     }
 
     /// Returns the next change that the voters need, or `None`. Called on the leader, whose id
-    /// is `own` and which may be no voter; `is_departing` returns whether a VM has announced that it stops.
+    /// is `own` and which may be no voter; `is_departing` returns whether a VM has announced
+    /// that it stops.
     pub fn next_change(
         &mut self,
         now: Instant,
