--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -38,7 +38,10 @@
 impl Record {
     pub fn create(folder: &Path) -> Self {
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
-        Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -82,10 +85,15 @@
 pub fn free_network() -> [u8; 3] {
     let pid = std::process::id();
     for n in 0..200_u32 {
-        let mixed = pid.wrapping_mul(2_654_435_761).wrapping_add(n.wrapping_mul(40_503));
+        let mixed = pid
+            .wrapping_mul(2_654_435_761)
+            .wrapping_add(n.wrapping_mul(40_503));
         let net = [127, 100 + (mixed >> 8) as u8 % 100, (mixed >> 16) as u8];
         let is_free = |port| TcpListener::bind((ip(net, 10), port)).is_ok();
-        if [CONTROL_PORT, INTERNAL_PORT, READY_PORT, 9464].into_iter().all(is_free) {
+        if [CONTROL_PORT, INTERNAL_PORT, READY_PORT, 9464]
+            .into_iter()
+            .all(is_free)
+        {
             return net;
         }
     }
@@ -182,17 +190,25 @@
 
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
     /// Copies the logs beside `record.txt`, for whoever looks into a failure.
     pub fn logs(&self) -> Vec<PathBuf> {
-        (1..=self.incarnation).map(|n| self.folder.join(format!("log-{n}.txt"))).collect()
+        (1..=self.incarnation)
+            .map(|n| self.folder.join(format!("log-{n}.txt")))
+            .collect()
     }
 
     fn settings(&self, seeds: &[SocketAddr], bootstrap: bool, zones: &[&str]) -> String {
         let seeds: Vec<_> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
-        let (class, serves) = if self.is_core { ("core", "control") } else { ("frontend", "frontend") };
+        let (class, serves) = if self.is_core {
+            ("core", "control")
+        } else {
+            ("frontend", "frontend")
+        };
         let mut text = format!(
             "node-name = \"{}\"\nrole = \"{}\"\nmachine-class = \"{class}\"\nserves = [\"{serves}\"]\n\
              ip-address = \"{}\"\nzone = \"{}\"\nregion = \"r\"\n\
@@ -230,7 +246,9 @@
             if self.is_core { 128 } else { 0 }
         );
         text += &format!(
-            "[fault-tolerance]\nmachines = {}\nzones = 1\nregions = 0\n", self.tolerated);
+            "[fault-tolerance]\nmachines = {}\nzones = 1\nregions = 0\n",
+            self.tolerated
+        );
         text + "[bounds]\nseed-lag-s = 3\nreuse-after-s = 2\nstable-window-ms = 4000\n\
                 ack-timeout-ms = 5000\ncatch-up-s = 4\ndrain-ms = 3000\ngrace-s = 6\n\
                 loss-slack-ms = 200\nconfig-propagation-ms = 3000\ndowngrade-slack-ms = 250\n\
@@ -273,13 +291,21 @@
         .split_once("\r\n\r\n")
         .ok_or_else(|| io::Error::other("the response ends early"))?;
     let mut lines = head.lines();
-    let status = lines.next().and_then(|l| l.split(' ').nth(1)).and_then(|s| s.parse().ok());
+    let status = lines
+        .next()
+        .and_then(|l| l.split(' ').nth(1))
+        .and_then(|s| s.parse().ok());
     let status = status.ok_or_else(|| io::Error::other("the response has no status"))?;
     let location = lines.find_map(|l| {
         let (name, value) = l.split_once(':')?;
-        name.eq_ignore_ascii_case("location").then(|| value.trim().to_string())
+        name.eq_ignore_ascii_case("location")
+            .then(|| value.trim().to_string())
     });
-    Ok(Answer { status, location, body: body.into() })
+    Ok(Answer {
+        status,
+        location,
+        body: body.into(),
+    })
 }
 
 /// Sends a call to one node and follows a 307 twice, as callers of `control` do.
@@ -303,7 +329,13 @@
 
 /// Sends a configuration to the nodes in turn until one acknowledges it or the time is over.
 /// Returns whether it was acknowledged.
-pub fn replace(record: &Record, nodes: &[SocketAddr], body: &str, what: &str, limit: Duration) -> bool {
+pub fn replace(
+    record: &Record,
+    nodes: &[SocketAddr],
+    body: &str,
+    what: &str,
+    limit: Duration,
+) -> bool {
     let deadline = Instant::now() + limit;
     let mut outcomes: Vec<(String, u32)> = Vec::new();
     let mut acknowledged = None;
@@ -352,7 +384,9 @@
             thread::sleep(Duration::from_millis(100));
         }
     }
-    record.line(&format!("{what}: no answer with 200, answers: {outcomes:?}"));
+    record.line(&format!(
+        "{what}: no answer with 200, answers: {outcomes:?}"
+    ));
     None
 }
 
--- a/review/standin-3/replaced_and_wiped.rs
+++ b/review/standin-3/replaced_and_wiped.rs
@@ -45,11 +45,23 @@
         core.start(&seeds, true, &ZONES);
     }
     let v1 = configuration(11, 1500);
-    if !replace(record, &seeds, &v1, "configuration 11", Duration::from_secs(10)) {
+    if !replace(
+        record,
+        &seeds,
+        &v1,
+        "configuration 11",
+        Duration::from_secs(10),
+    ) {
         return CANNOT_RUN;
     }
     let v2 = configuration(15, 1600);
-    if !replace(record, &seeds, &v2, "configuration 15", Duration::from_secs(10)) {
+    if !replace(
+        record,
+        &seeds,
+        &v2,
+        "configuration 15",
+        Duration::from_secs(10),
+    ) {
         return CANNOT_RUN;
     }
     // Longer than stable-window-ms, so that all machines are in touch.
@@ -75,7 +87,10 @@
         let address = ip(net, 20);
         let mut fresh = Machine::new(&scratch, &format!("core-{zone}-2"), address, zone, true);
         fresh.start(&seeds, false, &ZONES);
-        record.line(&format!("{} is added in its place, with an empty disk", fresh.name));
+        record.line(&format!(
+            "{} is added in its place, with an empty disk",
+            fresh.name
+        ));
         nodes[removed] = fresh.control();
         // catch-up-s after its start, the removed machine has stopped to count.
         record.sleep_until(start + 5.5);
@@ -87,18 +102,34 @@
         record.line(&format!("{} is back with an empty disk", fresh.name));
         record.sleep_until(start + 7.7);
         cores[frozen].signal(SIGCONT);
-        record.line(&format!("{} wakes: all machines are back", cores[frozen].name));
+        record.line(&format!(
+            "{} wakes: all machines are back",
+            cores[frozen].name
+        ));
         successor = Some(fresh);
     } else {
         record.sleep_until(start + 7.7);
     }
     // recovery-timeout-s after all are back.
     record.sleep_until(start + 7.7 + 12.0);
-    let read_back = read(record, &nodes, "read of the configuration", Duration::from_secs(20));
+    let read_back = read(
+        record,
+        &nodes,
+        "read of the configuration",
+        Duration::from_secs(20),
+    );
     let v3 = configuration(18, 1700);
-    let is_changed = replace(record, &nodes, &v3, "configuration 18", Duration::from_secs(10));
+    let is_changed = replace(
+        record,
+        &nodes,
+        &v3,
+        "configuration 18",
+        Duration::from_secs(10),
+    );
     let is_held = read_back.as_deref() == Some(&*v2);
-    record.line(&format!("read back as acknowledged: {is_held}; next change acknowledged: {is_changed}"));
+    record.line(&format!(
+        "read back as acknowledged: {is_held}; next change acknowledged: {is_changed}"
+    ));
     drop(successor);
     i32::from(!is_held)
 }
